--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of an answer that survives the loss of its processes."""
--- /dev/null
+++ b/monsoontack/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for long model generations on engines that fail."""
--- /dev/null
+++ b/monsoontack/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control, fair shares, retry and hedge budgets."""
--- /dev/null
+++ b/monsoontack/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent daemon beside each backend server."""
--- /dev/null
+++ b/monsoontack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/monsoontack/client/__init__.py
@@ -0,0 +1,1 @@
+"""Python client that reconnects until the answer is whole."""
--- /dev/null
+++ b/monsoontack/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration objects, their checks, publishing and spread."""
--- /dev/null
+++ b/monsoontack/controller/__init__.py
@@ -0,0 +1,1 @@
+"""Work that one process does at a time, under a lease."""
--- /dev/null
+++ b/monsoontack/core/__init__.py
@@ -0,0 +1,1 @@
+"""Records, errors and the clock that all packages share."""
--- /dev/null
+++ b/monsoontack/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon."""
--- /dev/null
+++ b/monsoontack/generation/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts of a generation, progress monitoring and recovery."""
--- /dev/null
+++ b/monsoontack/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent calls."""
--- /dev/null
+++ b/monsoontack/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which processes and backend servers live, leave or are lost."""
--- /dev/null
+++ b/monsoontack/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's processes, with generated code."""
--- /dev/null
+++ b/monsoontack/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Rollout evidence, its judgement and the step machine."""
--- /dev/null
+++ b/monsoontack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server for each request."""
--- /dev/null
+++ b/monsoontack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Validated process settings, read from JSON files."""
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Model-checking specifications of the core protocols."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, for tests and the demonstration."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: test runner and build steps."""
