--- /dev/null
+++ b/monsoontack/rollout/guard_test.py
@@ -0,0 +1,93 @@
+"""Tests of the local stop at an entry."""
+
+import unittest
+
+from monsoontack.config.view import RolloutConfig
+from monsoontack.core.records import Outcome, StopMark
+from monsoontack.rollout.guard import MAX_MARKS, MIN_OPEN, Guard
+
+ROLLOUT = RolloutConfig("u1", "r", "s", "v1", "v2", 1e9, "stepping")
+MARK = StopMark("u1", "s", "v2", "bad", "e9")
+SHARES = (("v1", 75.0), ("v2", 25.0))
+
+
+def guard_with(rollout=ROLLOUT):
+    guard = Guard.from_config("e1", 3)
+    guard.configure({rollout.uid: rollout}, 0.0)
+    return guard
+
+
+def outcome(version, failed):
+    return Outcome("s", version, "chat", failed, 0.1, 0.03)
+
+
+class GuardTest(unittest.TestCase):
+    def test_stops_on_its_own_evidence(self):
+        """Guards against a stop that needs the controller or the store."""
+        guard, marks, now = guard_with(), [], 0.0
+        while not marks and now < 120.0:
+            now += 1.0
+            for _ in range(3):
+                guard.observe(outcome("v1", False), now)
+            guard.observe(outcome("v2", True), now)
+            marks = guard.tick(now) or guard.stop_marks()
+        (mark,) = marks
+        self.assertEqual(
+            ("u1", "v2", "e1"), (mark.rollout_uid, mark.version, mark.entry)
+        )
+        self.assertIn("requests failed on v2", mark.reason)
+        self.assertEqual(0.0, guard.allowed_share("u1", 25.0))
+        self.assertEqual([("v1", 100.0), ("v2", 0.0)], guard.shares("s", SHARES))
+
+    def test_marks_spread_and_stay(self):
+        """Guards against a mark that is lost or undone by configuration."""
+        guard = guard_with()
+        self.assertEqual([MARK], guard.merge([MARK, MARK]))
+        self.assertEqual([], guard.merge([MARK]))
+        guard.configure({"u1": ROLLOUT}, 1.0)
+        self.assertEqual([MARK], guard.stop_marks())
+        guard.configure({}, 2.0)
+        self.assertEqual([], guard.stop_marks())
+
+    def test_mark_before_its_revision_is_kept(self):
+        """Guards against traffic because the mark came before the rollout."""
+        guard = Guard.from_config("e1")
+        guard.merge([MARK])
+        guard.configure({}, 0.0)
+        guard.configure({"u1": ROLLOUT}, 1.0)
+        self.assertEqual(0.0, guard.allowed_share("u1", 5.0))
+
+    def test_marks_of_unknown_rollouts_are_bounded(self):
+        """Guards against memory that grows, and a published mark dropped for it."""
+        guard = guard_with()
+        guard.merge([MARK])
+        for i in range(2 * MAX_MARKS):
+            guard.merge([StopMark(f"x{i}", "s", "v", "", "e")])
+        self.assertEqual(MAX_MARKS, len(guard.marks))
+        self.assertIn("u1", guard.marks)
+
+    def test_unproved_version_freezes_without_the_store(self):
+        """Guards against new traffic to an unproved version in a partition."""
+        guard = guard_with()
+        self.assertEqual(25.0, guard.allowed_share("u1", 25.0, 8.0))
+        self.assertEqual(0.0, guard.allowed_share("u1", 25.0, 10.0))
+        proved = RolloutConfig("u1", "r", "s", "v1", "v2", 1e9, "complete")
+        self.assertEqual(100.0, guard_with(proved).allowed_share("u1", 100.0, 99.0))
+
+    def test_unanswered_requests_are_bounded(self):
+        """Guards against a version that takes requests and never answers."""
+        guard = guard_with()
+        for _ in range(MIN_OPEN):
+            self.assertEqual(25.0, guard.allowed_share("u1", 25.0))
+            guard.sent("s", "v2")
+        self.assertEqual(0.0, guard.allowed_share("u1", 25.0))
+        guard.abandoned("s", "v2")
+        self.assertEqual(25.0, guard.allowed_share("u1", 25.0))
+
+    def test_unknown_rollout_gets_nothing(self):
+        """Guards against traffic to a version whose rollout is not followed."""
+        self.assertEqual(0.0, guard_with().allowed_share("other", 50.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
