--- /dev/null
+++ b/bench/nights.py
@@ -0,0 +1,397 @@
+"""Seeded streams of outcomes of one night, fed to the rollout decisions.
+
+The traffic is that of today's deployments: 3 entries, 20 engines, 10 client
+accounts of which a few are large, 60 requests a second on three routes. The
+failure rate and the latencies drift over the night, and engines are lost. The
+guards and the controller are the product's own code; what is modelled here is
+only the time that reports, writes and stop marks take.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+import numpy as np
+
+from monsoontack.config.view import RolloutConfig
+from monsoontack.rollout.controller import RolloutController
+from monsoontack.rollout.evidence import (
+    BUCKETS,
+    Counts,
+    EvidenceCounters,
+    EvidenceKey,
+    bucket_bound_s,
+    pair_window,
+)
+from monsoontack.rollout.guard import Guard
+from monsoontack.rollout.judge import Judge
+from monsoontack.rollout.state import (
+    Action,
+    Fleet,
+    LeaseGained,
+    LoadVersion,
+    MarksSeen,
+    PublishShares,
+    ReportReceived,
+    SharesPublished,
+    SpreadMark,
+    StateWritten,
+    Tick,
+    WriteState,
+)
+
+WINDOW_S = 5
+NIGHT_S = 8 * 3600
+SERVICE, OLD, NEW, UID = "plan-writer", "v1", "v2", "rollout-1"
+ROUTES = ("chat", "completions", "diagnosis")
+ROUTE_SHARES = (0.5, 0.3, 0.2)
+ACCOUNT_WEIGHTS = (30, 25, 15, 8, 6, 5, 4, 3, 2, 2)
+FAILURE_RATE = 0.005
+FIRST_TOKEN = (0.15, 0.5)  # median in seconds, sigma of the logarithm
+TOKEN_GAP = (0.03, 0.35)
+LOSSES = 4.0  # engine losses during a rollout, on average
+LOST_STREAMS = 16
+LOST_FAILED = 0.2  # part of a lost engine's streams that end in a failure
+WEIGHTS_BYTES = 15_000_000_000
+SLOW_FACTOR = 1.5
+AFTER_SHOWN_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Traffic and fault of a night.
+
+    `onset` is `none`, `at_once`, `after_30_min`, `above_load` or `one_route`;
+    `kind` is `failures` (rate multiplied by `factor`) or `slow` (first token or
+    token gap, by seed).
+    """
+
+    onset: str = "none"
+    kind: str = "failures"
+    factor: float = 2.0
+    entries: int = 3
+    engines: int = 20
+    rate: float = 60.0
+    deadline_s: float = 9000.0
+    load_rate_bytes_s: float = 500_000_000.0
+
+
+@dataclass(slots=True)
+class NightResult:
+    """What happened in one night.
+
+    The fault shows at `shown_at`, when the first process has enough evidence
+    of its own to stop. `pooled_at` is when the evidence of all entries would
+    have sufficed if it had reached one place without delay. `after_shown` and
+    `after_pooled` count requests to the bad version later than 3 s after.
+    """
+
+    phase: str = ""
+    reason: str = ""
+    ended_at: float = 0.0
+    bad_requests: int = 0
+    harmed: int = 0
+    after_shown: int = 0
+    after_pooled: int = 0
+    shown_at: float | None = None
+    pooled_at: float | None = None
+    by_guard: bool = False
+
+
+def bucket_shares(median_s: float, sigma: float) -> np.ndarray:
+    """Return the share of a lognormal latency in each bucket."""
+    bounds = [bucket_bound_s(i) for i in range(1, BUCKETS)]
+    below = [
+        0.5 * (1 + math.erf(math.log(b / median_s) / (sigma * math.sqrt(2))))
+        for b in bounds
+    ]
+    return np.diff(np.array([0.0, *below, 1.0]))
+
+
+@dataclass
+class Night:
+    """One run of a scenario with one seed."""
+
+    scenario: Scenario
+    seed: int
+    result: NightResult = field(default_factory=NightResult)
+
+    def __post_init__(self) -> None:
+        scenario = self.scenario
+        self.rng = np.random.default_rng([self.seed, 77])
+        self.now = 0.0
+        self.share = 0.0
+        self.config = RolloutConfig(
+            UID, "move", SERVICE, OLD, NEW, scenario.deadline_s, "stepping"
+        )
+        names = [f"entry-{i}" for i in range(scenario.entries)]
+        self.guards = [Guard.from_config(n, len(names)) for n in names]
+        for guard in self.guards:
+            guard.configure({UID: self.config}, self.now)
+        self.counters = [EvidenceCounters() for _ in names]
+        self.controller = RolloutController.from_config(
+            names[0], scenario.load_rate_bytes_s, self.now
+        )
+        self.controller.configure(
+            [self.config], {(SERVICE, NEW): WEIGHTS_BYTES}, self.now
+        )
+        self.engines = {f"10.0.0.{i}:1": (OLD,) for i in range(scenario.engines)}
+        self.loading: list[tuple[float, str]] = []
+        self.state = None
+        self.pooled = Judge(OLD, NEW, self.controller.threshold)
+        self.marks_at = [math.inf] * scenario.entries
+        self._draw_night()
+
+    def _draw_night(self) -> None:
+        rng, scenario = self.rng, self.scenario
+        self.phase_shift = rng.uniform(0, 2 * math.pi)
+        weights = np.array(ACCOUNT_WEIGHTS, float) / sum(ACCOUNT_WEIGHTS)
+        mixes = rng.dirichlet([20 * s for s in ROUTE_SHARES], len(weights))
+        self.account_rates = scenario.rate * weights[:, None] * mixes
+        self.account_rates *= np.array(ROUTE_SHARES) / (weights @ mixes)
+        self.bursts = np.ones(len(weights))
+        losses = rng.poisson(LOSSES)
+        self.losses = sorted(rng.uniform(0, scenario.deadline_s, losses))
+        self.slow_metric = int(rng.integers(2))
+        self.bad_route = len(ROUTES) - 1 - self.seed % len(ROUTES)
+        normal, slow = [], []
+        for median_s, sigma in (FIRST_TOKEN, TOKEN_GAP):
+            drift = rng.uniform(0.9, 1.1)
+            normal.append(bucket_shares(median_s * drift, sigma))
+            slow.append(bucket_shares(median_s * drift * SLOW_FACTOR, sigma))
+        self.normal, self.slow = normal, slow
+
+    def run(self) -> NightResult:
+        """Run until the rollout has ended and its stop marks have spread."""
+        self._execute(self.controller.handle(self._fleet(), 0.0))
+        self._execute(self.controller.handle(LeaseGained(1), 0.0))
+        limit = self.scenario.deadline_s + 60
+        while self.now < limit:
+            self._window()
+            if self.state is not None and self.state.ended and self._settled():
+                break
+        result = self.result
+        result.phase = str(self.state.phase)
+        result.reason = self.state.reason
+        result.ended_at = self.now
+        return result
+
+    def _settled(self) -> bool:
+        shown = self.result.shown_at
+        return shown is None or self.now >= shown + 4 * WINDOW_S
+
+    def _window(self) -> None:
+        counts, sent = self._outcomes()
+        if self._fault_active():
+            self._count_after(sent)
+        self.now += WINDOW_S
+        self._pool(counts)
+        for i, guard in enumerate(self.guards):
+            for key, value in counts[i]:
+                guard.observe_counts(key, value, self.now - 1e-3)
+            for _ in guard.tick(self.now):
+                self._show(i, True)
+        self._control(counts)
+
+    def _pool(self, counts: list) -> None:
+        """Judge the window of all entries without delay, for comparison."""
+        if self.scenario.onset == "none" or self.result.pooled_at is not None:
+            return
+        total: dict[EvidenceKey, Counts] = {}
+        for rows in counts:
+            for key, value in rows:
+                if key in total:
+                    total[key].add(value)
+                else:
+                    total[key] = value.copy()
+        window = pair_window(total, SERVICE, OLD, NEW)
+        if self.pooled.update(window, self.now):
+            self.result.pooled_at = self.now
+
+    def _control(self, counts: list) -> None:
+        for i, guard in enumerate(self.guards):
+            counters = self.counters[i]
+            # Reports are up to one interval old when the controller judges.
+            report = counters.report(guard.entry, 1, 1)
+            self.controller.handle(ReportReceived(report), self.now)
+            for key, value in counts[i]:
+                counters.counts.setdefault(key, Counts()).add(value)
+        while self.loading and self.loading[0][0] <= self.now:
+            _, address = self.loading.pop(0)
+            self.engines[address] = (OLD, NEW)
+        self.controller.handle(self._fleet(), self.now)
+        if self.now >= self.marks_at[0]:
+            marks = tuple(self.guards[0].stop_marks())
+            self._execute(self.controller.handle(MarksSeen(marks), self.now))
+        self._execute(self.controller.handle(Tick(), self.now))
+
+    def _fleet(self) -> Fleet:
+        return Fleet({SERVICE: dict(self.engines)}, len(self.guards))
+
+    def _execute(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case WriteState(state, version):
+                    self.state = state
+                    answer = StateWritten(state.uid, version + 1)
+                    self._execute(self.controller.handle(answer, self.now))
+                case PublishShares():
+                    self.share = dict(action.shares)[NEW]
+                    answer = SharesPublished(UID, self.share, action.phase)
+                    self.controller.handle(answer, self.now)
+                case LoadVersion(address):
+                    done = self.now + WEIGHTS_BYTES / self.scenario.load_rate_bytes_s
+                    self.loading.append((done, address))
+                case SpreadMark(mark):
+                    self.guards[0].merge([mark])
+                    self._show(0, False)
+
+    def _show(self, entry: int, by_guard: bool) -> None:
+        """Spread the first stop mark from an entry to the others."""
+        if self.result.shown_at is not None:
+            return
+        self.result.shown_at = self.now
+        self.result.by_guard = by_guard
+        times = spread_times(len(self.guards), entry, self.rng)
+        self.marks_at = [self.now + t for t in times]
+        marks = self.guards[entry].stop_marks()
+        for guard in self.guards:
+            guard.merge(marks)
+
+    def _exposure(self) -> np.ndarray:
+        """Return per entry the part of the next window before its stop mark."""
+        until = (np.array(self.marks_at) - self.now) / WINDOW_S
+        return np.clip(until, 0.0, 1.0)
+
+    def _outcomes(self) -> tuple[list, np.ndarray]:
+        """Draw the outcomes of the next window, per entry."""
+        rng, scenario = self.rng, self.scenario
+        if self.now % 60 == 0:
+            self.bursts = rng.gamma(20.0, 1 / 20.0, len(self.bursts))
+        rates = self.bursts @ self.account_rates / scenario.entries
+        share = self._exposure() * self.share / 100.0
+        parts = np.stack([1 - share, share], axis=1)
+        mean = WINDOW_S * rates[None, :, None] * parts[:, None, :]
+        sent = rng.poisson(mean)
+        failed, buckets = self._draw(sent)
+        return self._records(sent, failed, buckets), sent
+
+    def _draw(self, sent: np.ndarray) -> tuple[np.ndarray, list[np.ndarray]]:
+        rng, scenario = self.rng, self.scenario
+        wave = math.sin(self.phase_shift + self.now * 2 * math.pi / 14400)
+        failed = rng.binomial(sent, FAILURE_RATE * (1 + 0.15 * wave))
+        bad = np.zeros(sent.shape, bool)
+        if self._fault_active():
+            bad[:, :, 1] = True
+            if scenario.onset == "one_route":
+                bad[:, np.arange(len(ROUTES)) != self.bad_route, :] = False
+            self.result.bad_requests += int(sent[:, :, 1].sum())
+        if scenario.kind == "failures" and bad.any():
+            extra = FAILURE_RATE * (scenario.factor - 1)
+            more = rng.binomial((sent - failed) * bad, min(1.0, extra))
+            failed += more
+            self.result.harmed += int(more.sum())
+        slow = bad if scenario.kind == "slow" else np.zeros(sent.shape, bool)
+        self.result.harmed += int((sent * slow).sum())
+        failed, lost = self._lose_engine(sent, failed)
+        buckets = [self._latencies(sent - failed, slow, lost, m) for m in (0, 1)]
+        return failed, buckets
+
+    def _lose_engine(self, sent, failed) -> tuple[np.ndarray, np.ndarray]:
+        """Fail a part of one engine's streams and slow the others down."""
+        lost = np.zeros(sent.shape, int)
+        if not (self.losses and self.losses[0] <= self.now):
+            return failed, lost
+        self.losses.pop(0)
+        total = sent.sum()
+        if not total:
+            return failed, lost
+        streams = self.rng.multinomial(LOST_STREAMS, (sent / total).ravel())
+        hit = np.minimum(streams.reshape(sent.shape), sent - failed)
+        ended = self.rng.binomial(hit, LOST_FAILED)
+        return failed + ended, hit - ended
+
+    def _latencies(self, count, slow, lost, metric: int) -> np.ndarray:
+        shares = np.broadcast_to(self.normal[metric], (*count.shape, BUCKETS))
+        if slow.any() and metric == self.slow_metric:
+            shares = np.where(slow[..., None], self.slow[metric], shares)
+        drawn = self.rng.multinomial(np.maximum(count - lost, 0), shares)
+        drawn[..., BUCKETS - 8] += np.minimum(lost, count)
+        return drawn
+
+    def _records(self, sent, failed, buckets) -> list:
+        first, gaps = buckets[0].tolist(), buckets[1].tolist()
+        sent, failed = sent.tolist(), failed.tolist()
+        records = []
+        for e in range(len(self.guards)):
+            rows = []
+            for r, route in enumerate(ROUTES):
+                for v, version in enumerate((OLD, NEW)):
+                    if sent[e][r][v]:
+                        counts = Counts(
+                            sent[e][r][v],
+                            failed[e][r][v],
+                            first[e][r][v],
+                            gaps[e][r][v],
+                        )
+                        rows.append((EvidenceKey(SERVICE, version, route), counts))
+            records.append(rows)
+        return records
+
+    def _fault_active(self) -> bool:
+        onset = self.scenario.onset
+        if onset == "none" or self.share <= 0:
+            return False
+        if onset == "after_30_min":
+            return self.now >= 1800
+        if onset == "above_load":
+            return self.share > 30.0
+        return True
+
+    def _count_after(self, sent: np.ndarray) -> None:
+        """Count new requests later than 3 s after the fault showed."""
+        result, stops = self.result, np.array(self.marks_at)
+        begin, end = self.now, np.minimum(stops, self.now + WINDOW_S)
+        new = sent[:, :, 1].sum(axis=1)
+        for name in ("shown", "pooled"):
+            at = getattr(result, f"{name}_at")
+            if at is None:
+                continue
+            late = end - np.maximum(begin, at + AFTER_SHOWN_S)
+            part = np.clip(late / np.maximum(end - begin, 1e-9), 0.0, 1.0)
+            counted = getattr(result, f"after_{name}")
+            setattr(result, f"after_{name}", counted + int(np.ceil(new * part).sum()))
+
+
+def spread_times(entries: int, start: int, rng: np.random.Generator) -> list[float]:
+    """Return after how many seconds each entry has a stop mark.
+
+    An entry pushes what is new to it to 4 random peers, 10% of the messages
+    are lost, and each entry pulls from one random peer a second.
+    """
+    times = [math.inf] * entries
+    times[start] = 0.0
+    queue = [start]
+    while queue:
+        sender = queue.pop(0)
+        others = [i for i in range(entries) if i != sender]
+        for peer in rng.choice(others, min(4, len(others)), replace=False):
+            if rng.random() < 0.1:
+                continue
+            arrival = times[sender] + rng.uniform(0.002, 0.05)
+            if arrival < times[peer]:
+                times[peer] = arrival
+                queue.append(int(peer))
+    return _pull_times(times, rng)
+
+
+def _pull_times(times: list[float], rng: np.random.Generator) -> list[float]:
+    offsets = rng.uniform(0, 1, len(times))
+    round_number = 0
+    while max(times) == math.inf:
+        for i, offset in enumerate(offsets):
+            at = round_number + offset
+            peer = int(rng.integers(len(times)))
+            if times[i] > at and times[peer] < at and rng.random() >= 0.1:
+                times[i] = at + 0.03
+        round_number += 1
+    return times
--- a/monsoontack/rollout/plan.py
+++ b/monsoontack/rollout/plan.py
@@ -7,6 +7,7 @@
 STEP_WEIGHTS = (2.0, 2.0, 3.0, 5.0, 8.0)  # parts of the time; the last watches
 RESERVE = 0.05  # of the time that is left, for delayed evidence and writes
 MIN_STEP_S = 30.0
+BURST_S = 5.0
 MIN_ENGINES = 2  # one engine of a version would make its loss look like a fault
 
 
@@ -36,7 +37,9 @@
     """Token bucket of weight loads, in bytes at the weight store's rate.
 
     A load may start when no debt is left and then adds its whole size as debt,
-    so the average rate holds for weights of any size.
+    so the average rate holds for weights of any size. Unused rate is saved for
+    `BURST_S`: without it, loads shorter than the controller's tick ran at one
+    a tick, and 850 engines missed their deadline.
     """
 
     rate_bytes_s: float
@@ -46,7 +49,7 @@
     def take(self, size_bytes: int, now: float) -> bool:
         """Start a load of `size_bytes` if the rate permits it now."""
         paid = max(0.0, now - self.updated_at) * self.rate_bytes_s
-        self.debt_bytes = max(0.0, self.debt_bytes - paid)
+        self.debt_bytes = max(-BURST_S * self.rate_bytes_s, self.debt_bytes - paid)
         self.updated_at = max(self.updated_at, now)
         if self.debt_bytes > 0:
             return False
