Let failure evidence at full traffic add to earlier evidence

The alternatives of the two failure tests were measured from different rates, so what 25% and 50% had shown was lost at 100%, and the old version's last 15 to 30 minutes gave too uncertain a rate on a small route. Ruled out: load rate, entries' reports (all windows arrive).

--- a/monsoontack/rollout/judge.py
+++ b/monsoontack/rollout/judge.py
@@ -40,7 +40,7 @@
 MIN_MEDIAN = 30  # old requests before the median is used
 OLD_SHARE = 0.02  # below it old requests are the tail of long answers
 RESTART_S = 60.0
-REFERENCE_PERIOD_S = 900.0
+REFERENCE_PERIOD_S = 3600.0
 MAX_ROUTES = 8
 RESTARTS = 480  # restarts in a rollout of eight hours
 TESTS = 3 * (MAX_ROUTES + 1)
@@ -180,9 +180,13 @@
         if not total or total[0] < MIN_REFERENCE:
             return
         self.tally.referenced = True
-        rate = FAILURE_DRIFT * _upper_rate(total[0], total[1])
+        usual = (total[1] + 1) / total[0]
+        equal = FAILURE_DRIFT * _upper_rate(total[0], total[1])
         for i, ratio in enumerate(FAILURE_RATIOS):
-            self.logs[i] += f_new * math.log(ratio) - n_new * rate * (ratio - 1)
+            # Measured from the same rate as in `_compare`, so that the
+            # evidence of one alternative adds up over both phases.
+            worse = max(ratio * usual, equal)
+            self.logs[i] += f_new * math.log(worse / equal) - n_new * (worse - equal)
 
     def text(self, old: str, new: str) -> str:
         """Return what was seen."""
