Look once with a lower threshold before each rollout step

A rollout could complete with 65% of the evidence for a stop on one route. A decision taken once needs less evidence than one checked after every window.

--- a/monsoontack/rollout/judge.py
+++ b/monsoontack/rollout/judge.py
@@ -44,6 +44,7 @@
 MAX_ROUTES = 8
 RESTARTS = 480  # restarts in a rollout of eight hours
 TESTS = 3 * (MAX_ROUTES + 1)
+LOOKS = 6  # before each of the four next steps, the watch and the completion
 
 
 def threshold_for(alpha: float, judges: int = 1) -> float:
@@ -55,6 +56,17 @@
     return math.log(TESTS * RESTARTS * max(judges, 1) / alpha)
 
 
+def look_threshold_for(alpha: float) -> float:
+    """Return the log likelihood ratio at which a look before a step convicts.
+
+    There are only a few looks, so less evidence suffices than for a test that
+    is checked after every window. A test that restarts is at its maximum over
+    all starting times; read backwards in time that is one likelihood ratio, so
+    a single look errs with probability `alpha` for steady traffic.
+    """
+    return math.log(TESTS * LOOKS / alpha)
+
+
 @dataclass(frozen=True, slots=True)
 class Finding:
     """A fault of the new version: what was measured, in words and figures."""
@@ -325,18 +337,22 @@
                 if restart:
                     test.restart()
                 test.update(old, new, now)
-        return self._convict()
+        return self._convict(self.threshold)
 
     def _tests_of(self, route: str) -> tuple[SequentialTest, ...]:
         if route not in self.routes and len(self.routes) <= MAX_ROUTES:
             self.routes[route] = _tests()
         return self.routes.get(route, ())
 
-    def _convict(self) -> Finding | None:
+    def look(self, alpha: float) -> Finding | None:
+        """Decide once before the next step; see `look_threshold_for`."""
+        return self._convict(min(self.threshold, look_threshold_for(alpha)))
+
+    def _convict(self, threshold: float) -> Finding | None:
         if self.finding is not None:
             return self.finding
         evidence, route, test = self._strongest()
-        if evidence >= self.threshold:
+        if evidence >= threshold:
             self.finding = Finding(
                 test.metric, route, self._describe(route, test), evidence
             )
--- a/monsoontack/rollout/watch.py
+++ b/monsoontack/rollout/watch.py
@@ -29,6 +29,7 @@
 LOAD_TIMEOUT_S = 900.0
 LOAD_RETRY_S = 30.0
 SAVE_S = 60.0
+LOOK_ALPHA = 0.001  # chance that a look before a step stops a good version
 
 
 @dataclass(slots=True)
@@ -160,6 +161,10 @@
 
     def _next_step(self, now: float) -> None:
         state = self.state
+        finding = self.judge.look(LOOK_ALPHA) if state.step >= 0 else None
+        if finding is not None:
+            self.roll_back(f"before the next step: {finding.text}")
+            return
         if state.phase == Phase.WATCHING:
             self.wanted = replace(
                 state,
