--- a/monsoontack/rollout/evidence.py
+++ b/monsoontack/rollout/evidence.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from operator import add, sub
 from typing import NamedTuple
 
 from monsoontack.core.records import Outcome
@@ -70,6 +71,8 @@
 
     def add(self, other: "Counts") -> None:
         """Add the counts of another record to this one."""
+        if not other.requests:
+            return
         self.requests += other.requests
         self.failures += other.failures
         self.first_token = _sum(self.first_token, other.first_token)
@@ -103,11 +106,11 @@
 
 
 def _sum(left: list[int], right: list[int]) -> list[int]:
-    return [a + b for a, b in zip(left, right, strict=True)]
+    return list(map(add, left, right))
 
 
 def _difference(left: list[int], right: list[int]) -> list[int]:
-    return [a - b for a, b in zip(left, right, strict=True)]
+    return list(map(sub, left, right))
 
 
 Window = dict[str, tuple[Counts, Counts]]
@@ -243,11 +246,12 @@
         deltas = {}
         for key, counts in report.counts.items():
             before = earlier.get(key)
+            if before is not None and before.requests == counts.requests:
+                continue
             delta = counts.minus(before) if before is not None else counts.copy()
             if not delta.is_valid():
                 return None
-            if delta.requests:
-                deltas[key] = delta
+            deltas[key] = delta
         return deltas
 
     def _make_room(self) -> None:
