--- /dev/null
+++ b/monsoontack/agent/core.py
@@ -0,0 +1,345 @@
+"""The agent without its sockets: takes link messages, runs the actions.
+
+`Agent` holds the pure parts (stream log, fences, drain state, links), starts
+one task for each engine request, call and order, and wakes the links that have
+something to send. `monsoontack.agent.server` and `daemon` connect it to gRPC,
+the poll loops and signals.
+"""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable, Coroutine, Iterable
+
+import structlog
+
+from monsoontack.agent.backend import (
+    BackendFailure,
+    CallOutcome,
+    CallRequest,
+    Engine,
+    OrderOutcome,
+    OrderRequest,
+    PlainService,
+)
+from monsoontack.agent.drain import DrainState
+from monsoontack.agent.fencing import CallFences, OrderFence
+from monsoontack.agent.links import AgentIdentity, Link, build_frame
+from monsoontack.agent.load import EngineView, TokenProgress
+from monsoontack.agent.metrics import Counters
+from monsoontack.agent.records import (
+    Action,
+    AttachRequest,
+    CancelEngine,
+    RunEngine,
+    SendEnd,
+    StartRequest,
+    StreamEnd,
+    WakeLink,
+)
+from monsoontack.agent.schedule import FrameSchedule
+from monsoontack.agent.streamlog import StreamLog, describe
+from monsoontack.proto import link_pb2
+from monsoontack.settings.models import AgentSettings
+
+MAX_RUNNING_CALLS = 1024
+
+log = structlog.get_logger("agent")
+
+
+class Agent:
+    """All state of one agent process; used from one event loop only."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        engine: Engine | None,
+        service: PlainService | None,
+        now: Callable[[], float],
+        unix_now: Callable[[], float] = time.time,
+    ) -> None:
+        """Create the state; `engine` or `service` is the backend server.
+
+        `now` returns the loop's time, `unix_now` Unix time, both in seconds.
+        """
+        self.settings = settings
+        self.engine = engine
+        self.service = service
+        self.now = now
+        self.unix_now = unix_now
+        self.streams = StreamLog.from_settings(settings)
+        self.view = EngineView(
+            settings.backend.versions, settings.backend.slots, TokenProgress(now())
+        )
+        self.identity = AgentIdentity.from_settings(settings, int(unix_now() * 1000))
+        self.call_fences = CallFences()
+        self.order_fence = OrderFence()
+        self.drain = DrainState(settings.drain_deadline_s)
+        self.counters = Counters()
+        self.links: dict[int, Link] = {}
+        self.link_numbers = itertools.count(1)
+        self.runs: dict[int, asyncio.Task] = {}
+        self.tasks: set[asyncio.Task] = set()
+        self.calls_running = 0
+        self.revision = 0
+
+    def open_link(self) -> Link:
+        """Return the state of a new connection."""
+        schedule = FrameSchedule(self.settings.tick_s, self.settings.heartbeat_s)
+        link = Link(next(self.link_numbers), schedule)
+        self.links[link.number] = link
+        return link
+
+    def close_link(self, link: Link) -> None:
+        """Forget a connection that ended; its streams become orphans."""
+        del self.links[link.number]
+        self.perform(self.streams.close_link(link.number, self.now()))
+        if link.entry:
+            log.info("link closed", entry=link.entry, link=link.number)
+
+    def receive(self, link: Link, message: link_pb2.EntryMessage) -> None:
+        """Handle one message of an entry."""
+        self.revision = max(self.revision, message.revision)
+        body = message.WhichOneof("body")
+        handler = {
+            "hello": self._hello,
+            "start": self._start,
+            "attach": self._attach,
+            "cancel": self._cancel,
+            "call": self._call,
+            "order": self._order,
+        }.get(body)
+        self.counters.add(f"received.{body}")
+        if handler is not None:
+            handler(link, getattr(message, body))
+
+    def frame(self, link: Link) -> link_pb2.Frame:
+        """Return the next frame of a link, and count its contents as sent."""
+        frame = build_frame(
+            link, self.streams, self.view, self.identity, self.revision, self.now()
+        )
+        self.counters.add("frames")
+        self.counters.add("tokens", sum(len(c.tokens) for c in frame.chunks))
+        for end in frame.ends:
+            self.counters.add(f"ends.{end.code}")
+        return frame
+
+    def perform(self, actions: Iterable[Action]) -> None:
+        """Run the actions of the stream log."""
+        for action in actions:
+            match action:
+                case RunEngine(run=run, start=start):
+                    self.runs[run] = self.spawn(self._run_engine(run, start))
+                case CancelEngine(run=run):
+                    if task := self.runs.pop(run, None):
+                        task.cancel()
+                case SendEnd(link=number, end=end):
+                    if link := self.links.get(number):
+                        link.ends.append(end)
+                        link.notify()
+                case WakeLink(link=number):
+                    if link := self.links.get(number):
+                        link.chunks_waiting = True
+                        link.notify()
+
+    def spawn(self, work: Coroutine) -> asyncio.Task:
+        """Run a coroutine as a task that the agent keeps until it ends."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def apply_phase(self) -> None:
+        """Announce a changed phase on every link."""
+        self.streams.leaving = self.drain.leaving
+        log.info("phase changed", phase=str(self.drain.phase))
+        for link in self.links.values():
+            link.notify(urgent=True)
+
+    def unfinished_count(self) -> int:
+        """Return how many streams and calls a graceful drain still waits for."""
+        waiting = sum(link.has_pending() for link in self.links.values())
+        streams = len(self.streams.unfinished(self.now()))
+        return streams + self.calls_running + waiting
+
+    def describe(self) -> dict:
+        """Return the state dump."""
+        load = self.view.load
+        return {
+            "name": self.settings.name,
+            "vm": self.identity.vm,
+            "incarnation": self.identity.incarnation,
+            "phase": str(self.drain.phase),
+            "revision": self.revision,
+            "versions": list(self.view.versions),
+            "load": None
+            if load is None
+            else {
+                "running": load.running,
+                "queued": load.queued,
+                "slots": load.slots,
+                "age_s": self.now() - load.reported_at,
+            },
+            "order_fence": self.order_fence.highest,
+            "call_fences": len(self.call_fences.seen),
+            "calls_running": self.calls_running,
+            "log_tokens": self.streams.token_count,
+            "streams": describe(self.streams.streams.values()),
+            "links": [
+                {"number": link.number, "entry": link.entry, "frames": link.sequence}
+                for link in self.links.values()
+            ],
+            "counters": dict(self.counters.totals),
+        }
+
+    def _hello(self, link: Link, hello: link_pb2.Hello) -> None:
+        link.entry = hello.entry
+        log.info("link opened", entry=hello.entry, link=link.number)
+
+    def _start(self, link: Link, message: link_pb2.Start) -> None:
+        start = StartRequest(
+            message.generation,
+            message.attempt,
+            message.version,
+            message.request,
+            tuple(message.prefix),
+            message.max_tokens,
+            message.priority,
+        )
+        if self.engine is None:
+            text = "not a model engine"
+            end = StreamEnd(start.generation, start.attempt, "refused", text, False)
+            self.perform([SendEnd(link.number, end)])
+            return
+        self.perform(self.streams.start(link.number, start, self.now()))
+
+    def _attach(self, link: Link, message: link_pb2.Attach) -> None:
+        attach = AttachRequest(
+            message.generation, message.attempt, message.from_position
+        )
+        self.perform(self.streams.attach(link.number, attach, self.now()))
+
+    def _cancel(self, link: Link, message: link_pb2.Cancel) -> None:
+        self.perform(self.streams.cancel(message.generation, message.attempt))
+
+    async def _run_engine(self, run: int, start: StartRequest) -> None:
+        request_id = f"{start.generation}.{start.attempt}"
+        ended = False
+        try:
+            async for item in self.engine.generate(request_id, start):
+                now = self.now()
+                if isinstance(item, BackendFailure):
+                    ended = True
+                    self.counters.add(f"engine.{item.code}")
+                    actions = self.streams.fail(
+                        run, item.code, item.message, item.started, now
+                    )
+                else:
+                    ended = bool(item.finish)
+                    self.view.progress.record(run, now)
+                    actions = self.streams.append(
+                        run,
+                        item.first_position,
+                        item.tokens,
+                        item.texts,
+                        item.finish,
+                        now,
+                    )
+                self.perform(actions)
+        finally:
+            self.runs.pop(run, None)
+            self.view.progress.forget(run)
+            if not ended:
+                self.counters.add("engine.cancelled")
+                self.spawn(self.engine.cancel(request_id))
+
+    def _call(self, link: Link, message: link_pb2.Call) -> None:
+        call = CallRequest(
+            message.call_id,
+            message.method,
+            message.path,
+            tuple((header.name, header.value) for header in message.headers),
+            message.body,
+            message.idempotent,
+            message.account,
+            message.key,
+            message.fence,
+            message.timeout_s,
+        )
+        refused = self._refuse_call(call, message.latest_start_unix_s)
+        if refused is not None:
+            self.counters.add(f"calls.{refused.code}")
+            link.results.append(refused)
+            link.notify()
+            return
+        self.calls_running += 1
+        self.spawn(self._run_call(link, call))
+
+    def _refuse_call(
+        self, call: CallRequest, latest_start: float
+    ) -> CallOutcome | None:
+        code = ""
+        if self.service is None:
+            code = "not_a_service"
+        elif self.drain.leaving:
+            code = "leaving"
+        elif self.calls_running >= MAX_RUNNING_CALLS:
+            code = "refused"
+        if code:
+            return CallOutcome(call.call_id, "not_run", code=code)
+        if call.idempotent:
+            return None
+        refusal = self.call_fences.admit(
+            call.account, call.key, call.fence, latest_start, self.unix_now()
+        )
+        if refusal is None:
+            return None
+        return CallOutcome(call.call_id, refusal.run_state, code=refusal.code)
+
+    async def _run_call(self, link: Link, call: CallRequest) -> None:
+        try:
+            outcome = await self.service.call(call)
+        finally:
+            self.calls_running -= 1
+        self.counters.add(f"calls.{outcome.run_state}")
+        # A link that broke in the meantime leaves the result without a receiver;
+        # the entry then settles the call record as unknown.
+        if link.number in self.links:
+            link.results.append(outcome)
+            link.notify()
+
+    def _order(self, link: Link, message: link_pb2.Order) -> None:
+        order = OrderRequest(
+            message.order_id,
+            message.kind,
+            message.version,
+            message.adapter,
+            message.role,
+            message.fence,
+        )
+        refusal = self.order_fence.admit(order.fence)
+        if refusal is None and self.engine is not None:
+            self.spawn(self._run_order(link, order))
+            return
+        code = refusal.code if refusal else "failed"
+        text = refusal.message if refusal else "not a model engine"
+        self._send_order_result(link, OrderOutcome(order.order_id, code, text))
+
+    async def _run_order(self, link: Link, order: OrderRequest) -> None:
+        outcome = await self.engine.order(order)
+        log.info("order done", order=order.order_id, kind=order.kind, code=outcome.code)
+        await self.read_versions()
+        self._send_order_result(link, outcome)
+
+    def _send_order_result(self, link: Link, outcome: OrderOutcome) -> None:
+        self.counters.add(f"orders.{outcome.code}")
+        link.order_results.append(outcome)
+        link.notify()
+
+    async def read_versions(self) -> None:
+        """Read the loaded versions and tell all links if they changed."""
+        result = await self.engine.read_versions()
+        if self.view.update_versions(result.value_or(self.view.versions)):
+            log.info("versions changed", versions=list(self.view.versions))
+            for link in self.links.values():
+                link.notify(urgent=True)
--- /dev/null
+++ b/monsoontack/agent/enginehttp.py
@@ -0,0 +1,220 @@
+"""Model engine over HTTP, in the format of docs/platform.md."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from monsoontack.agent.backend import (
+    BackendFailure,
+    EngineLoad,
+    EngineTokens,
+    OrderOutcome,
+    OrderRequest,
+)
+from monsoontack.agent.load import CacheEvent
+from monsoontack.agent.records import StartRequest
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 1.0
+# Weights are loaded at the rate of the weight store.
+ORDER_TIMEOUT_S = 1800.0
+MAX_EVENT_BYTES = 1_000_000
+MAX_MESSAGE_CHARACTERS = 300
+
+ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError)
+
+
+class HttpEngine:
+    """`monsoontack.agent.backend.Engine` over an aiohttp session."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self.session = session
+        self.url = url.rstrip("/")
+
+    async def generate(
+        self, request_id: str, start: StartRequest
+    ) -> AsyncIterator[EngineTokens | BackendFailure]:
+        """Run a request; yields its tokens and, if it fails, one failure last."""
+        try:
+            path, body = engine_request(request_id, start)
+        except ValueError as error:
+            yield BackendFailure("refused", f"malformed request: {error}", False)
+            return
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self.session.post(
+                self.url + path,
+                json=body,
+                timeout=timeout,
+                read_bufsize=MAX_EVENT_BYTES,
+            ) as response:
+                if response.status != 200:
+                    yield await refusal(response)
+                    return
+                async for item in read_events(response):
+                    yield item
+        except aiohttp.ClientConnectorError as error:
+            yield BackendFailure("backend_failed", str(error), False)
+        except ERRORS as error:
+            yield BackendFailure("backend_failed", describe(error), True)
+
+    async def cancel(self, request_id: str) -> None:
+        """Ask the engine to drop a request; failures are ignored."""
+        await self._call("POST", "/cancel", {"request_id": request_id})
+
+    async def read_load(self) -> Result[EngineLoad, BackendFailure]:
+        """Read the load."""
+        result = await self._call("GET", "/load")
+        return result.bind(lambda document: parsed(parse_load, document))
+
+    async def read_cache_events(
+        self, after: int
+    ) -> Result[list[CacheEvent], BackendFailure]:
+        """Read the cache events above a sequence number."""
+        result = await self._call("GET", f"/cache_events?after={after}")
+        return result.bind(lambda document: parsed(parse_cache_events, document))
+
+    async def read_versions(self) -> Result[tuple[str, ...], BackendFailure]:
+        """Read which versions are loaded."""
+        result = await self._call("GET", "/versions")
+        return result.bind(lambda document: parsed(parse_versions, document))
+
+    async def order(self, order: OrderRequest) -> OrderOutcome:
+        """Carry out an order, which may take as long as loading weights."""
+        body = {
+            "order_id": order.order_id,
+            "kind": order.kind,
+            "version": order.version,
+            "adapter": order.adapter,
+            "role": order.role,
+            "fence": order.fence,
+        }
+        timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
+        try:
+            async with self.session.post(
+                f"{self.url}/orders", json=body, timeout=timeout
+            ) as response:
+                text = await response.text()
+        except ERRORS as error:
+            return OrderOutcome(order.order_id, "failed", describe(error))
+        if response.status == 200:
+            return OrderOutcome(order.order_id, "ok")
+        code = "fenced" if response.status == 409 and "fenced" in text else "failed"
+        message = f"status {response.status}: {text[:MAX_MESSAGE_CHARACTERS]}"
+        return OrderOutcome(order.order_id, code, message)
+
+    async def _call(
+        self, method: str, path: str, body: dict | None = None
+    ) -> Result[Any, BackendFailure]:
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        try:
+            async with self.session.request(
+                method, self.url + path, json=body, timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    return Failure(await refusal(response))
+                return Success(await response.json())
+        except ERRORS as error:
+            return Failure(BackendFailure("backend_failed", describe(error), True))
+
+
+def engine_request(request_id: str, start: StartRequest) -> tuple[str, dict]:
+    """Return path and body of the engine request; ValueError if malformed."""
+    body = json.loads(start.request)
+    if not isinstance(body, dict):
+        raise ValueError("the request is not a JSON object")
+    chat = "messages" in body
+    body |= {
+        "stream": True,
+        "request_id": request_id,
+        "version": start.version,
+        "priority": start.priority,
+        "resume_token_ids": list(start.prefix),
+    }
+    if start.max_tokens:
+        body["max_tokens"] = start.max_tokens
+    return ("/v1/chat/completions" if chat else "/v1/completions"), body
+
+
+async def read_events(
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[EngineTokens | BackendFailure]:
+    """Yield the events of a stream; a failure if it ends before `finish`."""
+    async for line in response.content:
+        if not line.startswith(b"data: ") or line.startswith(b"data: [DONE]"):
+            continue
+        tokens = parse_event(json.loads(line[6:]))
+        yield tokens
+        if tokens.finish:
+            return
+    yield BackendFailure("backend_failed", "stream ended before the answer", True)
+
+
+def parse_event(event: dict) -> EngineTokens:
+    """Return the tokens of one event; raises ValueError if it is malformed."""
+    tokens = tuple(int(token) for token in event["token_ids"])
+    texts = tuple(str(text) for text in event["texts"])
+    if len(tokens) != len(texts):
+        raise ValueError(f"{len(tokens)} tokens with {len(texts)} texts")
+    finish = str(event.get("finish") or "")
+    return EngineTokens(int(event["first_position"]), tokens, texts, finish)
+
+
+def parse_load(document: dict) -> EngineLoad:
+    """Return the load from the engine's document."""
+    return EngineLoad(
+        int(document["running"]),
+        int(document["queued"]),
+        int(document["slots"]),
+        float(document["age_s"]),
+    )
+
+
+def parse_cache_events(document: dict) -> list[CacheEvent]:
+    """Return the cache events from the engine's document, in order."""
+    events = [
+        CacheEvent(
+            int(event["sequence"]),
+            str(event["kind"]),
+            tuple(int(block) for block in event["blocks"]),
+        )
+        for event in document["events"]
+    ]
+    return sorted(events, key=lambda event: event.sequence)
+
+
+def parse_versions(document: dict) -> tuple[str, ...]:
+    """Return the loaded versions from the engine's document."""
+    return tuple(str(version) for version in document["versions"])
+
+
+def parsed(parse, document: Any) -> Result[Any, BackendFailure]:
+    """Apply a parser; a malformed document is a failure."""
+    try:
+        return Success(parse(document))
+    except (ValueError, KeyError, TypeError) as error:
+        message = f"malformed answer: {error!r}"
+        return Failure(BackendFailure("backend_failed", message, True))
+
+
+async def refusal(response: aiohttp.ClientResponse) -> BackendFailure:
+    """Return the failure for a status other than 200.
+
+    A status 4xx or 503 means that the engine did not take the request.
+    """
+    text = (await response.text())[:MAX_MESSAGE_CHARACTERS]
+    message = f"status {response.status}: {text}"
+    if 400 <= response.status < 500 or response.status == 503:
+        return BackendFailure("refused", message, False)
+    return BackendFailure("backend_failed", message, True)
+
+
+def describe(error: BaseException) -> str:
+    """Return an error's text, or its type where it has none."""
+    if isinstance(error, asyncio.TimeoutError):
+        return "timeout"
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/monsoontack/agent/server.py
@@ -0,0 +1,74 @@
+"""gRPC end of the links: one reader and one writer for each connection."""
+
+import asyncio
+
+import grpc
+
+from monsoontack.agent.core import Agent
+from monsoontack.agent.drain import Phase
+from monsoontack.agent.links import Link
+from monsoontack.proto import link_pb2_grpc
+
+# A link whose entry vanished without closing it is found after at most 10 s.
+SERVER_OPTIONS = (
+    ("grpc.keepalive_time_ms", 5_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.http2.min_ping_interval_without_data_ms", 1_000),
+    ("grpc.http2.max_ping_strikes", 0),
+    ("grpc.so_reuseport", 0),
+)
+
+
+class LinkServicer(link_pb2_grpc.LinkServicer):
+    """Serves `Link.Connect` of link.proto."""
+
+    def __init__(self, agent: Agent) -> None:
+        self.agent = agent
+
+    async def Connect(self, request_iterator, context) -> None:
+        """Carry one link until either side ends it."""
+        link = self.agent.open_link()
+        reader = asyncio.ensure_future(self._read(link, request_iterator))
+        writer = asyncio.ensure_future(self._write(link, context))
+        try:
+            await asyncio.wait((reader, writer), return_when="FIRST_COMPLETED")
+        finally:
+            reader.cancel()
+            writer.cancel()
+            await asyncio.gather(reader, writer, return_exceptions=True)
+            self.agent.close_link(link)
+
+    async def _read(self, link: Link, request_iterator) -> None:
+        async for message in request_iterator:
+            self.agent.receive(link, message)
+
+    async def _write(self, link: Link, context) -> None:
+        while True:
+            await self._wait_due(link)
+            await context.write(self.agent.frame(link))
+            if self.agent.drain.phase is Phase.ENDED and not link.has_pending():
+                return
+
+    async def _wait_due(self, link: Link) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            link.wake.clear()
+            now = loop.time()
+            due = link.schedule.next_at(link.has_pending(), link.urgent, now)
+            if due <= now:
+                return
+            try:
+                async with asyncio.timeout_at(due):
+                    await link.wake.wait()
+            except TimeoutError:
+                pass
+
+
+def make_server(agent: Agent) -> grpc.aio.Server:
+    """Return a server, not yet started, on the agent's link address."""
+    server = grpc.aio.server(options=SERVER_OPTIONS)
+    link_pb2_grpc.add_LinkServicer_to_server(LinkServicer(agent), server)
+    address = agent.settings.link_address
+    if server.add_insecure_port(address) == 0:
+        raise OSError(f"cannot listen on link_address {address}")
+    return server
--- /dev/null
+++ b/monsoontack/agent/servicehttp.py
@@ -0,0 +1,115 @@
+"""Plain service over HTTP, in the format of docs/platform.md."""
+
+import aiohttp
+from yarl import URL
+
+from monsoontack.agent.backend import CallOutcome, CallRequest
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_BODY_BYTES = 1_000_000
+
+# Headers of one hop (RFC 9110, section 7.6.1), and those that the agent sets.
+DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "authorization",
+        "idempotency-key",
+        "x-client-account",
+        "x-fence",
+    }
+)
+
+
+class HttpService:
+    """`monsoontack.agent.backend.PlainService` over aiohttp.
+
+    `fresh_session` must not reuse connections: aiohttp sends PUT and DELETE a
+    second time when a reused connection breaks, which would run a call twice.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
+        url: str,
+    ) -> None:
+        self.session = session
+        self.fresh_session = fresh_session
+        self.url = url.rstrip("/")
+
+    async def call(self, call: CallRequest) -> CallOutcome:
+        """Run one call.
+
+        The run state is `not_run` only if no connection was made; a lost answer
+        or a timeout leaves it `unknown`.
+        """
+        session = self.session if call.idempotent else self.fresh_session
+        timeout = aiohttp.ClientTimeout(
+            total=call.timeout_s or None, sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with session.request(
+                call.method,
+                URL(f"{self.url}/{call.path.lstrip('/')}", encoded=True),
+                headers=request_headers(call),
+                data=call.body or None,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                return await read_outcome(call, response)
+        except aiohttp.ClientConnectorError:
+            return CallOutcome(call.call_id, "not_run", code="backend_unreachable")
+        except aiohttp.ConnectionTimeoutError:
+            return CallOutcome(call.call_id, "not_run", code="backend_unreachable")
+        except TimeoutError:
+            return CallOutcome(call.call_id, "unknown", code="timeout")
+        except (aiohttp.ClientError, OSError):
+            return CallOutcome(call.call_id, "unknown", code="answer_lost")
+        except ValueError:
+            return CallOutcome(call.call_id, "not_run", code="malformed_request")
+
+
+def request_headers(call: CallRequest) -> list[tuple[str, str]]:
+    """Return the headers for the service."""
+    headers = [
+        (name, value)
+        for name, value in call.headers
+        if name.lower() not in DROPPED_HEADERS
+    ]
+    headers.append(("X-Client-Account", call.account))
+    if not call.idempotent:
+        headers.append(("Idempotency-Key", call.key))
+        headers.append(("X-Fence", str(call.fence)))
+    return headers
+
+
+async def read_outcome(
+    call: CallRequest, response: aiohttp.ClientResponse
+) -> CallOutcome:
+    """Return the outcome of a response that has begun."""
+    body = await response.content.read(MAX_BODY_BYTES + 1)
+    while len(body) <= MAX_BODY_BYTES and not response.content.at_eof():
+        more = await response.content.read(MAX_BODY_BYTES + 1 - len(body))
+        if not more:
+            break
+        body += more
+    if len(body) > MAX_BODY_BYTES:
+        return CallOutcome(call.call_id, "run", 502, code="answer_too_large")
+    if response.status == 409 and b'"fenced"' in body and not call.idempotent:
+        # An earlier dispatch with this or a higher number may have run.
+        return CallOutcome(call.call_id, "unknown", 409, code="fenced")
+    headers = tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in DROPPED_HEADERS and name.lower() != "content-encoding"
+    )
+    return CallOutcome(call.call_id, "run", response.status, headers, body)
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,147 @@
+"""Local processes that tests start, pause, resume, terminate and kill by pid."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+from dataclasses import dataclass
+from pathlib import Path
+
+# Below the ephemeral range, whose ports outgoing connections may take.
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+PORTS_PER_BLOCK = 100
+START_TIMEOUT_S = 60.0
+POLL_S = 0.02
+
+
+class StartError(RuntimeError):
+    """A process ended, or did not listen, before it was ready."""
+
+
+class PortBlock:
+    """A range of loopback ports that no other block on this machine shares.
+
+    The first port of the range stays bound for the life of the block and so
+    marks the range as taken.
+    """
+
+    def __init__(self) -> None:
+        self.lock, first = self._claim()
+        self.free = iter(range(first + 1, first + PORTS_PER_BLOCK))
+
+    def _claim(self) -> tuple[socket.socket, int]:
+        for first in range(FIRST_PORT, LAST_PORT, PORTS_PER_BLOCK):
+            lock = socket.socket()
+            try:
+                lock.bind(("127.0.0.1", first))
+                return lock, first
+            except OSError:
+                lock.close()
+        raise StartError(f"no free ports from {FIRST_PORT} to {LAST_PORT}")
+
+    def take(self) -> int:
+        """Return the next port of the block on which nothing listens."""
+        for port in self.free:
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(("127.0.0.1", port))
+                    return port
+                except OSError:
+                    continue
+        raise StartError(f"all {PORTS_PER_BLOCK} ports of the block are taken")
+
+    def close(self) -> None:
+        """Give the range back."""
+        self.lock.close()
+
+
+@dataclass(slots=True)
+class ManagedProcess:
+    """One process that this program started; `port` is where it listens."""
+
+    name: str
+    port: int
+    popen: subprocess.Popen
+    log_path: Path
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self.popen.pid
+
+    @property
+    def address(self) -> str:
+        """The `ip:port` on which the process listens."""
+        return f"127.0.0.1:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """Base URL of the process, if it speaks HTTP."""
+        return f"http://{self.address}"
+
+    def kill(self) -> None:
+        """End the process at once (SIGKILL)."""
+        self._signal(signal.SIGKILL)
+
+    def pause(self) -> None:
+        """Stop the process until `resume` (SIGSTOP)."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Continue a paused process (SIGCONT)."""
+        self._signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to end (SIGTERM)."""
+        self._signal(signal.SIGTERM)
+
+    def _signal(self, number: int) -> None:
+        if self.popen.poll() is None:
+            os.kill(self.pid, number)
+
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def is_stopped(self) -> bool:
+        """Return whether the process is paused by SIGSTOP."""
+        stat = Path(f"/proc/{self.pid}/stat").read_text(encoding="utf-8")
+        return stat.rpartition(")")[2].split()[0] == "T"
+
+    async def wait_stopped(self) -> None:
+        """Wait until the process is paused."""
+        while not self.is_stopped():
+            await asyncio.sleep(POLL_S)
+
+    async def wait_ended(self) -> int:
+        """Wait until the process has ended; return its exit status."""
+        while self.popen.poll() is None:
+            await asyncio.sleep(POLL_S)
+        return self.popen.returncode
+
+    async def wait_ready(self) -> None:
+        """Wait until the process accepts connections on its port."""
+        deadline = asyncio.get_running_loop().time() + START_TIMEOUT_S
+        while asyncio.get_running_loop().time() < deadline:
+            if not self.is_running():
+                raise StartError(f"{self.name} ended early:\n{self.read_log()}")
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            except OSError:
+                await asyncio.sleep(POLL_S)
+                continue
+            writer.close()
+            return
+        raise StartError(f"{self.name} does not listen:\n{self.read_log()}")
+
+    def read_log(self) -> str:
+        """Return what the process has printed."""
+        return self.log_path.read_text(encoding="utf-8", errors="replace")
+
+    def stop(self) -> None:
+        """End the process if it still runs, and collect its exit status."""
+        self.kill()
+        self.popen.wait()
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,44 @@
+"""Serving of the stand-ins: falcon on uvicorn, with connections that can break."""
+
+import falcon.asgi
+import uvicorn
+
+ABORT_KEY = "standins.abort"
+
+
+class AbortableApp:
+    """ASGI wrapper that lets a handler break the caller's connection.
+
+    uvicorn's `send` is a method of the object that holds the transport; there
+    is no public way to close a connection without a response.
+    """
+
+    def __init__(self, app: falcon.asgi.App) -> None:
+        self.app = app
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Handle one ASGI connection."""
+        if scope["type"] == "http":
+            scope[ABORT_KEY] = send.__self__.transport.abort
+        await self.app(scope, receive, send)
+
+
+def abort_connection(request: falcon.asgi.Request) -> None:
+    """Break the connection of `request`; the caller gets no answer."""
+    request.scope[ABORT_KEY]()
+
+
+def serve(app: falcon.asgi.App, port: int) -> None:
+    """Serve `app` on the loopback port until SIGTERM or SIGINT."""
+    # uvloop delays writes to the end of an iteration; with asyncio, each token
+    # has left the process before a fault at the next position stops it.
+    uvicorn.run(
+        AbortableApp(app),
+        host="127.0.0.1",
+        port=port,
+        loop="asyncio",
+        log_level="warning",
+        access_log=False,
+        proxy_headers=False,
+        timeout_graceful_shutdown=1,
+    )
