--- a/monsoontack/agent/drain.py
+++ b/monsoontack/agent/drain.py
@@ -9,6 +9,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+# Entries still send work until the announcement has reached them.
+NOTICE_S = 1.0
+HAND_OVER_S = 2.0
+
 
 class Phase(StrEnum):
     """Phase of the agent's life."""
@@ -25,9 +29,11 @@
     """State machine of the shutdown; times are those of the loop's clock."""
 
     deadline_s: float
-    hand_over_s: float = 2.0
+    notice_s: float = NOTICE_S
+    hand_over_s: float = HAND_OVER_S
     phase: Phase = Phase.SERVING
     phase_since: float = 0.0
+    leaving_since: float = 0.0
 
     @property
     def leaving(self) -> bool:
@@ -50,7 +56,8 @@
         `unfinished` counts streams and calls whose result has not been sent.
         """
         age_s = now - self.phase_since
-        if self.phase is Phase.DRAINING and unfinished == 0:
+        noticed = now - self.leaving_since >= self.notice_s
+        if self.phase is Phase.DRAINING and unfinished == 0 and noticed:
             return self._enter(Phase.ENDED, now)
         if self.phase is Phase.DRAINING and age_s >= self.deadline_s:
             return self._enter(Phase.HANDING_OVER, now)
@@ -60,6 +67,8 @@
         return False
 
     def _enter(self, phase: Phase, now: float) -> bool:
+        if self.phase is Phase.SERVING:
+            self.leaving_since = now
         self.phase = phase
         self.phase_since = now
         return True
--- a/monsoontack/agent/enginehttp.py
+++ b/monsoontack/agent/enginehttp.py
@@ -150,10 +150,20 @@
         tokens = parse_event(json.loads(line[6:]))
         yield tokens
         if tokens.finish:
+            await read_rest(response)
             return
     yield BackendFailure("backend_failed", "stream ended before the answer", True)
 
 
+async def read_rest(response: aiohttp.ClientResponse) -> None:
+    """Read to the end of the stream, so that its connection can be reused."""
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            await response.content.read()
+    except (TimeoutError, aiohttp.ClientError):
+        response.close()
+
+
 def parse_event(event: dict) -> EngineTokens:
     """Return the tokens of one event; raises ValueError if it is malformed."""
     tokens = tuple(int(token) for token in event["token_ids"])
--- a/monsoontack/agent/links.py
+++ b/monsoontack/agent/links.py
@@ -56,9 +56,7 @@
     urgent: bool = True
     sequence: int = 0
     info_sent: int = 0
-    cache_sent: int = -1
-    cache_resets: int = 0
-    calls_running: int = 0
+    cache_sent: int = 0
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def has_pending(self) -> bool:
@@ -121,9 +119,6 @@
 
 def add_cache_events(frame: link_pb2.Frame, link: Link, view: EngineView) -> None:
     """Add the cache events that the link has not got."""
-    if link.cache_resets != view.cache_resets:
-        link.cache_resets = view.cache_resets
-        link.cache_sent = -1
     for event in view.cache_events_after(link.cache_sent):
         frame.cache_events.add(
             sequence=event.sequence, kind=event.kind, blocks=event.blocks
--- a/monsoontack/agent/load.py
+++ b/monsoontack/agent/load.py
@@ -1,7 +1,7 @@
 """Load, token progress and cache events of one engine, as frames report them."""
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from monsoontack.core.records import LoadReport
 
@@ -48,7 +48,11 @@
 
 @dataclass(slots=True)
 class EngineView:
-    """What the agent knows of its backend server besides the streams."""
+    """What the agent knows of its backend server besides the streams.
+
+    `cache_sequence` is the engine's last sequence number; entries see it plus
+    `cache_offset`. `info_changes` counts changes that links must be told.
+    """
 
     versions: tuple[str, ...]
     slots: int
@@ -58,7 +62,7 @@
         default_factory=lambda: deque(maxlen=CACHE_HISTORY)
     )
     cache_sequence: int = 0
-    cache_resets: int = 0
+    cache_offset: int = 0
     info_changes: int = 1
 
     def update_versions(self, versions: tuple[str, ...]) -> bool:
@@ -72,7 +76,9 @@
     def add_cache_events(self, events: list[CacheEvent]) -> bool:
         """Keep the events that are new; True if there are any."""
         new = [event for event in events if event.sequence > self.cache_sequence]
-        self.cache_events.extend(new)
+        for event in new:
+            number = self.cache_offset + event.sequence
+            self.cache_events.append(replace(event, sequence=number))
         if new:
             self.cache_sequence = new[-1].sequence
         return bool(new)
@@ -80,12 +86,13 @@
     def reset_cache(self) -> None:
         """Start over after the engine was unreachable, as it may be a new one.
 
-        Entries see the event `cleared` with sequence 0.
+        Entries see the event `cleared`. A new engine counts from 1 again, so an
+        offset keeps the numbers that entries see increasing.
         """
-        self.cache_events.clear()
-        self.cache_events.append(CacheEvent(0, "cleared", ()))
+        self.cache_offset += self.cache_sequence + 1
         self.cache_sequence = 0
-        self.cache_resets += 1
+        self.cache_events.clear()
+        self.cache_events.append(CacheEvent(self.cache_offset, "cleared", ()))
 
     def cache_events_after(self, sequence: int) -> list[CacheEvent]:
         """Return the kept events above a sequence number, oldest first."""
--- a/monsoontack/agent/streamlog.py
+++ b/monsoontack/agent/streamlog.py
@@ -126,19 +126,24 @@
         return [*actions, RunEngine(self.last_run, start)]
 
     def attach(self, link: int, attach: AttachRequest, now: float) -> list[Action]:
-        """Move a stream to a link with a higher attempt and replay from there."""
+        """Move a stream to a link with a higher attempt and replay from there.
+
+        A replay begins no earlier than the log, whose first position is the
+        length of the prefix in `Start`. A position after the log's end belongs
+        to another answer.
+        """
         stream = self.streams.get(attach.generation)
         if stream is None:
             return [self._attach_end(link, attach, "not_found", "not in the log")]
         if attach.attempt <= stream.attempt:
             return [self._attach_end(link, attach, "superseded")]
-        if not stream.log.base <= attach.from_position <= stream.log.end:
-            held = f"log holds positions {stream.log.base} to {stream.log.end}"
+        if attach.from_position > stream.log.end:
+            held = f"log ends at position {stream.log.end}"
             return [self._attach_end(link, attach, "not_found", held)]
         actions = self._supersede(stream, link)
         stream.attempt = attach.attempt
         stream.link = link
-        stream.sent = attach.from_position
+        stream.sent = max(attach.from_position, stream.log.base)
         stream.finish_sent = False
         stream.orphaned_at = None
         return [*actions, *self._mark_unsent(stream)]
@@ -178,7 +183,9 @@
             return []
         skip = stream.log.end - first_position
         if skip < 0:
-            return self.fail(run, "backend_failed", "gap in engine output", True, now)
+            message = "gap in engine output"
+            end = self.fail(run, "backend_failed", message, True, now)
+            return [CancelEngine(run), *end]
         stream.log.append(tokens[skip:], texts[skip:])
         self.token_count += max(len(tokens) - skip, 0)
         if finish:
--- a/monsoontack/cli/agent.py
+++ b/monsoontack/cli/agent.py
@@ -8,7 +8,7 @@
 from returns.result import Failure
 
 from monsoontack.agent.daemon import run
-from monsoontack.cli.logs import configure_logs
+from monsoontack.core.logs import configure_logs
 from monsoontack.settings.load import load_settings
 from monsoontack.settings.models import AgentSettings
 
@@ -17,20 +17,20 @@
     """Runs the agent beside a backend server until SIGTERM."""
 
     name = "agent"
-    description = "Runs the agent beside a backend server until SIGTERM."
-    options = [option("settings", None, "Path of the settings file.", flag=False)]
+    description = "Run an agent daemon."
+    options = [option("settings", None, "Settings file (JSON).", flag=False)]
 
     def handle(self) -> int:
         """Read the settings and run; 2 if they are wrong."""
         path = self.option("settings")
         if not path:
-            self.line_error("<error>--settings FILE is required</error>")
+            self.line_error("error: --settings FILE is required")
             return 2
         settings = load_settings(Path(path), AgentSettings)
         if isinstance(settings, Failure):
             for error in settings.failure().errors:
-                self.line_error(str(error))
+                self.line_error(f"error: {error}")
             return 2
-        configure_logs(settings.unwrap().log_level, settings.unwrap().name)
+        configure_logs(settings.unwrap().log_level)
         uvloop.run(run(settings.unwrap()))
         return 0
--- a/monsoontack/cli/main.py
+++ b/monsoontack/cli/main.py
@@ -1,12 +1,16 @@
-"""The cleo application; one module per command."""
+"""Command line of monsoontack."""
+
+import importlib
 
 from cleo.application import Application
 
-from monsoontack.cli.agent import AgentCommand
+# Module and class of each command; modules are loaded when the program starts.
+COMMANDS = (("monsoontack.cli.agent", "AgentCommand"),)
 
 
 def main() -> int:
-    """Run the command line; return the exit status."""
+    """Run the command that the arguments name and return the exit status."""
     application = Application("monsoontack")
-    application.add(AgentCommand())
+    for module, name in COMMANDS:
+        application.add(getattr(importlib.import_module(module), name)())
     return application.run()
--- a/monsoontack/cli/logs.py
+++ b/monsoontack/core/logs.py
@@ -1,4 +1,4 @@
-"""Logs of the daemons: one JSON line per event on standard error."""
+"""Setup of structlog: one JSON object a line on standard error."""
 
 import logging
 import sys
@@ -6,11 +6,10 @@
 import structlog
 
 
-def configure_logs(level: str, process: str) -> None:
-    """Print events of at least `level`, each with the process name."""
+def configure_logs(level: str) -> None:
+    """Write log lines of `level` and above to standard error."""
     structlog.configure(
         processors=[
-            structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
@@ -22,4 +21,3 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(process=process)
