--- /dev/null
+++ b/monsoontack/entry/app.py
@@ -0,0 +1,152 @@
+"""HTTP applications of an entry: the callers' API and the operators' one."""
+
+import json
+import uuid
+
+import falcon
+import falcon.asgi
+import structlog
+
+from monsoontack.core.errors import RequestError, RunState
+from monsoontack.entry.calls import CallRecordResource, ServiceResource
+from monsoontack.entry.completions import GenerationResource
+from monsoontack.entry.context import EntryContext
+from monsoontack.entry.dump import state_dump
+from monsoontack.entry.requests import (
+    RequestRefusedError,
+    authenticate,
+    error_document,
+)
+
+log = structlog.get_logger("entry.app")
+
+
+class RequestIds:
+    """Gives each request an id that its errors name."""
+
+    async def process_request(self, req, resp) -> None:
+        """Set the id."""
+        req.context.request_id = uuid.uuid4().hex
+        resp.set_header("X-Request-Id", req.context.request_id)
+
+
+class ErrorAnswers:
+    """Turns exceptions into the caller API's error object."""
+
+    def __init__(self, context: EntryContext):
+        self.context = context
+
+    async def refused(self, req, resp, exception, params) -> None:
+        """Answer a typed refusal."""
+        self.answer(req, resp, exception.error)
+
+    async def http_error(self, req, resp, exception, params) -> None:
+        """Answer an error that the framework raised, such as an unknown path."""
+        code = exception.title.lower().replace(" ", "_").removeprefix("404_")
+        status = exception.status_code
+        message = exception.description or f"{req.method} {req.path}: {code}"
+        self.answer(req, resp, RequestError(status, code, message))
+
+    async def unexpected(self, req, resp, exception, params) -> None:
+        """Answer a fault of this program and log it."""
+        log.error("request failed", path=req.path, exc_info=exception)
+        error = RequestError(
+            500, "internal_error", "the entry failed", RunState.UNKNOWN, 1.0
+        )
+        self.answer(req, resp, error)
+
+    def answer(self, req, resp, error: RequestError) -> None:
+        """Set the response to a typed error."""
+        self.context.counters.add(f"errors.{error.code}")
+        resp.status = error.status
+        resp.sse = None
+        if error.retry_after_s is not None:
+            resp.set_header("Retry-After", str(max(round(error.retry_after_s), 0)))
+        resp.text = json.dumps(error_document(error, req.context.request_id))
+        resp.content_type = falcon.MEDIA_JSON
+
+
+class ModelsResource:
+    """Generation services that the caller's account may use."""
+
+    def __init__(self, context: EntryContext):
+        self.context = context
+
+    async def on_get(self, req, resp) -> None:
+        """List them in OpenAI's form."""
+        view = self.context.view()
+        account = authenticate(req.get_header("Authorization"), view)
+        names = sorted(
+            service.name
+            for service in view.services.values()
+            if service.kind == "engine"
+            and (not account.services or service.name in account.services)
+        )
+        data = [{"id": n, "object": "model", "owned_by": "monsoontack"} for n in names]
+        resp.media = {"object": "list", "data": data}
+
+
+class HealthResource:
+    """Tells whether the process runs."""
+
+    async def on_get(self, req, resp) -> None:
+        """Answer 200."""
+        resp.media = {"status": "ok"}
+
+
+class ReadyResource:
+    """Tells the balancer whether to send new requests."""
+
+    def __init__(self, context: EntryContext):
+        self.context = context
+
+    async def on_get(self, req, resp) -> None:
+        """Answer 200, or 503 with the reason."""
+        context = self.context
+        if context.is_ready():
+            resp.media = {"status": "ready", "revision": context.view().revision}
+            return
+        reason = "shutting_down" if context.draining else "not_ready"
+        resp.status = 503
+        resp.media = {"status": reason}
+
+
+class StateResource:
+    """State dump for operators."""
+
+    def __init__(self, context: EntryContext):
+        self.context = context
+
+    async def on_get(self, req, resp) -> None:
+        """Answer the dump as JSON."""
+        resp.text = json.dumps(state_dump(self.context))
+        resp.content_type = falcon.MEDIA_JSON
+
+
+def _new_app(context: EntryContext) -> falcon.asgi.App:
+    app = falcon.asgi.App(middleware=[RequestIds()])
+    errors = ErrorAnswers(context)
+    app.add_error_handler(Exception, errors.unexpected)
+    app.add_error_handler(falcon.HTTPError, errors.http_error)
+    app.add_error_handler(RequestRefusedError, errors.refused)
+    app.add_route("/healthz", HealthResource())
+    app.add_route("/readyz", ReadyResource(context))
+    return app
+
+
+def caller_app(context: EntryContext) -> falcon.asgi.App:
+    """Return the callers' API."""
+    app = _new_app(context)
+    app.add_route("/v1/completions", GenerationResource(context, "completions"))
+    app.add_route("/v1/chat/completions", GenerationResource(context, "chat"))
+    app.add_route("/v1/models", ModelsResource(context))
+    app.add_route("/v1/calls/{key}", CallRecordResource(context))
+    app.add_route("/v1/services/{service}/{path:path}", ServiceResource(context))
+    return app
+
+
+def operator_app(context: EntryContext) -> falcon.asgi.App:
+    """Return the operators' API."""
+    app = _new_app(context)
+    app.add_route("/state", StateResource(context))
+    return app
--- /dev/null
+++ b/monsoontack/entry/calls.py
@@ -0,0 +1,104 @@
+"""Calls to plain services: `/v1/services/{service}/{path}`, `/v1/calls/{key}`."""
+
+import falcon.asgi
+
+from monsoontack.core.errors import RequestError
+from monsoontack.entry.context import EntryContext
+from monsoontack.entry.ports import ServiceCall
+from monsoontack.entry.requests import (
+    RequestRefusedError,
+    authenticate,
+    find_service,
+    read_body,
+    read_idempotency_key,
+    refuse,
+)
+
+# Headers of one hop, and those that the entry sets or checks itself.
+NOT_PASSED_ON = frozenset(
+    (
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-client-account",
+        "x-fence",
+    )
+)
+
+
+class ServiceResource:
+    """Passes calls on to a plain service."""
+
+    def __init__(self, context: EntryContext):
+        self.context = context
+
+    async def on_get(self, req, resp, service: str, path: str) -> None:
+        """Run a GET call."""
+        await self._run(req, resp, service, path)
+
+    async def on_post(self, req, resp, service: str, path: str) -> None:
+        """Run a POST call."""
+        await self._run(req, resp, service, path)
+
+    async def _run(self, req: falcon.asgi.Request, resp, service: str, path: str):
+        context = self.context
+        context.counters.add("calls")
+        context.check_takes_work()
+        view = context.view()
+        account = authenticate(req.get_header("Authorization"), view)
+        key = read_idempotency_key(req.get_header("Idempotency-Key"))
+        config = find_service(view, service, account, "service")
+        idempotent = req.method in config.idempotent_methods
+        if not idempotent and not key:
+            message = f"{req.method} to {service!r} needs an Idempotency-Key header"
+            refuse(400, "missing_idempotency_key", message)
+        query = f"?{req.query_string}" if req.query_string else ""
+        call = ServiceCall(
+            account=account.name,
+            service=service,
+            method=req.method,
+            path=f"/{path}{query}",
+            headers=_passed_on(req.headers),
+            body=await read_body(req, context.settings.max_body_bytes),
+            idempotent=idempotent,
+            key=key,
+            timeout_s=config.call_timeout_s,
+        )
+        with context.in_progress():
+            answer = await context.calls.run(call)
+        if isinstance(answer, RequestError):
+            raise RequestRefusedError(answer)
+        resp.status = answer.status
+        for name, value in _passed_on(dict(answer.headers)):
+            resp.set_header(name, value)
+        resp.data = answer.body
+
+
+def _passed_on(headers: dict[str, str]) -> tuple[tuple[str, str], ...]:
+    pairs = ((name.lower(), value) for name, value in headers.items())
+    return tuple(pair for pair in pairs if pair[0] not in NOT_PASSED_ON)
+
+
+class CallRecordResource:
+    """Outcome of a non-idempotent call of the caller's account."""
+
+    def __init__(self, context: EntryContext):
+        self.context = context
+
+    async def on_get(self, req, resp, key: str) -> None:
+        """Answer the recorded outcome."""
+        view = self.context.view()
+        account = authenticate(req.get_header("Authorization"), view)
+        record = await self.context.calls.find(account.name, key)
+        if isinstance(record, RequestError):
+            raise RequestRefusedError(record)
+        resp.media = record
--- /dev/null
+++ b/monsoontack/entry/context.py
@@ -0,0 +1,92 @@
+"""What the responders of an entry share."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from monsoontack.config.view import ConfigView
+from monsoontack.core.errors import RequestError
+from monsoontack.entry.counters import Counters
+from monsoontack.entry.links import LinkPool
+from monsoontack.entry.ports import (
+    Admission,
+    CallRunner,
+    ConfigSource,
+    OutcomeSink,
+    Picker,
+)
+from monsoontack.entry.requests import RequestRefusedError
+from monsoontack.entry.session import Generations
+from monsoontack.settings.models import EntrySettings
+
+NOT_READY_RETRY_S = 1.0
+
+
+@dataclass(slots=True)
+class EntryContext:
+    """Parts of a running entry. `draining` turns true at SIGTERM."""
+
+    settings: EntrySettings
+    config: ConfigSource
+    picker: Picker
+    admission: Admission
+    calls: CallRunner
+    outcomes: OutcomeSink
+    counters: Counters
+    generations: Generations
+    pool: LinkPool
+    rng: random.Random
+    prefix_blocks: Callable[[dict], tuple[int, ...]] = lambda document: ()
+    draining: bool = False
+    requests_in_progress: int = 0
+    idle: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def now(self) -> float:
+        """Return the loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def view(self) -> ConfigView:
+        """Return the configuration in force."""
+        return self.config.view()
+
+    def live_slots(self, service: str) -> int:
+        """Return the slots of all linked backend servers of a service."""
+        servers = self.pool.servers(service)
+        return sum(state.server.slots for state in servers if not state.leaving)
+
+    def is_ready(self) -> bool:
+        """Whether the entry takes new work."""
+        return not self.draining and self.config.is_ready(self.now())
+
+    def check_takes_work(self) -> None:
+        """Refuse a new request while the entry leaves or lacks configuration."""
+        if self.draining:
+            error = RequestError(
+                503,
+                "shutting_down",
+                "this entry is leaving; another one serves",
+                retry_after_s=0.0,
+            )
+            raise RequestRefusedError(error)
+        if not self.config.is_ready(self.now()):
+            error = RequestError(
+                503,
+                "not_ready",
+                "this entry has no current configuration",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
+            raise RequestRefusedError(error)
+
+    @contextmanager
+    def in_progress(self) -> Iterator[None]:
+        """Count a request as in progress inside the block."""
+        self.requests_in_progress += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.requests_in_progress -= 1
+            if not self.requests_in_progress:
+                self.idle.set()
--- /dev/null
+++ b/monsoontack/entry/daemon.py
@@ -0,0 +1,188 @@
+"""The entry daemon: builds its parts, runs them, and drains on SIGTERM."""
+
+import asyncio
+import contextlib
+import random
+import signal
+from dataclasses import dataclass
+
+import aiohttp
+import structlog
+import uvicorn
+
+from monsoontack.core.records import Place
+from monsoontack.entry.agents import AgentFinder
+from monsoontack.entry.app import caller_app, operator_app
+from monsoontack.entry.configsource import ObjectConfigSource
+from monsoontack.entry.context import EntryContext
+from monsoontack.entry.counters import FLUSH_S, Counters
+from monsoontack.entry.links import LinkIdentity, LinkPool
+from monsoontack.entry.ports import (
+    Admission,
+    CallRunner,
+    ConfigSource,
+    OutcomeSink,
+    Picker,
+)
+from monsoontack.entry.session import Generations
+from monsoontack.entry.simple import (
+    ConcurrencyAdmission,
+    CountingOutcomes,
+    LeastLoadedPicker,
+    RefusingCalls,
+)
+from monsoontack.generation.progress import MONITOR_TICK_S, OwnPause
+from monsoontack.settings.models import EntrySettings
+
+log = structlog.get_logger("entry.daemon")
+
+# Streams that would end by themselves get this long before they are handed over.
+HANDOVER_AFTER_S = 1.0
+# Left of the drain deadline for closing connections.
+CLOSE_S = 1.0
+DRAIN_CHECK_S = 0.05
+
+
+@dataclass(slots=True)
+class EntryParts:
+    """Decisions that may be replaced; None takes the first version."""
+
+    config: ConfigSource | None = None
+    picker: Picker | None = None
+    admission: Admission | None = None
+    calls: CallRunner | None = None
+    outcomes: OutcomeSink | None = None
+
+
+class QuietServer(uvicorn.Server):
+    """Server that leaves the signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Install no handlers."""
+        yield
+
+
+def build_context(
+    settings: EntrySettings, parts: EntryParts, config: ConfigSource
+) -> EntryContext:
+    """Return the entry's parts, wired together."""
+    rng = random.Random()
+    counters = Counters.from_address(settings.statsd_address)
+    picker = parts.picker or LeastLoadedPicker()
+    outcomes = parts.outcomes or CountingOutcomes()
+    generations = Generations(picker, outcomes, counters, rng)
+    place = Place(settings.failure_domain, settings.region)
+    identity = LinkIdentity(settings.name, place)
+    pool = LinkPool(identity, generations, rng, settings.frame_silence_s)
+    pool.in_flight = generations.in_flight
+    generations.pool = pool
+    return EntryContext(
+        settings=settings,
+        config=config,
+        picker=picker,
+        admission=parts.admission or ConcurrencyAdmission(),
+        calls=parts.calls or RefusingCalls(),
+        outcomes=outcomes,
+        counters=counters,
+        generations=generations,
+        pool=pool,
+        rng=rng,
+    )
+
+
+async def run(settings: EntrySettings, parts: EntryParts | None = None) -> None:
+    """Run an entry until SIGTERM or SIGINT, then drain and return."""
+    parts = parts or EntryParts()
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with aiohttp.ClientSession() as http:
+        config = parts.config or ObjectConfigSource(settings.store_url, http)
+        context = build_context(settings, parts, config)
+        finder = AgentFinder(settings, http, context.pool)
+        work = [finder.run(), _monitor(context), _flush(context)]
+        if isinstance(config, ObjectConfigSource):
+            work.append(config.run())
+        tasks = [asyncio.ensure_future(item) for item in work]
+        servers = [
+            _server(caller_app(context), settings.http_address),
+            _server(operator_app(context), settings.operator_address),
+        ]
+        serving = [asyncio.ensure_future(server.serve()) for server in servers]
+        log.info("entry started", name=settings.name, address=settings.http_address)
+        watch = asyncio.ensure_future(stopping.wait())
+        await asyncio.wait([watch, *serving, *tasks], return_when="FIRST_COMPLETED")
+        await _drain(context)
+        await _stop(servers, serving, [watch, *tasks], context)
+    log.info("entry stopped", name=settings.name)
+
+
+def _server(app, address: str) -> QuietServer:
+    host, _, port = address.rpartition(":")
+    config = uvicorn.Config(
+        app,
+        host=host.strip("[]"),
+        port=int(port),
+        loop="none",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        timeout_graceful_shutdown=CLOSE_S,
+    )
+    return QuietServer(config)
+
+
+async def _monitor(context: EntryContext) -> None:
+    pause = OwnPause(context.now())
+    while True:
+        await asyncio.sleep(MONITOR_TICK_S)
+        now = context.now()
+        if pause.tick(now):
+            log.warning("this process did not run for a while")
+            context.pool.forgive_own_pause(now)
+            continue
+        context.pool.tick(now)
+        context.generations.tick(now)
+
+
+async def _flush(context: EntryContext) -> None:
+    while True:
+        await asyncio.sleep(FLUSH_S)
+        context.counters.gauge("requests_in_progress", context.requests_in_progress)
+        context.counters.flush()
+
+
+async def _drain(context: EntryContext) -> None:
+    """Refuse new work, let requests end, hand long streams over.
+
+    Whole answers that are still computed at the deadline get a typed error
+    with the state of the request, since their callers cannot follow a stream.
+    """
+    context.draining = True
+    started = context.now()
+    deadline = started + max(context.settings.drain_deadline_s - CLOSE_S, 0.0)
+    handover_at = min(started + HANDOVER_AFTER_S, deadline)
+    log.info("draining", requests=context.requests_in_progress)
+    while context.requests_in_progress and context.now() < deadline:
+        if context.now() >= handover_at:
+            context.generations.hand_over_streams()
+        await asyncio.sleep(DRAIN_CHECK_S)
+    context.generations.end_rest("shutting_down", "this entry is leaving")
+    await asyncio.sleep(DRAIN_CHECK_S)
+    log.info("drained", requests=context.requests_in_progress)
+
+
+async def _stop(servers, serving, tasks, context: EntryContext) -> None:
+    for server in servers:
+        server.should_exit = True
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(serving, timeout=2 * CLOSE_S)
+    context.pool.close()
+    context.counters.flush()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/monsoontack/entry/dump.py
@@ -0,0 +1,58 @@
+"""State dump of an entry, for operators."""
+
+from monsoontack.entry.context import EntryContext
+from monsoontack.entry.links import Link
+from monsoontack.entry.session import Session
+
+
+def state_dump(context: EntryContext) -> dict:
+    """Return the entry's state as a JSON document."""
+    now = context.now()
+    view = context.view()
+    settings = context.settings
+    return {
+        "entry": settings.name,
+        "failure_domain": settings.failure_domain,
+        "region": settings.region,
+        "revision": view.revision,
+        "ready": context.is_ready(),
+        "draining": context.draining,
+        "requests_in_progress": context.requests_in_progress,
+        "links": [_link(link, now) for link in context.pool.links.values()],
+        "generations": [
+            _session(session, now) for session in context.generations.sessions.values()
+        ],
+        "counters": dict(sorted(context.counters.totals.items())),
+    }
+
+
+def _link(link: Link, now: float) -> dict:
+    load = link.load
+    return {
+        "address": link.address,
+        "up": link.is_up,
+        "leaving": link.leaving,
+        "service": link.info.service if link.info else None,
+        "versions": list(link.info.versions) if link.info else [],
+        "frame_age_s": round(now - link.progress.last_frame_at, 3),
+        "running": load.running if load else None,
+        "queued": load.queued if load else None,
+        "slots": load.slots if load else None,
+    }
+
+
+def _session(session: Session, now: float) -> dict:
+    state = session.state
+    return {
+        "generation": session.generation,
+        "service": session.request.route.service,
+        "account": session.request.route.account,
+        "attempt": session.log.attempt,
+        "agent": state.address,
+        "phase": str(state.phase),
+        "position": session.log.end_position,
+        "delivered": session.delivered,
+        "age_s": round(now - session.started_at, 3),
+        "recoveries": state.recoveries,
+        "dropped_chunks": dict(session.log.dropped),
+    }
--- /dev/null
+++ b/monsoontack/entry/ports.py
@@ -0,0 +1,108 @@
+"""Protocols behind which the entry's decisions stand.
+
+The entry calls them on its event loop; none of them may block. `simple.py`
+has a first version of each.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from monsoontack.config.view import AccountConfig, ConfigView
+from monsoontack.core.errors import RequestError
+from monsoontack.core.records import BackendServer, Outcome, RouteRequest, ServerState
+
+
+class ConfigSource(Protocol):
+    """Gives the newest published configuration that this process holds."""
+
+    def view(self) -> ConfigView:
+        """Return the newest revision; revision 0 if there is none yet."""
+        ...
+
+    def is_ready(self, now: float) -> bool:
+        """Whether the process may take new work with this configuration."""
+        ...
+
+
+class Picker(Protocol):
+    """Chooses the version and the backend server of a request."""
+
+    def pick_version(
+        self, view: ConfigView, service: str, now: float, rng: random.Random
+    ) -> str | None:
+        """Return the version of a new request; None if the service has none."""
+        ...
+
+    def pick(
+        self,
+        request: RouteRequest,
+        servers: Sequence[ServerState],
+        now: float,
+        rng: random.Random,
+    ) -> BackendServer | None:
+        """Return one of `servers` that may take the request, else None."""
+        ...
+
+    def record(self, address: str, failed: bool, now: float) -> None:
+        """Note how an attempt on a backend server ended."""
+        ...
+
+
+class Admission(Protocol):
+    """Decides whether a request may begin."""
+
+    def admit(
+        self, account: AccountConfig, service: str, slots: int, now: float
+    ) -> RequestError | None:
+        """Take a place for the request, or return why it is refused."""
+        ...
+
+    def release(self, account: AccountConfig, service: str, now: float) -> None:
+        """Give back the place of a request that ended."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """One call of a caller to a plain service. `key` is empty if there is none."""
+
+    account: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    idempotent: bool
+    key: str
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """Answer of a plain service, passed on to the caller."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class CallRunner(Protocol):
+    """Runs calls on plain services, at most once where they must not repeat."""
+
+    async def run(self, call: ServiceCall) -> ServiceAnswer | RequestError:
+        """Run one call and return the service's answer or a truthful refusal."""
+        ...
+
+    async def find(self, account: str, key: str) -> dict | RequestError:
+        """Return the recorded outcome of a non-idempotent call as JSON fields."""
+        ...
+
+
+class OutcomeSink(Protocol):
+    """Receives how requests ended, as evidence about versions."""
+
+    def record(self, outcome: Outcome) -> None:
+        """Add one outcome."""
+        ...
--- /dev/null
+++ b/monsoontack/generation/attempts.py
@@ -0,0 +1,115 @@
+"""Contiguous output of one generation, assembled from its attempts.
+
+`AttemptLog` decides which tokens belong to an answer. Chunks come from
+several attempts on several engines, repeated, late or out of order; only the
+current attempt extends the prefix, and only at its end.
+"""
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from monsoontack.core.records import TokenChunk
+
+
+@dataclass(slots=True)
+class AttemptLog:
+    """Accepted tokens of one generation and the attempt that may extend them.
+
+    `base` is the position of `tokens[0]`. It is above zero only while this
+    entry lacks the beginning of an answer whose first `base` tokens the caller
+    already has. `dropped` counts chunks refused, by reason. `finish` is the
+    reason of the answer's end, empty while it goes on.
+    """
+
+    generation: str
+    version: str
+    attempt: int = 0
+    base: int = 0
+    tokens: list[int] = field(default_factory=list)
+    texts: list[str] = field(default_factory=list)
+    finish: str = ""
+    awaiting_replay: bool = False
+    dropped: Counter = field(default_factory=Counter)
+
+    @classmethod
+    def from_received(
+        cls, generation: str, version: str, tokens: Sequence[int]
+    ) -> "AttemptLog":
+        """Return a log whose prefix the caller has sent back."""
+        texts = [""] * len(tokens)
+        return cls(generation, version, tokens=list(tokens), texts=texts)
+
+    @classmethod
+    def from_position(cls, generation: str, version: str, position: int):
+        """Return a log of an answer of which only the delivered length is known.
+
+        The first chunk must start at or before `position`; it sets `base`.
+        """
+        return cls(generation, version, base=position, awaiting_replay=True)
+
+    @property
+    def end_position(self) -> int:
+        """Position after the last accepted token."""
+        return self.base + len(self.tokens)
+
+    @property
+    def has_whole_prefix(self) -> bool:
+        """Whether another engine can continue from the tokens held here."""
+        return self.base == 0 and not self.awaiting_replay
+
+    def begin_attempt(self, attempt: int) -> None:
+        """Make `attempt` the only one that extends the prefix."""
+        if attempt <= self.attempt:
+            raise ValueError(f"attempt {attempt} is not above {self.attempt}")
+        self.attempt = attempt
+
+    def accept(self, chunk: TokenChunk) -> int:
+        """Take the tokens of `chunk` that continue the prefix; return their number.
+
+        Any object with the fields of `TokenChunk` serves, such as the link's
+        protobuf message. A chunk of another generation or attempt, a chunk
+        after the end and a chunk that leaves a gap are dropped and counted.
+        """
+        reason = self._refusal(chunk)
+        if reason:
+            self.dropped[reason] += 1
+            return 0
+        if self.awaiting_replay:
+            self.base = chunk.first_position
+            self.awaiting_replay = False
+        overlap = self.end_position - chunk.first_position
+        new_tokens = chunk.tokens[overlap:]
+        if overlap > len(chunk.tokens) or (overlap and not new_tokens):
+            self.dropped["repeated"] += 1
+        self.tokens.extend(new_tokens)
+        self.texts.extend(chunk.texts[overlap:])
+        if chunk.finish and overlap <= len(chunk.tokens):
+            self.finish = chunk.finish
+        return len(new_tokens)
+
+    def _refusal(self, chunk: TokenChunk) -> str:
+        if chunk.generation != self.generation:
+            return "other_generation"
+        if chunk.attempt != self.attempt:
+            return "other_attempt"
+        if self.finish:
+            return "after_end"
+        if len(chunk.tokens) != len(chunk.texts):
+            return "malformed"
+        # While a replay is awaited `end_position` is the delivered length.
+        if chunk.first_position > self.end_position:
+            return "gap"
+        return ""
+
+    def slice_from(self, position: int) -> TokenChunk:
+        """Return the accepted tokens from `position` on, as one chunk."""
+        start = max(position - self.base, 0)
+        return TokenChunk(
+            generation=self.generation,
+            attempt=self.attempt,
+            first_position=self.base + start,
+            tokens=tuple(self.tokens[start:]),
+            texts=tuple(self.texts[start:]),
+            finish=self.finish,
+        )
