--- a/monsoontack/cli/entry.py
+++ b/monsoontack/cli/entry.py
@@ -7,7 +7,7 @@
 from cleo.helpers import option
 from returns.result import Failure
 
-from monsoontack.core.logs import configure_logs
+from monsoontack.cli.logs import configure_logs
 from monsoontack.entry.daemon import run
 from monsoontack.settings.load import load_settings
 from monsoontack.settings.models import EntrySettings
@@ -32,6 +32,6 @@
                 self.line_error(f"error: {error}")
             return 2
         settings = result.unwrap()
-        configure_logs(settings.log_level)
+        configure_logs(settings.log_level, settings.name)
         uvloop.run(run(settings))
         return 0
--- a/monsoontack/cli/main.py
+++ b/monsoontack/cli/main.py
@@ -1,16 +1,14 @@
-"""Command line of monsoontack."""
-
-import importlib
+"""The cleo application; one module per command."""
 
 from cleo.application import Application
 
-# Module and class of each command; modules are loaded when the program starts.
-COMMANDS = (("monsoontack.cli.entry", "EntryCommand"),)
+from monsoontack.cli.agent import AgentCommand
+from monsoontack.cli.entry import EntryCommand
 
 
 def main() -> int:
-    """Run the command that the arguments name and return the exit status."""
+    """Run the command line; return the exit status."""
     application = Application("monsoontack")
-    for module, name in COMMANDS:
-        application.add(getattr(importlib.import_module(module), name)())
+    application.add(AgentCommand())
+    application.add(EntryCommand())
     return application.run()
