--- a/monsoontack/core/logs.py
+++ b/monsoontack/cli/logs.py
@@ -1,4 +1,4 @@
-"""Setup of structlog: one JSON object a line on standard error."""
+"""Logs of the daemons: one JSON line per event on standard error."""
 
 import logging
 import sys
@@ -6,10 +6,11 @@
 import structlog
 
 
-def configure_logs(level: str) -> None:
-    """Write log lines of `level` and above to standard error."""
+def configure_logs(level: str, process: str) -> None:
+    """Print events of at least `level`, each with the process name."""
     structlog.configure(
         processors=[
+            structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
@@ -21,3 +22,4 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=True,
     )
+    structlog.contextvars.bind_contextvars(process=process)
