--- a/monsoontack/core/pausedloop.py
+++ b/monsoontack/core/pausedloop.py
@@ -58,9 +58,16 @@
 
 
 def run_paused(main: Coroutine[Any, Any, T]) -> T:
-    """Run a coroutine to its end on a new paused loop and return its result."""
+    """Run a coroutine to its end on a new paused loop and return its result.
+
+    Tasks that still run then are cancelled.
+    """
     loop = PausedLoop()
     try:
         return loop.run_until_complete(main)
     finally:
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
         loop.close()
--- /dev/null
+++ b/monsoontack/store/faulty.py
@@ -0,0 +1,116 @@
+"""Object store whose calls fail at random, for tests and measurements.
+
+Faults are drawn from the given generator, so that a run depends on its seed
+alone. A write with an ambiguous answer took effect before the answer, takes
+effect later, or never does.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from returns.result import Failure
+
+from monsoontack.store.api import Ambiguous, ObjectStore, Unavailable
+
+
+@dataclass(slots=True)
+class FaultRates:
+    """Share of calls per fault, and times in seconds.
+
+    `refused` calls have no effect. Answers of `lost_after` writes are lost
+    after the effect, those of `lost_before` writes without one; `delayed`
+    writes take effect up to `delay_s` after their ambiguous answer. Each call
+    takes up to `latency_s`.
+    """
+
+    refused: float = 0.0
+    lost_after: float = 0.0
+    lost_before: float = 0.0
+    delayed: float = 0.0
+    delay_s: float = 10.0
+    latency_s: float = 0.005
+
+
+@dataclass(slots=True)
+class FaultyStore:
+    """`ObjectStore` that passes calls on to `inner` with faults.
+
+    `outage` refuses every call; `cut` loses every request on its way, so that
+    writes are ambiguous without effect.
+    """
+
+    inner: ObjectStore
+    rng: random.Random
+    rates: FaultRates = field(default_factory=FaultRates)
+    outage: bool = False
+    cut: bool = False
+    pending: set[asyncio.Task] = field(default_factory=set)
+
+    async def _latency(self) -> None:
+        await asyncio.sleep(self.rng.random() * self.rates.latency_s)
+
+    async def _read(self, key: str, call):
+        await self._latency()
+        if self.outage or self.cut or self.rng.random() < self.rates.refused:
+            return Failure(Unavailable(key, "outage"))
+        result = await call()
+        await self._latency()
+        return result
+
+    async def _write(self, key: str, call):
+        await self._latency()
+        if self.outage:
+            return Failure(Unavailable(key, "outage"))
+        draw = self.rng.random() - self.rates.refused
+        if draw < 0:
+            return Failure(Unavailable(key, "refused"))
+        draw -= self.rates.lost_before
+        if draw < 0 or self.cut:
+            return Failure(Ambiguous(key, "request lost"))
+        draw -= self.rates.delayed
+        if draw < 0:
+            self._later(call)
+            return Failure(Ambiguous(key, "request delayed"))
+        result = await call()
+        await self._latency()
+        if draw < self.rates.lost_after:
+            return Failure(Ambiguous(key, "answer lost"))
+        return result
+
+    def _later(self, call) -> None:
+        delay_s = self.rng.random() * self.rates.delay_s
+
+        async def effect():
+            await asyncio.sleep(delay_s)
+            await call()
+
+        task = asyncio.ensure_future(effect())
+        self.pending.add(task)
+        task.add_done_callback(self.pending.discard)
+
+    async def get(self, key: str):
+        """Read one object."""
+        return await self._read(key, lambda: self.inner.get(key))
+
+    async def list(self, prefix: str):
+        """Read all objects below a prefix."""
+        return await self._read(prefix, lambda: self.inner.list(prefix))
+
+    async def watch(self, key: str, after_version: int, timeout_s: float):
+        """Wait for a version above `after_version`."""
+        return await self._read(
+            key, lambda: self.inner.watch(key, after_version, timeout_s)
+        )
+
+    async def create(self, key: str, value: bytes):
+        """Write an object that must not exist yet."""
+        return await self._write(key, lambda: self.inner.create(key, value))
+
+    async def update(self, key: str, value: bytes, version: int):
+        """Replace an object whose version must still be `version`."""
+        return await self._write(key, lambda: self.inner.update(key, value, version))
+
+    async def delete(self, key: str, version: int):
+        """Remove an object whose version must still be `version`."""
+        return await self._write(key, lambda: self.inner.delete(key, version))
