--- a/monsoontack/core/pausedloop.py
+++ b/monsoontack/core/pausedloop.py
@@ -69,5 +69,6 @@
         tasks = asyncio.all_tasks(loop)
         for task in tasks:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if tasks:
+            loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
         loop.close()
