--- a/monsoontack/core/records.py
+++ b/monsoontack/core/records.py
@@ -102,6 +102,9 @@
     `version` is already chosen. `prefix_blocks` are hashes of the leading
     blocks of the prompt, longest prefix last; empty for calls. `excluded` holds
     addresses of backend servers that this request must not use again.
+    `request_bytes` is what the request would move over the link between the
+    regions, `cause` under which name that is counted (`request`, `resume`,
+    `hedge`).
     """
 
     service: str
@@ -111,6 +114,7 @@
     prefix_blocks: tuple[int, ...] = ()
     request_bytes: int = 0
     excluded: frozenset[str] = frozenset()
+    cause: str = "request"
 
 
 @dataclass(frozen=True, slots=True)
