--- a/monsoontack/routing/picker_test.py
+++ b/monsoontack/routing/picker_test.py
@@ -10,6 +10,7 @@
     RouteRequest,
     ServerState,
 )
+from monsoontack.routing.linkbudget import LocalShare
 from monsoontack.routing.picker import Picker
 
 HERE = Place("ub-songino", "Ulaanbaatar")
@@ -33,13 +34,13 @@
     def test_leaving_and_excluded_get_no_work(self):
         """Guards against new work for a leaving server or a second try on one."""
         servers = [state("a", leaving=True), state("b"), state("c")]
-        chosen = pick_many(Picker(HERE), servers, excluded=frozenset({"c"}))
+        chosen = pick_many(Picker.for_place(HERE), servers, excluded=frozenset({"c"}))
         self.assertEqual({"b"}, chosen)
 
     def test_nearest_group_with_room(self):
         """Guards against needless traffic to another failure domain or region."""
         near, far = state("near", NEAR), state("far", FAR)
-        picker = Picker(HERE)
+        picker = Picker.for_place(HERE)
         self.assertEqual({"here"}, pick_many(picker, [state("here"), near, far]))
         full = state("here", held=4)
         self.assertIn("near", pick_many(picker, [full, near, far]))
@@ -49,12 +50,58 @@
     def test_own_requests_since_the_report_count(self):
         """Guards against a burst onto the server that reported the least load."""
         busy = state("a", sent_since_report=3)
-        self.assertEqual({"b"}, pick_many(Picker(HERE), [busy, state("b", held=1)]))
+        servers = [busy, state("b", held=1)]
+        self.assertEqual({"b"}, pick_many(Picker.for_place(HERE), servers))
+
+    def test_prefix_affinity_with_bounded_load(self):
+        """Guards against cold caches, and against a hot prefix on one server."""
+        servers = [state(name) for name in "abcdef"]
+        picker = Picker.for_place(HERE)
+        (owner,) = pick_many(picker, servers, prefix_blocks=(1, 2, 3, 4, 5))
+        others = [s for s in servers if s.server.address != owner]
+        hot = [state(owner, held=4), *others]
+        self.assertNotIn(owner, pick_many(picker, hot, prefix_blocks=(1, 2, 3, 4, 5)))
+        picker.prefixes.note_sent("b", (7, 8))
+        self.assertEqual({"b"}, pick_many(picker, servers, prefix_blocks=(7, 8, 9)))
+
+    def test_ejected_and_returning(self):
+        """Guards against work for an ejected server and a herd on its return."""
+        picker, rng = Picker.for_place(HERE), random.Random(5)
+        servers = [state("back"), state("b", held=2), state("c", held=2)]
+        for one in servers:
+            picker.ejection.add(one.server.address, "desk", 0.0, returning=False)
+        for _ in range(3):
+            picker.ejection.record_failure("back", "desk", 0.0, rng)
+        request = RouteRequest("desk", "v1", "account")
+
+        def count_back(now):
+            picks = [picker.pick(request, servers, now, rng) for _ in range(1000)]
+            return sum(pick.unwrap().address == "back" for pick in picks)
+
+        self.assertEqual(0, count_back(1.0))
+        end = picker.ejection.health["back"].ejected_until
+        self.assertTrue(0 < count_back(end) < 100)
+        self.assertGreater(count_back(end + 29), 400)
+
+    def test_other_region_only_within_the_budget(self):
+        """Guards against filling the paid link when the own region is full."""
+        picker = Picker.for_place(HERE)
+        picker.link = LocalShare.for_entries(1, 0.0, total_rate=1000.0)
+        full, far = state("here", held=4), state("far", FAR)
+        request = RouteRequest("desk", "v1", "account", request_bytes=250)
+        rng = random.Random(2)
+        picks = [picker.pick(request, [full, far], 0.0, rng) for _ in range(6)]
+        names = [pick.unwrap().address for pick in picks]
+        self.assertEqual(["far"] * 3 + ["here"] * 3, names)
+        error = picker.pick(request, [far], 0.0, rng).failure()
+        self.assertEqual("link_budget_exhausted", error.code)
+        self.assertEqual(750, picker.link.sent["request"])
 
     def test_no_server(self):
         """Guards against a refusal without retry time or with a wrong run state."""
         request = RouteRequest("desk", "v2", "account")
-        error = Picker(HERE).pick(request, [state("a")], 0.0, random.Random(1))
+        picker = Picker.for_place(HERE)
+        error = picker.pick(request, [state("a")], 0.0, random.Random(1))
         self.assertEqual("no_backend_server", error.failure().code)
         self.assertEqual("not_run", error.failure().run_state)
         self.assertGreater(error.failure().retry_after_s, 0)
