--- a/monsoontack/routing/linkbudget.py
+++ b/monsoontack/routing/linkbudget.py
@@ -1,7 +1,9 @@
 """Byte budget of the paid link between regions, with bytes counted per cause.
 
-The budget covers both directions of the link with the rate of one, so neither
-can exceed it. A cause may use tokens down to its own floor, which keeps a
+Requests go one way and their answers the other, so the entries of each region
+divide one direction's rate among themselves; with a similar mix in both regions
+neither direction exceeds it (docs/routing.md compares other divisions). A cause
+may use tokens down to its own floor, which keeps a
 reserve for resuming running answers. A request is let through while tokens are
 above the floor and may leave a debt, because its size is only an estimate.
 """
@@ -82,12 +84,12 @@
     def for_entries(
         cls, live_entries: int, now: float, total_rate: float = LINK_BYTES_PER_S
     ) -> "LocalShare":
-        """Return the budget of one of `live_entries` entries of both regions."""
+        """Return the budget of one of `live_entries` entries of its region."""
         rate = total_rate / max(live_entries, 1)
         return cls(TokenBucket.full(rate, BURST_S, now), total_rate)
 
     def resize(self, live_entries: int, now: float) -> None:
-        """Follow a change in the number of live entries."""
+        """Follow a change in the number of live entries of the region."""
         self.bucket.set_rate(self.total_rate / max(live_entries, 1), now)
 
     def take(self, cause: str, n_bytes: int, now: float) -> bool:
