--- a/bench/linkbudget.py
+++ b/bench/linkbudget.py
@@ -4,10 +4,10 @@
 everything, `local` gives each entry a fixed share of the link, `region` a fixed
 share among the entries of its own region (`LocalShare` as used), `shared` lets
 entries borrow chunks from one bucket object of the object API by conditional
-update and falls back to the fixed share while the object API is away. The first half of the entries stands in one region, the other half in
-the other; a request goes one way and its larger answer the other. The shared
-bucket is an idea of the article "How Bilibili Scaled Offline Processing
-Across Multiple Data Centers".
+update and falls back to the fixed share while the object API is away. The first
+half of the entries stands in one region, the other half in the other; a request
+goes one way and its larger answer the other. The shared bucket is an idea of
+the article "How Bilibili Scaled Offline Processing Across Multiple Data Centers".
 
 Run with `python -m bench.linkbudget [seed]`.
 """
@@ -63,7 +63,7 @@
         if kind == "none":
             return True
         limit = 2 * self.interval_s + UNAVAILABLE_S
-        if kind != "shared" or now - self.last_answer > UNAVAILABLE_S:
+        if kind != "shared" or now - self.last_answer > limit:
             return self.local.take("resume", REQUEST_BYTES, now)
         if self.borrowed < REQUEST_BYTES:
             return False
