--- a/monsoontack/agent/streamlog_test.py
+++ b/monsoontack/agent/streamlog_test.py
@@ -14,6 +14,9 @@
 from monsoontack.agent.streamlog import MAX_CHUNK_TOKENS, StreamLog
 
 
+MAX_STEPS = 10_000
+
+
 def start(generation="g", attempt=1, prefix=()):
     return StartRequest(generation, attempt, "v1", b"{}", tuple(prefix))
 
@@ -95,6 +98,26 @@
         (chunk,), (end,) = self.log.collect(2)
         self.assertEqual(((1,), 2, 2), (chunk.tokens, chunk.attempt, end.attempt))
 
+    def test_attach_repeats_a_finish_that_was_sent(self):
+        """Guards against a caller that waits for an end which was lost."""
+        run = self.run_of(self.log.start(1, start(), 0.0))
+        self.append(run, 0, [1, 2], "stop")
+        self.log.collect(1)
+        actions = self.log.attach(2, AttachRequest("g", 2, 2), 1.0)
+        self.assertEqual([WakeLink(2)], actions)
+        self.assertEqual(1, len(self.log.unfinished(1.0)))
+        (chunk,), _ = self.log.collect(2)
+        self.assertEqual(
+            (2, (), "stop"), (chunk.first_position, chunk.tokens, chunk.finish)
+        )
+
+    def test_attach_ends_the_orphan_timeout(self):
+        """Guards against a stream that is cancelled although an entry has it."""
+        self.log.start(1, start(), 0.0)
+        self.log.close_link(1, 1.0)
+        self.log.attach(2, AttachRequest("g", 2, 0), 2.0)
+        self.assertEqual([], self.log.expire(100.0))
+
     def test_attach_outside_the_log(self):
         """Guards against an answer glued together from two generations."""
         unknown = self.log.attach(1, AttachRequest("g", 2, 0), 0.0)
@@ -210,7 +233,7 @@
         log.start(0, start(), 0.0)
         attempt, owner, links = 1, 0, 0
         got = []
-        while True:
+        for _ in range(MAX_STEPS):
             end = log.streams["g"].log.end
             step = rng.random()
             if step < 0.5 and end < len(answer):
@@ -238,6 +261,7 @@
                     if chunk.finish:
                         self.assertEqual(answer, got)
                         return
+        self.fail("the answer did not end")
 
     def is_superseded(self, actions):
         return [a.end.code for a in actions] == ["superseded"]
