--- /dev/null
+++ b/monsoontack/config/check.py
@@ -0,0 +1,118 @@
+"""Check of a whole configuration: every fault across objects is returned.
+
+Single fields are checked by the models of `monsoontack.config.objects`. The
+check reads a `ConfigView`, which every process already holds, so that
+publishing needs no second copy of 16,000 client accounts.
+"""
+
+from collections.abc import Iterator, Mapping
+
+from monsoontack.config.view import ConfigView, ServiceConfig
+from monsoontack.core.errors import FieldError
+
+ENDED_PHASES = frozenset({"complete", "rolled_back"})
+
+Sources = Mapping[tuple[str, str], str]
+
+
+def check_view(
+    view: ConfigView,
+    previous: ConfigView | None = None,
+    sources: Sources | None = None,
+) -> tuple[FieldError, ...]:
+    """Return every fault of `view` across objects, in the order of its objects.
+
+    `previous` is the published configuration, so that an error can tell a
+    removed version from one that never was. `sources` maps (kind, name) to the
+    file of an object; an object without one is named `Kind/name`.
+    """
+    check = _Check(view, previous or ConfigView(), sources or {})
+    return tuple(
+        error
+        for part in (check.services, check.versions, check.rollouts, check.accounts)
+        for error in part()
+    )
+
+
+class _Check:
+    """One check with the configuration it reads."""
+
+    def __init__(self, view: ConfigView, previous: ConfigView, sources: Sources):
+        self.view = view
+        self.previous = previous
+        self.sources = sources
+
+    def error(self, kind: str, name: str, path: str, message: str) -> FieldError:
+        source = self.sources.get((kind, name), f"{kind}/{name}")
+        return FieldError(source, path, message)
+
+    def services(self) -> Iterator[FieldError]:
+        for service in self.view.services.values():
+            yield from self._shares(service)
+
+    def _shares(self, service: ServiceConfig) -> Iterator[FieldError]:
+        for version, share in service.shares:
+            if fault := self._missing_version(service.name, version):
+                path = f"spec.shares.{version}"
+                message = f"{fault}, but {share:g}% of new traffic goes to it"
+                yield self.error("Service", service.name, path, message)
+
+    def _missing_version(self, service: str, version: str) -> str:
+        key = (service, version)
+        if key in self.view.versions:
+            return ""
+        if key in self.previous.versions:
+            return f"version {version!r} is in use and must not be removed"
+        return f"version {version!r} of service {service!r} does not exist"
+
+    def versions(self) -> Iterator[FieldError]:
+        for version in self.view.versions.values():
+            if version.service not in self.view.services:
+                name = f"{version.service}.{version.name}"
+                message = f"service {version.service!r} does not exist"
+                yield self.error("Version", name, "spec.service", message)
+
+    def rollouts(self) -> Iterator[FieldError]:
+        active: dict[str, str] = {}
+        for rollout in self.view.rollouts.values():
+            if rollout.service not in self.view.services:
+                message = f"service {rollout.service!r} does not exist"
+                yield self.error("Rollout", rollout.name, "spec.service", message)
+                continue
+            if rollout.phase in ENDED_PHASES:
+                continue
+            yield from self._rollout_versions(rollout)
+            first = active.setdefault(rollout.service, rollout.name)
+            if first != rollout.name:
+                message = (
+                    f"rollout {first!r} of service {rollout.service!r} has not ended"
+                )
+                yield self.error("Rollout", rollout.name, "spec.service", message)
+
+    def _rollout_versions(self, rollout) -> Iterator[FieldError]:
+        for field in ("from_version", "to_version"):
+            version = getattr(rollout, field)
+            if fault := self._missing_version(rollout.service, version):
+                yield self.error("Rollout", rollout.name, f"spec.{field}", fault)
+        if rollout.from_version == rollout.to_version:
+            message = "must differ from spec.from_version"
+            yield self.error("Rollout", rollout.name, "spec.to_version", message)
+
+    def accounts(self) -> Iterator[FieldError]:
+        owners: dict[str, str] = {}
+        for account in self.view.accounts.values():
+            for service in account.services:
+                if service not in self.view.services:
+                    message = f"service {service!r} does not exist"
+                    yield self.error(
+                        "ClientAccount", account.name, "spec.services", message
+                    )
+            for index, digest in enumerate(account.key_digests):
+                if digest in owners:
+                    path = f"spec.key_digests.{index}"
+                    message = (
+                        f"key digest {digest[:12]}... is already used by client"
+                        f" account {owners[digest]!r}"
+                    )
+                    yield self.error("ClientAccount", account.name, path, message)
+                owners.setdefault(digest, account.name)
--- /dev/null
+++ b/monsoontack/config/objects.py
@@ -0,0 +1,236 @@
+"""Models of the objects that operators edit: Service, Version, Rollout, ClientAccount.
+
+An object is `{"kind", "name", "version", "spec", "status"}`. `version` is the
+revision that last changed the object (0 for a new one); an edit carries the
+version it was made from. Operators write `spec`, the system writes `status`.
+Checks of single fields stand here; checks across objects in
+`monsoontack.config.check`.
+
+Example::
+
+    {"kind": "Service", "name": "repair-assistant",
+     "spec": {"kind": "engine", "shares": {"v1": 95, "v2": 5}}}
+"""
+
+from typing import Annotated, Any, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
+from returns.result import Failure, Result, Success
+
+from monsoontack.config.view import (
+    AccountConfig,
+    RolloutConfig,
+    ServiceConfig,
+    VersionConfig,
+)
+from monsoontack.core.errors import FieldError, FieldErrors
+from monsoontack.settings.load import validate
+from monsoontack.settings.models import Model
+
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+KeyDigest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Method = Literal["GET", "HEAD", "PUT", "DELETE", "POST", "PATCH", "OPTIONS"]
+SHARE_SUM_TOLERANCE = 1e-6  # percent; shares such as 33.4 are not exact in binary
+
+Record = ServiceConfig | VersionConfig | RolloutConfig | AccountConfig
+
+
+def check_shares(shares: dict[str, float]) -> dict[str, float]:
+    """Return `shares` if they add up to 100 percent, else raise ValueError."""
+    total = sum(shares.values())
+    if abs(total - 100.0) > SHARE_SUM_TOLERANCE:
+        raise ValueError(f"shares must add up to 100 percent, not {total:g}")
+    return shares
+
+
+Share = Annotated[float, Field(ge=0, le=100, allow_inf_nan=False)]
+Shares = Annotated[dict[Name, Share], AfterValidator(check_shares)]
+
+
+class ServiceSpec(Model):
+    """What operators set of a service; `shares` is percent of new traffic."""
+
+    kind: Literal["engine", "service"]
+    shares: Shares
+    idempotent_methods: tuple[Method, ...] = ("GET",)
+    call_timeout_s: float = Field(default=10.0, gt=0, le=600)
+
+
+class VersionSpec(Model):
+    """What operators set of a backend server version of one service."""
+
+    service: Name
+    version: Name
+    weights_bytes: int = Field(default=0, ge=0)
+    checks_fencing: bool = False
+
+
+class RolloutSpec(Model):
+    """What operators set of a rollout; the deadline is in Unix time."""
+
+    service: Name
+    from_version: Name
+    to_version: Name
+    deadline_unix_s: float = Field(gt=0, allow_inf_nan=False)
+
+
+class RolloutStatus(Model):
+    """What the system writes of a rollout."""
+
+    model_config = ConfigDict(extra="allow", frozen=True)
+
+    uid: str = ""
+    phase: str = "pending"
+
+
+def check_not_empty(digests: tuple[str, ...]) -> tuple[str, ...]:
+    """Return `digests` if there is one, else raise ValueError."""
+    if not digests:
+        raise ValueError("a client account needs at least one key digest")
+    return digests
+
+
+# `min_length` would also count the digests that failed, as a second error.
+KeyDigests = Annotated[tuple[KeyDigest, ...], AfterValidator(check_not_empty)]
+
+
+class AccountSpec(Model):
+    """What operators set of a client account; empty `services` means all."""
+
+    key_digests: KeyDigests
+    weight: float = Field(default=1.0, gt=0, le=1000)
+    max_concurrent: int = Field(default=0, ge=0)
+    services: tuple[Name, ...] = ()
+    priority: int = Field(default=0, ge=-10, le=10)
+
+
+class _Object(Model):
+    name: Name
+    version: int = Field(default=0, ge=0)
+    changed_by: str = ""
+    status: dict[str, Any] = Field(default_factory=dict)
+
+
+class Service(_Object):
+    """A generation service or plain service."""
+
+    kind: Literal["Service"]
+    spec: ServiceSpec
+
+
+class Version(_Object):
+    """A backend server version of a service, named `<service>.<version>`."""
+
+    kind: Literal["Version"]
+    spec: VersionSpec
+
+    @model_validator(mode="after")
+    def check_name(self) -> "Version":
+        """Require the name that makes a version unique within its service."""
+        expected = f"{self.spec.service}.{self.spec.version}"
+        if self.name != expected:
+            raise ValueError(f"the name of this version must be {expected!r}")
+        return self
+
+
+class Rollout(_Object):
+    """A move of a service's traffic from one version to another."""
+
+    kind: Literal["Rollout"]
+    spec: RolloutSpec
+    status: RolloutStatus = RolloutStatus()
+
+
+class ClientAccount(_Object):
+    """A customer with its keys and limits."""
+
+    kind: Literal["ClientAccount"]
+    spec: AccountSpec
+
+
+ConfigObject = Service | Version | Rollout | ClientAccount
+MODELS: dict[str, type[BaseModel]] = {
+    "Service": Service,
+    "Version": Version,
+    "Rollout": Rollout,
+    "ClientAccount": ClientAccount,
+}
+
+
+def parse_object(source: str, document: object) -> Result[ConfigObject, FieldErrors]:
+    """Validate one decoded JSON object; `source` names it in errors."""
+    kind = document.get("kind") if isinstance(document, dict) else None
+    model = MODELS.get(kind) if isinstance(kind, str) else None
+    if model is None:
+        known = ", ".join(MODELS)
+        message = f"kind must be one of {known} (got {kind!r})"
+        return Failure(FieldErrors((FieldError(source, "kind", message),)))
+    return validate(source, document, model)
+
+
+def parse_objects(
+    source: str, documents: list[object]
+) -> Result[list[ConfigObject], FieldErrors]:
+    """Validate decoded JSON objects and return all of them or all errors."""
+    objects, errors = [], []
+    for index, document in enumerate(documents):
+        result = parse_object(f"{source}[{index}]", document)
+        if isinstance(result, Failure):
+            errors.extend(result.failure().errors)
+        else:
+            objects.append(result.unwrap())
+    return Failure(FieldErrors(tuple(errors))) if errors else Success(objects)
+
+
+def to_document(item: ConfigObject) -> dict[str, Any]:
+    """Return the JSON form of an object, without fields at their defaults."""
+    document = item.model_dump(mode="json", exclude_defaults=True)
+    return {"kind": item.kind, "name": item.name, **document}
+
+
+def to_record(document: dict[str, Any]) -> Record:
+    """Return the dataclass of a JSON object that was validated before.
+
+    Processes that adopt a revision use this in place of the models: the
+    publisher has validated the chunk, and its digest shows that it is the same.
+    """
+    return _RECORDS[document["kind"]](document["name"], document)
+
+
+def _service(name: str, document: dict[str, Any]) -> ServiceConfig:
+    spec = dict(document["spec"])
+    spec["shares"] = tuple(sorted(spec["shares"].items()))
+    if "idempotent_methods" in spec:
+        spec["idempotent_methods"] = tuple(spec["idempotent_methods"])
+    return ServiceConfig(name=name, **spec)
+
+
+def _version(name: str, document: dict[str, Any]) -> VersionConfig:
+    spec = dict(document["spec"])
+    return VersionConfig(name=spec.pop("version"), **spec)
+
+
+def _rollout(name: str, document: dict[str, Any]) -> RolloutConfig:
+    status = document.get("status", {})
+    return RolloutConfig(
+        uid=status.get("uid", ""),
+        name=name,
+        phase=status.get("phase", "pending"),
+        **document["spec"],
+    )
+
+
+def _account(name: str, document: dict[str, Any]) -> AccountConfig:
+    spec = dict(document["spec"])
+    for field in ("key_digests", "services"):
+        if field in spec:
+            spec[field] = tuple(spec[field])
+    return AccountConfig(name=name, **spec)
+
+
+_RECORDS = {
+    "Service": _service,
+    "Version": _version,
+    "Rollout": _rollout,
+    "ClientAccount": _account,
+}
