--- a/monsoontack/config/check.py
+++ b/monsoontack/config/check.py
@@ -19,14 +19,17 @@
     view: ConfigView,
     previous: ConfigView | None = None,
     sources: Sources | None = None,
+    invalid: frozenset[tuple[str, str]] = frozenset(),
 ) -> tuple[FieldError, ...]:
     """Return every fault of `view` across objects, in the order of its objects.
 
     `previous` is the published configuration, so that an error can tell a
     removed version from one that never was. `sources` maps (kind, name) to the
-    file of an object; an object without one is named `Kind/name`.
+    file of an object; an object without one is named `Kind/name`. `invalid`
+    holds (kind, name) of objects that are missing from `view` because their own
+    fields are wrong; references to them are not reported a second time.
     """
-    check = _Check(view, previous or ConfigView(), sources or {})
+    check = _Check(view, previous or ConfigView(), sources or {}, invalid)
     return tuple(
         error
         for part in (check.services, check.versions, check.rollouts, check.accounts)
@@ -37,10 +40,17 @@
 class _Check:
     """One check with the configuration it reads."""
 
-    def __init__(self, view: ConfigView, previous: ConfigView, sources: Sources):
+    def __init__(
+        self,
+        view: ConfigView,
+        previous: ConfigView,
+        sources: Sources,
+        invalid: frozenset[tuple[str, str]],
+    ):
         self.view = view
         self.previous = previous
         self.sources = sources
+        self.invalid = invalid
 
     def error(self, kind: str, name: str, path: str, message: str) -> FieldError:
         source = self.sources.get((kind, name), f"{kind}/{name}")
@@ -59,15 +69,19 @@
 
     def _missing_version(self, service: str, version: str) -> str:
         key = (service, version)
-        if key in self.view.versions:
+        known = key in self.view.versions
+        if known or ("Version", f"{service}.{version}") in self.invalid:
             return ""
         if key in self.previous.versions:
             return f"version {version!r} is in use and must not be removed"
         return f"version {version!r} of service {service!r} does not exist"
 
+    def _has_service(self, name: str) -> bool:
+        return name in self.view.services or ("Service", name) in self.invalid
+
     def versions(self) -> Iterator[FieldError]:
         for version in self.view.versions.values():
-            if version.service not in self.view.services:
+            if not self._has_service(version.service):
                 name = f"{version.service}.{version.name}"
                 message = f"service {version.service!r} does not exist"
                 yield self.error("Version", name, "spec.service", message)
@@ -75,7 +89,7 @@
     def rollouts(self) -> Iterator[FieldError]:
         active: dict[str, str] = {}
         for rollout in self.view.rollouts.values():
-            if rollout.service not in self.view.services:
+            if not self._has_service(rollout.service):
                 message = f"service {rollout.service!r} does not exist"
                 yield self.error("Rollout", rollout.name, "spec.service", message)
                 continue
@@ -102,7 +116,7 @@
         owners: dict[str, str] = {}
         for account in self.view.accounts.values():
             for service in account.services:
-                if service not in self.view.services:
+                if not self._has_service(service):
                     message = f"service {service!r} does not exist"
                     yield self.error(
                         "ClientAccount", account.name, "spec.services", message
--- /dev/null
+++ b/monsoontack/config/publisher.py
@@ -0,0 +1,372 @@
+"""State machine that carries out proposals under the controller lease.
+
+It reads the head, seals it with its own lease epoch, and then takes proposals
+in the order of their keys: it writes the chunks that the next revision needs
+and publishes them with one conditional update of the head. A refused proposal
+gets every error in its status.
+
+Whatever goes wrong (an outage, a lost answer, a conflict), the machine reads the
+head again and goes on from what it finds; every step before it is repeatable:
+
+* The head names the proposal it carries out. The proposal's status is written
+  before the next revision, so no proposal is carried out twice.
+* Sealing makes the update of a publisher with an older epoch fail.
+* A refusal is written only if the head was unchanged after the proposal was
+  read, so a publisher whose lease lapsed refuses nothing by an old revision.
+* A chunk that already exists is written again, which raises its version, so
+  that the removal of unreferenced chunks (`monsoontack.config.sweep`) by
+  another publisher fails.
+"""
+
+import json
+import random
+from collections.abc import Callable
+from dataclasses import asdict, replace
+
+from returns.result import Failure, Success
+
+from monsoontack.config import sweep
+from monsoontack.config.operations import (
+    Create,
+    Delete,
+    Get,
+    List,
+    Operation,
+    Update,
+    failures,
+    retry_delay_s,
+)
+from monsoontack.config.proposal import (
+    PROPOSAL_PREFIX,
+    Accepted,
+    Refused,
+    decide,
+    is_final,
+    parse_proposal,
+    proposal_key,
+)
+from monsoontack.config.publisher_state import (
+    Acquired,
+    Action,
+    Answers,
+    Event,
+    Execute,
+    Job,
+    Lost,
+    Phase,
+    Published,
+    PublisherState,
+    Sleep,
+    StepDown,
+    Woken,
+)
+from monsoontack.config.revision import (
+    HEAD_KEY,
+    Head,
+    chunk_key,
+    decode_head,
+    encode_head,
+    encode_json,
+    load_chunk,
+)
+from monsoontack.store.api import Conflict, NotFound, StoredObject
+
+POLL_S = 1.0
+RETRY_S = 0.5
+KEEP_FINISHED_S = 600.0
+
+
+Step = tuple[PublisherState, tuple[Action, ...]]
+
+
+def step(state: PublisherState, event: Event, now: float, rng: random.Random) -> Step:
+    """Return the next state and the actions that `event` causes."""
+    match event:
+        case Acquired(epoch, chunks):
+            fresh = PublisherState(epoch=epoch, ticket=state.ticket, chunks=chunks)
+            return _read_head(fresh)
+        case Lost():
+            return PublisherState(ticket=state.ticket + 1), ()
+        case Answers(ticket, results) if ticket == state.ticket:
+            return _HANDLERS[state.phase](state, results, now, rng)
+        case Woken(ticket) if ticket == state.ticket:
+            return _read_head(state)
+    return state, ()
+
+
+def _execute(state: PublisherState, phase: Phase, *operations: Operation) -> Step:
+    state = replace(state, phase=phase, ticket=state.ticket + 1)
+    return state, (Execute(state.ticket, operations),)
+
+
+def _sleep(state: PublisherState, delay_s: float) -> Step:
+    state = replace(state, phase=Phase.SLEEP, ticket=state.ticket + 1, job=None)
+    return state, (Sleep(state.ticket, delay_s),)
+
+
+def _recover(state: PublisherState, errors: list, rng: random.Random) -> Step:
+    """Wait a little and begin again from the head."""
+    delay_s = retry_delay_s(errors, RETRY_S) * rng.uniform(0.5, 1.5)
+    return _sleep(state, delay_s)
+
+
+def _read_head(state: PublisherState) -> Step:
+    return _execute(replace(state, job=None), Phase.HEAD, Get(HEAD_KEY))
+
+
+def _on_head(state, results, now, rng) -> Step:
+    (result,) = results
+    if isinstance(result, Failure):
+        if not isinstance(result.failure(), NotFound):
+            return _recover(state, [result.failure()], rng)
+        first = Head(0, state.epoch)
+        state = replace(state, head=first, head_version=0)
+        return _execute(state, Phase.SEAL, Create(HEAD_KEY, encode_head(first)))
+    stored = result.unwrap()
+    head = decode_head(stored.value)
+    if head.lease_epoch > state.epoch:
+        return replace(state, phase=Phase.IDLE), (StepDown(head.lease_epoch),)
+    state = replace(state, head=head, head_version=stored.version)
+    if head.lease_epoch == state.epoch:
+        return _load_chunks(state)
+    state = replace(state, head=replace(head, lease_epoch=state.epoch))
+    value = encode_head(state.head)
+    return _execute(state, Phase.SEAL, Update(HEAD_KEY, value, stored.version))
+
+
+def _on_seal(state, results, now, rng) -> Step:
+    (result,) = results
+    if isinstance(result, Failure):
+        return _recover(state, failures(results), rng)
+    return _load_chunks(replace(state, head_version=result.unwrap().version))
+
+
+def _load_chunks(state: PublisherState) -> Step:
+    known = {
+        d: state.chunks[d] for d in state.head.chunks.values() if d in state.chunks
+    }
+    state = replace(state, chunks=known)
+    missing = sorted({d for d in state.head.chunks.values() if d not in known})
+    if not missing:
+        return _finish(state)
+    return _execute(state, Phase.CHUNKS, *(Get(chunk_key(d)) for d in missing))
+
+
+def _on_chunks(state, results, now, rng) -> Step:
+    names = {chunk_key(d): name for name, d in state.head.chunks.items()}
+    loaded = {}
+    for result in results:
+        if isinstance(result, Success):
+            stored = result.unwrap()
+            digest = state.head.chunks[names[stored.key]]
+            loaded[digest] = load_chunk(names[stored.key], stored.value)
+    state = replace(state, chunks={**state.chunks, **loaded})
+    if errors := failures(results):
+        return _recover(state, errors, rng)
+    return _finish(state)
+
+
+def _finish(state: PublisherState) -> Step:
+    """Make sure that the proposal of the head has its outcome."""
+    if state.head.proposal in ("", state.settled):
+        return _list(state)
+    return _execute(state, Phase.FINISH, Get(proposal_key(state.head.proposal)))
+
+
+def _on_finish(state, results, now, rng) -> Step:
+    (result,) = results
+    if isinstance(result, Failure):
+        if isinstance(result.failure(), NotFound):
+            return _list(replace(state, settled=state.head.proposal))
+        return _recover(state, failures(results), rng)
+    stored = result.unwrap()
+    value = _with_status(stored, _published_status(state))
+    if value == stored.value:
+        return _list(replace(state, settled=state.head.proposal))
+    return _execute(
+        state, Phase.FINISH_WRITE, Update(stored.key, value, stored.version)
+    )
+
+
+def _on_finish_write(state, results, now, rng) -> Step:
+    (result,) = results
+    if isinstance(result, Failure):
+        return _recover(state, failures(results), rng)
+    return _list(replace(state, settled=state.head.proposal))
+
+
+def _published_status(state: PublisherState) -> dict:
+    return {"phase": "Published", "revision": state.head.revision}
+
+
+def _with_status(stored: StoredObject, status: dict) -> bytes:
+    """Return a proposal's value with `status`, also of one that is malformed."""
+    uid = stored.key.removeprefix(PROPOSAL_PREFIX)
+    try:
+        document = json.loads(stored.value)
+    except ValueError:
+        document = None
+    if not isinstance(document, dict):
+        document = {"uid": uid}
+    return encode_json({**document, "status": status})
+
+
+def _list(state: PublisherState) -> Step:
+    return _execute(state, Phase.LIST, List(PROPOSAL_PREFIX))
+
+
+def _on_list(state, results, now, rng) -> Step:
+    (result,) = results
+    if isinstance(result, Failure):
+        return _recover(state, failures(results), rng)
+    listed = result.unwrap()
+    pending = next((item for item in listed if not is_final(item.value)), None)
+    if pending is not None:
+        return _decide(state, pending)
+    seen = {
+        item.key: (item.version, state.finished.get(item.key, (0, now))[1])
+        for item in listed
+    }
+    state = replace(state, finished=seen)
+    return _tidy(state, now)
+
+
+def _decide(state: PublisherState, stored: StoredObject) -> Step:
+    parsed = parse_proposal(stored.key, stored.value)
+    if isinstance(parsed, Failure):
+        outcome = Refused(parsed.failure().errors)
+    else:
+        outcome = decide(parsed.unwrap(), state.head, state.chunks, state.epoch)
+    state = replace(state, job=Job(stored, outcome))
+    if isinstance(outcome, Accepted) and outcome.changed:
+        puts = [Create(chunk_key(d), c.value) for d, c in outcome.chunks.items()]
+        return _execute(state, Phase.PUT, *puts) if puts else _publish(state)
+    return _execute(state, Phase.VERIFY, Get(HEAD_KEY))
+
+
+def _on_verify(state, results, now, rng) -> Step:
+    (result,) = results
+    if isinstance(result, Failure):
+        return _recover(state, failures(results), rng)
+    if result.unwrap().version != state.head_version:
+        return _read_head(state)
+    job = state.job
+    value = _with_status(job.stored, _outcome_status(state))
+    return _execute(
+        state, Phase.STATUS, Update(job.stored.key, value, job.stored.version)
+    )
+
+
+def _outcome_status(state: PublisherState) -> dict:
+    outcome = state.job.outcome
+    if isinstance(outcome, Accepted):
+        return _published_status(state)
+    return {
+        "phase": "Refused",
+        "revision": state.head.revision,
+        "errors": [asdict(error) for error in outcome.errors],
+        "conflicts": [
+            {**asdict(item), "message": item.describe()} for item in outcome.conflicts
+        ],
+    }
+
+
+def _on_status(state, results, now, rng) -> Step:
+    (result,) = results
+    if isinstance(result, Failure):
+        return _recover(state, failures(results), rng)
+    return _list(state)
+
+
+def _on_put(state, results, now, rng) -> Step:
+    errors = failures(results)
+    if any(not isinstance(error, Conflict) for error in errors):
+        return _recover(state, errors, rng)
+    standing = [error.current for error in errors if error.current is not None]
+    if len(standing) < len(errors):
+        return _recover(state, errors, rng)
+    touches = [Update(item.key, item.value, item.version) for item in standing]
+    if touches:
+        return _execute(state, Phase.PUT, *touches)
+    return _publish(state)
+
+
+def _publish(state: PublisherState) -> Step:
+    value = encode_head(state.job.outcome.head)
+    return _execute(state, Phase.PUBLISH, Update(HEAD_KEY, value, state.head_version))
+
+
+def _on_publish(state, results, now, rng) -> Step:
+    (result,) = results
+    if isinstance(result, Failure):
+        # A lost answer is read back: the head shows whether the update was made.
+        return _recover(state, failures(results), rng)
+    outcome = state.job.outcome
+    known = {**state.chunks, **outcome.chunks}
+    chunks = {d: known[d] for d in outcome.head.chunks.values()}
+    state = replace(
+        state,
+        head=outcome.head,
+        head_version=result.unwrap().version,
+        chunks=chunks,
+        job=None,
+    )
+    state, actions = _finish(state)
+    return state, (Published(state.head, chunks), *actions)
+
+
+def _tidy(state: PublisherState, now: float) -> Step:
+    """Remove old finished proposals, else sweep chunks when due, else wait."""
+    old = [
+        Delete(key, version)
+        for key, (version, since) in state.finished.items()
+        if now - since >= KEEP_FINISHED_S
+    ]
+    if old:
+        return _execute(state, Phase.REMOVE, *old)
+    if sweep.is_due(state.sweep, now):
+        return _execute(state, Phase.SWEEP_LIST, List(sweep.prefix(state.sweep)))
+    return _sleep(state, POLL_S)
+
+
+def _on_remove(state, results, now, rng) -> Step:
+    return _sleep(state, POLL_S)
+
+
+def _on_sweep_list(state, results, now, rng) -> Step:
+    (result,) = results
+    if isinstance(result, Failure):
+        return _recover(state, failures(results), rng)
+    swept = sweep.listed(state.sweep, result.unwrap(), now)
+    return _execute(replace(state, sweep=swept), Phase.SWEEP_HEAD, Get(HEAD_KEY))
+
+
+def _on_sweep_head(state, results, now, rng) -> Step:
+    (result,) = results
+    if isinstance(result, Failure):
+        return _recover(state, failures(results), rng)
+    if result.unwrap().version != state.head_version:
+        return _read_head(state)
+    swept, deletes = sweep.choose(state.sweep, state.head, now)
+    state = replace(state, sweep=swept)
+    if not deletes:
+        return _sleep(state, POLL_S)
+    return _execute(state, Phase.SWEEP_DELETE, *deletes)
+
+
+_HANDLERS: dict[Phase, Callable[..., Step]] = {
+    Phase.HEAD: _on_head,
+    Phase.SEAL: _on_seal,
+    Phase.CHUNKS: _on_chunks,
+    Phase.FINISH: _on_finish,
+    Phase.FINISH_WRITE: _on_finish_write,
+    Phase.LIST: _on_list,
+    Phase.VERIFY: _on_verify,
+    Phase.STATUS: _on_status,
+    Phase.PUT: _on_put,
+    Phase.PUBLISH: _on_publish,
+    Phase.REMOVE: _on_remove,
+    Phase.SWEEP_LIST: _on_sweep_list,
+    Phase.SWEEP_HEAD: _on_sweep_head,
+    Phase.SWEEP_DELETE: _on_remove,
+}
--- a/monsoontack/config/revision.py
+++ b/monsoontack/config/revision.py
@@ -70,6 +70,14 @@
     accounts: Mapping[str, AccountConfig] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """Value of a chunk as published and the records that it holds."""
+
+    value: bytes
+    records: ChunkRecords
+
+
 def encode_json(document: object) -> bytes:
     """Return the canonical JSON form, so that equal values have equal digests."""
     return json.dumps(document, sort_keys=True, separators=(",", ":")).encode()
@@ -169,11 +177,16 @@
             records.accounts[record.name] = record
 
 
-def build_view(head: Head, chunks: Mapping[str, ChunkRecords]) -> ConfigView:
-    """Return the configuration of `head`; `chunks` maps its digests to records."""
+def load_chunk(name: str, value: bytes) -> Chunk:
+    """Return a chunk with its records, from its name in the head and its value."""
+    return Chunk(value, parse_chunk(name, value))
+
+
+def build_view(head: Head, chunks: Mapping[str, Chunk]) -> ConfigView:
+    """Return the configuration of `head`; `chunks` maps its digests to chunks."""
     view = ConfigView(head.revision, {}, {}, {}, {}, {})
     for digest in head.chunks.values():
-        records = chunks[digest]
+        records = chunks[digest].records
         view.services.update(records.services)
         view.versions.update(records.versions)
         view.rollouts.update(records.rollouts)
--- a/monsoontack/config/revision_test.py
+++ b/monsoontack/config/revision_test.py
@@ -10,8 +10,8 @@
     build_view,
     chunk_key,
     decode_head,
+    load_chunk,
     make_delta,
-    parse_chunk,
     seed_store,
     uid_revision,
 )
@@ -30,7 +30,7 @@
             records = {}
             for name, digest in head.chunks.items():
                 value = (await store.get(chunk_key(digest))).unwrap().value
-                records[digest] = parse_chunk(name, value)
+                records[digest] = load_chunk(name, value)
             return build_view(head, records)
 
         view = run_paused(scenario())
