--- a/monsoontack/config/contact.py
+++ b/monsoontack/config/contact.py
@@ -65,7 +65,7 @@
     domain = state.me.place.failure_domain
     names = [state.me.address]
     names += [m.address for m in state.members if m.place.failure_domain == domain]
-    names.sort(key=lambda name: xxhash.xxh3_64_intdigest(f"{domain}|{name}"))
+    names.sort(key=lambda name: xxhash.xxh3_64_intdigest(f"{domain}|{name}".encode()))
     return state.me.address in names[:WATCHERS_PER_DOMAIN]
 
 
--- a/monsoontack/entry/agents.py
+++ b/monsoontack/entry/agents.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import aiohttp
 import structlog
@@ -51,7 +51,7 @@
 
 
 def _hash(entry: str, record: VmRecord) -> int:
-    return xxhash.xxh64_intdigest(f"{entry}|{record.address}")
+    return xxhash.xxh64_intdigest(f"{entry}|{record.address}".encode())
 
 
 class AgentFinder:
@@ -65,6 +65,7 @@
         self.http = http
         self.pool = pool
         self.records: list[VmRecord] = []
+        self.listeners: list[Callable[[list[VmRecord]], None]] = []
 
     async def run(self) -> None:
         """Poll until cancelled; an unreadable list leaves the links as they are."""
@@ -86,3 +87,5 @@
             self.records, settings.name, settings.region, settings.links_per_service
         )
         self.pool.set_wanted(wanted)
+        for listener in self.listeners:
+            listener(self.records)
--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -8,6 +8,7 @@
 
 from monsoontack.config.view import ConfigView
 from monsoontack.core.errors import RequestError
+from monsoontack.entry.control import Control
 from monsoontack.entry.counters import Counters
 from monsoontack.entry.links import LinkPool
 from monsoontack.entry.ports import (
@@ -39,6 +40,7 @@
     pool: LinkPool
     rng: random.Random
     prefix_blocks: Callable[[dict], tuple[int, ...]] = lambda document: ()
+    control: Control | None = None
     draining: bool = False
     requests_in_progress: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -13,8 +13,8 @@
 from monsoontack.core.records import Place
 from monsoontack.entry.agents import AgentFinder
 from monsoontack.entry.app import caller_app, operator_app
-from monsoontack.entry.configsource import ObjectConfigSource
 from monsoontack.entry.context import EntryContext
+from monsoontack.entry.control import Control
 from monsoontack.entry.counters import FLUSH_S, Counters
 from monsoontack.entry.links import LinkIdentity, LinkPool
 from monsoontack.entry.ports import (
@@ -99,12 +99,16 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     async with aiohttp.ClientSession() as http:
-        config = parts.config or ObjectConfigSource(settings.store_url, http)
-        context = build_context(settings, parts, config)
+        control = None
+        if parts.config is None:
+            control = Control.from_settings(settings, random.Random())
+        context = build_context(settings, parts, parts.config or control.gossip)
         finder = AgentFinder(settings, http, context.pool)
         work = [finder.run(), _monitor(context), _flush(context)]
-        if isinstance(config, ObjectConfigSource):
-            work.append(config.run())
+        if control is not None:
+            context.control = control
+            finder.listeners.append(control.set_vms)
+            work.append(control.run())
         tasks = [asyncio.ensure_future(item) for item in work]
         servers = [
             _server(caller_app(context), settings.http_address),
@@ -114,11 +118,21 @@
         log.info("entry started", name=settings.name, address=settings.http_address)
         watch = asyncio.ensure_future(stopping.wait())
         await asyncio.wait([watch, *serving, *tasks], return_when="FIRST_COMPLETED")
+        _log_failures(tasks)
+        if control is not None:
+            await control.release()
         await _drain(context)
         await _stop(servers, serving, [watch, *tasks], context)
     log.info("entry stopped", name=settings.name)
 
 
+def _log_failures(tasks: list[asyncio.Future]) -> None:
+    """Log why a part ended by itself, which ends the daemon."""
+    for task in tasks:
+        if task.done() and not task.cancelled() and task.exception() is not None:
+            log.error("a part of the entry failed", exc_info=task.exception())
+
+
 def _server(app, address: str) -> QuietServer:
     host, _, port = address.rpartition(":")
     config = uvicorn.Config(
--- a/monsoontack/entry/dump.py
+++ b/monsoontack/entry/dump.py
@@ -16,6 +16,7 @@
         "region": settings.region,
         "revision": view.revision,
         "ready": context.is_ready(),
+        "control": context.control.dump() if context.control else None,
         "draining": context.draining,
         "requests_in_progress": context.requests_in_progress,
         "links": [_link(link, now) for link in context.pool.links.values()],
