--- /dev/null
+++ b/monsoontack/config/operator.py
@@ -0,0 +1,328 @@
+"""Functions behind the operators' commands `check`, `apply`, `get` and `status`.
+
+A file holds one object or a list of objects in JSON. To change an object, an
+operator gets it, edits it and applies it with the `version` that it had; an
+object without `version` must be new. `"delete": true` removes an object.
+"""
+
+import json
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from monsoontack.config.check import check_view
+from monsoontack.config.confirm import STATUS_KEY, ConfigStatus
+from monsoontack.config.objects import parse_object, to_document
+from monsoontack.config.operations import Get, execute_all, failures
+from monsoontack.config.proposal import PROPOSAL_PREFIX, is_final, proposal_key
+from monsoontack.config.revision import (
+    DELETED_CHUNK,
+    HEAD_KEY,
+    Document,
+    Head,
+    chunk_key,
+    chunk_name,
+    decode_chunk,
+    decode_head,
+    encode_json,
+    view_of_documents,
+)
+from monsoontack.core.clock import Clock
+from monsoontack.core.errors import FieldError, FieldErrors
+from monsoontack.store.api import (
+    Ambiguous,
+    Conflict,
+    NotFound,
+    ObjectStore,
+    StoreError,
+)
+
+RETRY_S = 0.5
+WATCH_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """An object as it stands in a file; `where` names file and place."""
+
+    where: str
+    document: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Submitted:
+    """Outcome of a proposal: its stored form, or None if it is not known.
+
+    `in_force` says whether all live entries confirmed its revision in time;
+    `unconfirmed` names those that did not.
+    """
+
+    uid: str
+    document: Document | None
+    in_force: bool = False
+    unconfirmed: tuple[str, ...] = ()
+
+    @property
+    def status(self) -> Document:
+        """Status that the system wrote, empty if there is none yet."""
+        return (self.document or {}).get("status", {})
+
+
+def read_files(paths: Iterable[Path]) -> tuple[list[Source], list[FieldError]]:
+    """Return the objects of all files, and an error for each unreadable file."""
+    sources, errors = [], []
+    for path in paths:
+        try:
+            content = json.loads(path.read_text(encoding="utf-8"))
+        except OSError as error:
+            message = f"cannot read the file: {error.strerror}"
+            errors.append(FieldError(str(path), "", message))
+        except UnicodeDecodeError:
+            errors.append(FieldError(str(path), "", "the file is not UTF-8 text"))
+        except json.JSONDecodeError as error:
+            where = f"line {error.lineno} column {error.colno}"
+            message = f"malformed JSON at {where}: {error.msg}"
+            errors.append(FieldError(str(path), "", message))
+        else:
+            sources += _objects(str(path), content)
+    return sources, errors
+
+
+def _objects(path: str, content: Any) -> list[Source]:
+    if not isinstance(content, list):
+        return [Source(path, content)]
+    return [Source(f"{path}[{index}]", item) for index, item in enumerate(content)]
+
+
+def check_files(
+    paths: Iterable[Path], base: Iterable[Path] = ()
+) -> tuple[FieldError, ...]:
+    """Return every fault of the objects in the files, without a store.
+
+    The files are checked as the whole configuration, together with those
+    objects of the `base` files (from `get`) that they do not replace.
+    """
+    sources, errors = read_files(paths)
+    base_sources, base_errors = read_files(base)
+    errors += base_errors
+    documents: dict[tuple[str, str], Document] = {}
+    where: dict[tuple[str, str], str] = {}
+    invalid: set[tuple[str, str]] = set()
+    for source in sources:
+        _collect(source, documents, where, invalid, errors)
+    for source in base_sources:
+        _collect_base(source, documents, where, invalid, errors)
+    kept = [item for item in documents.values() if "delete" not in item]
+    view = view_of_documents(kept)
+    previous = view_of_documents(_valid(base_sources))
+    return (*errors, *check_view(view, previous, where, frozenset(invalid)))
+
+
+def _names(document: Any) -> tuple[str, str]:
+    fields = document if isinstance(document, dict) else {}
+    return str(fields.get("kind")), str(fields.get("name"))
+
+
+def _collect(source: Source, documents, where, invalid, errors) -> None:
+    key = _names(source.document)
+    if key in where:
+        message = f"{key[0]} {key[1]!r} also stands in {where[key]}"
+        errors.append(FieldError(source.where, "name", message))
+        return
+    where[key] = source.where
+    if isinstance(source.document, dict) and source.document.get("delete") is True:
+        documents[key] = source.document
+        return
+    result = parse_object(source.where, source.document)
+    if isinstance(result, Failure):
+        errors.extend(result.failure().errors)
+        invalid.add(key)
+        return
+    documents[key] = to_document(result.unwrap())
+
+
+def _collect_base(source: Source, documents, where, invalid, errors) -> None:
+    if _names(source.document) not in where:
+        _collect(source, documents, where, invalid, errors)
+
+
+def _valid(sources: Iterable[Source]) -> list[Document]:
+    results = [parse_object(source.where, source.document) for source in sources]
+    return [to_document(r.unwrap()) for r in results if isinstance(r, Success)]
+
+
+def make_proposal(
+    sources: list[Source], author: str, rng: random.Random, unix_s: float
+) -> Result[Document, FieldErrors]:
+    """Return the proposal of all objects in `sources`, or all their faults.
+
+    The uid begins with the time, since proposals are taken in order of uid.
+    """
+    changes, errors = [], []
+    for source in sources:
+        document = source.document
+        if isinstance(document, dict) and document.get("delete") is True:
+            names = {key: document.get(key) for key in ("kind", "name")}
+            base = document.get("version", 0)
+            changes.append({"op": "delete", "base_version": base, **names})
+            continue
+        result = parse_object(source.where, document)
+        if isinstance(result, Failure):
+            errors.extend(result.failure().errors)
+            continue
+        base = result.unwrap().version
+        changes.append({"op": "put", "base_version": base, "object": document})
+    if errors:
+        return Failure(FieldErrors(tuple(errors)))
+    uid = f"{int(unix_s * 1000):014d}-{rng.getrandbits(32):08x}"
+    return Success({"uid": uid, "author": author, "changes": changes, "status": {}})
+
+
+async def submit(
+    store: ObjectStore, proposal: Document, clock: Clock, timeout_s: float
+) -> Result[None, StoreError]:
+    """Write a proposal; a lost answer is read back until its effect is known.
+
+    Returns `Ambiguous` if the effect is still not known after `timeout_s`.
+    """
+    key = proposal_key(proposal["uid"])
+    value = encode_json(proposal)
+    deadline = clock.now() + timeout_s
+    lost = False
+    while True:
+        result = await store.create(key, value)
+        if isinstance(result, Success):
+            return Success(None)
+        error = result.failure()
+        if isinstance(error, Conflict):  # an earlier try took effect
+            return Success(None)
+        lost = lost or isinstance(error, Ambiguous)
+        if clock.now() >= deadline:
+            return Failure(
+                Ambiguous(key, "no answer from the store") if lost else error
+            )
+        await clock.sleep(RETRY_S)
+
+
+async def wait_outcome(
+    store: ObjectStore, uid: str, clock: Clock, timeout_s: float
+) -> Submitted:
+    """Wait until a proposal has its outcome and its revision is in force."""
+    deadline = clock.now() + timeout_s
+    key, version, submitted = proposal_key(uid), 0, Submitted(uid, None)
+    while clock.now() < deadline:
+        result = await store.watch(key, version, min(WATCH_S, deadline - clock.now()))
+        if isinstance(result, Failure):
+            await clock.sleep(RETRY_S)
+            continue
+        if (stored := result.unwrap()) is None:
+            continue
+        version = stored.version
+        submitted = Submitted(uid, json.loads(stored.value))
+        if is_final(stored.value):
+            break
+    if submitted.status.get("phase") != "Published":
+        return submitted
+    return await _wait_in_force(store, submitted, clock, deadline)
+
+
+async def _wait_in_force(
+    store: ObjectStore, submitted: Submitted, clock: Clock, deadline: float
+) -> Submitted:
+    revision, version = submitted.status["revision"], 0
+    late: tuple[str, ...] = ()
+    while clock.now() < deadline:
+        wait_s = min(WATCH_S, deadline - clock.now())
+        result = await store.watch(STATUS_KEY, version, wait_s)
+        if isinstance(result, Failure):
+            await clock.sleep(RETRY_S)
+            continue
+        if (stored := result.unwrap()) is None:
+            continue
+        version = stored.version
+        status = ConfigStatus.decode(stored.value)
+        if status.in_force >= revision:
+            return Submitted(submitted.uid, submitted.document, True)
+        late = status.unconfirmed
+    return Submitted(submitted.uid, submitted.document, False, late)
+
+
+async def read_head(store: ObjectStore) -> Result[Head, StoreError]:
+    """Return the published head; an empty one if nothing is published."""
+    result = await store.get(HEAD_KEY)
+    if isinstance(result, Success):
+        return Success(decode_head(result.unwrap().value))
+    if isinstance(result.failure(), NotFound):
+        return Success(Head())
+    return Failure(result.failure())
+
+
+async def get_objects(
+    store: ObjectStore, kind: str = "", name: str = ""
+) -> Result[list[Document], StoreError]:
+    """Return published objects, all or those of a kind, or a single one."""
+    result = await read_head(store)
+    if isinstance(result, Failure):
+        return result
+    chunks = result.unwrap().chunks
+    wanted = {n: d for n, d in chunks.items() if n != DELETED_CHUNK}
+    if kind and (name or kind != "ClientAccount"):
+        only = chunk_name(kind, name)
+        wanted = {n: d for n, d in wanted.items() if n == only}
+    elif kind:
+        wanted = {n: d for n, d in wanted.items() if n.startswith("accounts/")}
+    results = await execute_all(
+        store, tuple(Get(chunk_key(d)) for d in wanted.values())
+    )
+    if errors := failures(results):
+        return Failure(errors[0])
+    documents = [d for r in results for d in decode_chunk(r.unwrap().value)]
+    return Success([d for d in documents if name in ("", d["name"])])
+
+
+async def get_status(store: ObjectStore) -> Result[Document, StoreError]:
+    """Return what the system says of the configuration, rollouts and proposals.
+
+    A proposal is `InForce` once its revision is confirmed by all live entries.
+    """
+    head = await read_head(store)
+    listed = await store.list(PROPOSAL_PREFIX)
+    rollouts = await get_objects(store, "Rollout")
+    for result in (head, listed, rollouts):
+        if isinstance(result, Failure):
+            return result
+    confirmed = await store.get(STATUS_KEY)
+    if isinstance(confirmed, Success):
+        status = json.loads(confirmed.unwrap().value)
+    elif isinstance(confirmed.failure(), NotFound):
+        status = {"in_force": 0, "phase": "Unknown", "unconfirmed": []}
+    else:
+        return confirmed
+    in_force = status["in_force"]
+    return Success(
+        {
+            "revision": head.unwrap().revision,
+            "configuration": status,
+            "rollouts": [_rollout_line(d) for d in rollouts.unwrap()],
+            "proposals": [_proposal_line(p.value, in_force) for p in listed.unwrap()],
+        }
+    )
+
+
+def _rollout_line(document: Document) -> Document:
+    return {"name": document["name"], **document.get("status", {})}
+
+
+def _proposal_line(value: bytes, in_force: int) -> Document:
+    try:
+        document = json.loads(value)
+        status = dict(document.get("status") or {"phase": "Pending"})
+    except (ValueError, AttributeError, TypeError):
+        return {"phase": "Pending", "errors": ["the proposal is not a JSON object"]}
+    if status.get("phase") == "Published" and status.get("revision", 0) <= in_force:
+        status["phase"] = "InForce"
+    return {"uid": document.get("uid"), "author": document.get("author"), **status}
