--- /dev/null
+++ b/monsoontack/controller/fleet_test.py
@@ -0,0 +1,440 @@
+"""Tests of configuration in a whole fleet, on the paused loop.
+
+Each node is an entry's gossip and controller over an in-memory network and a
+store with faults.
+"""
+
+import asyncio
+import json
+import os
+import random
+import unittest
+
+import structlog
+
+from monsoontack.config.check_test import GOOD, account, rollout
+from monsoontack.config.operator import submit, wait_outcome
+from monsoontack.config.proposal import proposal_key
+from monsoontack.config.publisher_test import RecordingStore, delete, proposal, put
+from monsoontack.config.revision import HEAD_KEY, decode_head, seed_store
+from monsoontack.controller.service import ControllerService
+from monsoontack.core.clock import LoopClock
+from monsoontack.core.pausedloop import run_paused
+from monsoontack.core.records import Place, StopMark, VmRecord
+from monsoontack.entry.gossip import Gossip
+from monsoontack.entry.peers import PeerUnreachableError
+from monsoontack.store.faulty import FaultRates, FaultyStore
+
+SEEDS = int(os.environ.get("FLEET_SEEDS", "200"))
+DOMAINS = ("a", "b", "c")
+
+
+class MemoryPeers:
+    """`PeerTransport` between the nodes of one fleet."""
+
+    def __init__(self, fleet, name):
+        self.fleet, self.name = fleet, name
+
+    async def _reach(self, address):
+        await asyncio.sleep(self.fleet.rng.uniform(0.0005, 0.02))
+        if not self.fleet.connected(self.name, address):
+            await asyncio.sleep(1.0)
+            raise PeerUnreachableError(address)
+        return self.fleet.nodes[address].gossip
+
+    async def push(self, address, digest):
+        return (await self._reach(address)).answer(digest)
+
+    async def pull(self, address, digest):
+        return (await self._reach(address)).answer(digest)
+
+    async def fetch(self, address, digests):
+        values = (await self._reach(address)).chunk_values(list(digests))
+        return dict(list(values.items())[: self.fleet.fetch_limit])
+
+    async def report(self, address, report):
+        return (await self._reach(address)).take_report(report)
+
+
+class Node:
+    """One life of one entry; `revisions` are those it adopted, in order."""
+
+    def __init__(self, fleet, name, place, store):
+        self.store = store
+        self.record = VmRecord(name, "entry", name, "", place)
+        clock = LoopClock()
+        peers = MemoryPeers(fleet, name)
+        self.gossip = Gossip(self.record, name, store, peers, clock, fleet.rng)
+        self.controller = ControllerService(store, self.gossip, clock, fleet.rng)
+        self.revisions = []
+        self.gossip.on_adopted.append(lambda view: self.revisions.append(view.revision))
+        self.tasks = []
+
+    def start(self):
+        runs = (self.gossip.run(), self.controller.run())
+        self.tasks = [asyncio.ensure_future(run) for run in runs]
+
+    def kill(self):
+        for task in [*self.tasks, *self.controller.lease.requests]:
+            task.cancel()
+        self.tasks = []
+
+    @property
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    def ready(self):
+        return self.gossip.is_ready(self.now)
+
+    def fresh(self):
+        return self.gossip.is_fresh(self.now)
+
+
+class Fleet:
+    """Nodes over one store; `islands` maps names of cut-off nodes to a group."""
+
+    def __init__(self, count, seed=1):
+        self.rng = random.Random(seed)
+        self.memory = RecordingStore()
+        self.clock = LoopClock()
+        self.fetch_limit = 100
+        self.islands, self.nodes, self.ended = {}, {}, []
+        self.places = {
+            f"n{i}": Place(DOMAINS[i % 3], "r1" if i % 3 else "r0")
+            for i in range(count)
+        }
+
+    async def start(self):
+        await seed_store(self.memory, GOOD)
+        for name in self.places:
+            self.restart(name)
+        await asyncio.sleep(3)
+
+    def restart(self, name):
+        """Start a node without any state; its former life ends."""
+        if old := self.nodes.get(name):
+            old.kill()
+            self.ended.append(old)
+        store = FaultyStore(self.memory, self.rng)
+        node = self.nodes[name] = Node(self, name, self.places[name], store)
+        node.start()
+        for other in self.nodes.values():
+            other.controller.set_entries(n.record for n in self.nodes.values())
+
+    def connected(self, one, other):
+        alive = other in self.nodes and self.nodes[other].tasks
+        return alive and self.islands.get(one) == self.islands.get(other)
+
+    def live(self):
+        return [node for node in self.nodes.values() if node.tasks]
+
+    def outage(self, value):
+        for node in self.nodes.values():
+            node.store.outage = value
+
+    def holder(self):
+        return next((n for n in self.live() if n.controller.lease.epoch()), None)
+
+    async def submit(self, document):
+        return await submit(self.memory, document, self.clock, 5.0)
+
+    def head(self):
+        return decode_head(self.memory.objects[HEAD_KEY].value)
+
+    def behind(self):
+        revision = self.head().revision
+        return [n for n in self.live() if n.gossip.view().revision != revision]
+
+    async def until_spread(self, limit_s):
+        """Return the time until all live nodes have the published head."""
+        started = self.clock.now()
+        while self.behind():
+            if self.clock.now() > started + limit_s:
+                names = [node.record.vm for node in self.behind()]
+                raise AssertionError(f"{names} are behind after {limit_s} s")
+            await asyncio.sleep(0.05)
+        return self.clock.now() - started
+
+
+def running(scenario):
+    """Make a test of a scenario that gets a fleet."""
+
+    def test(self):
+        run_paused(scenario(self))
+
+    test.__doc__ = scenario.__doc__
+    return test
+
+
+class FleetTest(unittest.TestCase):
+    @running
+    async def test_in_force_names_the_unconfirmed(self):
+        """Guards against `InForce` before every live entry has the revision."""
+        fleet = Fleet(9)
+        await fleet.start()
+        cut = next(n for n in fleet.live() if n is not fleet.holder())
+        fleet.islands[cut.record.vm] = "cut"
+        cut.store.cut = True
+        await fleet.submit(proposal("1", put(account("c", "3"))))
+        outcome = await wait_outcome(fleet.memory, "1", fleet.clock, 12.0)
+        self.assertFalse(outcome.in_force)
+        self.assertEqual((cut.record.vm,), outcome.unconfirmed)
+        self.assertFalse(cut.ready())
+        fleet.islands.clear()
+        cut.store.cut = False
+        outcome = await wait_outcome(fleet.memory, "1", fleet.clock, 12.0)
+        self.assertTrue(outcome.in_force)
+        self.assertEqual(2, cut.gossip.view().revision)
+        self.assertTrue(cut.ready())
+
+    @running
+    async def test_outage_freezes_rollouts_but_not_work(self):
+        """Guards against entries that stop in an outage, that give unproved
+        versions new traffic, or that do not follow when the store returns."""
+        fleet = Fleet(9)
+        await fleet.start()
+        await asyncio.sleep(20)
+        self.assertTrue(all(node.fresh() for node in fleet.live()))
+        fleet.outage(True)
+        await fleet.submit(proposal("1", put(account("c", "3"))))
+        await asyncio.sleep(60)
+        self.assertTrue(all(node.ready() for node in fleet.live()))
+        self.assertFalse(any(node.fresh() for node in fleet.live()))
+        fleet.outage(False)
+        await asyncio.sleep(10)
+        self.assertEqual(2, fleet.head().revision)
+        self.assertEqual([], fleet.behind())
+        self.assertTrue(all(node.fresh() for node in fleet.live()))
+
+    @running
+    async def test_start_in_an_outage_needs_two_peers(self):
+        """Guards against a start from nothing or from a single, old peer."""
+        fleet = Fleet(4)
+        await fleet.start()
+        fleet.outage(True)
+        fleet.nodes["n1"].kill()
+        fleet.nodes["n2"].kill()
+        fleet.restart("n3")
+        fleet.nodes["n3"].store.outage = True
+        await asyncio.sleep(30)
+        self.assertEqual(1, fleet.nodes["n3"].gossip.view().revision)
+        self.assertFalse(fleet.nodes["n3"].ready())
+        fleet.restart("n2")
+        fleet.nodes["n2"].store.outage = True
+        await asyncio.sleep(30)
+        self.assertTrue(fleet.nodes["n3"].ready())
+        self.assertTrue(fleet.nodes["n2"].ready())
+
+    @running
+    async def test_all_restart_in_an_outage(self):
+        """Guards against entries that start from each other's empty state."""
+        fleet = Fleet(4)
+        await fleet.start()
+        for name in fleet.places:
+            fleet.restart(name)
+            fleet.nodes[name].store.outage = True
+        await asyncio.sleep(60)
+        self.assertFalse(any(node.ready() for node in fleet.live()))
+        fleet.outage(False)
+        await asyncio.sleep(5)
+        self.assertTrue(all(node.ready() for node in fleet.live()))
+
+    @running
+    async def test_cut_off_process_stops_after_nine_seconds(self):
+        """Guards against new work under a configuration that nobody renews, and
+        against an entry that stops although a peer still answers."""
+        fleet = Fleet(6)
+        await fleet.start()
+        for name in ("n0", "n1", "n2"):
+            fleet.islands[name] = name if name == "n0" else "pair"
+            fleet.nodes[name].store.cut = True
+        await asyncio.sleep(8)
+        self.assertTrue(fleet.nodes["n0"].ready())
+        await asyncio.sleep(3)
+        self.assertFalse(fleet.nodes["n0"].ready())
+        self.assertTrue(fleet.nodes["n1"].ready())
+
+    @running
+    async def test_region_without_store_keeps_its_revision(self):
+        """Guards against a partitioned region that goes back, stops or takes part
+        in a rollout, and against one that does not catch up."""
+        fleet = Fleet(9)
+        await fleet.start()
+        await fleet.submit(proposal("1", put(account("c", "3"))))
+        await asyncio.sleep(8)
+        far = [n for n in fleet.live() if n.record.place.region == "r0"]
+        for node in far:
+            fleet.islands[node.record.vm] = "far"
+            node.store.cut = True
+        await asyncio.sleep(12)
+        await fleet.submit(proposal("2", put(account("d", "4"))))
+        await asyncio.sleep(20)
+        self.assertEqual({2}, {n.gossip.view().revision for n in far})
+        self.assertEqual({3}, {n.gossip.view().revision for n in fleet.live()} - {2})
+        self.assertTrue(all(n.ready() and not n.fresh() for n in far))
+        fleet.islands.clear()
+        for node in far:
+            node.store.cut = False
+        self.assertLess(await fleet.until_spread(9.0), 9.0)
+
+    @running
+    async def test_spread_with_dead_peers_and_dead_controller(self):
+        """Guards against a change that a third of dead peers, the watchers or the
+        controller among them, keeps from the others."""
+        for seed in range(10):
+            fleet = Fleet(30, seed)
+            await fleet.start()
+            await asyncio.sleep(5)
+            fleet.holder().kill()
+            for node in fleet.rng.sample(fleet.live(), 10):
+                node.kill()
+            await fleet.submit(proposal("1", put(account("c", "3"))))
+            while fleet.head().revision < 2:
+                await asyncio.sleep(0.05)
+            self.assertLess(await fleet.until_spread(9.0), 9.0)
+
+    @running
+    async def test_spread_with_all_watchers_dead(self):
+        """Guards against a fleet that nobody watches the store for, while the VM
+        list still shows the dead watchers."""
+        fleet = Fleet(24)
+        await fleet.start()
+        await asyncio.sleep(5)
+        watchers = [n for n in fleet.live() if n.gossip.state.store_busy]
+        for node in watchers:
+            node.kill()
+        self.assertGreaterEqual(len(watchers), 6)
+        await asyncio.sleep(30)
+        await fleet.submit(proposal("1", put(account("c", "3"))))
+        await asyncio.sleep(20)
+        self.assertEqual(2, fleet.head().revision)
+        self.assertEqual([], fleet.behind())
+
+    @running
+    async def test_stop_mark_spreads_without_store_and_is_pruned(self):
+        """Guards against a stop mark that is lost, that needs the store, or that
+        outlives or returns after its rollout."""
+        fleet = Fleet(20)
+        await fleet.start()
+        fleet.outage(True)
+        fleet.holder().kill()
+        mark = StopMark("up.1", "desk", "v2", "failures", "n1")
+        fleet.nodes["n1"].gossip.stop(mark)
+        await asyncio.sleep(3)
+        self.assertTrue(all(n.gossip.stop_marks() for n in fleet.live()))
+        fleet.outage(False)
+        cut = next(n for n in fleet.live() if n is not fleet.holder())
+        fleet.islands[cut.record.vm] = "cut"
+        cut.store.cut = True
+        await fleet.submit(proposal("1", delete("Rollout", "up", 1)))
+        await fleet.submit(proposal("2", put(rollout("next"))))
+        await asyncio.sleep(30)
+        fleet.islands.clear()
+        cut.store.cut = False
+        await asyncio.sleep(10)
+        self.assertEqual([], fleet.behind())
+        self.assertFalse(any(n.gossip.stop_marks() for n in fleet.live()))
+
+    @running
+    async def test_stop_mark_of_a_later_revision_is_kept(self):
+        """Guards against a mark that is dropped because its rollout has not been
+        published here yet."""
+        fleet = Fleet(2)
+        await fleet.start()
+        gossip = fleet.nodes["n0"].gossip
+        gossip.stop(StopMark("next.2", "desk", "v2", "failures", "n1"))
+        gossip.stop(StopMark("gone.1", "desk", "v2", "failures", "n1"))
+        self.assertEqual({"next.2"}, set(gossip.stop_marks()))
+
+    @running
+    async def test_store_calls_do_not_grow_with_the_fleet(self):
+        """Guards against a watch or read of the store by every process."""
+        totals = []
+        for count in (12, 60):
+            fleet = Fleet(count)
+            await fleet.start()
+            await asyncio.sleep(10)
+            before = fleet.memory.calls.copy()
+            await asyncio.sleep(60)
+            calls = fleet.memory.calls - before
+            self.assertLessEqual(calls["watch"], 6 * 60 / 4 * 1.2)
+            totals.append(sum(calls.values()))
+        self.assertLess(totals[1], totals[0] * 1.3)
+
+
+class FleetChaosTest(unittest.TestCase):
+    async def scenario(self, seed):
+        fleet = Fleet(7, seed)
+        fleet.fetch_limit = 1 + seed % 3
+        rng = random.Random(seed)
+        await fleet.start()
+        submitted = []
+        for number in range(12):
+            await asyncio.sleep(rng.uniform(0.5, 6.0))
+            self.disturb(fleet, rng)
+            if rng.random() < 0.6:
+                uid = f"{number:02}"
+                name, digest = f"new{number}", f"{number + 3:x}"
+                await fleet.submit(proposal(uid, put(account(name, digest))))
+                submitted.append(uid)
+        await asyncio.sleep(rng.uniform(0.0, 12.0))
+        self.heal(fleet)
+        await asyncio.sleep(30)
+        self.check(fleet, submitted, f"seed {seed}")
+        return fleet.head().revision
+
+    def disturb(self, fleet, rng):
+        name = rng.choice(list(fleet.nodes))
+        node = fleet.nodes[name]
+        match rng.randrange(8):
+            case 0:
+                node.kill()
+            case 1:
+                fleet.restart(name)
+            case 2:
+                fleet.islands[name] = rng.choice(["x", "y"])
+            case 3:
+                fleet.islands.pop(name, None)
+            case 4:
+                node.store.cut = not node.store.cut
+            case 5:
+                fleet.outage(rng.random() < 0.5)
+            case 6:
+                node.store.rates = FaultRates(0.1, 0.1, 0.1, 0.1, 8.0, 2.0)
+            case 7:
+                if holder := fleet.holder():
+                    fleet.islands[holder.record.vm] = "x"
+                    holder.store.cut = True
+
+    def heal(self, fleet):
+        fleet.islands.clear()
+        for name, node in list(fleet.nodes.items()):
+            node.store.cut, node.store.outage = False, False
+            node.store.rates = FaultRates()
+            if not node.tasks:
+                fleet.restart(name)
+
+    def check(self, fleet, submitted, note):
+        self.assertEqual([], [n.record.vm for n in fleet.behind()], note)
+        self.assertTrue(all(n.ready() and n.fresh() for n in fleet.live()), note)
+        for node in [*fleet.ended, *fleet.nodes.values()]:
+            self.assertEqual(node.revisions, sorted(set(node.revisions)), note)
+        for uid in submitted:
+            status = json.loads(fleet.memory.objects[proposal_key(uid)].value)["status"]
+            self.assertEqual("Published", status["phase"], note)
+        self.assertEqual(len(submitted) + 1, fleet.head().revision, note)
+        status = json.loads(fleet.memory.objects["status/config"].value)
+        self.assertEqual("InForce", status["phase"], note)
+        self.assertEqual(fleet.head().revision, status["in_force"], note)
+
+    def test_random_faults(self):
+        """Guards against a process that goes back or stays behind, a lost change
+        and a wrong confirmation, under random faults that come together."""
+        revisions = [run_paused(self.scenario(seed)) for seed in range(SEEDS)]
+        self.assertGreater(sum(revisions), 3 * SEEDS)
+
+
+structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+
+if __name__ == "__main__":
+    unittest.main()
