--- a/monsoontack/entry/calls.py
+++ b/monsoontack/entry/calls.py
@@ -4,7 +4,6 @@
 
 from monsoontack.core.errors import RequestError
 from monsoontack.entry.context import EntryContext
-from monsoontack.entry.ports import ServiceCall
 from monsoontack.entry.requests import (
     RequestRefusedError,
     authenticate,
@@ -13,6 +12,7 @@
     read_idempotency_key,
     refuse,
 )
+from monsoontack.ledger.records import ServiceCall
 
 # Headers of one hop, and those that the entry sets or checks itself.
 NOT_PASSED_ON = frozenset(
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -16,6 +16,7 @@
 from monsoontack.entry.configsource import ObjectConfigSource
 from monsoontack.entry.context import EntryContext
 from monsoontack.entry.counters import FLUSH_S, Counters
+from monsoontack.entry.dispatch import LinkDispatcher
 from monsoontack.entry.links import LinkIdentity, LinkPool
 from monsoontack.entry.ports import (
     Admission,
@@ -32,7 +33,10 @@
     RefusingCalls,
 )
 from monsoontack.generation.progress import MONITOR_TICK_S, OwnPause
+from monsoontack.ledger.service import Ledger
 from monsoontack.settings.models import EntrySettings
+from monsoontack.store.api import ObjectStore
+from monsoontack.store.http import HttpStore
 
 log = structlog.get_logger("entry.daemon")
 
@@ -51,6 +55,7 @@
     picker: Picker | None = None
     admission: Admission | None = None
     calls: CallRunner | None = None
+    store: ObjectStore | None = None
     outcomes: OutcomeSink | None = None
 
 
@@ -75,14 +80,22 @@
     place = Place(settings.failure_domain, settings.region)
     identity = LinkIdentity(settings.name, place)
     pool = LinkPool(identity, generations, rng, settings.frame_silence_s)
-    pool.in_flight = generations.in_flight
     generations.pool = pool
+    dispatcher = LinkDispatcher(pool, picker, outcomes, config.view, rng)
+    generations.call_results = dispatcher.on_result
+    generations.calls_lost = dispatcher.on_link_lost
+    pool.in_flight = lambda address: (
+        generations.in_flight(address) + dispatcher.in_flight(address)
+    )
+    calls = parts.calls
+    if calls is None and parts.store is not None:
+        calls = Ledger(parts.store, dispatcher, window_s=settings.dispatch_window_s)
     return EntryContext(
         settings=settings,
         config=config,
         picker=picker,
         admission=parts.admission or ConcurrencyAdmission(),
-        calls=parts.calls or RefusingCalls(),
+        calls=calls or RefusingCalls(),
         outcomes=outcomes,
         counters=counters,
         generations=generations,
@@ -98,11 +111,17 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    async with aiohttp.ClientSession() as http:
+    async with (
+        aiohttp.ClientSession() as http,
+        HttpStore.from_settings(settings) as store,
+    ):
+        parts.store = parts.store or store
         config = parts.config or ObjectConfigSource(settings.store_url, http)
         context = build_context(settings, parts, config)
         finder = AgentFinder(settings, http, context.pool)
         work = [finder.run(), _monitor(context), _flush(context)]
+        if isinstance(context.calls, Ledger):
+            work.append(_share_write_budget(context.calls, finder))
         if isinstance(config, ObjectConfigSource):
             work.append(config.run())
         tasks = [asyncio.ensure_future(item) for item in work]
@@ -150,6 +169,14 @@
         context.generations.tick(now)
 
 
+async def _share_write_budget(ledger: Ledger, finder: AgentFinder) -> None:
+    """Split the fleet's call record writes among the live entries."""
+    while True:
+        entries = [r for r in finder.records if r.role == "entry" and r.state == "live"]
+        ledger.budget.live_entries = max(len(entries), 1)
+        await asyncio.sleep(FLUSH_S)
+
+
 async def _flush(context: EntryContext) -> None:
     while True:
         await asyncio.sleep(FLUSH_S)
@@ -174,6 +201,10 @@
         await asyncio.sleep(DRAIN_CHECK_S)
     context.generations.end_rest("shutting_down", "this entry is leaving")
     await asyncio.sleep(DRAIN_CHECK_S)
+    if isinstance(context.calls, Ledger):
+        left_s = max(deadline - context.now(), 0.0)
+        unsettled = await context.calls.settle(left_s)
+        log.info("call records settled", unsettled=unsettled)
     log.info("drained", requests=context.requests_in_progress)
 
 
--- a/monsoontack/entry/ports.py
+++ b/monsoontack/entry/ports.py
@@ -6,12 +6,12 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Protocol
 
 from monsoontack.config.view import AccountConfig, ConfigView
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import BackendServer, Outcome, RouteRequest, ServerState
+from monsoontack.ledger.records import ServiceAnswer, ServiceCall
 
 
 class ConfigSource(Protocol):
@@ -64,30 +64,6 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceCall:
-    """One call of a caller to a plain service. `key` is empty if there is none."""
-
-    account: str
-    service: str
-    method: str
-    path: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    idempotent: bool
-    key: str
-    timeout_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceAnswer:
-    """Answer of a plain service, passed on to the caller."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
 class CallRunner(Protocol):
     """Runs calls on plain services, at most once where they must not repeat."""
 
--- a/monsoontack/entry/simple.py
+++ b/monsoontack/entry/simple.py
@@ -8,7 +8,7 @@
 from monsoontack.config.view import AccountConfig, ConfigView
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import BackendServer, Outcome, RouteRequest, ServerState
-from monsoontack.entry.ports import ServiceCall
+from monsoontack.ledger.records import ServiceCall
 
 # Requests accepted per live slot; those above the slots wait in engine queues.
 REQUESTS_PER_SLOT = 2
--- /dev/null
+++ b/monsoontack/ledger/faults_test.py
@@ -0,0 +1,115 @@
+"""Faults of the design's table that reach the ledger, and all pairs of them.
+
+More seeds: `LEDGER_SEEDS=200 make test TESTS=ledger.faults`.
+"""
+
+import itertools
+import os
+import unittest
+from dataclasses import fields, replace
+from unittest import mock
+
+from monsoontack.core.errors import RunState
+from monsoontack.core.pausedloop import run_paused
+from monsoontack.ledger import machine
+from monsoontack.ledger.records import RecordState
+from monsoontack.store.faulty import FaultRates
+from standins.ledgerworld import World, WorldFaults
+
+SEEDS = int(os.environ.get("LEDGER_SEEDS", "4"))
+
+FAULTS = {
+    "service dies": WorldFaults(down=0.4),
+    "service pauses": WorldFaults(slow=0.3),
+    "agent dies": WorldFaults(answer_lost=0.2, request_lost=0.1, restarts=3),
+    "connection silent": WorldFaults(request_late=0.4),
+    "service answer lost": WorldFaults(answer_lost=0.4),
+    "entry dies": WorldFaults(kills=6),
+    "entry pauses": WorldFaults(store=FaultRates(stalled=0.3)),
+    "dispatcher paused": WorldFaults(held=0.4),
+    "store down": WorldFaults(outages=3),
+    "store refuses": WorldFaults(store=FaultRates(refused=0.3)),
+    "store answer lost": WorldFaults(store=FaultRates(lost_after=0.4)),
+    "store request lost": WorldFaults(store=FaultRates(lost_before=0.4)),
+    "store request delayed": WorldFaults(store=FaultRates(delayed=0.4)),
+    "VM replaced": WorldFaults(refused=0.3, kills=2, restarts=1),
+}
+
+
+def merge(first, second):
+    """Return the faults of both, the larger where they overlap."""
+    values = {}
+    for item in fields(first):
+        one, other = getattr(first, item.name), getattr(second, item.name)
+        same = isinstance(one, FaultRates)
+        values[item.name] = merge(one, other) if same else max(one, other)
+    return type(first)(**values)
+
+
+class LedgerFaultsTest(unittest.TestCase):
+    def run_worlds(self, scenarios):
+        total = 0
+        for number, (name, faults) in enumerate(scenarios):
+            for seed in range(SEEDS):
+                world = World(number * 100_000 + seed, replace(faults))
+                found = run_paused(world.run())
+                self.assertEqual([], found, f"{name}, seed {world.seed}")
+                self.assertGreater(world.counts["dispatches"], 0, name)
+                total += 1
+        return total
+
+    def test_each_fault(self):
+        """Guards against a call run twice and a false not_run."""
+        self.run_worlds(FAULTS.items())
+
+    def test_pairs_of_faults(self):
+        """Guards against faults that break the protocol only together."""
+        pairs = itertools.combinations(FAULTS.items(), 2)
+        self.run_worlds([(f"{a} + {b}", merge(x, y)) for (a, x), (b, y) in pairs])
+
+    def test_all_faults_at_once(self):
+        """Guards against orders of events that one pair does not reach."""
+        everything = WorldFaults()
+        for faults in FAULTS.values():
+            everything = merge(everything, faults)
+        self.run_worlds([("all", everything)] * 5)
+
+    def find_violations(self, faults, name, broken):
+        """Run worlds with a function of the machine replaced by a broken one."""
+        found = []
+        with mock.patch.object(machine, name, broken):
+            for seed in range(40):
+                found += run_paused(World(seed, replace(faults)).run())
+        return found
+
+    def test_lost_answer_taken_as_not_run_is_found(self):
+        """Guards against checks that miss a call run twice."""
+        right = machine._dispatched
+
+        def broken(state, result, now):
+            if result.run_state is RunState.UNKNOWN:
+                result = replace(result, run_state=RunState.NOT_RUN)
+            return right(state, result, now)
+
+        found = self.find_violations(
+            FAULTS["service answer lost"], "_dispatched", broken
+        )
+        self.assertTrue(any("ran 2 times" in text for text in found), found)
+        self.assertTrue(any("not_run" in text for text in found), found)
+
+    def test_overdue_claim_taken_as_not_run_is_found(self):
+        """Guards against checks that miss a takeover of a running call."""
+        right = machine.replace
+
+        def broken(record, /, **changes):
+            if changes.get("state") is RecordState.UNKNOWN:
+                changes["state"] = RecordState.NOT_RUN
+            return right(record, **changes)
+
+        faults = merge(FAULTS["entry dies"], FAULTS["service pauses"])
+        found = self.find_violations(faults, "replace", broken)
+        self.assertTrue(any("recorded not_run" in text for text in found), found)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/monsoontack/ledger/records.py
@@ -0,0 +1,144 @@
+"""Records of the at-most-once ledger, and their form in the object store."""
+
+import base64
+import binascii
+import hashlib
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+
+from monsoontack.core.errors import RunState
+
+RECORD_PREFIX = "calls/"
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """One call of a caller to a plain service. `key` is empty if there is none."""
+
+    account: str
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    idempotent: bool
+    key: str
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """Answer of a plain service, passed on to the caller."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchResult:
+    """How one dispatch ended.
+
+    `run_state` is `run` with an answer, `not_run` only if the backend server
+    has surely not begun, else `unknown`. `code` names the cause without an
+    answer, `address` the agent that was asked (empty if none was).
+    """
+
+    run_state: RunState
+    answer: ServiceAnswer | None = None
+    code: str = ""
+    address: str = ""
+
+
+class RecordState(StrEnum):
+    """State of a call record."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class CallRecord:
+    """Content of a call record.
+
+    `writer` is the random token of the claim, `digest` that of the request.
+    `timeout_s` is the call timeout, after which a claim counts as overdue.
+    `body_omitted` marks an outcome whose body did not fit into the record.
+    """
+
+    state: RecordState
+    writer: str
+    digest: str
+    service: str
+    claimed_unix_s: float
+    timeout_s: float
+    answer: ServiceAnswer | None = None
+    body_omitted: bool = False
+
+    def encode(self) -> bytes:
+        """Return the record as JSON."""
+        document = {
+            "state": self.state.value,
+            "writer": self.writer,
+            "digest": self.digest,
+            "service": self.service,
+            "claimed_unix_s": self.claimed_unix_s,
+            "timeout_s": self.timeout_s,
+        }
+        if self.answer is not None:
+            document["answer"] = _answer_document(self.answer)
+            document["body_omitted"] = self.body_omitted
+        return json.dumps(document).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> "CallRecord":
+        """Read a record; raises ValueError if it is not one."""
+        try:
+            document = json.loads(value)
+            answer = document.get("answer")
+            return cls(
+                RecordState(document["state"]),
+                str(document["writer"]),
+                str(document["digest"]),
+                str(document["service"]),
+                float(document["claimed_unix_s"]),
+                float(document["timeout_s"]),
+                None if answer is None else _read_answer(answer),
+                bool(document.get("body_omitted", False)),
+            )
+        except (KeyError, TypeError, AttributeError, binascii.Error) as error:
+            raise ValueError(f"malformed call record: {error!r}") from error
+
+
+def _answer_document(answer: ServiceAnswer) -> dict:
+    return {
+        "status": answer.status,
+        "headers": [list(pair) for pair in answer.headers],
+        "body_base64": base64.b64encode(answer.body).decode(),
+    }
+
+
+def _read_answer(document: dict) -> ServiceAnswer:
+    headers = tuple((str(name), str(text)) for name, text in document["headers"])
+    body = base64.b64decode(document["body_base64"], validate=True)
+    return ServiceAnswer(int(document["status"]), headers, body)
+
+
+def record_key(account: str, key: str) -> str:
+    """Return the store key of the record of an account's idempotency key."""
+    digest = hashlib.sha256(key.encode("utf-8", "surrogatepass")).hexdigest()
+    return f"{RECORD_PREFIX}{account}/{digest}"
+
+
+def request_digest(call: ServiceCall) -> str:
+    """Return the digest that two requests with one key must share."""
+    digest = hashlib.sha256()
+    for part in (call.service, call.method, call.path):
+        encoded = part.encode("utf-8", "surrogatepass")
+        digest.update(len(encoded).to_bytes(8, "big") + encoded)
+    digest.update(call.body)
+    return digest.hexdigest()
--- a/monsoontack/store/api.py
+++ b/monsoontack/store/api.py
@@ -11,6 +11,8 @@
 from returns.result import Result
 
 MAX_VALUE_BYTES = 1_000_000
+# Reason of `Unavailable` for a list that the client refuses to take in.
+LIST_TOO_LARGE = "list too large"
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoontack/store/faulty.py
+++ b/monsoontack/store/faulty.py
@@ -21,7 +21,8 @@
     `refused` calls have no effect. Answers of `lost_after` writes are lost
     after the effect, those of `lost_before` writes without one; `delayed`
     writes take effect up to `delay_s` after their ambiguous answer. Each call
-    takes up to `latency_s`.
+    takes up to `latency_s`. The process is `stalled` for up to `stall_s` after
+    that share of its calls, before it sees the answer.
     """
 
     refused: float = 0.0
@@ -30,6 +31,8 @@
     delayed: float = 0.0
     delay_s: float = 10.0
     latency_s: float = 0.005
+    stalled: float = 0.0
+    stall_s: float = 20.0
 
 
 @dataclass(slots=True)
@@ -51,6 +54,20 @@
         await asyncio.sleep(self.rng.random() * self.rates.latency_s)
 
     async def _read(self, key: str, call):
+        result = await self._answer_read(key, call)
+        await self._stall()
+        return result
+
+    async def _write(self, key: str, call):
+        result = await self._answer_write(key, call)
+        await self._stall()
+        return result
+
+    async def _stall(self) -> None:
+        if self.rates.stalled and self.rng.random() < self.rates.stalled:
+            await asyncio.sleep(self.rng.random() * self.rates.stall_s)
+
+    async def _answer_read(self, key: str, call):
         await self._latency()
         if self.outage or self.cut or self.rng.random() < self.rates.refused:
             return Failure(Unavailable(key, "outage"))
@@ -58,7 +75,7 @@
         await self._latency()
         return result
 
-    async def _write(self, key: str, call):
+    async def _answer_write(self, key: str, call):
         await self._latency()
         if self.outage:
             return Failure(Unavailable(key, "outage"))
--- a/monsoontack/store/http.py
+++ b/monsoontack/store/http.py
@@ -20,6 +20,7 @@
 
 from monsoontack.settings.models import ProcessSettings
 from monsoontack.store.api import (
+    LIST_TOO_LARGE,
     MAX_VALUE_BYTES,
     Ambiguous,
     Conflict,
@@ -37,6 +38,7 @@
 # out on a connection that the server is closing, which would be ambiguous.
 KEEPALIVE_S = 4.0
 MAX_CONNECTIONS = 64
+MAX_LIST_BYTES = 16_000_000
 
 READ_FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
@@ -90,7 +92,7 @@
     async def list(self, prefix: str) -> Result[list[StoredObject], StoreError]:
         """Read all objects whose key starts with `prefix`, ordered by key."""
         url = self._url(f"/objects?prefix={quote(prefix, safe='/')}")
-        result = await self._read(prefix, url, LIST_TIMEOUT_S)
+        result = await self._read(prefix, url, LIST_TIMEOUT_S, MAX_LIST_BYTES)
         return result.bind(lambda answer: _read_list(prefix, answer))
 
     async def watch(
@@ -130,9 +132,14 @@
     def _object_url(self, key: str, query: str = "") -> URL:
         return self._url(f"/objects/{quote(key, safe='/')}{query}")
 
-    async def _read(self, key: str, url: URL, timeout_s: float):
+    async def _read(
+        self, key: str, url: URL, timeout_s: float, limit: int = MAX_VALUE_BYTES
+    ):
         try:
-            return Success(await self._request("GET", url, None, {}, timeout_s))
+            answer = await self._request("GET", url, None, {}, timeout_s, limit)
+            return Success(answer)
+        except AnswerTooLarge:
+            return Failure(Unavailable(key, LIST_TOO_LARGE))
         except READ_FAILURES as error:
             return Failure(Unavailable(key, _describe(error)))
 
@@ -149,9 +156,15 @@
         return Success(answer)
 
     async def _request(
-        self, method: str, url: URL, data: bytes | None, headers: dict, timeout_s: float
+        self,
+        method: str,
+        url: URL,
+        data: bytes | None,
+        headers: dict,
+        timeout_s: float,
+        limit: int = MAX_VALUE_BYTES,
     ) -> _Answer:
-        """Send one request and read its whole answer."""
+        """Send one request and read its whole answer of at most `limit` bytes."""
         timeout = aiohttp.ClientTimeout(total=timeout_s, connect=CONNECT_TIMEOUT_S)
         async with self.session.request(
             method,
@@ -162,7 +175,22 @@
             allow_redirects=False,
             middlewares=(_send_once,),
         ) as response:
-            return _Answer(response.status, response.headers, await response.read())
+            body = await _read_body(response, limit)
+            return _Answer(response.status, response.headers, body)
+
+
+class AnswerTooLarge(aiohttp.ClientError):
+    """The answer is longer than the caller can take in."""
+
+
+async def _read_body(response: aiohttp.ClientResponse, limit: int) -> bytes:
+    parts, size = [], 0
+    async for part in response.content.iter_any():
+        size += len(part)
+        if size > limit:
+            raise AnswerTooLarge(f"more than {limit} bytes")
+        parts.append(part)
+    return b"".join(parts)
 
 
 class BrokenConnection(aiohttp.ClientError):
