--- a/monsoontack/entry/dispatch.py
+++ b/monsoontack/entry/dispatch.py
@@ -51,7 +51,7 @@
         call: ServiceCall,
         fence: int,
         latest_start_unix_s: float,
-        excluded: frozenset[str],
+        asked: set[str],
     ) -> DispatchResult:
         """Send the call to one backend server and wait for its result."""
         started_at = asyncio.get_running_loop().time()
@@ -61,12 +61,13 @@
             version or "",
             call.account,
             request_bytes=len(call.body),
-            excluded=excluded,
+            excluded=frozenset(asked),
         )
         servers = self.pool.servers(call.service)
         server = self.picker.pick(route, servers, started_at, self.rng)
         if version is None or server is None:
             return DispatchResult(RunState.NOT_RUN, code="no_server")
+        asked.add(server.address)
         link = self.pool.ensure(server.address)
         message = _message(call, fence, latest_start_unix_s)
         result = await self._send(link, message, call.timeout_s)
--- a/monsoontack/ledger/service.py
+++ b/monsoontack/ledger/service.py
@@ -20,9 +20,9 @@
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.ledger.answers import refuse_not_run
 from monsoontack.ledger.limits import StoreHealth, WriteBudget
-from monsoontack.ledger.lookup import run_idempotent
+from monsoontack.ledger.lookup import Lookups
 from monsoontack.ledger.machine import step
-from monsoontack.ledger.ports import Dispatcher, FixedRetryBudget, RetryBudget
+from monsoontack.ledger.ports import Dispatcher
 from monsoontack.ledger.protocol import (
     DISPATCH_WINDOW_S,
     Begin,
@@ -72,17 +72,18 @@
     rng: random.Random = field(default_factory=random.SystemRandom)
     window_s: float = DISPATCH_WINDOW_S
     budget: WriteBudget = field(default_factory=WriteBudget)
-    retry_budget: RetryBudget = field(default_factory=FixedRetryBudget)
     health: StoreHealth = field(default_factory=StoreHealth)
     counts: Counter = field(default_factory=Counter)
     unsettled: set[asyncio.Task] = field(default_factory=set)
+    lookups: Lookups = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.lookups = Lookups(self.dispatcher, self.clock, self.counts)
 
     async def run(self, call: ServiceCall) -> ServiceAnswer | RequestError:
         """Run one call and return the service's answer or a truthful refusal."""
         if call.idempotent:
-            return await run_idempotent(
-                call, self.dispatcher, self.retry_budget, self.clock, self.counts
-            )
+            return await self.lookups.run(call)
         refusal = self._refuse_early(self.clock.now())
         if refusal is not None:
             self.counts[f"refused.{refusal.code}"] += 1
@@ -151,7 +152,7 @@
         match action:
             case Dispatch(fence, latest_start_unix_s):
                 result = await self.dispatcher.dispatch(
-                    call, fence, latest_start_unix_s, frozenset()
+                    call, fence, latest_start_unix_s, set()
                 )
                 self.counts["dispatched"] += 1
                 return DispatchDone(result)
--- a/monsoontack/ledger/service_test.py
+++ b/monsoontack/ledger/service_test.py
@@ -6,7 +6,6 @@
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.core.pausedloop import run_paused
 from monsoontack.ledger.limits import StoreHealth, WriteBudget
-from monsoontack.ledger.ports import FixedRetryBudget
 from monsoontack.ledger.records import DispatchResult, ServiceAnswer, ServiceCall
 from monsoontack.ledger.service import Ledger
 from monsoontack.store.memory import MemoryStore
@@ -21,17 +20,20 @@
 
 
 class ScriptedDispatcher:
-    """Returns results in turn; the last one repeats."""
+    """Returns results in turn, each after its delay; the last one repeats."""
 
-    def __init__(self, *results, delay_s=0.0):
+    def __init__(self, *results, delays=(0.0,)):
         self.results = list(results)
-        self.delay_s = delay_s
-        self.excluded = []
+        self.delays = list(delays)
+        self.asked = []
 
-    async def dispatch(self, call, fence, latest_start_unix_s, excluded):
-        self.excluded.append(excluded)
-        await asyncio.sleep(self.delay_s)
-        return self.results.pop(0) if len(self.results) > 1 else self.results[0]
+    async def dispatch(self, call, fence, latest_start_unix_s, asked):
+        self.asked.append(set(asked))
+        number = len(self.asked) - 1
+        result = self.results[min(number, len(self.results) - 1)]
+        asked.add(result.address)
+        await asyncio.sleep(self.delays[min(number, len(self.delays) - 1)])
+        return result
 
 
 def ran(address="one", status=200):
@@ -69,7 +71,7 @@
 
         async def scenario():
             store = MemoryStore()
-            ledger = Ledger(store, ScriptedDispatcher(ran(), delay_s=0.1))
+            ledger = Ledger(store, ScriptedDispatcher(ran(), delays=[0.1]))
             task = asyncio.ensure_future(ledger.run(call()))
             await asyncio.sleep(0.05)
             store.faults.outage = True
@@ -93,7 +95,7 @@
                 refusal = await ledger.run(call())
                 self.assertEqual(RunState.NOT_RUN, refusal.run_state)
             self.assertLess(sum(store.calls.values()), 5)
-            self.assertEqual([], dispatcher.excluded)
+            self.assertEqual([], dispatcher.asked)
             store.faults.outage = False
             await asyncio.sleep(1.0)
             self.assertEqual(ANSWER, await ledger.run(call()))
@@ -140,45 +142,49 @@
 
 
 class LookupTest(unittest.TestCase):
-    def run_lookup(self, dispatcher, **options):
+    def run_lookups(self, dispatcher, count=1):
         async def scenario():
-            ledger = Ledger(MemoryStore(), dispatcher, **options)
-            answer = await ledger.run(call(idempotent=True))
-            return answer, dict(ledger.store.calls)
+            ledger = Ledger(MemoryStore(), dispatcher)
+            answers = [await ledger.run(call(idempotent=True)) for _ in range(count)]
+            self.assertEqual({}, dict(ledger.store.calls))
+            return answers, ledger
 
         return run_paused(scenario())
 
     def test_retry_goes_to_another_server(self):
         """Guards against a retry at the server that just failed."""
         dispatcher = ScriptedDispatcher(lost("one"), ran("two", 503), ran("three"))
-        answer, calls = self.run_lookup(dispatcher)
-        self.assertEqual((ANSWER, {}), (answer, calls))
-        self.assertEqual(
-            [frozenset(), {"one"}, {"one", "two"}],
-            [set(x) for x in dispatcher.excluded],
-        )
+        answers, _ = self.run_lookups(dispatcher)
+        self.assertEqual([ANSWER], answers)
+        self.assertEqual([set(), {"one"}, {"one", "two"}], dispatcher.asked)
 
     def test_retries_keep_to_the_budget(self):
         """Guards against retries that multiply the load of a failing service."""
-        budget = FixedRetryBudget(share=0.1, floor=1)
-        now, retries = 0.0, 0
-        for _ in range(100):
-            budget.record_request(now)
-            retries += budget.take_retry(now)
-        self.assertLessEqual(retries, 11)
+        dispatcher = ScriptedDispatcher(lost("one"))
+        self.run_lookups(dispatcher, 200)
+        self.assertLess(len(dispatcher.asked), 200 * 1.1 + 5)
 
     def test_retries_end_with_the_timeout(self):
         """Guards against a lookup that is retried after its deadline."""
-        dispatcher = ScriptedDispatcher(lost("one"), delay_s=2.0)
-        answer, _ = self.run_lookup(dispatcher)
-        self.assertEqual(RunState.UNKNOWN, answer.run_state)
-        self.assertEqual(1, len(dispatcher.excluded))
+        dispatcher = ScriptedDispatcher(lost("one"), delays=[2.0])
+        answers, _ = self.run_lookups(dispatcher)
+        self.assertEqual(RunState.UNKNOWN, answers[0].run_state)
+        self.assertEqual(1, len(dispatcher.asked))
 
     def test_single_server_is_asked_again(self):
         """Guards against a retry that finds no server because one is excluded."""
         none = DispatchResult(RunState.NOT_RUN, code="no_server")
-        answer, _ = self.run_lookup(ScriptedDispatcher(lost("one"), none, ran()))
-        self.assertEqual(ANSWER, answer)
+        answers, _ = self.run_lookups(ScriptedDispatcher(lost("one"), none, ran()))
+        self.assertEqual([ANSWER], answers)
+
+    def test_late_lookup_is_hedged_at_another_server(self):
+        """Guards against a lookup that waits for one slow server."""
+        delays = [0.02] * 32 + [0.01] * 8 + [1.5, 0.01]
+        dispatcher = ScriptedDispatcher(*[ran()] * 41, ran("two"), delays=delays)
+        answers, ledger = self.run_lookups(dispatcher, 41)
+        self.assertEqual(1, ledger.counts["lookup.hedges"])
+        self.assertEqual({"one"}, dispatcher.asked[41])
+        self.assertEqual(42, len(dispatcher.asked))
 
 
 if __name__ == "__main__":
--- a/monsoontack/store/lease.py
+++ b/monsoontack/store/lease.py
@@ -17,9 +17,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-import xxhash
 from returns.result import Result, Success
 
+from monsoontack.core.rendezvous import ranked, stable_hash
 from monsoontack.store.api import (
     Ambiguous,
     Conflict,
@@ -187,12 +187,7 @@
 
 def candidate_rank(name: str, names: Iterable[str], key: str = CONTROLLER_LEASE) -> int:
     """Return the place of `name` among live processes by rendezvous hash."""
-
-    def weight(process: str) -> tuple[int, str]:
-        return xxhash.xxh64_intdigest(f"{key}\0{process}".encode()), process
-
-    own = weight(name)
-    return sum(weight(other) < own for other in set(names))
+    return ranked(stable_hash(key), set(names) | {name}).index(name)
 
 
 def step(state: LeaseState, event: LeaseEvent, now: float, rng: random.Random) -> Step:
--- a/standins/ledgerworld.py
+++ b/standins/ledgerworld.py
@@ -256,7 +256,7 @@
     world: World
 
     async def dispatch(
-        self, call, fence: int, latest_start: float, excluded
+        self, call, fence: int, latest_start: float, asked
     ) -> DispatchResult:
         world, faults = self.world, self.world.faults
         if world._strikes(faults.held):
