--- /dev/null
+++ b/monsoontack/membership/view_test.py
@@ -0,0 +1,98 @@
+"""Tests of the membership view."""
+
+import random
+import unittest
+from collections import Counter
+
+from monsoontack.core.records import Place, VmRecord
+from monsoontack.membership.view import FORGET_S, MembershipView, MemberState
+
+PLACE = Place("almaty-a", "Almaty")
+
+
+def record(name, role="agent", vm="", state="live"):
+    return VmRecord(vm or f"vm-{name}", role, name, "", PLACE, state, "desk")
+
+
+def states(view):
+    return {address: str(member.state) for address, member in view.members.items()}
+
+
+class MembershipTest(unittest.TestCase):
+    def setUp(self):
+        self.view = MembershipView()
+        self.view.list_read([record(name) for name in "abc"], 0.0)
+
+    def test_leaving_announcement_is_final_for_its_incarnation(self):
+        """Guards against new work after a late frame or a list that lags."""
+        self.view.announced(record("a"), 5, False, 1.0)
+        self.view.announced(record("a"), 5, True, 2.0)
+        self.view.announced(record("a"), 5, False, 2.1)
+        self.view.heard("a", 2.2)
+        self.view.list_read([record(name) for name in "abc"], 3.0)
+        self.assertFalse(self.view.takes_work("a"))
+        (change,) = self.view.announced(record("a"), 6, False, 4.0)
+        self.assertTrue(change.is_return)
+        self.assertTrue(self.view.takes_work("a"))
+        self.view.announced(record("a"), 5, True, 4.1)
+        self.assertTrue(self.view.takes_work("a"))
+        self.assertEqual(1, self.view.old_news)
+
+    def test_paused_process_returns(self):
+        """Guards against work for a silent process, and against losing it."""
+        self.view.lost("a", 1.0)
+        self.assertFalse(self.view.takes_work("a"))
+        self.assertIn("a", [item.address for item in self.view.linkable()])
+        (change,) = self.view.heard("a", 9.0)
+        self.assertEqual((MemberState.LIVE, True), (change.state, change.is_return))
+
+    def test_list_that_lags_neither_hides_nor_revives(self):
+        """Guards against dropping a new VM and against trusting a dead one."""
+        self.view.announced(record("new"), 1, False, 1.0)
+        self.view.list_read([record(name) for name in "abc"], 2.0)
+        self.assertTrue(self.view.takes_work("new"))
+        self.view.list_read([record(name) for name in "abc"], 20.0)
+        self.assertEqual("gone", states(self.view)["new"])
+        self.view.lost("a", 21.0)
+        self.view.list_read([record(name) for name in "abc"], 22.0)
+        self.assertEqual("suspect", states(self.view)["a"])
+
+    def test_list_shows_leaving_and_replaced(self):
+        """Guards against work for a VM being replaced that says nothing itself."""
+        changed = [record("a", state="leaving"), record("b", vm="vm-b2"), record("c")]
+        changes = self.view.list_read(changed, 10.0)
+        self.assertEqual(["a", "b"], [change.address for change in changes])
+        self.assertTrue(changes[1].is_return)
+        self.assertFalse(self.view.takes_work("a"))
+
+    def test_short_list_is_believed_only_twice(self):
+        """Guards against dropping the fleet because of one faulty read."""
+        self.view.list_read([], 10.0)
+        self.assertEqual({"live"}, set(states(self.view).values()))
+        self.view.list_read([], 11.0)
+        self.assertEqual({"gone"}, set(states(self.view).values()))
+        self.view.list_read([], 12.0 + FORGET_S)
+        self.assertEqual({}, self.view.members)
+
+    def test_fleet_reads_stay_under_50_a_second(self):
+        """Guards against a VM list overloaded by polling at the target scale."""
+        fleet = [record(f"m{index}") for index in range(1240)]
+        self.view.list_read(fleet, 0.0)
+        rng = random.Random(3)
+        reads = Counter()
+        for _ in fleet:
+            at = rng.uniform(0, self.view.poll_interval_s(rng))
+            while at < 300:
+                reads[int(at)] += 1
+                at += self.view.poll_interval_s(rng)
+        self.assertLess(max(reads.values()), 50)
+
+    def test_counts_entries_of_the_region(self):
+        """Guards against budgets divided among agents or the other region."""
+        self.view.list_read([record("e", role="entry"), record("a")], 30.0)
+        self.assertEqual(1, self.view.live_entries("Almaty"))
+        self.assertEqual(0, self.view.live_entries("Shymkent"))
+
+
+if __name__ == "__main__":
+    unittest.main()
