--- a/monsoontack/entry/agents.py
+++ b/monsoontack/entry/agents.py
@@ -18,6 +18,7 @@
 # Reads a second of the VM list by the whole fleet.
 FLEET_READS_PER_S = 50.0
 READ_TIMEOUT_S = 2.0
+READ_ERRORS = (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError)
 
 
 def decode_vm_list(document: dict) -> list[VmRecord]:
@@ -26,10 +27,9 @@
 
 
 def _record(item: dict) -> VmRecord:
-    fields = dict(item)
-    place = Place(fields.pop("failure_domain"), fields.pop("region"))
-    versions = tuple(fields.pop("versions", ()))
-    return VmRecord(**fields, place=place, versions=versions)
+    place = Place(**item["place"])
+    versions = tuple(item.get("versions", ()))
+    return VmRecord(**{**item, "place": place, "versions": versions})
 
 
 def choose_agents(
@@ -51,7 +51,7 @@
 
 
 def _hash(entry: str, record: VmRecord) -> int:
-    return xxhash.xxh64_intdigest(f"{entry}|{record.address}")
+    return xxhash.xxh64_intdigest(f"{entry}|{record.address}".encode())
 
 
 class AgentFinder:
@@ -65,16 +65,25 @@
         self.http = http
         self.pool = pool
         self.records: list[VmRecord] = []
+        self.is_readable = True
 
     async def run(self) -> None:
         """Poll until cancelled; an unreadable list leaves the links as they are."""
         while True:
             try:
                 await self.poll()
-            except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
-                log.debug("VM list not read", error=repr(error))
+                self._note_readable(True)
+            except READ_ERRORS as error:
+                self._note_readable(False, error=repr(error))
             await asyncio.sleep(max(POLL_S, len(self.records) / FLEET_READS_PER_S))
 
+    def _note_readable(self, is_readable: bool, **fields: str) -> None:
+        if is_readable != self.is_readable:
+            self.is_readable = is_readable
+            log.info(
+                "VM list readable" if is_readable else "VM list unreadable", **fields
+            )
+
     async def poll(self) -> None:
         """Read the list once."""
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
--- a/monsoontack/entry/completions.py
+++ b/monsoontack/entry/completions.py
@@ -99,10 +99,10 @@
         now = context.now()
         service = ask.body.model
         version = context.picker.pick_version(context.view(), service, now, context.rng)
-        if version is None:
-            message = f"no version of {service!r} takes traffic"
-            refuse(503, "version_unavailable", message, retry_after_s=1.0)
         slots = context.live_slots(service)
+        if version is None or not slots:
+            message = f"no backend server of {service!r} takes traffic"
+            refuse(503, "version_unavailable", message, retry_after_s=1.0)
         error = context.admission.admit(ask.account, service, slots, now)
         if error is not None:
             raise RequestRefusedError(error)
