--- a/monsoontack/entry/agents.py
+++ b/monsoontack/entry/agents.py
@@ -67,6 +67,10 @@
         self.records: list[VmRecord] = []
         self.is_readable = True
 
+    def is_known(self, address: str) -> bool:
+        """Whether the VM list shows an agent at `address`."""
+        return any(r.address == address and r.role == "agent" for r in self.records)
+
     async def run(self) -> None:
         """Poll until cancelled; an unreadable list leaves the links as they are."""
         while True:
--- a/monsoontack/entry/completions.py
+++ b/monsoontack/entry/completions.py
@@ -65,6 +65,9 @@
         context.check_takes_work()
         ask = await self._read(req)
         session = self._open(ask)
+        if session.error is not None:
+            self._close(ask, session)
+            raise RequestRefusedError(session.error)
         answer = AnswerFormat(
             self.kind, session.generation, ask.body.model, int(time.time())
         )
--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -9,6 +9,7 @@
 from monsoontack.config.view import ConfigView
 from monsoontack.core.errors import RequestError
 from monsoontack.entry.counters import Counters
+from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkPool
 from monsoontack.entry.ports import (
     Admission,
@@ -18,7 +19,6 @@
     Picker,
 )
 from monsoontack.entry.requests import RequestRefusedError
-from monsoontack.entry.session import Generations
 from monsoontack.settings.models import EntrySettings
 
 NOT_READY_RETRY_S = 1.0
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -16,6 +16,7 @@
 from monsoontack.entry.configsource import ObjectConfigSource
 from monsoontack.entry.context import EntryContext
 from monsoontack.entry.counters import FLUSH_S, Counters
+from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkIdentity, LinkPool
 from monsoontack.entry.ports import (
     Admission,
@@ -24,7 +25,6 @@
     OutcomeSink,
     Picker,
 )
-from monsoontack.entry.session import Generations
 from monsoontack.entry.simple import (
     ConcurrencyAdmission,
     CountingOutcomes,
@@ -102,6 +102,7 @@
         config = parts.config or ObjectConfigSource(settings.store_url, http)
         context = build_context(settings, parts, config)
         finder = AgentFinder(settings, http, context.pool)
+        context.generations.is_known = finder.is_known
         work = [finder.run(), _monitor(context), _flush(context)]
         if isinstance(config, ObjectConfigSource):
             work.append(config.run())
--- a/monsoontack/entry/links.py
+++ b/monsoontack/entry/links.py
@@ -171,11 +171,13 @@
         listener: LinkListener,
         rng: random.Random,
         silence_s: float,
+        open_link: Callable[..., Link] = Link,
     ):
         self.identity = identity
         self.listener = listener
         self.rng = rng
         self.silence_s = silence_s
+        self.open_link = open_link
         self.links: dict[str, Link] = {}
         self.wanted: dict[str, VmRecord] = {}
         self.backoffs: dict[str, Backoff] = {}
@@ -192,7 +194,7 @@
         """Return the link to an agent, opened now if there is none."""
         link = self.links.get(address)
         if link is None or link.is_closed:
-            link = Link(address, self.identity, self)
+            link = self.open_link(address, self.identity, self)
             self.links[address] = link
         link.used_at = asyncio.get_running_loop().time()
         return link
--- a/monsoontack/entry/session.py
+++ b/monsoontack/entry/session.py
@@ -1,51 +1,18 @@
-"""Generations in progress at this entry.
-
-`Generations` connects the recovery state machine with the links: it routes
-chunks to the sessions that wait for them and executes the planned actions.
-"""
+"""One generation at this entry and the caller that waits for it."""
 
 import asyncio
-import random
-from dataclasses import dataclass, replace
-
-import structlog
+from dataclasses import dataclass
 
 from monsoontack.core.errors import RequestError
-from monsoontack.core.records import Outcome, RouteRequest, TokenChunk
-from monsoontack.entry.counters import Counters
-from monsoontack.entry.links import Link, LinkPool
-from monsoontack.entry.ports import OutcomeSink, Picker
+from monsoontack.core.records import RouteRequest, TokenChunk
 from monsoontack.generation.attempts import AttemptLog
 from monsoontack.generation.eventid import EventId
 from monsoontack.generation.progress import ProgressMonitor
 from monsoontack.generation.resume import (
-    Answered,
-    AttachTo,
-    AttemptEnded,
-    Begin,
-    CancelAt,
-    EndWith,
-    Event,
     GenerationState,
-    LinkLost,
-    LinkRefused,
-    NoServer,
-    Phase,
-    Reconnect,
-    Sent,
-    Stalled,
-    StartElsewhere,
-    Tick,
-    plan_recovery,
 )
 from monsoontack.proto import link_pb2
 
-log = structlog.get_logger("entry.session")
-
-# A caller that lost its connection may come back through another entry, which
-# supersedes this one's attempt; after this time the engine's work is cancelled.
-RECONNECT_GRACE_S = 10.0
-
 
 @dataclass(frozen=True, slots=True)
 class GenerationRequest:
@@ -75,6 +42,7 @@
         self.last_token_at = now
         self.first_position = attempt_log.end_position
         self.holds_place = False
+        self.resumed_address = ""
 
     @property
     def generation(self) -> str:
@@ -137,240 +105,3 @@
     def is_ended(self) -> bool:
         """Whether nothing more will come."""
         return bool(self.log.finish) or self.error is not None
-
-
-class Generations:
-    """All sessions of an entry; listener of its links."""
-
-    def __init__(
-        self,
-        picker: Picker,
-        outcomes: OutcomeSink,
-        counters: Counters,
-        rng: random.Random,
-    ):
-        self.picker = picker
-        self.outcomes = outcomes
-        self.counters = counters
-        self.rng = rng
-        self.pool: LinkPool | None = None
-        self.sessions: dict[str, Session] = {}
-        self.abandoned: dict[str, tuple[float, str, int]] = {}
-        self.call_results = lambda result, link: None
-        self.calls_lost = lambda link: None
-
-    def now(self) -> float:
-        """Return the loop's time in seconds."""
-        return asyncio.get_running_loop().time()
-
-    def begin(self, session: Session) -> None:
-        """Start a session whose log may hold tokens that the caller sent back."""
-        self._add(session)
-        self.apply(session, Begin())
-
-    def reconnect(self, session: Session, event_id: EventId) -> None:
-        """Continue the stream that a reconnecting caller names."""
-        self._add(session)
-        self.apply(session, Reconnect(event_id.address, event_id.attempt))
-
-    def _add(self, session: Session) -> None:
-        former = self.sessions.get(session.generation)
-        if former is not None:
-            ended = AttemptEnded(former.log.attempt, "superseded")
-            self.apply(former, ended)
-        self.sessions[session.generation] = session
-
-    def remove(self, session: Session) -> None:
-        """Forget a session whose caller has its answer or is gone."""
-        if self.sessions.get(session.generation) is not session:
-            return
-        del self.sessions[session.generation]
-        if session.is_ended or session.handover:
-            return
-        state = session.state
-        until = self.now() + RECONNECT_GRACE_S
-        self.abandoned[session.generation] = (until, state.address, state.log.attempt)
-
-    def hand_over_streams(self) -> None:
-        """Tell all streaming callers to continue at another entry."""
-        for session in self.sessions.values():
-            if session.request.streamed and not session.handover:
-                session.handover = True
-                session.wake.set()
-
-    def end_rest(self, code: str, message: str) -> None:
-        """End what is left with a typed error."""
-        for session in list(self.sessions.values()):
-            if not session.is_ended and not session.handover:
-                state = session.state
-                error = RequestError(503, code, message, state.run_state, 0.0)
-                state.phase = Phase.ENDED
-                self._end(session, error)
-
-    def in_flight(self, address: str) -> int:
-        """Return how many sessions run on an agent's backend server."""
-        return sum(s.state.address == address for s in self.sessions.values())
-
-    # Events from links.
-
-    def on_frame(self, link: Link, frame: link_pb2.Frame) -> None:
-        """Route the chunks, ends and results of a frame."""
-        now = self.now()
-        if link.is_first_frame:
-            self._tell(link, Answered())
-        for chunk in frame.chunks:
-            session = self.sessions.get(chunk.generation)
-            if session is None:
-                self.counters.add("chunks.unknown_generation")
-            else:
-                self._take_chunk(session, chunk, now)
-        for end in frame.ends:
-            session = self.sessions.get(end.generation)
-            if session is not None:
-                self.apply(session, AttemptEnded(end.attempt, end.code, end.started))
-        for result in frame.results:
-            self.call_results(result, link)
-
-    def _take_chunk(self, session: Session, chunk: link_pb2.Chunk, now: float) -> None:
-        accepted = session.accept(chunk, now)
-        self.counters.add("tokens", accepted)
-        if not accepted and not session.log.finish:
-            self.counters.add("chunks.dropped")
-
-    def on_link_lost(self, link: Link, was_up: bool) -> None:
-        """Recover the sessions of a link that ended."""
-        self._tell(link, LinkLost() if was_up else LinkRefused())
-        self.calls_lost(link)
-
-    def _tell(self, link: Link, event: Event) -> None:
-        for session in list(self.sessions.values()):
-            if session.state.address == link.address:
-                self.apply(session, event)
-
-    def tick(self, now: float) -> None:
-        """Check every session for a stalled engine and for overdue answers."""
-        for session in list(self.sessions.values()):
-            state = session.state
-            if state.phase is Phase.ATTACHING:
-                self.apply(session, Tick())
-            elif state.phase is Phase.RUNNING and not session.is_ended:
-                link = self.pool.links.get(state.address)
-                if link and state.progress.is_stalled(link.progress, now):
-                    self.apply(session, Stalled())
-        for generation, (until, address, attempt) in list(self.abandoned.items()):
-            if now > until:
-                del self.abandoned[generation]
-                self._cancel(generation, address, attempt)
-
-    # Execution of planned actions.
-
-    def apply(self, session: Session, event: Event) -> None:
-        """Advance a session by one event and execute what follows from it."""
-        if session.is_ended:
-            return
-        events = [event]
-        while events:
-            current = events.pop(0)
-            for action in plan_recovery(session.state, current, self.now()):
-                follow_up = self._execute(session, action, current)
-                if follow_up is not None:
-                    events.append(follow_up)
-
-    def _execute(self, session: Session, action, cause: Event) -> Event | None:
-        match action:
-            case StartElsewhere(attempt, excluded):
-                self._note(session, action, cause)
-                return self._start(session, attempt, excluded)
-            case AttachTo(address, attempt, position):
-                self._note(session, action, cause)
-                return self._attach(session, address, attempt, position)
-            case CancelAt(address, attempt):
-                self._cancel(session.generation, address, attempt)
-            case EndWith(error):
-                self._end(session, error)
-        return None
-
-    def _note(self, session: Session, action, cause: Event) -> None:
-        if isinstance(cause, Begin):
-            return
-        kind = "attach" if isinstance(action, AttachTo) else "start"
-        self.counters.add(f"recovery.{kind}")
-        self._judge_server(session, cause)
-        log.info(
-            "generation recovery",
-            generation=session.generation,
-            cause=getattr(cause, "code", type(cause).__name__),
-            action=kind,
-            attempt=action.attempt,
-            position=session.log.end_position,
-        )
-
-    def _judge_server(self, session: Session, cause: Event) -> None:
-        is_fault = isinstance(cause, Stalled | LinkRefused) or (
-            isinstance(cause, AttemptEnded) and cause.code == "backend_failed"
-        )
-        if is_fault and session.state.address:
-            self.picker.record(session.state.address, True, self.now())
-
-    def _start(self, session: Session, attempt: int, excluded: frozenset) -> Event:
-        request = session.request
-        route = replace(request.route, excluded=request.route.excluded | excluded)
-        servers = self.pool.servers(route.service)
-        server = self.picker.pick(route, servers, self.now(), self.rng)
-        if server is None:
-            return NoServer()
-        link = self.pool.ensure(server.address)
-        link.sent_since_report += 1
-        start = link_pb2.Start(
-            generation=session.generation,
-            attempt=attempt,
-            service=route.service,
-            version=session.log.version,
-            request=request.body,
-            prefix=session.log.tokens,
-            max_tokens=request.max_tokens,
-            priority=route.priority,
-            account=route.account,
-        )
-        link.send(link_pb2.EntryMessage(revision=request.revision, start=start))
-        return Sent(server.address, link_is_new=not link.is_up)
-
-    def _attach(self, session, address: str, attempt: int, position: int) -> Event:
-        link = self.pool.ensure(address)
-        attach = link_pb2.Attach(
-            generation=session.generation, attempt=attempt, from_position=position
-        )
-        revision = session.request.revision
-        link.send(link_pb2.EntryMessage(revision=revision, attach=attach))
-        return Sent(address, link_is_new=not link.is_up)
-
-    def _cancel(self, generation: str, address: str, attempt: int) -> None:
-        link = self.pool.links.get(address)
-        if link is not None:
-            cancel = link_pb2.Cancel(generation=generation, attempt=attempt)
-            link.send(link_pb2.EntryMessage(cancel=cancel))
-
-    def _end(self, session: Session, error: RequestError) -> None:
-        session.error = error
-        session.wake.set()
-        self.counters.add(f"typed_end.{error.code}")
-
-    def report(self, session: Session) -> None:
-        """Give the outcome of a finished session to the evidence."""
-        produced = session.log.end_position - session.first_position
-        first = session.first_token_at
-        gap = None
-        if first is not None and produced > 1:
-            gap = (session.last_token_at - first) / (produced - 1)
-        failed = session.error is not None and session.error.code != "superseded"
-        outcome = Outcome(
-            session.request.route.service,
-            session.log.version,
-            session.request.kind,
-            failed,
-            None if first is None else first - session.started_at,
-            gap,
-        )
-        self.outcomes.record(outcome)
-        if not failed and session.state.address:
-            self.picker.record(session.state.address, False, self.now())
--- a/monsoontack/generation/progress.py
+++ b/monsoontack/generation/progress.py
@@ -12,7 +12,6 @@
 # Output must continue within 5 s of a loss, also when a slow engine's usual
 # gaps would allow a longer wait.
 STALL_CEILING_S = 3.0
-# An engine that answers others but not this stream, with slots free.
 FIRST_TOKEN_LIMIT_S = 3.0
 # The monitor runs every tick; a longer pause was this process's own.
 MONITOR_TICK_S = 0.1
@@ -62,15 +61,20 @@
 
 @dataclass(slots=True)
 class ProgressMonitor:
-    """Progress of one attempt's stream. `began` turns true at its first token."""
+    """Progress of one attempt's stream.
+
+    `began` turns true at its first token. `patience` multiplies the wait for
+    the first token; it grows with fruitless attempts, so that a prompt that
+    takes long to process is not given up on every engine alike.
+    """
 
     last_token_at: float
     began: bool = False
+    patience: float = 1.0
 
-    def start_attempt(self, now: float, began: bool = False) -> None:
-        """Restart the wait for a new attempt or after an attach."""
+    def start_wait(self, now: float) -> None:
+        """Restart the wait for the next token."""
         self.last_token_at = now
-        self.began = began
 
     def saw_tokens(self, now: float) -> None:
         """Note new tokens of the stream."""
@@ -81,21 +85,15 @@
         """Whether the engine behind a live link has stopped producing the stream.
 
         A running stream is stalled after the engine's stall limit. One that
-        waits for its first token may be in the engine's queue: it is stalled
-        when the engine as a whole stands still, or when slots are free and
-        nothing has come for `FIRST_TOKEN_LIMIT_S`.
+        waits for its first token may stand in the engine's queue: then it is
+        stalled only when the engine as a whole stands still.
         """
         waited = now - self.last_token_at
-        if waited <= link.stall_limit_s:
-            return False
         if self.began:
-            return True
-        engine_waited = now - max(link.progressed_at, self.last_token_at)
-        if engine_waited > link.stall_limit_s and not link.has_queue:
-            return waited > FIRST_TOKEN_LIMIT_S / 2
-        if engine_waited > FIRST_TOKEN_LIMIT_S:
-            return True
-        return waited > FIRST_TOKEN_LIMIT_S and not link.has_queue
+            return waited > link.stall_limit_s
+        if link.has_queue:
+            waited = now - max(link.progressed_at, self.last_token_at)
+        return waited > FIRST_TOKEN_LIMIT_S * self.patience
 
 
 @dataclass(slots=True)
--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -22,6 +22,7 @@
 # Attempts without one new token, after which the answer is given up.
 MAX_FRUITLESS_ATTEMPTS = 6
 RETRY_AFTER_S = 1.0
+MAX_PATIENCE_POWER = 3
 
 
 class Phase(StrEnum):
@@ -148,7 +149,8 @@
 
     `address` is the agent of the current attempt, `excluded` maps addresses to
     the time until which they are avoided, `attach_deadline` is when an
-    unanswered attach is given up. `maybe_ran` turns true once an engine may
+    unanswered attach is given up. `replay_refused` says that the agent's log
+    lacks the beginning of the answer. `maybe_ran` turns true once an engine may
     have begun the request. `recoveries` counts attempts by cause.
     """
 
@@ -159,6 +161,7 @@
     excluded: dict[str, float] = field(default_factory=dict)
     attach_deadline: float = 0.0
     maybe_ran: bool = False
+    replay_refused: bool = False
     fruitless: int = 0
     last_end: int = 0
     recoveries: dict[str, int] = field(default_factory=dict)
@@ -186,6 +189,7 @@
     state.maybe_ran = True
     state.address = event.address
     state.log.attempt = event.attempt
+    state.progress.began = state.log.end_position > 0
     return _attach(state, RECONNECT_ATTEMPT_STEP, "reconnect")
 
 
@@ -233,7 +237,7 @@
 
 def _run(state: GenerationState, now: float) -> None:
     state.phase = Phase.RUNNING
-    state.progress.start_attempt(now)
+    state.progress.start_wait(now)
 
 
 def _on_ended(state: GenerationState, event: AttemptEnded, now: float) -> list[Action]:
@@ -243,6 +247,10 @@
         message = "another entry has taken over this generation"
         return _end(state, "superseded", message, 409)
     if event.code == "not_found":
+        if state.log.awaiting_replay and not state.replay_refused:
+            # An attempt that began with a prefix lacks the tokens before it.
+            state.replay_refused = True
+            return _attach(state, 1, "replay_refused")
         # The agent has lost its log, so the tokens held here continue it.
         return _start_elsewhere(state, now, "not_found")
     return _give_up_server(state, now, event.code)
@@ -267,7 +275,10 @@
     # Without the beginning of the answer, this entry asks for all of it, so
     # that a later loss of the engine can be recovered from here.
     log = state.log
-    position = log.end_position if log.has_whole_prefix else 0
+    if log.has_whole_prefix or state.replay_refused:
+        position = log.end_position
+    else:
+        position = 0
     return [AttachTo(state.address, log.attempt, position)]
 
 
@@ -285,6 +296,8 @@
     if state.fruitless > MAX_FRUITLESS_ATTEMPTS:
         return _end(state, "recovery_failed", _fruitless_message(state), 503)
     state.log.begin_attempt(state.log.attempt + 1)
+    state.progress.began = False
+    state.progress.patience = 2.0 ** min(state.fruitless - 1, MAX_PATIENCE_POWER)
     state.excluded = {a: until for a, until in state.excluded.items() if until > now}
     return [StartElsewhere(state.log.attempt, frozenset(state.excluded))]
 
