--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -10,6 +10,7 @@
 from monsoontack.core.errors import RequestError
 from monsoontack.entry.control import Control
 from monsoontack.entry.counters import Counters
+from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkPool
 from monsoontack.entry.ports import (
     Admission,
@@ -19,7 +20,6 @@
     Picker,
 )
 from monsoontack.entry.requests import RequestRefusedError
-from monsoontack.entry.session import Generations
 from monsoontack.settings.models import EntrySettings
 
 NOT_READY_RETRY_S = 1.0
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -17,6 +17,7 @@
 from monsoontack.entry.control import Control
 from monsoontack.entry.counters import FLUSH_S, Counters
 from monsoontack.entry.dispatch import LinkDispatcher
+from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkIdentity, LinkPool
 from monsoontack.entry.ports import (
     Admission,
@@ -25,7 +26,6 @@
     OutcomeSink,
     Picker,
 )
-from monsoontack.entry.session import Generations
 from monsoontack.entry.simple import (
     ConcurrencyAdmission,
     CountingOutcomes,
@@ -117,6 +117,7 @@
             parts.store = parts.store or control.store
         context = build_context(settings, parts, parts.config or control.gossip)
         finder = AgentFinder(settings, http, context.pool)
+        context.generations.is_known = finder.is_known
         work = [finder.run(), _monitor(context), _flush(context)]
         if isinstance(context.calls, Ledger):
             work.append(_share_write_budget(context.calls, finder))
