--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,143 @@
+"""Routing and admission: cost per decision, goodput, shares, prefix hits, bytes."""
+
+import random
+import time
+from collections.abc import Iterator
+
+from bench.registry import Figure, measurement
+from bench.servingmodel import (
+    ACCOUNT_SHARES,
+    FullPolicy,
+    Model,
+    RoundRobin,
+)
+from monsoontack.admission.admit import Admission
+from monsoontack.core.records import (
+    BackendServer,
+    LoadReport,
+    Place,
+    RouteRequest,
+    ServerState,
+)
+from monsoontack.routing.picker import Picker
+
+LOADS = (0.5, 0.9, 1.2, 2.0)
+RUN_S, WARM_UP_S = 150.0, 30.0
+N_ENGINES, N_ACCOUNTS, N_DOMAINS = 850, 16_000, 7
+DECISIONS = 3000
+# Mean times of the accounts' arrivals at one entry of 390: 7,400 requests/s.
+ENTRY_RATE = 7400 / 390
+
+
+def make_states(count: int, rng: random.Random) -> list[ServerState]:
+    """Return `count` engines in 7 failure domains of 2 regions."""
+    states = []
+    for index in range(count):
+        domain = index % N_DOMAINS
+        place = Place(f"domain-{domain}", f"region-{domain // 4}")
+        address = f"10.0.{index // 250}.{index % 250}:7000"
+        server = BackendServer(address, address, "engine", "s", ("v1",), place, 16)
+        load = LoadReport(rng.randrange(12), 0, 16, 0.0)
+        states.append(ServerState(server, load, 0, rng.randrange(3)))
+    return states
+
+
+def pick_cost(count: int, seed: int) -> float:
+    """Return CPU seconds per pick among `count` linked engines."""
+    rng = random.Random(seed)
+    states = make_states(count, rng)
+    picker = Picker.for_place(Place("domain-0", "region-0"), 195)
+    for state in states:
+        picker.ejection.add(state.server.address, "s", 0.0, returning=False)
+    prompts = [tuple(rng.getrandbits(62) for _ in range(20)) for _ in range(500)]
+    start = time.process_time()
+    for index in range(DECISIONS):
+        blocks = prompts[rng.randrange(len(prompts))]
+        request = RouteRequest("s", "v1", "a", prefix_blocks=blocks)
+        server = picker.pick(request, states, index * 0.05, rng).unwrap()
+        picker.note_sent(request, server)
+    return (time.process_time() - start) / DECISIONS
+
+
+def admit_cost(rate: float, seed: int) -> tuple[float, int]:
+    """Return CPU seconds per admission and release, and accounts kept.
+
+    Requests come at `rate` a second from 16,000 accounts, a few of them large,
+    and last 5 s.
+    """
+    rng = random.Random(seed)
+    states = make_states(16, rng)
+    admission = Admission()
+    weights = [1 / (rank + 1) for rank in range(N_ACCOUNTS)]
+    accounts = rng.choices(range(N_ACCOUNTS), weights, k=DECISIONS)
+    names = [f"account-{index}" for index in accounts]
+    open_tickets = []
+    start = time.process_time()
+    for index, name in enumerate(names):
+        now = index / rate
+        result = admission.request(name, "s", states, now, rng)
+        open_tickets.append(result.value_or(None))
+        if len(open_tickets) > 5 * rate and (ticket := open_tickets.pop(0)):
+            admission.release(ticket, now)
+    cost = (time.process_time() - start) / DECISIONS
+    return cost, len(admission.services["s"].shares.uses)
+
+
+@measurement("decisions")
+def measure_decisions(seed: int) -> Iterator[Figure]:
+    """Yield CPU time per decision at the target scale."""
+    for count in (16, N_ENGINES // 7, N_ENGINES):
+        cost = pick_cost(count, seed)
+        name = f"decisions.pick.{count}_engines"
+        yield Figure(f"{name}.cpu", cost, "s")
+        yield Figure.at_most(f"{name}.core", cost * ENTRY_RATE, "core", 0.039)
+    for rate, label in ((ENTRY_RATE, "entry_rate"), (1000.0, "1000_per_s")):
+        cost, kept = admit_cost(rate, seed)
+        yield Figure(f"decisions.admit.{label}.cpu", cost, "s")
+        yield Figure(f"decisions.admit.{label}.accounts_kept", kept, "1")
+
+
+def run_model(make_policy, load: float, seed: int) -> dict[str, float]:
+    """Return the figures of one run of the serving model."""
+    model = Model(make_policy, load, seed)
+    totals = model.run(RUN_S, WARM_UP_S)
+    span = RUN_S - WARM_UP_S
+    times = sorted(totals.first_token_s) or [float("inf")]
+    small = [name for name in ACCOUNT_SHARES if name.startswith("small")]
+    good = sum(totals.good.values())
+    return {
+        "goodput": good / span,
+        "first_token_p95": times[int(0.95 * (len(times) - 1))],
+        "good_of_offered": good / sum(totals.fresh.values()),
+        "small_served_min": min(totals.good[n] / totals.fresh[n] for n in small),
+        "large_part": sum(totals.good[n] for n in ("large-1", "large-2"))
+        / max(good, 1),
+        "prefix_hits": sum(e.hits for e in model.engines)
+        / sum(e.asked for e in model.engines),
+        "remote_bytes_per_s": totals.remote_bytes / span,
+        "retry_admitted": totals.admitted_when_told / max(totals.told, 1),
+    }
+
+
+UNITS = {"goodput": "1/s", "first_token_p95": "s", "remote_bytes_per_s": "B/s"}
+
+
+@measurement("routing")
+def measure_routing(seed: int) -> Iterator[Figure]:
+    """Yield figures of the product's policy and the baseline at four loads."""
+    goodput = {}
+    for label, make_policy in (("baseline", RoundRobin), ("full", FullPolicy)):
+        for load in LOADS:
+            figures = run_model(make_policy, load, seed)
+            goodput[label, load] = figures["goodput"]
+            for key, value in figures.items():
+                name = f"routing.{label}.load_{load}.{key}"
+                yield Figure(name, value, UNITS.get(key, "1"))
+    for label in ("baseline", "full"):
+        best = max(goodput[label, load] for load in LOADS)
+        ratio = goodput[label, 2.0] / best
+        name = f"routing.{label}.goodput_at_2_of_best"
+        if label == "full":
+            yield Figure.at_least(name, ratio, "1", 0.95)
+        else:
+            yield Figure(name, ratio, "1")
