--- a/monsoontack/routing/picker.py
+++ b/monsoontack/routing/picker.py
@@ -100,6 +100,8 @@
     def _choose(
         self, request: RouteRequest, group: list[ServerState], rng: random.Random
     ) -> BackendServer:
+        """Choose among the servers of a group that have room, else among all."""
+        group = [s for s in group if utilisation(s) < FULL_UTILISATION] or group
         if request.prefix_blocks and len(group) > 1:
             preferred = self._preferred(request, group)
             if preferred is not None:
