--- a/bench/servingmodel.py
+++ b/bench/servingmodel.py
@@ -159,6 +159,7 @@
     policy: object
     loads: dict[str, LoadReport] = field(default_factory=dict)
     sent: dict[str, deque] = field(default_factory=dict)
+    ended: dict[str, deque] = field(default_factory=dict)
     in_flight: Counter = field(default_factory=Counter)
 
     def states(self, engines: Sequence[Engine]) -> list[ServerState]:
@@ -166,19 +167,28 @@
         result = []
         for engine in engines:
             address = engine.server.address
-            load, times = self.loads.get(address), self.sent.get(address, ())
-            since = load.reported_at if load else -1.0
-            count = sum(at > since for at in times)
-            state = ServerState(engine.server, load, self.in_flight[address], count)
+            state = ServerState(
+                engine.server,
+                self.loads.get(address),
+                self.in_flight[address],
+                len(self.sent.get(address, ())),
+                len(self.ended.get(address, ())),
+            )
             result.append(state)
         return result
 
     def take_load(self, address: str, load: LoadReport) -> None:
         """Take a late load report and drop what it includes."""
         self.loads[address] = load
-        times = self.sent.setdefault(address, deque())
-        while times and times[0] <= load.reported_at:
-            times.popleft()
+        for changes in (self.sent, self.ended):
+            times = changes.setdefault(address, deque())
+            while times and times[0] <= load.reported_at:
+                times.popleft()
+
+    def note_end(self, address: str, now: float) -> None:
+        """Count the end of a request, also of an abandoned one."""
+        self.in_flight[address] -= 1
+        self.ended.setdefault(address, deque()).append(now)
 
 
 @dataclass(slots=True)
@@ -358,7 +368,7 @@
     def _end(self, engine: Engine, caller: Caller, entry: Entry, ticket) -> None:
         engine.running -= 1
         address = engine.server.address
-        entry.in_flight[address] -= 1
+        entry.note_end(address, self.now)
         first = caller.first_token_s
         entry.policy.ended(ticket, address, False, first, self.now, self.rng)
         if self.warm and caller.born_at >= self.warm_at:
@@ -371,7 +381,7 @@
             return
         caller.abandoned = True
         address = engine.server.address
-        entry.in_flight[address] -= 1
+        entry.note_end(address, self.now)
         self.totals.abandoned += self.warm
         entry.policy.ended(ticket, address, True, None, self.now, self.rng)
 
--- a/monsoontack/admission/admit.py
+++ b/monsoontack/admission/admit.py
@@ -20,7 +20,7 @@
 from monsoontack.config.view import AccountConfig
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import ServerState
-from monsoontack.routing.load import held_requests, slots_of
+from monsoontack.routing.load import fleet_held, slots_of
 
 # Requests a server may hold per slot; a short queue keeps its slots busy.
 HELD_PER_SLOT = 1.25
@@ -123,7 +123,7 @@
         to 10; a higher one is admitted at a somewhat higher load.
         """
         state = self.services.setdefault(service, ServiceAdmission())
-        room = measure_room(servers, state.shares.in_flight)
+        room = measure_room(servers, state.shares.in_flight, self.live_entries)
         if not room.limit:
             self.refused[service, "no_server"] += 1
             return Failure(_no_server(service))
@@ -193,17 +193,15 @@
         return "above_share"
 
 
-def measure_room(servers: Sequence[ServerState], own: int) -> Room:
+def measure_room(servers: Sequence[ServerState], own: int, live_entries: int) -> Room:
     """Return the room at the servers that take new work.
 
     `own` is what this entry has in flight there. The entry counts on the part
     of the free room that corresponds to its part of the held requests.
     """
-    limit = held = 0.0
-    for state in servers:
-        if not state.leaving:
-            limit += HELD_PER_SLOT * slots_of(state)
-            held += held_requests(state)
+    live = [state for state in servers if not state.leaving]
+    limit = HELD_PER_SLOT * sum(slots_of(state) for state in live)
+    held = fleet_held(live, live_entries)
     part = max(own / held if held else 1.0, MIN_ROOM_SHARE)
     return Room(limit, held, own + min(part, 1.0) * max(limit - held, 0.0))
 
--- a/monsoontack/core/records.py
+++ b/monsoontack/core/records.py
@@ -121,14 +121,16 @@
 class ServerState:
     """A backend server with what this entry has seen of it.
 
-    `sent_since_report` counts this entry's own requests sent after the load
-    report was true; `in_flight` those of this entry that still run.
+    `sent_since_report` and `ended_since_report` count this entry's own requests
+    sent and ended after the load report was true; `in_flight` those of this
+    entry that still run.
     """
 
     server: BackendServer
     load: LoadReport | None = None
     in_flight: int = 0
     sent_since_report: int = 0
+    ended_since_report: int = 0
     leaving: bool = False
 
 
