--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -8,7 +8,9 @@
 
 from monsoontack.config.view import ConfigView
 from monsoontack.core.errors import RequestError
+from monsoontack.entry.control import Control
 from monsoontack.entry.counters import Counters
+from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkPool
 from monsoontack.entry.ports import (
     Admission,
@@ -18,7 +20,6 @@
     Picker,
 )
 from monsoontack.entry.requests import RequestRefusedError
-from monsoontack.entry.session import Generations
 from monsoontack.settings.models import EntrySettings
 
 NOT_READY_RETRY_S = 1.0
@@ -39,6 +40,7 @@
     pool: LinkPool
     rng: random.Random
     prefix_blocks: Callable[[dict], tuple[int, ...]] = lambda document: ()
+    control: Control | None = None
     draining: bool = False
     requests_in_progress: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
