--- a/monsoontack/controller/fleet_test.py
+++ b/monsoontack/controller/fleet_test.py
@@ -305,6 +305,7 @@
             node.kill()
         self.assertGreaterEqual(len(watchers), 6)
         await asyncio.sleep(30)
+        self.assertTrue(all(node.fresh() for node in fleet.live()))
         await fleet.submit(proposal("1", put(account("c", "3"))))
         await asyncio.sleep(20)
         self.assertEqual(2, fleet.head().revision)
