--- a/monsoontack/entry/agents.py
+++ b/monsoontack/entry/agents.py
@@ -18,6 +18,7 @@
 # Reads a second of the VM list by the whole fleet.
 FLEET_READS_PER_S = 50.0
 READ_TIMEOUT_S = 2.0
+READ_ERRORS = (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError)
 
 
 def decode_vm_list(document: dict) -> list[VmRecord]:
@@ -26,10 +27,9 @@
 
 
 def _record(item: dict) -> VmRecord:
-    fields = dict(item)
-    place = Place(fields.pop("failure_domain"), fields.pop("region"))
-    versions = tuple(fields.pop("versions", ()))
-    return VmRecord(**fields, place=place, versions=versions)
+    place = Place(**item["place"])
+    versions = tuple(item.get("versions", ()))
+    return VmRecord(**{**item, "place": place, "versions": versions})
 
 
 def choose_agents(
@@ -66,16 +66,29 @@
         self.pool = pool
         self.records: list[VmRecord] = []
         self.listeners: list[Callable[[list[VmRecord]], None]] = []
+        self.is_readable = True
+
+    def is_known(self, address: str) -> bool:
+        """Whether the VM list shows an agent at `address`."""
+        return any(r.address == address and r.role == "agent" for r in self.records)
 
     async def run(self) -> None:
         """Poll until cancelled; an unreadable list leaves the links as they are."""
         while True:
             try:
                 await self.poll()
-            except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
-                log.debug("VM list not read", error=repr(error))
+                self._note_readable(True)
+            except READ_ERRORS as error:
+                self._note_readable(False, error=repr(error))
             await asyncio.sleep(max(POLL_S, len(self.records) / FLEET_READS_PER_S))
 
+    def _note_readable(self, is_readable: bool, **fields: str) -> None:
+        if is_readable != self.is_readable:
+            self.is_readable = is_readable
+            log.info(
+                "VM list readable" if is_readable else "VM list unreadable", **fields
+            )
+
     async def poll(self) -> None:
         """Read the list once."""
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
--- a/monsoontack/entry/completions.py
+++ b/monsoontack/entry/completions.py
@@ -65,6 +65,9 @@
         context.check_takes_work()
         ask = await self._read(req)
         session = self._open(ask)
+        if session.error is not None:
+            self._close(ask, session)
+            raise RequestRefusedError(session.error)
         answer = AnswerFormat(
             self.kind, session.generation, ask.body.model, int(time.time())
         )
@@ -99,10 +102,10 @@
         now = context.now()
         service = ask.body.model
         version = context.picker.pick_version(context.view(), service, now, context.rng)
-        if version is None:
-            message = f"no version of {service!r} takes traffic"
-            refuse(503, "version_unavailable", message, retry_after_s=1.0)
         slots = context.live_slots(service)
+        if version is None or not slots:
+            message = f"no backend server of {service!r} takes traffic"
+            refuse(503, "version_unavailable", message, retry_after_s=1.0)
         error = context.admission.admit(ask.account, service, slots, now)
         if error is not None:
             raise RequestRefusedError(error)
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -16,6 +16,8 @@
 from monsoontack.entry.context import EntryContext
 from monsoontack.entry.control import Control
 from monsoontack.entry.counters import FLUSH_S, Counters
+from monsoontack.entry.dispatch import LinkDispatcher
+from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkIdentity, LinkPool
 from monsoontack.entry.ports import (
     Admission,
@@ -24,7 +26,6 @@
     OutcomeSink,
     Picker,
 )
-from monsoontack.entry.session import Generations
 from monsoontack.entry.simple import (
     ConcurrencyAdmission,
     CountingOutcomes,
@@ -32,7 +33,9 @@
     RefusingCalls,
 )
 from monsoontack.generation.progress import MONITOR_TICK_S, OwnPause
+from monsoontack.ledger.service import Ledger
 from monsoontack.settings.models import EntrySettings
+from monsoontack.store.api import ObjectStore
 
 log = structlog.get_logger("entry.daemon")
 
@@ -51,6 +54,7 @@
     picker: Picker | None = None
     admission: Admission | None = None
     calls: CallRunner | None = None
+    store: ObjectStore | None = None
     outcomes: OutcomeSink | None = None
 
 
@@ -75,14 +79,22 @@
     place = Place(settings.failure_domain, settings.region)
     identity = LinkIdentity(settings.name, place)
     pool = LinkPool(identity, generations, rng, settings.frame_silence_s)
-    pool.in_flight = generations.in_flight
     generations.pool = pool
+    dispatcher = LinkDispatcher(pool, picker, outcomes, config.view, rng)
+    generations.call_results = dispatcher.on_result
+    generations.calls_lost = dispatcher.on_link_lost
+    pool.in_flight = lambda address: (
+        generations.in_flight(address) + dispatcher.in_flight(address)
+    )
+    calls = parts.calls
+    if calls is None and parts.store is not None:
+        calls = Ledger(parts.store, dispatcher, window_s=settings.dispatch_window_s)
     return EntryContext(
         settings=settings,
         config=config,
         picker=picker,
         admission=parts.admission or ConcurrencyAdmission(),
-        calls=parts.calls or RefusingCalls(),
+        calls=calls or RefusingCalls(),
         outcomes=outcomes,
         counters=counters,
         generations=generations,
@@ -102,9 +114,13 @@
         control = None
         if parts.config is None:
             control = Control.from_settings(settings, random.Random())
+            parts.store = parts.store or control.store
         context = build_context(settings, parts, parts.config or control.gossip)
         finder = AgentFinder(settings, http, context.pool)
+        context.generations.is_known = finder.is_known
         work = [finder.run(), _monitor(context), _flush(context)]
+        if isinstance(context.calls, Ledger):
+            work.append(_share_write_budget(context.calls, finder))
         if control is not None:
             context.control = control
             finder.listeners.append(control.set_vms)
@@ -164,6 +180,14 @@
         context.generations.tick(now)
 
 
+async def _share_write_budget(ledger: Ledger, finder: AgentFinder) -> None:
+    """Split the fleet's call record writes among the live entries."""
+    while True:
+        entries = [r for r in finder.records if r.role == "entry" and r.state == "live"]
+        ledger.budget.live_entries = max(len(entries), 1)
+        await asyncio.sleep(FLUSH_S)
+
+
 async def _flush(context: EntryContext) -> None:
     while True:
         await asyncio.sleep(FLUSH_S)
@@ -188,6 +212,10 @@
         await asyncio.sleep(DRAIN_CHECK_S)
     context.generations.end_rest("shutting_down", "this entry is leaving")
     await asyncio.sleep(DRAIN_CHECK_S)
+    if isinstance(context.calls, Ledger):
+        left_s = max(deadline - context.now(), 0.0)
+        unsettled = await context.calls.settle(left_s)
+        log.info("call records settled", unsettled=unsettled)
     log.info("drained", requests=context.requests_in_progress)
 
 
