--- /dev/null
+++ b/specs/publishing_test.py
@@ -0,0 +1,68 @@
+"""Sweeps of the models of publishing and of the removal of chunks."""
+
+import unittest
+
+from minicheck import check_safety
+
+from specs import publishing, sweeping
+
+MAX_STATES = 500_000
+BROKEN = {
+    "conditional": {"published_once", "head_never_goes_back", "revisions_are_unique"},
+    "seals": {"fenced"},
+    "finishes": {"published_once"},
+    "compares": {"entries_never_go_back"},
+}
+WITH_ENTRIES = publishing.Size(publishers=1, entries=2)
+
+
+def check(protocol):
+    report = check_safety(protocol, MAX_STATES)
+    return report, {name: p["holds"] for name, p in report["properties"].items()}
+
+
+class PublishingTest(unittest.TestCase):
+    def assert_holds(self, protocol, states):
+        report, holds = check(protocol)
+        self.assertEqual({True}, set(holds.values()), holds)
+        self.assertEqual(states, report["reachable_states"])
+
+    def test_design_holds(self):
+        """Guards against a design that lets a lapsed lease publish, publishes a
+        proposal twice or goes back to an older revision."""
+        self.assert_holds(publishing.make_protocol(), 330_787)
+        protocol = publishing.make_protocol(size=WITH_ENTRIES)
+        self.assert_holds(protocol, 130_430)
+
+    def test_broken_variants_have_counterexamples(self):
+        """Guards against a model that cannot find the faults it is for."""
+        for part, expected in BROKEN.items():
+            variant = publishing.Variant(**{part: False})
+            size = WITH_ENTRIES if part == "compares" else publishing.Size()
+            report, holds = check(publishing.make_protocol(variant, size))
+            violated = {name for name, value in holds.items() if value is False}
+            self.assertLessEqual(expected, violated, part)
+            for name in expected:
+                trace = report["properties"][name]["counterexample"]
+                self.assertGreater(len(trace), 5, part)
+
+
+class SweepingTest(unittest.TestCase):
+    def test_design_holds(self):
+        """Guards against a head that names a chunk which was removed."""
+        report, holds = check(sweeping.make_protocol())
+        self.assertEqual({"used_chunk_exists": True}, holds)
+        self.assertEqual(36_601, report["reachable_states"])
+
+    def test_broken_variants_have_counterexamples(self):
+        """Guards against a model that cannot find the faults it is for."""
+        for part in ("touches", "rereads"):
+            variant = sweeping.Variant(**{part: False})
+            report, holds = check(sweeping.make_protocol(variant))
+            self.assertEqual({"used_chunk_exists": False}, holds, part)
+            trace = report["properties"]["used_chunk_exists"]["counterexample"]
+            self.assertIn("removal", trace[-1]["label"], part)
+
+
+if __name__ == "__main__":
+    unittest.main()
