--- /dev/null
+++ b/monsoontack/entry/peers_test.py
@@ -0,0 +1,102 @@
+"""Tests of the peer service over real connections on loopback."""
+
+import asyncio
+import random
+import socket
+import unittest
+
+from monsoontack.config.check_test import GOOD, account
+from monsoontack.config.revision import HeadDelta, seed_store
+from monsoontack.config.spread_state import ControllerRef, PeerDigest
+from monsoontack.core.clock import LoopClock
+from monsoontack.core.records import Place, StopMark, VmRecord
+from monsoontack.entry.gossip import Gossip
+from monsoontack.entry.peercodec import decode_digest, encode_digest
+from monsoontack.entry.peers import (
+    MAX_CHANNELS,
+    GrpcPeers,
+    PeerUnreachableError,
+    make_server,
+)
+from monsoontack.proto import peer_pb2
+from monsoontack.store.memory import MemoryStore
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class CodecTest(unittest.TestCase):
+    def test_digest_survives(self):
+        """Guards against a field of a digest that is lost on the way."""
+        mark = StopMark("up.1", "desk", "v2", "failures", "entry-1")
+        delta = HeadDelta(5, 2, 4, {"services": "ab", "versions": "cd"}, ("rollouts",))
+        full = PeerDigest(
+            "entry-1", "127.0.0.1:1", 5, delta, (mark,), 1.5, ControllerRef("x:1", 7)
+        )
+        for digest in (full, PeerDigest("entry-1", "127.0.0.1:1", 0)):
+            data = encode_digest(digest).SerializeToString()
+            self.assertEqual(digest, decode_digest(peer_pb2.Digest.FromString(data)))
+
+
+class GrpcPeersTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, store):
+        address = free_address()
+        me = VmRecord(address, "entry", address, "", Place("a", "r"))
+        peers = GrpcPeers()
+        gossip = Gossip(me, address, store, peers, LoopClock(), random.Random(1))
+        server = make_server(gossip, address)
+        await server.start()
+        task = asyncio.ensure_future(gossip.run())
+
+        async def stop():
+            task.cancel()
+            await server.stop(0)
+            await peers.close()
+
+        self.addAsyncCleanup(stop)
+        return gossip
+
+    async def test_revision_and_mark_reach_a_process_without_store(self):
+        """Guards against a peer service that does not carry what gossip sends."""
+        store, broken = MemoryStore(), MemoryStore()
+        many = [account(f"n{i}", "9") for i in range(40)]
+        for number, item in enumerate(many):
+            item["spec"] = {"key_digests": [f"{number:064x}"]}
+        await seed_store(store, [*GOOD, *many])
+        broken.faults.outage = True
+        nodes = [await self.start(s) for s in (store, store, broken)]
+        for node in nodes:
+            node.set_members(other.state.me for other in nodes)
+        nodes[0].stop(StopMark("up.1", "desk", "v2", "failures", "n"))
+        async with asyncio.timeout(30):
+            while not (nodes[2].state.started and nodes[2].stop_marks()):
+                await asyncio.sleep(0.05)
+        self.assertEqual(nodes[0].view(), nodes[2].view())
+        self.assertEqual(42, len(nodes[2].view().accounts))
+
+    async def test_fetch_is_bounded(self):
+        """Guards against a reply above the size that a peer accepts."""
+        node = await self.start(MemoryStore())
+        big = {f"{i}": bytes(600_000) for i in range(3)}
+        node.chunk_values = lambda digests: {d: big[d] for d in digests}
+        peers = GrpcPeers()
+        self.addAsyncCleanup(peers.close)
+        values = await peers.fetch(node.state.me.address, ("0", "1", "2"))
+        self.assertEqual({"0"}, set(values))
+
+    async def test_dead_peers(self):
+        """Guards against an error of another type, and channels that pile up."""
+        peers = GrpcPeers()
+        self.addAsyncCleanup(peers.close)
+        digest = PeerDigest("x", "x", 1)
+        for _ in range(MAX_CHANNELS + 3):
+            with self.assertRaises(PeerUnreachableError):
+                await peers.pull(free_address(), digest)
+        self.assertEqual(MAX_CHANNELS, len(peers.channels))
+
+
+if __name__ == "__main__":
+    unittest.main()
