--- a/monsoontack/agent/daemon.py
+++ b/monsoontack/agent/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-from contextlib import AsyncExitStack
 
 import aiohttp
 import structlog
@@ -30,9 +29,8 @@
     Returns once no stream or call is unfinished, at the latest a little after
     the drain deadline. Raises OSError if an address cannot be listened on.
     """
-    async with AsyncExitStack() as stack:
-        session = await stack.enter_async_context(aiohttp.ClientSession())
-        agent = await make_agent(settings, session, stack)
+    async with aiohttp.ClientSession() as session:
+        agent = make_agent(settings, session)
         listen_to_signals(agent)
         server = make_server(agent)
         operator = make_operator_server(agent)
@@ -50,17 +48,13 @@
         log.info("agent ended", name=settings.name)
 
 
-async def make_agent(
-    settings: AgentSettings, session: aiohttp.ClientSession, stack: AsyncExitStack
-) -> Agent:
+def make_agent(settings: AgentSettings, session: aiohttp.ClientSession) -> Agent:
     """Return the agent with its backend server's client."""
     now = asyncio.get_running_loop().time
     url = settings.backend.url
     if settings.backend.kind == "engine":
         return Agent(settings, HttpEngine(session, url), None, now)
-    connector = aiohttp.TCPConnector(force_close=True)
-    fresh = await stack.enter_async_context(aiohttp.ClientSession(connector=connector))
-    return Agent(settings, None, HttpService(session, fresh, url), now)
+    return Agent(settings, None, HttpService(session, url), now)
 
 
 def start_loops(agent: Agent, session: aiohttp.ClientSession) -> list[asyncio.Task]:
--- a/monsoontack/agent/servicehttp.py
+++ b/monsoontack/agent/servicehttp.py
@@ -4,6 +4,7 @@
 from yarl import URL
 
 from monsoontack.agent.backend import CallOutcome, CallRequest
+from monsoontack.core.sendonce import send_once
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_BODY_BYTES = 1_000_000
@@ -30,20 +31,10 @@
 
 
 class HttpService:
-    """`monsoontack.agent.backend.PlainService` over aiohttp.
+    """`monsoontack.agent.backend.PlainService` over an aiohttp session."""
 
-    `fresh_session` must not reuse connections: aiohttp sends PUT and DELETE a
-    second time when a reused connection breaks, which would run a call twice.
-    """
-
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        fresh_session: aiohttp.ClientSession,
-        url: str,
-    ) -> None:
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
         self.session = session
-        self.fresh_session = fresh_session
         self.url = url.rstrip("/")
 
     async def call(self, call: CallRequest) -> CallOutcome:
@@ -52,18 +43,18 @@
         The run state is `not_run` only if no connection was made; a lost answer
         or a timeout leaves it `unknown`.
         """
-        session = self.session if call.idempotent else self.fresh_session
         timeout = aiohttp.ClientTimeout(
             total=call.timeout_s or None, sock_connect=CONNECT_TIMEOUT_S
         )
         try:
-            async with session.request(
+            async with self.session.request(
                 call.method,
                 URL(f"{self.url}/{call.path.lstrip('/')}", encoded=True),
                 headers=request_headers(call),
                 data=call.body or None,
                 timeout=timeout,
                 allow_redirects=False,
+                middlewares=() if call.idempotent else (send_once,),
             ) as response:
                 return await read_outcome(call, response)
         except aiohttp.ClientConnectorError:
--- a/monsoontack/agent/streamlog_test.py
+++ b/monsoontack/agent/streamlog_test.py
@@ -13,7 +13,6 @@
 )
 from monsoontack.agent.streamlog import MAX_CHUNK_TOKENS, StreamLog
 
-
 MAX_STEPS = 10_000
 
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -44,6 +44,7 @@
         self.processes: list[ManagedProcess] = []
         self.numbers = itertools.count(1)
         self.vms: dict[str, VmRecord] = {}
+        self.gates: dict[str, ManagedProcess] = {}
         self.store: ManagedProcess | None = None
         self.vm_list: ManagedProcess | None = None
         self.http: aiohttp.ClientSession | None = None
@@ -126,6 +127,15 @@
         options = ["--checks-fencing"] if checks_fencing else []
         return await self.start_standin("service", f"--delay-s={delay_s}", *options)
 
+    async def start_gate(self, target: str) -> ManagedProcess:
+        """Start a `standins.tcpgate` before the `ip:port` of a target."""
+        control_port = self.ports.take()
+        gate = await self.start_standin(
+            "tcpgate", f"--target={target}", f"--control-port={control_port}"
+        )
+        gate.control_port = control_port
+        return gate
+
     def common_settings(self, name: str, place: Place) -> dict:
         """Return the settings that entries and agents share."""
         return {
@@ -152,12 +162,14 @@
         checks_fencing: bool = False,
         place: Place = DEFAULT_PLACE,
         backend_url: str = "",
+        gated: bool = False,
         **settings,
     ) -> ManagedProcess:
         """Start an agent beside a backend server; `address` is its link address.
 
-        `backend_url` may lead through a `standins.tcpgate`; `settings` are
-        further fields of the settings file.
+        `backend_url` may lead through a gate. If `gated`, the VM list names a
+        gate in front of the agent, which `gates` holds by the agent's name.
+        `settings` are further fields of the settings file.
         """
         name = f"agent-{next(self.numbers)}"
         port = self.ports.take()
@@ -176,11 +188,15 @@
         }
         document |= settings
         process = await self.start_daemon("agent", name, document, port)
+        address = process.address
+        if gated:
+            self.gates[name] = await self.start_gate(address)
+            address = self.gates[name].address
         await self.put_vm(
             VmRecord(
                 document["vm"],
                 "agent",
-                document["link_address"],
+                address,
                 "",
                 place,
                 service=service,
@@ -264,8 +280,7 @@
 
     async def set_faults(self, process: ManagedProcess, document: dict) -> None:
         """Send a `/faults` body to a stand-in."""
-        url = f"{process.url}/faults"
-        async with self.http.post(url, json=document) as response:
+        async with self.http.post(process.faults_url, json=document) as response:
             if response.status != 200:
                 raise ValueError(await response.text())
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -60,12 +60,16 @@
 
 @dataclass(slots=True)
 class ManagedProcess:
-    """One process that this program started; `port` is where it listens."""
+    """One process that this program started.
+
+    `port` is where it listens, `control_port` where it takes `/faults`.
+    """
 
     name: str
     port: int
     popen: subprocess.Popen
     log_path: Path
+    control_port: int = 0
 
     @property
     def pid(self) -> int:
@@ -82,6 +86,11 @@
         """Base URL of the process, if it speaks HTTP."""
         return f"http://{self.address}"
 
+    @property
+    def faults_url(self) -> str:
+        """URL for the faults of a stand-in."""
+        return f"http://127.0.0.1:{self.control_port or self.port}/faults"
+
     def kill(self) -> None:
         """End the process at once (SIGKILL)."""
         self._signal(signal.SIGKILL)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -28,11 +28,11 @@
     request.scope[ABORT_KEY]()
 
 
-def serve(app: falcon.asgi.App, port: int) -> None:
-    """Serve `app` on the loopback port until SIGTERM or SIGINT."""
+def make_server(app: falcon.asgi.App, port: int) -> uvicorn.Server:
+    """Return a server of `app` on a loopback port; it ends at SIGTERM or SIGINT."""
     # uvloop delays writes to the end of an iteration; with asyncio, each token
     # has left the process before a fault at the next position stops it.
-    uvicorn.run(
+    config = uvicorn.Config(
         AbortableApp(app),
         host="127.0.0.1",
         port=port,
@@ -42,3 +42,9 @@
         proxy_headers=False,
         timeout_graceful_shutdown=1,
     )
+    return uvicorn.Server(config)
+
+
+def serve(app: falcon.asgi.App, port: int) -> None:
+    """Serve `app` on a loopback port until SIGTERM or SIGINT."""
+    make_server(app, port).run()
