--- a/monsoontack/cli/main.py
+++ b/monsoontack/cli/main.py
@@ -1,16 +1,31 @@
-"""Command line of monsoontack."""
-
-import importlib
+"""The cleo application; one module per command."""
 
 from cleo.application import Application
 
-# Module and class of each command; modules are loaded when the program starts.
-COMMANDS = (("monsoontack.cli.agent", "AgentCommand"),)
+from monsoontack.cli.agent import AgentCommand
+from monsoontack.cli.apply import ApplyCommand
+from monsoontack.cli.check import CheckCommand
+from monsoontack.cli.dump import DumpCommand
+from monsoontack.cli.entry import EntryCommand
+from monsoontack.cli.generate import GenerateCommand
+from monsoontack.cli.get import GetCommand
+from monsoontack.cli.status import StatusCommand
+
+COMMANDS = (
+    AgentCommand,
+    ApplyCommand,
+    CheckCommand,
+    DumpCommand,
+    EntryCommand,
+    GenerateCommand,
+    GetCommand,
+    StatusCommand,
+)
 
 
 def main() -> int:
-    """Run the command that the arguments name and return the exit status."""
+    """Run the command line; return the exit status."""
     application = Application("monsoontack")
-    for module, name in COMMANDS:
-        application.add(getattr(importlib.import_module(module), name)())
+    for command in COMMANDS:
+        application.add(command())
     return application.run()
--- /dev/null
+++ b/monsoontack/entry/session.py
@@ -0,0 +1,107 @@
+"""One generation at this entry and the caller that waits for it."""
+
+import asyncio
+from dataclasses import dataclass
+
+from monsoontack.core.errors import RequestError
+from monsoontack.core.records import RouteRequest, TokenChunk
+from monsoontack.generation.attempts import AttemptLog
+from monsoontack.generation.eventid import EventId
+from monsoontack.generation.progress import ProgressMonitor
+from monsoontack.generation.resume import (
+    GenerationState,
+)
+from monsoontack.proto import link_pb2
+
+
+@dataclass(frozen=True, slots=True)
+class GenerationRequest:
+    """A caller's request, admitted and ready to be sent to an engine."""
+
+    route: RouteRequest
+    kind: str
+    body: bytes
+    max_tokens: int
+    revision: int
+    streamed: bool
+
+
+class Session:
+    """One generation and the caller that waits for it."""
+
+    def __init__(self, request: GenerationRequest, attempt_log: AttemptLog, now: float):
+        self.request = request
+        self.log = attempt_log
+        self.state = GenerationState(attempt_log, ProgressMonitor(now))
+        self.delivered = attempt_log.end_position
+        self.error: RequestError | None = None
+        self.handover = False
+        self.wake = asyncio.Event()
+        self.started_at = now
+        self.first_token_at: float | None = None
+        self.last_token_at = now
+        self.first_position = attempt_log.end_position
+        self.holds_place = False
+        self.resumed_address = ""
+
+    @property
+    def generation(self) -> str:
+        """Id of the generation."""
+        return self.log.generation
+
+    @property
+    def event_id(self) -> EventId:
+        """Id of the next event to the caller."""
+        return EventId(
+            self.generation, self.log.attempt, self.state.address, self.delivered
+        )
+
+    @property
+    def has_news(self) -> bool:
+        """Whether there is something to send to the caller."""
+        return self.has_tokens or self.error is not None or self.handover
+
+    @property
+    def has_tokens(self) -> bool:
+        """Whether `take` would return tokens or the finish."""
+        end = self.log.end_position
+        return end > self.delivered or (bool(self.log.finish) and end >= self.delivered)
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Wait for news; return False after `timeout_s` seconds without any."""
+        while not self.has_news:
+            self.wake.clear()
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self.wake.wait()
+            except TimeoutError:
+                return False
+        return True
+
+    async def wait_for_end(self) -> None:
+        """Wait until nothing more will come."""
+        while not self.is_ended:
+            self.wake.clear()
+            await self.wake.wait()
+
+    def take(self) -> TokenChunk:
+        """Return the tokens not yet delivered and mark them delivered."""
+        chunk = self.log.slice_from(self.delivered)
+        self.delivered = max(self.delivered, chunk.end_position)
+        return chunk
+
+    def accept(self, chunk: link_pb2.Chunk, now: float) -> int:
+        """Take a chunk from a link; return the number of tokens accepted."""
+        accepted = self.log.accept(chunk)
+        if accepted or self.log.finish:
+            if self.first_token_at is None:
+                self.first_token_at = now
+            self.last_token_at = now
+            self.state.progress.saw_tokens(now)
+            self.wake.set()
+        return accepted
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether nothing more will come."""
+        return bool(self.log.finish) or self.error is not None
