--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -149,8 +149,7 @@
 
     `address` is the agent of the current attempt, `excluded` maps addresses to
     the time until which they are avoided, `attach_deadline` is when an
-    unanswered attach is given up. `replay_refused` says that the agent's log
-    lacks the beginning of the answer. `maybe_ran` turns true once an engine may
+    unanswered attach is given up. `maybe_ran` turns true once an engine may
     have begun the request. `recoveries` counts attempts by cause.
     """
 
@@ -161,7 +160,6 @@
     excluded: dict[str, float] = field(default_factory=dict)
     attach_deadline: float = 0.0
     maybe_ran: bool = False
-    replay_refused: bool = False
     fruitless: int = 0
     last_end: int = 0
     recoveries: dict[str, int] = field(default_factory=dict)
@@ -247,10 +245,6 @@
         message = "another entry has taken over this generation"
         return _end(state, "superseded", message, 409)
     if event.code == "not_found":
-        if state.log.awaiting_replay and not state.replay_refused:
-            # An attempt that began with a prefix lacks the tokens before it.
-            state.replay_refused = True
-            return _attach(state, 1, "replay_refused")
         # The agent has lost its log, so the tokens held here continue it.
         return _start_elsewhere(state, now, "not_found")
     return _give_up_server(state, now, event.code)
@@ -273,12 +267,10 @@
     state.log.begin_attempt(state.log.attempt + step)
     state.phase = Phase.ATTACHING
     # Without the beginning of the answer, this entry asks for all of it, so
-    # that a later loss of the engine can be recovered from here.
+    # that a later loss of the engine can be recovered from here. The replay
+    # begins where the agent's log does.
     log = state.log
-    if log.has_whole_prefix or state.replay_refused:
-        position = log.end_position
-    else:
-        position = 0
+    position = log.end_position if log.has_whole_prefix else 0
     return [AttachTo(state.address, log.attempt, position)]
 
 
