--- a/monsoontack/entry/agents.py
+++ b/monsoontack/entry/agents.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import aiohttp
 import structlog
@@ -65,6 +65,7 @@
         self.http = http
         self.pool = pool
         self.records: list[VmRecord] = []
+        self.listeners: list[Callable[[list[VmRecord]], None]] = []
         self.is_readable = True
 
     def is_known(self, address: str) -> bool:
@@ -99,3 +100,5 @@
             self.records, settings.name, settings.region, settings.links_per_service
         )
         self.pool.set_wanted(wanted)
+        for listener in self.listeners:
+            listener(self.records)
