--- a/monsoontack/entry/agents.py
+++ b/monsoontack/entry/agents.py
@@ -27,9 +27,10 @@
 
 
 def _record(item: dict) -> VmRecord:
-    place = Place(**item["place"])
-    versions = tuple(item.get("versions", ()))
-    return VmRecord(**{**item, "place": place, "versions": versions})
+    fields = dict(item)
+    place = Place(fields.pop("failure_domain"), fields.pop("region"))
+    versions = tuple(fields.pop("versions", ()))
+    return VmRecord(**fields, place=place, versions=versions)
 
 
 def choose_agents(
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that run whole processes on loopback sockets."""
