--- a/monsoontack/entry/app.py
+++ b/monsoontack/entry/app.py
@@ -2,6 +2,7 @@
 
 import json
 import uuid
+from http import HTTPStatus
 
 import falcon
 import falcon.asgi
@@ -42,9 +43,10 @@
 
     async def http_error(self, req, resp, exception, params) -> None:
         """Answer an error that the framework raised, such as an unknown path."""
-        code = exception.title.lower().replace(" ", "_").removeprefix("404_")
         status = exception.status_code
-        message = exception.description or f"{req.method} {req.path}: {code}"
+        phrase = HTTPStatus(status).phrase
+        code = phrase.lower().replace(" ", "_")
+        message = exception.description or f"{req.method} {req.path}: {phrase}"
         self.answer(req, resp, RequestError(status, code, message))
 
     async def unexpected(self, req, resp, exception, params) -> None:
--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -149,8 +149,9 @@
 
     `address` is the agent of the current attempt, `excluded` maps addresses to
     the time until which they are avoided, `attach_deadline` is when an
-    unanswered attach is given up. `maybe_ran` turns true once an engine may
-    have begun the request. `recoveries` counts attempts by cause.
+    unanswered attach is given up. `unanswered` says that the current
+    attempt was sent and its agent has not said that the engine did not begin;
+    `maybe_ran` that this was so of an earlier attempt. `recoveries` counts attempts by cause.
     """
 
     log: AttemptLog
@@ -160,6 +161,7 @@
     excluded: dict[str, float] = field(default_factory=dict)
     attach_deadline: float = 0.0
     maybe_ran: bool = False
+    unanswered: bool = False
     fruitless: int = 0
     last_end: int = 0
     recoveries: dict[str, int] = field(default_factory=dict)
@@ -169,7 +171,8 @@
         """What a refusal may truthfully say about this request."""
         if self.log.end_position:
             return RunState.RUN
-        return RunState.UNKNOWN if self.maybe_ran else RunState.NOT_RUN
+        maybe_ran = self.maybe_ran or self.unanswered
+        return RunState.UNKNOWN if maybe_ran else RunState.NOT_RUN
 
 
 def plan_recovery(state: GenerationState, event: Event, now: float) -> list[Action]:
@@ -225,7 +228,7 @@
 
 def _on_sent(state: GenerationState, event: Sent, now: float) -> list[Action]:
     state.address = event.address
-    state.maybe_ran = True
+    state.unanswered = True
     _run(state, now)
     if event.link_is_new:
         state.phase = Phase.ATTACHING
@@ -241,6 +244,7 @@
 def _on_ended(state: GenerationState, event: AttemptEnded, now: float) -> list[Action]:
     if event.attempt != state.log.attempt:
         return []
+    state.unanswered = event.started
     if event.code == "superseded":
         message = "another entry has taken over this generation"
         return _end(state, "superseded", message, 409)
@@ -252,6 +256,8 @@
 
 def _count(state: GenerationState, cause: str) -> None:
     state.recoveries[cause] = state.recoveries.get(cause, 0) + 1
+    state.maybe_ran = state.maybe_ran or state.unanswered
+    state.unanswered = False
     if state.log.end_position > state.last_end:
         state.fruitless = 0
         state.last_end = state.log.end_position
