--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -151,7 +151,8 @@
     the time until which they are avoided, `attach_deadline` is when an
     unanswered attach is given up. `unanswered` says that the current
     attempt was sent and its agent has not said that the engine did not begin;
-    `maybe_ran` that this was so of an earlier attempt. `recoveries` counts attempts by cause.
+    `maybe_ran` that this was so of an earlier attempt. `recoveries` counts
+    attempts by cause.
     """
 
     log: AttemptLog
