--- /dev/null
+++ b/monsoontack/rollout/faults_test.py
@@ -0,0 +1,149 @@
+"""Tests of rollouts under each fault and pair of faults, on explicit time.
+
+`ROLLOUT_SEEDS=20 make test TESTS=rollout.faults` runs more seeds of each pair.
+"""
+
+import itertools
+import os
+import unittest
+
+from standins.rolloutworld import UID, BadVersion, RolloutWorld
+
+SEEDS = int(os.environ.get("ROLLOUT_SEEDS", "3"))
+DEADLINE_S = 400
+BAD = {
+    "bad_at_once": BadVersion("fails"),
+    "bad_later": BadVersion("fails", after_s=150.0),
+    "bad_above_load": BadVersion("fails", above_share=30.0),
+    "bad_on_one_route": BadVersion("slow", route="plan"),
+    "bad_slow": BadVersion("slow"),
+    "bad_hangs": BadVersion("hangs"),
+}
+
+
+def cut_off(world, entry, on):
+    entry.cut = on
+
+
+def outage(world, entry, on):
+    world.store.up = not on
+
+
+def lost_answers(world, entry, on):
+    world.store.lose_answers = 2 if on else 0
+
+
+def engine_lost(world, entry, on):
+    if on:
+        world.lose_engine()
+
+
+def paused(world, entry, on):
+    if on:
+        world.pause(entry)
+    entry.paused = on
+
+
+def killed(world, entry, on):
+    entry.alive = not on
+    if not on:
+        world.restart(entry)
+
+
+def holder(world):
+    found = [e for e in world.entries if e.name == world.store.holder]
+    return found[0] if found else world.entries[0]
+
+
+FAULTS = {
+    "engine_lost": (engine_lost, False),
+    "entry_cut_off": (cut_off, False),
+    "entry_paused": (paused, False),
+    "entry_killed": (killed, False),
+    "holder_cut_off": (cut_off, True),
+    "holder_paused": (paused, True),
+    "holder_killed": (killed, True),
+    "outage": (outage, False),
+    "answers_lost": (lost_answers, False),
+}
+
+
+class Script:
+    """Starts and ends the faults of one scenario at seeded times."""
+
+    def __init__(self, world, names):
+        self.world, self.events = world, []
+        for name in names:
+            if name in BAD:
+                world.bad = BAD[name]
+                continue
+            fault, of_holder = FAULTS[name]
+            start = world.rng.randint(10, DEADLINE_S // 2)
+            self.events.append((start, fault, of_holder, world.rng.randint(3, 25)))
+
+    def run(self):
+        active = []
+        while self.world.now < DEADLINE_S + 30:
+            for start, fault, of_holder, lasts in self.events:
+                if start == self.world.now:
+                    entry = holder(self.world) if of_holder else self.world.entries[1]
+                    fault(self.world, entry, True)
+                    active.append((start + lasts, fault, entry))
+            for item in [a for a in active if a[0] <= self.world.now]:
+                active.remove(item)
+                item[1](self.world, item[2], False)
+            self.world.second()
+
+
+def run(names, seed):
+    world = RolloutWorld(seed, deadline_s=DEADLINE_S)
+    Script(world, names).run()
+    return world
+
+
+class RolloutFaultsTest(unittest.TestCase):
+    def check(self, names, seed):
+        world = run(names, seed)
+        where = f"{names} seed {seed}: {world.log[-1]}"
+        self.assertEqual([], world.violations, where)
+        bad = any(name in BAD for name in names)
+        self.assertEqual("rolled_back" if bad else "complete", world.phase, where)
+        self.assertEqual(0.0 if bad else 100.0, world.store.share, where)
+        for entry in world.entries:
+            self.assertEqual(world.store.revision, entry.revision, where)
+
+    def test_every_fault_and_pair(self):
+        """Guards against a good version that is stopped or late, and a bad one
+        that completes or is used after its stop, under any two faults."""
+        names = [*BAD, *FAULTS]
+        pairs = [p for p in itertools.combinations(names, 2) if not set(p) <= set(BAD)]
+        for chosen in [(), *((name,) for name in names), *pairs]:
+            for seed in range(SEEDS):
+                with self.subTest(faults=chosen, seed=seed):
+                    self.check(chosen, seed)
+
+    def test_stop_without_controller_and_store(self):
+        """Guards against a rollback that needs the controller or the store."""
+        for seed in range(10):
+            world = RolloutWorld(seed, deadline_s=1e6)
+            world.engines = {}
+            world.run(10)
+            world.pause(holder(world))
+            world.store.up = False
+            world.store.phase = "stepping"
+            for entry in world.entries:
+                entry.share = 25.0
+            world.bad = BadVersion("fails")
+            for _ in range(120):
+                world.second()
+                for entry in world.entries:
+                    entry.contact_at = world.now
+            running = [entry for entry in world.entries if entry.runs]
+            self.assertEqual(2, len(running))
+            for entry in running:
+                self.assertIn(UID, entry.guard.marks, seed)
+            self.assertEqual([], world.violations)
+
+
+if __name__ == "__main__":
+    unittest.main()
