--- a/monsoontack/rollout/controller_test.py
+++ b/monsoontack/rollout/controller_test.py
@@ -36,7 +36,7 @@
 
     def __init__(self, stored=None, rate=1000.0, rollout=ROLLOUT):
         self.now, self.version, self.state = 0.0, 0, None
-        self.store_up, self.ended = True, 0
+        self.store_up, self.ended, self.held = True, 0, None
         self.engines = {f"a{i}": ("v1",) for i in range(4)}
         self.published, self.loads, self.others = [], [], []
         self.controller = RolloutController.from_config("c", rate, 0.0)
@@ -50,6 +50,8 @@
 
     def execute(self, action):
         match action:
+            case WriteState() if self.held is not None:
+                self.held.append(action)
             case WriteState(state, _) if not self.store_up:
                 self.send(StateNotWritten(state.uid))
             case WriteState(state, version):
@@ -108,6 +110,23 @@
         self.assertEqual(0.0, harness.published[-1][0])
         self.assertRegex(harness.state.reason, r"rolled back at \d+%: e1: bad")
 
+    def test_stop_mark_during_a_write(self):
+        """Guards against a rollback lost, or a higher share published, because
+        the mark came while the next step was being written."""
+        harness = Harness()
+        harness.run(60)
+        harness.held = []
+        while not harness.held:
+            harness.run(5)
+        before = len(harness.published)
+        harness.send(MarksSeen((StopMark("u1", "s", "v2", "bad", "e1"),)))
+        held, harness.held = harness.held, None
+        for action in held:
+            harness.execute(action)
+        shares = [share for share, _ in harness.published[before:]]
+        self.assertEqual([0.0], shares)
+        self.assertEqual(Phase.ROLLED_BACK, harness.state.phase)
+
     def test_no_step_without_evidence(self):
         """Guards against advancing blind; the deadline then rolls back."""
         harness = Harness()
