--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -65,6 +65,7 @@
         self.is_known = lambda address: True
         self.call_results = lambda result, link: None
         self.calls_lost = lambda link: None
+        self.order_results = lambda result, link: None
 
     def now(self) -> float:
         """Return the loop's time in seconds."""
@@ -145,6 +146,8 @@
                 self.apply(session, AttemptEnded(end.attempt, end.code, end.started))
         for result in frame.results:
             self.call_results(result, link)
+        for result in frame.order_results:
+            self.order_results(result, link)
 
     def _take_chunk(self, session: Session, chunk: link_pb2.Chunk, now: float) -> None:
         accepted = session.accept(chunk, now)
--- a/monsoontack/rollout/evidence.py
+++ b/monsoontack/rollout/evidence.py
@@ -18,6 +18,7 @@
 BUCKETS = 24
 MAX_KEYS = 256
 MAX_ENTRIES = 1024
+MAX_FORMER = 4  # incarnations of an entry whose late reports are known
 OTHER_ROUTE = "other"
 OVERALL = ""
 _LOG_RATIO = math.log(BUCKET_RATIO)
@@ -136,7 +137,7 @@
 class EvidenceReport:
     """Cumulative counters of one entry since it started.
 
-    `incarnation` is larger after each restart of the entry.
+    `incarnation` is another number after each restart of the entry.
     """
 
     entry: str
@@ -196,6 +197,7 @@
     incarnation: int
     counts: Mapping[EvidenceKey, Counts]
     reported_at: float
+    former: tuple[int, ...] = ()
 
 
 @dataclass(slots=True)
@@ -203,9 +205,9 @@
     """Sums the reports of all entries into windows.
 
     The first report of an unknown entry is only its baseline, because its
-    counters cover an unknown time. A restarted entry counts from zero. Reports
-    of an earlier incarnation, late reports and impossible counters are dropped
-    and counted in `dropped`.
+    counters cover an unknown time. A restarted entry counts from zero. Late
+    reports, also of the last incarnations before, and impossible counters are
+    dropped and counted in `dropped`.
     """
 
     entries: dict[str, _EntryRecord] = field(default_factory=dict)
@@ -221,8 +223,11 @@
             return False
         if known is None:
             self._make_room()
+        former = known.former if known is not None else ()
+        if known is not None and known.incarnation != report.incarnation:
+            former = (*former, known.incarnation)[-MAX_FORMER:]
         self.entries[report.entry] = _EntryRecord(
-            report.incarnation, report.counts, now
+            report.incarnation, report.counts, now, former
         )
         for key, delta in deltas.items():
             if key in self.window:
@@ -236,7 +241,7 @@
     ) -> dict[EvidenceKey, Counts] | None:
         if len(report.counts) > MAX_KEYS:
             return None
-        if known is not None and report.incarnation < known.incarnation:
+        if known is not None and report.incarnation in known.former:
             return None
         if not all(counts.is_valid() for counts in report.counts.values()):
             return None
--- a/monsoontack/rollout/evidence_test.py
+++ b/monsoontack/rollout/evidence_test.py
@@ -55,7 +55,9 @@
     def test_late_and_impossible_reports_are_dropped(self):
         """Guards against old incarnations, counters that fall, false counts."""
         total = EvidenceSum()
+        total.merge(report(40, incarnation=1), 0.0)
         total.merge(report(10, incarnation=2), 0.0)
+        total.close_window()
         bad = (
             report(50, incarnation=1),
             report(9, incarnation=2),
--- a/monsoontack/settings/models.py
+++ b/monsoontack/settings/models.py
@@ -58,6 +58,7 @@
     links_per_service: int = Field(default=16, gt=0)
     frame_silence_s: Seconds = 1.0
     dispatch_window_s: Seconds = 5.0
+    weight_load_bytes_s: float = Field(default=500_000_000.0, gt=0)
 
 
 class BackendSettings(Model):
