Remove expired call records in the process that holds the lease

Cause: the removal step existed but nothing ran it, so records stayed forever. Change: RecordCleanup runs one bounded step a second while the lease is held. Ruled out: fencing the removals; each is conditional on the listed version. Records of accounts that were deleted are not visited; still open.

--- a/monsoontack/controller/service.py
+++ b/monsoontack/controller/service.py
@@ -17,6 +17,7 @@
     confirm,
     evaluate,
 )
+from monsoontack.controller.cleanup import RecordCleanup
 from monsoontack.controller.publish import PublisherRunner
 from monsoontack.core.clock import Clock
 from monsoontack.core.records import VmRecord
@@ -50,6 +51,9 @@
         self.publisher = PublisherRunner(
             store, clock, rng, self.lease.epoch, gossip.publish
         )
+        self.cleanup = RecordCleanup(
+            store, lambda: tuple(gossip.view().accounts), clock, self.lease.epoch
+        )
         self.entries: tuple[VmRecord, ...] = (me,)
         self.confirmations = Confirmations()
         self.written: ConfigStatus | None = None
@@ -93,13 +97,15 @@
 
     async def run(self) -> None:
         """Work until cancelled."""
-        lease = asyncio.ensure_future(self.lease.run())
+        work = (self.lease.run(), self.cleanup.run())
+        tasks = [asyncio.ensure_future(item) for item in work]
         try:
             while True:
                 await self.clock.sleep(STATUS_S)
                 await self._write_status()
         finally:
-            lease.cancel()
+            for task in tasks:
+                task.cancel()
             self.publisher.close()
 
     async def stop(self) -> None:
