Check that the binary serves a request as one process

Cause: a build that cannot serve would only be noticed on a VM. Change: make binary starts a stand-in fleet from dist/monsoontack, compares an answer's tokens and counts child processes and open memory files.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 
 binary: setup
 	$(PY) -m tools.build_binary
+	$(PY) -m tools.check_binary
 
 golden: setup
 	REWRITE_GOLDEN=1 $(PY) -m tools.run_tests golden
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -55,6 +55,8 @@
         self.vm_list: ManagedProcess | None = None
         self.http: aiohttp.ClientSession | None = None
         self.temporary: tempfile.TemporaryDirectory | None = None
+        # Command that runs the product; its arguments are appended.
+        self.product = [sys.executable, "-m", "monsoontack"]
 
     @classmethod
     def create(cls) -> "Cluster":
@@ -78,12 +80,12 @@
         if self.temporary is not None:
             self.temporary.cleanup()
 
-    def spawn(self, name: str, arguments: Sequence[str], port: int) -> ManagedProcess:
-        """Start `python -m <arguments>` with its output in a log file."""
+    def spawn(self, name: str, command: Sequence[str], port: int) -> ManagedProcess:
+        """Start `command` with its output in a log file."""
         log_path = self.folder / f"{name}.log"
         with log_path.open("ab") as log:
             popen = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                command,
                 cwd=ROOT,
                 env=dict(os.environ, PYTHONPATH=str(ROOT)),
                 stdin=subprocess.DEVNULL,
@@ -98,8 +100,9 @@
         """Start `standins.<module>` with command line options."""
         port = self.ports.take()
         name = f"{module}-{next(self.numbers)}"
-        arguments = [f"standins.{module}", "--port", str(port), *options]
-        process = self.spawn(name, arguments, port)
+        command = [sys.executable, "-m", f"standins.{module}"]
+        command += ["--port", str(port), *options]
+        process = self.spawn(name, command, port)
         await process.wait_ready()
         return process
 
@@ -243,8 +246,8 @@
     ) -> ManagedProcess:
         """Write the settings file, start the daemon and wait until it listens."""
         path = self.write_settings(name, settings)
-        arguments = ["monsoontack", command, "--settings", str(path)]
-        process = self.spawn(name, arguments, port)
+        arguments = [command, "--settings", str(path)]
+        process = self.spawn(name, [*self.product, *arguments], port)
         await process.wait_ready()
         return process
 
@@ -252,8 +255,8 @@
         """Start a daemon again that has ended, with the same settings."""
         command = ended.name.partition("-")[0]
         path = self.folder / f"{ended.name}.json"
-        arguments = ["monsoontack", command, "--settings", str(path)]
-        process = self.spawn(ended.name, arguments, ended.port)
+        arguments = [command, "--settings", str(path)]
+        process = self.spawn(ended.name, [*self.product, *arguments], ended.port)
         await process.wait_ready()
         return process
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -88,10 +88,15 @@
         gates: bool = False,
         token_gap_s: float = 0.02,
         slots: int = 16,
+        product: Sequence[str] = (),
         **entry_settings,
     ) -> AsyncIterator["Fleet"]:
-        """Start all processes and wait until every entry has all its links."""
+        """Start all processes and wait until every entry has all its links.
+
+        `product` is the command that runs the product, if not this checkout.
+        """
         async with Cluster.create() as cluster:
+            cluster.product = list(product) or cluster.product
             await cluster.start_platform(publish)
             fleet = cls(cluster)
             fleet.backends = await asyncio.gather(
