--- /dev/null
+++ b/demo/main_test.py
@@ -0,0 +1,21 @@
+"""Test of the demonstration."""
+
+import contextlib
+import io
+import unittest
+
+from demo.main import run
+
+
+class DemoTest(unittest.IsolatedAsyncioTestCase):
+    async def test_answer_is_whole_after_both_losses(self):
+        """Guards against a deployment that loses an answer with its processes."""
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            whole = await run()
+        self.assertTrue(whole, output.getvalue())
+        self.assertEqual(2, output.getvalue().count("output continued after"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -15,6 +15,7 @@
 since the platform's list lags too; `set_vm_state` and `remove_vm` change it.
 """
 
+import asyncio
 import itertools
 import json
 import os
@@ -28,19 +29,13 @@
 import aiohttp
 
 from monsoontack.core.records import Place, VmRecord
-from standins.processes import ManagedProcess, PortBlock
+from standins.processes import POLL_S, START_TIMEOUT_S, ManagedProcess, PortBlock
 
 ROOT = Path(__file__).resolve().parent.parent
 DEFAULT_PLACE = Place("domain-a", "region-1")
 Seed = Callable[[str], Awaitable[None]]
 
 
-def vm_line(record: VmRecord) -> dict:
-    """Return a line of the VM list in the format of docs/platform.md."""
-    fields = asdict(record)
-    return fields | fields.pop("place")
-
-
 class Cluster:
     """Processes of one test, demonstration or measurement."""
 
@@ -279,7 +274,7 @@
 
     async def publish_vms(self) -> None:
         """Write the VM list to its stand-in."""
-        body = {"vms": [vm_line(record) for record in self.vms.values()]}
+        body = {"vms": [asdict(record) for record in self.vms.values()]}
         url = f"{self.vm_list.url}/vms"
         async with self.http.put(url, json=body) as response:
             response.raise_for_status()
@@ -296,7 +291,17 @@
             response.raise_for_status()
             return await response.json()
 
-    async def agent_state(self, process: ManagedProcess) -> dict:
+    async def wait_links(self, entry: ManagedProcess, count: int) -> None:
+        """Wait until an entry is ready and has links to `count` agents."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                state = await self.state_of(entry)
+                up = sum(link["up"] for link in state["links"])
+                if state["ready"] and up >= count:
+                    return
+                await asyncio.sleep(POLL_S)
+
+    async def state_of(self, process: ManagedProcess) -> dict:
         """Return the state dump of an entry or agent."""
         address = self.settings_of(process)["operator_address"]
         return await self.get_json(f"http://{address}/state")
--- a/standins/objectapi.py
+++ b/standins/objectapi.py
@@ -30,12 +30,19 @@
 
 @dataclass(slots=True)
 class RateLimit:
-    """Token bucket that holds one second's worth; a rate of 0 admits all."""
+    """Token bucket that holds one second's worth; a rate of 0 admits all.
+
+    It starts full when a rate is set, and holds at least one call.
+    """
 
     rate: float = 0.0
     level: float = 0.0
     filled_at: float = 0.0
 
+    def set_rate(self, rate: float, now: float) -> None:
+        """Set the rate in calls a second and fill the bucket."""
+        self.rate, self.level, self.filled_at = rate, max(rate, 1.0), now
+
     def admit(self, now: float) -> bool:
         """Return whether a call at `now` is within the rate."""
         if not self.rate:
@@ -187,8 +194,11 @@
         faults.outage = bool(body.get("outage", faults.outage))
         faults.lose_answers = int(body.get("lose_answers", faults.lose_answers))
         faults.delay_s = float(body.get("delay_s", faults.delay_s))
-        self.api.reads.rate = float(body.get("reads_per_s", self.api.reads.rate))
-        self.api.writes.rate = float(body.get("writes_per_s", self.api.writes.rate))
+        now = asyncio.get_running_loop().time()
+        if "reads_per_s" in body:
+            self.api.reads.set_rate(float(body["reads_per_s"]), now)
+        if "writes_per_s" in body:
+            self.api.writes.set_rate(float(body["writes_per_s"]), now)
         await self.on_get(request, response)
 
     async def on_get(self, request, response) -> None:
