--- a/monsoontack/agent/core.py
+++ b/monsoontack/agent/core.py
@@ -138,7 +138,9 @@
                         link.ends.append(end)
                         link.notify()
                 case WakeLink(link=number):
-                    if link := self.links.get(number):
+                    link = self.links.get(number)
+                    # The writer needs no further wake before the next frame.
+                    if link is not None and not link.chunks_waiting:
                         link.chunks_waiting = True
                         link.notify()
 
--- a/standins/faults_test.py
+++ b/standins/faults_test.py
@@ -110,23 +110,24 @@
 
     async def test_fault_above_a_load(self):
         """Guards against a load fault that strikes an idle engine, or never."""
-        await self.set_fault(self.engine, "fail", at_position=3, above_running=2)
+        loaded = {"kind": "fail", "at_position": 2, "above_running": 2}
+        await self.cluster.set_faults(self.engine, {"faults": [loaded]})
         self.assertTrue((await self.generate(self.engine))[2])
-        faults = [
-            {"kind": "hold", "at_position": 2},
-            {"kind": "fail", "at_position": 11, "above_running": 2},
-        ]
-        await self.cluster.set_faults(self.engine, {"faults": faults})
-        streams = [[] for _ in range(3)]
-        work = [self.generate(self.engine, tokens=tokens) for tokens in streams]
-        gathered = asyncio.gather(*work)
+        hold = {"kind": "hold", "at_position": 2, "count": 2}
+        await self.cluster.set_faults(self.engine, {"faults": [hold, loaded]})
+        held = [asyncio.ensure_future(self.generate(self.engine)) for _ in range(2)]
         async with asyncio.timeout(HANG_GUARD_S):
-            while min(map(len, streams)) < 2:
+            while await self.struck() != [2, 0]:
                 await asyncio.sleep(0.01)
-            found = await self.cluster.get_json(self.engine.faults_url)
-            self.assertEqual([3, 0], [item["struck"] for item in found["faults"]])
+            third = await self.generate(self.engine)
+            self.assertEqual((200, EXPECTED[:2], False), third)
             await self.cluster.set_faults(self.engine, {"faults": []})
-            self.assertEqual([True] * 3, [item[2] for item in await gathered])
+            for work in held:
+                self.assertEqual((200, EXPECTED, True), await work)
+
+    async def struck(self):
+        found = await self.cluster.get_json(self.engine.faults_url)
+        return [fault["struck"] for fault in found["faults"]]
 
     async def test_wrong_fault_is_refused(self):
         """Guards against a misspelt fault that a test takes for set."""
