--- a/monsoontack/agent/server.py
+++ b/monsoontack/agent/server.py
@@ -61,7 +61,9 @@
                 async with asyncio.timeout_at(due):
                     await link.wake.wait()
             except TimeoutError:
-                pass
+                # uvloop's timers fire up to 1 ms early; checking the time again
+                # would spin until it has passed.
+                return
 
 
 def make_server(agent: Agent) -> grpc.aio.Server:
