--- a/monsoontack/agent/core.py
+++ b/monsoontack/agent/core.py
@@ -248,6 +248,12 @@
                         now,
                     )
                 self.perform(actions)
+        except Exception as error:
+            # Without an end the entry would wait until it finds a stall.
+            log.exception("engine request failed", request=request_id)
+            text = f"{type(error).__name__}: {error}"
+            failed = self.streams.fail(run, "backend_failed", text, True, self.now())
+            self.perform(failed)
         finally:
             self.runs.pop(run, None)
             self.view.progress.forget(run)
--- a/monsoontack/agent/enginehttp.py
+++ b/monsoontack/agent/enginehttp.py
@@ -24,6 +24,7 @@
 ORDER_TIMEOUT_S = 1800.0
 MAX_EVENT_BYTES = 1_000_000
 MAX_MESSAGE_CHARACTERS = 300
+MAX_TOKEN_ID = 2**32
 
 ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError)
 
@@ -170,6 +171,8 @@
     texts = tuple(str(text) for text in event["texts"])
     if len(tokens) != len(texts):
         raise ValueError(f"{len(tokens)} tokens with {len(texts)} texts")
+    if any(not 0 <= token < MAX_TOKEN_ID for token in tokens):
+        raise ValueError("a token id is outside 32 bits")
     finish = str(event.get("finish") or "")
     return EngineTokens(int(event["first_position"]), tokens, texts, finish)
 
--- /dev/null
+++ b/monsoontack/agent/enginehttp_test.py
@@ -0,0 +1,66 @@
+"""Tests of the engine's HTTP format and of the counters."""
+
+import json
+import socket
+import unittest
+
+from monsoontack.agent.enginehttp import engine_request, parse_event
+from monsoontack.agent.metrics import Counters, make_client
+from monsoontack.agent.records import StartRequest
+
+
+class EngineFormatTest(unittest.TestCase):
+    def test_request(self):
+        """Guards against a resumed request that starts the answer again."""
+        document = {"messages": [], "stream": False, "max_tokens": 5, "seed": 1}
+        start = StartRequest("g", 2, "v2", json.dumps(document).encode(), (7, 8), 9, 3)
+        path, body = engine_request("g.2", start)
+        self.assertEqual("/v1/chat/completions", path)
+        expected = {
+            "messages": [],
+            "seed": 1,
+            "stream": True,
+            "max_tokens": 9,
+            "request_id": "g.2",
+            "version": "v2",
+            "priority": 3,
+            "resume_token_ids": [7, 8],
+        }
+        self.assertEqual(expected, body)
+        for malformed in (b"[]", b"{", b"\xff"):
+            with self.assertRaises(ValueError):
+                engine_request("g.1", StartRequest("g", 1, "v1", malformed))
+
+    def test_malformed_events(self):
+        """Guards against tokens without their texts, and ids that cannot be kept."""
+        good = {"first_position": 1, "token_ids": [5], "texts": ["a"], "finish": ""}
+        self.assertEqual((1, (5,), ("a",), ""), self.fields(parse_event(good)))
+        for wrong in ({"texts": []}, {"token_ids": [-1]}, {"token_ids": [2**32]}):
+            with self.assertRaises(ValueError):
+                parse_event(good | wrong)
+
+    def fields(self, item):
+        return item.first_position, item.tokens, item.texts, item.finish
+
+
+class CountersTest(unittest.TestCase):
+    def test_flush_sends_each_change_once(self):
+        """Guards against counters that statsd adds up twice or never gets."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+            receiver.bind(("127.0.0.1", 0))
+            receiver.settimeout(60)
+            client = make_client(f"127.0.0.1:{receiver.getsockname()[1]}")
+            counters = Counters()
+            counters.add("frames", 2)
+            counters.add("tokens", 0)
+            counters.flush(client)
+            self.assertEqual(b"agent.frames:2|c", receiver.recv(2000))
+            counters.add("frames")
+            counters.flush(client)
+            self.assertEqual(b"agent.frames:1|c", receiver.recv(2000))
+            self.assertEqual({"frames": 3}, dict(counters.totals))
+            client.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/monsoontack/agent/failure_test.py
+++ b/monsoontack/agent/failure_test.py
@@ -12,7 +12,7 @@
 import grpc
 
 from monsoontack.proto import link_pb2 as pb
-from standins.answers import expected_answer
+from standins.answers import BLOCK_CHARACTERS, expected_answer
 from standins.cluster import Cluster
 from standins.linkclient import HANG_GUARD_S, LinkClient
 
@@ -200,6 +200,25 @@
         versions = await self.cluster.get_json(f"{engine.url}/versions")
         self.assertEqual(["v1", "v2"], versions["versions"])
 
+    async def test_load_and_cache_events_reach_every_link(self):
+        """Guards against routing on a load and a cache that entries never see."""
+        engine = await self.cluster.start_engine(
+            options=("--cache-lag-s=0", "--cache-gap-every=2", "--load-lag-s=0")
+        )
+        agent = await self.cluster.start_agent(engine, service="writer")
+        await self.fault(engine, "hold", at_position=1)
+        first = await self.open_link(agent.address)
+        for number in range(3):
+            request = {"prompt": f"{number}" * BLOCK_CHARACTERS, "max_tokens": 2}
+            await first.start(f"g{number}", request)
+        await first.until(lambda: len(first.cache_events) == 2)
+        await first.until(lambda: first.load.running == 3)
+        second = await self.open_link(agent.address)
+        await second.until(lambda: len(second.cache_events) == 2)
+        for link in (first, second):
+            found = [(event.sequence, event.kind) for event in link.cache_events]
+            self.assertEqual([(1, "stored"), (3, "stored")], found)
+
     async def test_leaving_vm_refuses_new_work(self):
         """Guards against new work on a VM that the platform takes away."""
         engine, agent = await self.start_engine_and_agent()
--- a/standins/linkclient.py
+++ b/standins/linkclient.py
@@ -28,6 +28,7 @@
         self.ends: list[link_pb2.StreamEnd] = []
         self.results: list[link_pb2.CallResult] = []
         self.order_results: list[link_pb2.OrderResult] = []
+        self.cache_events: list[link_pb2.CacheEvent] = []
         self.info: link_pb2.AgentInfo | None = None
         self.load: link_pb2.Load | None = None
         self.code: grpc.StatusCode | None = None
@@ -51,6 +52,7 @@
         self.ends += frame.ends
         self.results += frame.results
         self.order_results += frame.order_results
+        self.cache_events += frame.cache_events
         if frame.HasField("info"):
             self.info = frame.info
         if frame.HasField("load"):
