--- a/monsoontack/agent/core.py
+++ b/monsoontack/agent/core.py
@@ -138,7 +138,9 @@
                         link.ends.append(end)
                         link.notify()
                 case WakeLink(link=number):
-                    if link := self.links.get(number):
+                    link = self.links.get(number)
+                    # The writer needs no further wake before the next frame.
+                    if link is not None and not link.chunks_waiting:
                         link.chunks_waiting = True
                         link.notify()
 
@@ -246,6 +248,12 @@
                         now,
                     )
                 self.perform(actions)
+        except Exception as error:
+            # Without an end the entry would wait until it finds a stall.
+            log.exception("engine request failed", request=request_id)
+            text = f"{type(error).__name__}: {error}"
+            failed = self.streams.fail(run, "backend_failed", text, True, self.now())
+            self.perform(failed)
         finally:
             self.runs.pop(run, None)
             self.view.progress.forget(run)
