--- a/monsoontack/ledger/faults_test.py
+++ b/monsoontack/ledger/faults_test.py
@@ -75,11 +75,15 @@
         self.run_worlds([("all", everything)] * 5)
 
     def find_violations(self, faults, name, broken):
-        """Run worlds with a function of the machine replaced by a broken one."""
-        found = []
+        """Run worlds with a function of the machine replaced by a broken one.
+
+        Returns the kinds of the violations found.
+        """
+        found = set()
         with mock.patch.object(machine, name, broken):
             for seed in range(40):
-                found += run_paused(World(seed, replace(faults)).run())
+                violations = run_paused(World(seed, replace(faults)).run())
+                found |= {violation.kind for violation in violations}
         return found
 
     def test_lost_answer_taken_as_not_run_is_found(self):
@@ -94,8 +98,8 @@
         found = self.find_violations(
             FAULTS["service answer lost"], "_dispatched", broken
         )
-        self.assertTrue(any("ran 2 times" in text for text in found), found)
-        self.assertTrue(any("not_run" in text for text in found), found)
+        self.assertTrue("run_twice" in found, found)
+        self.assertTrue("false_not_run" in found, found)
 
     def test_overdue_claim_taken_as_not_run_is_found(self):
         """Guards against checks that miss a takeover of a running call."""
@@ -108,7 +112,7 @@
 
         faults = merge(FAULTS["entry dies"], FAULTS["service pauses"])
         found = self.find_violations(faults, "replace", broken)
-        self.assertTrue(any("recorded not_run" in text for text in found), found)
+        self.assertTrue("wrong_record" in found, found)
 
 
 if __name__ == "__main__":
--- a/standins/ledgerworld.py
+++ b/standins/ledgerworld.py
@@ -10,6 +10,7 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from monsoontack.agent.fencing import CallFences
 from monsoontack.core.errors import RequestError, RunState
@@ -60,6 +61,13 @@
     rival: float = 0.5
 
 
+class Violation(NamedTuple):
+    """One broken property: its kind and where."""
+
+    kind: str
+    where: str
+
+
 @dataclass(slots=True)
 class World:
     """One run: `keys` calls through `entries` entries within `span_s`."""
@@ -108,7 +116,7 @@
         task.add_done_callback(self.work.discard)
         return task
 
-    async def run(self) -> list[str]:
+    async def run(self) -> list[Violation]:
         """Run all callers and faults; return the violations found."""
         callers = [self._caller(f"key-{n}") for n in range(self.keys)]
         events = [self._outage() for _ in range(self.faults.outages)]
@@ -208,35 +216,35 @@
 
     # Checks.
 
-    def check(self) -> list[str]:
-        """Return every way in which a caller was told something untrue."""
-        found = [f"{k} ran {n} times" for k, n in self.executions.items() if n > 1]
+    def check(self) -> list[Violation]:
+        """Return every call run twice and every untrue answer or record."""
+        found = [
+            Violation("run_twice", f"{key} ran {count} times")
+            for key, count in self.executions.items()
+            if count > 1
+        ]
         for key, attempt, answer in self.answers:
             if isinstance(answer, ServiceAnswer):
                 if answer.body != key.encode() or not self.executions[key]:
-                    found.append(f"{attempt}: wrong answer")
+                    found.append(Violation("wrong_answer", attempt))
             elif answer.run_state is RunState.NOT_RUN:
                 if attempt in self.executed_attempts:
-                    found.append(f"{attempt}: ran, answered {answer.code} not_run")
+                    found.append(Violation("false_not_run", f"{attempt} {answer.code}"))
+        return found + self._check_records()
+
+    def _check_records(self) -> list[Violation]:
+        keys = {record_key(ACCOUNT, f"key-{n}"): f"key-{n}" for n in range(self.keys)}
+        found = []
         for stored in self.memory.objects.values():
-            found += self._check_record(stored)
+            state = CallRecord.decode(stored.value).state
+            ran = self.executions[keys[stored.key]]
+            self.counts[f"record.{state}"] += 1
+            done = state is RecordState.DONE
+            if (done and ran != 1) or (state is RecordState.NOT_RUN and ran):
+                found.append(Violation("wrong_record", f"{keys[stored.key]} {state}"))
         return found
 
-    def _check_record(self, stored) -> list[str]:
-        record = CallRecord.decode(stored.value)
-        ran = sum(
-            count
-            for key, count in self.executions.items()
-            if record_key(ACCOUNT, key) == stored.key
-        )
-        self.counts[f"record.{record.state}"] += 1
-        if record.state is RecordState.NOT_RUN and ran:
-            return [f"{stored.key}: ran, recorded not_run"]
-        if record.state is RecordState.DONE and ran != 1:
-            return [f"{stored.key}: recorded done, ran {ran} times"]
-        return []
-
-    async def _settled(self) -> list[str]:
+    async def _settled(self) -> list[Violation]:
         """Ask for every key once more, long after all faults have ended."""
         self.faults = WorldFaults()
         ledger = self.new_entry()
@@ -245,7 +253,7 @@
             answer = await self.ask(ledger, f"key-{number}")
             code = answer.code if isinstance(answer, RequestError) else ""
             if code not in ("", "outcome_unknown"):
-                found.append(f"key-{number}: still {code}")
+                found.append(Violation("unsettled", f"key-{number} {code}"))
         return found + self.check()
 
 
