--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -13,10 +13,11 @@
 from monsoontack.core.records import Place
 from monsoontack.entry.agents import AgentFinder
 from monsoontack.entry.app import caller_app, operator_app
-from monsoontack.entry.configsource import ObjectConfigSource
 from monsoontack.entry.context import EntryContext
+from monsoontack.entry.control import Control
 from monsoontack.entry.counters import FLUSH_S, Counters
 from monsoontack.entry.dispatch import LinkDispatcher
+from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkIdentity, LinkPool
 from monsoontack.entry.ports import (
     Admission,
@@ -25,7 +26,6 @@
     OutcomeSink,
     Picker,
 )
-from monsoontack.entry.session import Generations
 from monsoontack.entry.simple import (
     ConcurrencyAdmission,
     CountingOutcomes,
@@ -36,7 +36,6 @@
 from monsoontack.ledger.service import Ledger
 from monsoontack.settings.models import EntrySettings
 from monsoontack.store.api import ObjectStore
-from monsoontack.store.http import HttpStore
 
 log = structlog.get_logger("entry.daemon")
 
@@ -111,19 +110,21 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    async with (
-        aiohttp.ClientSession() as http,
-        HttpStore.from_settings(settings) as store,
-    ):
-        parts.store = parts.store or store
-        config = parts.config or ObjectConfigSource(settings.store_url, http)
-        context = build_context(settings, parts, config)
+    async with aiohttp.ClientSession() as http:
+        control = None
+        if parts.config is None:
+            control = Control.from_settings(settings, random.Random())
+            parts.store = parts.store or control.store
+        context = build_context(settings, parts, parts.config or control.gossip)
         finder = AgentFinder(settings, http, context.pool)
+        context.generations.is_known = finder.is_known
         work = [finder.run(), _monitor(context), _flush(context)]
         if isinstance(context.calls, Ledger):
             work.append(_share_write_budget(context.calls, finder))
-        if isinstance(config, ObjectConfigSource):
-            work.append(config.run())
+        if control is not None:
+            context.control = control
+            finder.listeners.append(control.set_vms)
+            work.append(control.run())
         tasks = [asyncio.ensure_future(item) for item in work]
         servers = [
             _server(caller_app(context), settings.http_address),
@@ -133,11 +134,21 @@
         log.info("entry started", name=settings.name, address=settings.http_address)
         watch = asyncio.ensure_future(stopping.wait())
         await asyncio.wait([watch, *serving, *tasks], return_when="FIRST_COMPLETED")
+        _log_failures(tasks)
+        if control is not None:
+            await control.release()
         await _drain(context)
         await _stop(servers, serving, [watch, *tasks], context)
     log.info("entry stopped", name=settings.name)
 
 
+def _log_failures(tasks: list[asyncio.Future]) -> None:
+    """Log why a part ended by itself, which ends the daemon."""
+    for task in tasks:
+        if task.done() and not task.cancelled() and task.exception() is not None:
+            log.error("a part of the entry failed", exc_info=task.exception())
+
+
 def _server(app, address: str) -> QuietServer:
     host, _, port = address.rpartition(":")
     config = uvicorn.Config(
