--- /dev/null
+++ b/bench/spread.py
@@ -0,0 +1,316 @@
+"""Spread of configuration: time, store calls, CPU and bytes, large revisions.
+
+Entries are real processes on the stand-ins, 4, 16 and 64 of them in three
+failure domains. A change counts as in force everywhere when the last live
+entry has logged its adoption. Figures from a busy machine are upper limits.
+"""
+
+import asyncio
+import gc
+import json
+import math
+import os
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Iterator
+from datetime import datetime
+from pathlib import Path
+
+from bench.registry import Figure, measurement
+from bench.spreadbytes import gossip_bytes_per_s
+from monsoontack.config.confirm import STATUS_KEY, ConfigStatus
+from monsoontack.config.operator import submit
+from monsoontack.config.proposal import Proposal, decide
+from monsoontack.config.revision import (
+    Chunk,
+    build_view,
+    encode_head,
+    load_chunk,
+    make_revision,
+    seed_store,
+)
+from monsoontack.core.clock import LoopClock
+from monsoontack.core.records import Place
+from monsoontack.store.http import HttpStore
+from standins.cluster import Cluster
+from standins.processes import ManagedProcess, PortBlock, StartError
+
+SIZES = (4, 16, 64)
+FLEET = 390
+CHANGES = 8
+IDLE_S = 15.0
+LIMIT_S = 9.0
+CPU_LIMIT = 3.9  # percent of a core, for all control work of a daemon
+MEMORY_LIMIT_MB = 32.0
+ACCOUNTS = 16_000
+PARALLEL_STARTS = 8
+GIVE_UP_S = 60.0
+
+
+class Ports:
+    """As many ports as are asked for, from several blocks."""
+
+    def __init__(self) -> None:
+        self.blocks = [PortBlock()]
+
+    def take(self) -> int:
+        """Return a free port."""
+        try:
+            return self.blocks[-1].take()
+        except StartError:
+            self.blocks.append(PortBlock())
+            return self.blocks[-1].take()
+
+    def close(self) -> None:
+        """Give all blocks back."""
+        for block in self.blocks:
+            block.close()
+
+
+def seed_documents(accounts: int) -> list[dict]:
+    """Return a service with two versions and `accounts` client accounts."""
+    spec = {"kind": "engine", "shares": {"v1": 100}}
+    documents = [{"kind": "Service", "name": "writer", "spec": spec}]
+    for version in ("v1", "v2"):
+        spec = {"service": "writer", "version": version}
+        name = f"writer.{version}"
+        documents.append({"kind": "Version", "name": name, "spec": spec})
+    return documents + [account(number) for number in range(accounts)]
+
+
+def account(number: int) -> dict:
+    """Return a client account with one key and limits."""
+    spec = {
+        "key_digests": [f"{number:064x}"],
+        "weight": 1.5,
+        "max_concurrent": 40,
+        "services": ["writer"],
+    }
+    return {"kind": "ClientAccount", "name": f"account-{number}", "spec": spec}
+
+
+def put(document: dict, uid: str, base: int = 0) -> dict:
+    """Return a proposal of one object."""
+    change = {"op": "put", "base_version": base, "object": document}
+    return {"uid": uid, "author": "bench", "changes": [change]}
+
+
+class SpreadRun:
+    """A fleet of one size and its figures."""
+
+    def __init__(self, cluster: Cluster, store: HttpStore, entries, rng):
+        self.cluster = cluster
+        self.store = store
+        self.entries: list[ManagedProcess] = entries
+        self.rng: random.Random = rng
+        self.changes = 0
+
+    def live(self) -> list[ManagedProcess]:
+        """Return the entries that run."""
+        return [entry for entry in self.entries if entry.is_running()]
+
+    def adopted_at(self, entry: ManagedProcess, revision: int) -> float | None:
+        """Return the Unix time at which an entry logged a revision as in force."""
+        for line in entry.read_log().splitlines():
+            if '"configuration in force"' not in line:
+                continue
+            document = json.loads(line)
+            if document["revision"] >= revision:
+                return datetime.fromisoformat(document["timestamp"]).timestamp()
+        return None
+
+    async def change(self) -> float:
+        """Publish one change; return seconds until the last live entry has it."""
+        self.changes += 1
+        document = account(10**6 + self.changes)
+        started = time.time()
+        proposal = put(document, f"{int(started * 1000):014d}-{self.changes}")
+        (await submit(self.store, proposal, LoopClock(), GIVE_UP_S)).unwrap()
+        while time.time() < started + GIVE_UP_S:
+            times = [self.adopted_at(e, self.changes + 1) for e in self.live()]
+            if None not in times:
+                return max(times) - started
+            await asyncio.sleep(0.1)
+        return GIVE_UP_S
+
+    async def until_confirmed(self) -> float:
+        """Return seconds until the status says `InForce`, from now."""
+        started = time.time()
+        while time.time() < started + GIVE_UP_S:
+            result = await self.store.get(STATUS_KEY)
+            stored = result.value_or(None)
+            if stored is not None:
+                status = ConfigStatus.decode(stored.value)
+                if status.in_force >= self.changes + 1:
+                    break
+            await asyncio.sleep(0.1)
+        return time.time() - started
+
+    async def controller(self) -> ManagedProcess:
+        """Return the entry that holds the lease."""
+        while True:
+            for entry in self.live():
+                state = await self.cluster.agent_state(entry)
+                if state["control"]["lease_epoch"]:
+                    return entry
+            await asyncio.sleep(0.2)
+
+    async def store_calls(self) -> dict[str, int]:
+        """Return the calls that the object API stand-in has counted."""
+        faults = await self.cluster.get_json(f"{self.cluster.store.url}/faults")
+        return faults["calls"]
+
+    async def idle(self) -> tuple[dict[str, float], list[float]]:
+        """Return store calls a second by kind, and CPU percent of each entry."""
+        calls, cpu = await self.store_calls(), list(map(cpu_s, self.live()))
+        await asyncio.sleep(IDLE_S)
+        later, cpu_later = await self.store_calls(), list(map(cpu_s, self.live()))
+        rates = {k: (n - calls.get(k, 0)) / IDLE_S for k, n in later.items()}
+        used = [100 * (b - a) / IDLE_S for a, b in zip(cpu, cpu_later, strict=True)]
+        return rates, used
+
+
+def cpu_s(process: ManagedProcess) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    stat = Path(f"/proc/{process.pid}/stat").read_text(encoding="utf-8")
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def start_fleet(cluster: Cluster, size: int) -> list[ManagedProcess]:
+    """Start `size` entries in three failure domains."""
+    limit = asyncio.Semaphore(PARALLEL_STARTS)
+
+    async def start(index: int) -> ManagedProcess:
+        domain = index % 3
+        async with limit:
+            place = Place(f"domain-{domain}", f"region-{domain // 2}")
+            return await cluster.start_entry(place)
+
+    return list(await asyncio.gather(*map(start, range(size))))
+
+
+async def measure_size(size: int, seed: int) -> dict[str, object]:
+    """Return all raw figures of one fleet size."""
+    cluster = Cluster.create()
+    cluster.ports = Ports()
+    async with cluster:
+        await cluster.start_platform(_seed)
+        entries = await start_fleet(cluster, size)
+        async with HttpStore(cluster.store.url) as store:
+            run = SpreadRun(cluster, store, entries, random.Random(seed))
+            await run.controller()
+            await asyncio.sleep(5.0)
+            rates, cpu = await run.idle()
+            times = [await run.change() for _ in range(CHANGES)]
+            confirmed = await run.until_confirmed()
+            with_dead = await _change_with_dead_peers(run)
+            with_dead_controller = await _change_with_dead_controller(run)
+    return {
+        "rates": rates,
+        "cpu": cpu,
+        "times": times,
+        "confirmed": confirmed,
+        "with_dead": with_dead,
+        "with_dead_controller": with_dead_controller,
+    }
+
+
+async def _seed(url: str) -> None:
+    async with HttpStore(url) as store:
+        (await seed_store(store, seed_documents(20))).unwrap()
+
+
+async def _change_with_dead_peers(run: SpreadRun) -> float:
+    holder = await run.controller()
+    others = [entry for entry in run.live() if entry is not holder]
+    for entry in run.rng.sample(others, len(run.entries) // 4):
+        entry.kill()
+    return await run.change()
+
+
+async def _change_with_dead_controller(run: SpreadRun) -> float:
+    (await run.controller()).kill()
+    return await run.change()
+
+
+@measurement("spread")
+def measure(seed: int) -> Iterator[Figure]:
+    """Yield the figures of all fleet sizes, then of a large revision."""
+    medians, rates = {}, {}
+    for size in SIZES:
+        raw = asyncio.run(measure_size(size, seed))
+        medians[size] = statistics.median(raw["times"])
+        rates[size] = sum(raw["rates"].values())
+        yield from _size_figures(f"spread.{size}", raw)
+    yield from _slopes(medians, rates)
+    count, size = asyncio.run(gossip_bytes_per_s(seed))
+    yield Figure.at_most("spread.gossip.bytes", size, "B/s per process", 5000)
+    yield Figure("spread.gossip.pulls", count, "1/s per process")
+    yield from large_revision()
+
+
+def _size_figures(name: str, raw: dict) -> Iterator[Figure]:
+    yield Figure(f"{name}.in_force.p50", statistics.median(raw["times"]), "s")
+    yield Figure.at_most(f"{name}.in_force.max", max(raw["times"]), "s", LIMIT_S)
+    yield Figure(f"{name}.confirmed_after", raw["confirmed"], "s")
+    yield Figure.at_most(f"{name}.quarter_dead", raw["with_dead"], "s", LIMIT_S)
+    dead = raw["with_dead_controller"]
+    yield Figure.at_most(f"{name}.controller_dead", dead, "s", LIMIT_S)
+    for kind, rate in sorted(raw["rates"].items()):
+        yield Figure(f"{name}.store_calls.{kind}", rate, "1/s")
+    mean = statistics.mean(raw["cpu"])
+    yield Figure.at_most(f"{name}.idle_cpu.mean", mean, "% of a core", CPU_LIMIT)
+    yield Figure(f"{name}.idle_cpu.max", max(raw["cpu"]), "% of a core")
+
+
+def _slopes(medians: dict[int, float], rates: dict[int, float]) -> Iterator[Figure]:
+    """Yield the growth from the smallest to the largest fleet."""
+    low, high = SIZES[0], SIZES[-1]
+    doublings = math.log2(high / low)
+    slope = (medians[high] - medians[low]) / doublings
+    yield Figure("spread.in_force.slope", slope, "s per doubling")
+    expected = medians[high] + slope * math.log2(FLEET / high)
+    yield Figure.at_most(f"spread.in_force.at_{FLEET}", expected, "s", LIMIT_S)
+    growth = (rates[high] - rates[low]) / (high - low)
+    yield Figure("spread.store_calls.slope", growth, "1/s per process")
+
+
+def large_revision() -> Iterator[Figure]:
+    """Yield memory and times of a revision with 16,000 client accounts."""
+    head, values = make_revision(seed_documents(ACCOUNTS))
+    names = {digest: name for name, digest in head.chunks.items()}
+    gc.collect()
+    tracemalloc.start()
+    chunks = {d: load_chunk(names[d], bytes(bytearray(v))) for d, v in values.items()}
+    view = build_view(head, chunks)
+    megabytes = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    name = f"spread.accounts_{ACCOUNTS}"
+    assert len(view.accounts) == ACCOUNTS
+    yield Figure.at_most(f"{name}.memory", megabytes, "MB", MEMORY_LIMIT_MB)
+    yield Figure(f"{name}.chunks", sum(map(len, values.values())) / 1e6, "MB")
+    yield Figure(f"{name}.head", len(encode_head(head)) / 1e3, "kB")
+    yield Figure(f"{name}.load", _best_s(lambda: _load(names, values)), "s")
+    yield Figure(f"{name}.build_view", _best_s(lambda: build_view(head, chunks)), "s")
+    proposal = Proposal.model_validate(put(account(ACCOUNTS + 1), "1"))
+    decided = decide(proposal, head, chunks, 1)
+    changed = sum(len(chunk.value) for chunk in decided.chunks.values())
+    yield Figure(f"{name}.changed_chunks", changed / 1e3, "kB per change")
+    decide_s = _best_s(lambda: decide(proposal, head, chunks, 1))
+    yield Figure(f"{name}.decide", decide_s, "s")
+
+
+def _load(names: dict[str, str], values: dict[str, bytes]) -> dict[str, Chunk]:
+    return {d: load_chunk(names[d], value) for d, value in values.items()}
+
+
+def _best_s(function, rounds: int = 5) -> float:
+    times = []
+    for _ in range(rounds):
+        started = time.perf_counter()
+        function()
+        times.append(time.perf_counter() - started)
+    return min(times)
