--- a/monsoontack/controller/rollouts.py
+++ b/monsoontack/controller/rollouts.py
@@ -209,7 +209,9 @@
         if isinstance(result, Failure) and isinstance(result.failure(), Ambiguous):
             result = await self._read_back(key, value)
         event = _written(uid, value, result)
-        log.info("rollout", uid=uid, phase=action.state.phase, result=type(event).__name__)
+        log.info(
+            "rollout", uid=uid, phase=action.state.phase, result=type(event).__name__
+        )
         return event
 
     async def _read_back(self, key: str, value: bytes) -> Result:
@@ -257,9 +259,7 @@
         }
         self.proposals[action.uid] = uid
         log.info("shares", rollout=action.uid, share=status["share"])
-        result = await submit(
-            self.store, proposal, self.gossip.clock, SUBMIT_TIMEOUT_S
-        )
+        result = await submit(self.store, proposal, self.gossip.clock, SUBMIT_TIMEOUT_S)
         if isinstance(result, Failure):
             log.warning("shares not submitted", error=type(result.failure()).__name__)
         self.service.publisher.wake()
--- a/monsoontack/entry/agents.py
+++ b/monsoontack/entry/agents.py
@@ -27,10 +27,9 @@
 
 
 def _record(item: dict) -> VmRecord:
-    fields = dict(item)
-    place = Place(fields.pop("failure_domain"), fields.pop("region"))
-    versions = tuple(fields.pop("versions", ()))
-    return VmRecord(**fields, place=place, versions=versions)
+    place = Place(**item["place"])
+    versions = tuple(item.get("versions", ()))
+    return VmRecord(**{**item, "place": place, "versions": versions})
 
 
 def choose_agents(
--- /dev/null
+++ b/monsoontack/entry/control_test.py
@@ -0,0 +1,57 @@
+"""Test of configuration with real entry processes on the stand-ins."""
+
+import asyncio
+import unittest
+
+from monsoontack.config.check_test import GOOD, account
+from monsoontack.config.operator import submit, wait_outcome
+from monsoontack.config.publisher_test import proposal, put
+from monsoontack.config.revision import seed_store
+from monsoontack.core.clock import LoopClock
+from monsoontack.store.http import HttpStore
+from standins.cluster import Cluster
+
+
+async def seed(url):
+    async with HttpStore(url) as store:
+        (await seed_store(store, GOOD)).unwrap()
+
+
+class ControlTest(unittest.IsolatedAsyncioTestCase):
+    async def controls(self, cluster, entries):
+        states = [await cluster.agent_state(entry) for entry in entries]
+        return [state["control"] for state in states]
+
+    async def test_change_survives_the_controller(self):
+        """Guards against entries that do not find each other in the VM list, and
+        against changes that nobody publishes after the controller's death."""
+        async with Cluster.create() as cluster:
+            await cluster.start_platform(seed)
+            entries = [await cluster.start_entry() for _ in range(3)]
+            async with asyncio.timeout(60), HttpStore(cluster.store.url) as store:
+                while True:
+                    controls = await self.controls(cluster, entries)
+                    if {c["members"] for c in controls} == {2}:
+                        break
+                    await asyncio.sleep(0.2)
+                holders = [i for i, c in enumerate(controls) if c["lease_epoch"]]
+                self.assertEqual(1, len(holders))
+                await submit(
+                    store, proposal("1", put(account("c", "3"))), LoopClock(), 20
+                )
+                outcome = await wait_outcome(store, "1", LoopClock(), 20)
+                self.assertTrue(outcome.in_force)
+                holder = entries.pop(holders[0])
+                holder.kill()
+                await cluster.remove_vm(holder)
+                await submit(
+                    store, proposal("2", put(account("d", "4"))), LoopClock(), 20
+                )
+                outcome = await wait_outcome(store, "2", LoopClock(), 30)
+                self.assertTrue(outcome.in_force)
+                controls = await self.controls(cluster, entries)
+                self.assertEqual([3, 3], [c["revision"] for c in controls])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -35,12 +35,6 @@
 Seed = Callable[[str], Awaitable[None]]
 
 
-def vm_line(record: VmRecord) -> dict:
-    """Return a line of the VM list in the format of docs/platform.md."""
-    fields = asdict(record)
-    return fields | fields.pop("place")
-
-
 class Cluster:
     """Processes of one test, demonstration or measurement."""
 
@@ -279,7 +273,7 @@
 
     async def publish_vms(self) -> None:
         """Write the VM list to its stand-in."""
-        body = {"vms": [vm_line(record) for record in self.vms.values()]}
+        body = {"vms": [asdict(record) for record in self.vms.values()]}
         url = f"{self.vm_list.url}/vms"
         async with self.http.put(url, json=body) as response:
             response.raise_for_status()
