--- a/bench/capacitybackend.py
+++ b/bench/capacitybackend.py
@@ -17,7 +17,7 @@
 from monsoontack.rollout.evidence import BUCKETS
 from monsoontack.store.http import HttpStore
 from standins.cluster import Cluster
-from standins.fleet import SERVICE, documents
+from standins.fleet import SERVICE, documents, publish
 from standins.linkclient import LinkClient
 from standins.processes import ManagedProcess
 
@@ -33,7 +33,9 @@
 LOG_ANSWER = 400
 LOG_ROUNDS = 4
 ACCOUNTS = (1000, 4000, 16_000)
-CHANGES = (2, 4, 8)
+CHANGES = (4, 8, 16)
+FLEET_SIZES = (3, 6, 12)
+FLEET_WINDOW_S = 12.0
 REPORTS = (200, 400, 800)
 REPORT_ROUTES = (0, 4, 28)
 PULLS = (200, 400, 800)
@@ -223,7 +225,7 @@
         """Wait for a condition on the control part of an entry's state dump."""
         async with asyncio.timeout(WAIT_LIMIT_S):
             while True:
-                control = (await self.cluster.agent_state(entry))["control"]
+                control = (await self.cluster.state_of(entry))["control"]
                 if condition(control):
                     return control
                 await asyncio.sleep(0.1)
@@ -408,3 +410,27 @@
         fleet = ControlledFleet(cluster, 1000, recorder)
         await fleet.start()
         await PeerMeasurement(fleet, recorder).run()
+
+
+async def measure_fleet(recorder: Recorder) -> None:
+    """Store calls at rest by the number of entries in one failure domain."""
+    async with Cluster.create() as cluster:
+        await cluster.start_platform(publish)
+        entries = []
+        for size in FLEET_SIZES:
+            added = size - len(entries)
+            entries += await asyncio.gather(
+                *(cluster.start_entry() for _ in range(added))
+            )
+            # The VM list is polled every second; standbys look twice in 6 s.
+            await asyncio.sleep(9.0)
+            before = await cluster.get_json(cluster.store.faults_url)
+            window = Window.open(*(entry.pid for entry in entries))
+            await asyncio.sleep(FLEET_WINDOW_S)
+            elapsed = window.elapsed_s()
+            after = await cluster.get_json(cluster.store.faults_url)
+            for kind, count in sorted(after["calls"].items()):
+                rate = (count - before["calls"].get(kind, 0)) / elapsed
+                recorder.point(f"store.fleet.{kind}", size, rate, "1/s")
+            mean = sum(window.cpu_s(entry.pid) for entry in entries) / size / elapsed
+            recorder.point("entry.fleet.rest_cpu", size, mean, "core")
--- a/bench/capacityentry.py
+++ b/bench/capacityentry.py
@@ -23,7 +23,10 @@
 TOKEN_BATCH = 16
 BATCH_WINDOWS = 4
 BATCH_WINDOW_S = 2.0
-REQUESTS = (50, 100, 200)
+REQUESTS = (100, 200, 400)
+# Links and running generations of one entry at the target scale.
+PEAK_LINKS = 112
+PEAK_STREAMS = 256
 VM_LIST_SIZES = (100, 400, 1240)
 SETTLE_S = 2.0
 READY_TIMEOUT_S = 60.0
@@ -72,7 +75,7 @@
     """Wait until an entry is ready and has exactly `count` links."""
     async with asyncio.timeout(READY_TIMEOUT_S):
         while True:
-            state = await cluster.agent_state(entry)
+            state = await cluster.state_of(entry)
             up = sum(link["up"] for link in state["links"])
             if state["ready"] and up == count:
                 return
@@ -213,7 +216,9 @@
                 await self.set_links(links)
             await self.callers.command(f"open {FRAME_STREAMS}")
             seen = await self.observe()
-            self.recorder.point("entry.frame.cpu", seen["frames"], seen["entry"], "core")
+            self.recorder.point(
+                "entry.frame.cpu", seen["frames"], seen["entry"], "core"
+            )
             self.recorder.value(
                 f"entry.frame.tokens_at_{links}_links", seen["tokens"], "1/s"
             )
@@ -231,6 +236,17 @@
         if stat["errors"]:
             raise RuntimeError(f"requests failed: {stat['errors'][:3]}")
 
+    async def measure_peak(self) -> None:
+        """Store one window at the target scale, which checks the slopes."""
+        await self.set_links(PEAK_LINKS)
+        await self.callers.command(f"open {PEAK_STREAMS}")
+        seen = await self.observe()
+        for name, unit in (("tokens", "1/s"), ("frames", "1/s"), ("entry", "core")):
+            self.recorder.value(f"entry.peak.{name}", seen[name], unit)
+        resident = read_usage(self.entry.pid).resident
+        self.recorder.value("entry.peak.resident", resident, "B")
+        await self.callers.command("close")
+
 
 async def measure_load(recorder: Recorder) -> None:
     """Store the entry's and the client's costs of generations and tokens."""
@@ -238,7 +254,7 @@
         await cluster.start_platform(publish)
         with Worker("agents", SERVICE, VERSION) as agents:
             loaded = LoadedEntry(cluster, agents, recorder)
-            loaded.entry = await cluster.start_entry(links_per_service=max(FRAME_LINKS))
+            loaded.entry = await cluster.start_entry(links_per_service=PEAK_LINKS)
             await loaded.set_links(LOAD_LINKS)
             with Worker("callers", loaded.entry.url, KEY, SERVICE) as callers:
                 loaded.callers = callers
@@ -246,3 +262,4 @@
                 await loaded.measure_history()
                 await loaded.measure_frames()
                 await loaded.measure_requests()
+                await loaded.measure_peak()
--- a/bench/capacityprobe.py
+++ b/bench/capacityprobe.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 READ_BYTES = 65_536
+CPU_CLOCK_KIND = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,13 +20,19 @@
     resident: int
 
 
+def cpu_clock(pid: int) -> int:
+    """Return the number of the clock of a process's CPU time.
+
+    It is what clock_getcpuclockid(3) returns. /proc/PID/stat has the same time
+    in steps of 10 ms, which is too coarse for a few hundred messages.
+    """
+    return (~pid << 3) | CPU_CLOCK_KIND
+
+
 def read_usage(pid: int) -> Usage:
-    """Return the usage of a process from /proc, all its threads included."""
-    folder = Path(f"/proc/{pid}")
-    fields = (folder / "stat").read_text().rpartition(")")[2].split()
-    pages = int((folder / "statm").read_text().split()[1])
-    ticks = int(fields[11]) + int(fields[12])
-    return Usage(ticks / TICKS_PER_S, pages * PAGE_BYTES)
+    """Return the usage of a process, all its threads included."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return Usage(time.clock_gettime(cpu_clock(pid)), pages * PAGE_BYTES)
 
 
 @dataclass(slots=True)
