--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,7 +15,13 @@
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 
-from bench import capacitybackend, capacityentry, capacityscale, capacitytables
+from bench import (
+    capacityagent,
+    capacitycontrol,
+    capacityentry,
+    capacityscale,
+    capacitytables,
+)
 from bench.capacityprobe import Recorder
 from bench.capacityroles import ROLES
 from bench.capacityslopes import Measured
@@ -75,19 +81,19 @@
     recorder.value("run.cores", os.cpu_count(), "1")
     recorder.value("run.load", os.getloadavg()[0], "1")
     capacityentry.measure_libraries(recorder)
-    sizes = capacitybackend.ACCOUNTS
+    sizes = capacitycontrol.ACCOUNTS
     await asyncio.gather(
-        *(capacitybackend.measure_accounts(recorder, size) for size in sizes),
+        *(capacitycontrol.measure_accounts(recorder, size) for size in sizes),
         capacityentry.measure_vm_list(recorder),
         capacityentry.measure_links(recorder),
     )
     # The CPU of this process is measured here, so nothing runs beside it.
-    await capacitybackend.measure_peers(recorder)
+    await capacitycontrol.measure_peers(recorder)
     await asyncio.gather(
         capacityentry.measure_load(recorder),
-        capacitybackend.measure_agent(recorder),
-        capacitybackend.measure_log(recorder),
-        capacitybackend.measure_fleet(recorder),
+        capacityagent.measure_agent(recorder),
+        capacityagent.measure_log(recorder),
+        capacitycontrol.measure_fleet(recorder),
     )
     recorder.value("run.elapsed", time.monotonic() - started, "s")
 
--- a/bench/capacitybackend.py
+++ b/bench/capacitycontrol.py
@@ -1,11 +1,10 @@
-"""Measurements of the agent and the controller, with real daemons."""
+"""Measurements of configuration, gossip and the controller, with real entries."""
 
 import asyncio
 import contextlib
 import hashlib
 import os
 import random
-from dataclasses import dataclass, field
 
 from bench.capacityprobe import CountingRelay, Recorder, Window, read_usage
 from monsoontack.config.operator import submit
@@ -13,166 +12,26 @@
 from monsoontack.config.spread_state import PeerDigest
 from monsoontack.core.clock import LoopClock
 from monsoontack.entry.peers import GrpcPeers
-from monsoontack.proto import link_pb2, peer_pb2
+from monsoontack.proto import peer_pb2
 from monsoontack.rollout.evidence import BUCKETS
 from monsoontack.store.http import HttpStore
 from standins.cluster import Cluster
 from standins.fleet import SERVICE, documents, publish
-from standins.linkclient import LinkClient
 from standins.processes import ManagedProcess
 
-AGENT_LINKS = (8, 32, 64)
-AGENT_STREAMS = (8, 24, 48)
-SPREAD_STREAMS = 24
-SPREAD_LINKS = (1, 6, 24)
-AGENT_SLOTS = 64
-TOKEN_GAP_S = 0.055
-WINDOW_S = 4.0
-SETTLE_S = 1.5
-LOG_STREAMS = 32
-LOG_ANSWER = 400
-LOG_ROUNDS = 4
 ACCOUNTS = (1000, 4000, 16_000)
 CHANGES = (4, 8, 16)
 FLEET_SIZES = (3, 6, 12)
 FLEET_WINDOW_S = 12.0
 REPORTS = (200, 400, 800)
 REPORT_ROUTES = (0, 4, 28)
+ROUTE_REPORTS = 400
 PULLS = (200, 400, 800)
+REST_S = 6.0
+SETTLE_S = 5.0
 WAIT_LIMIT_S = 90.0
 
 
-@dataclass(slots=True)
-class AgentUnderTest:
-    """An agent with its engine, and the links that play entries."""
-
-    cluster: Cluster
-    agent: ManagedProcess
-    recorder: Recorder
-    links: list[LinkClient] = field(default_factory=list)
-    generations: int = 0
-
-    async def open_links(self, total: int) -> None:
-        """Open links until there are `total`."""
-        while len(self.links) < total:
-            name = f"entry-{len(self.links)}"
-            link = LinkClient(self.agent.address, name)
-            self.links.append(link)
-            await link.until(lambda link=link: link.info)
-
-    async def close_links(self) -> None:
-        """Close all links."""
-        await asyncio.gather(*(link.close() for link in self.links))
-        self.links.clear()
-
-    async def start(self, count: int, links: int, max_tokens: int) -> list:
-        """Start generations spread over links; returns (link, generation) pairs."""
-        started = []
-        for index in range(count):
-            link = self.links[index % links]
-            self.generations += 1
-            name = f"g{self.generations}"
-            body = {"prompt": f"fault {name}", "max_tokens": max_tokens}
-            await link.start(name, body)
-            started.append((link, name))
-        return started
-
-    async def cancel(self, started: list) -> None:
-        """Cancel generations."""
-        for link, name in started:
-            await link.send(cancel=link_pb2.Cancel(generation=name, attempt=1))
-
-    def counts(self) -> tuple[int, int]:
-        """Return the frames and tokens received on all links."""
-        frames = sum(len(link.frames) for link in self.links)
-        tokens = sum(len(c.tokens) for link in self.links for c in link.chunks)
-        return frames, tokens
-
-    async def observe(self) -> tuple[float, float, float]:
-        """Return frames and tokens a second and cores of one window."""
-        await asyncio.sleep(SETTLE_S)
-        window, (frames, tokens) = Window.open(self.agent.pid), self.counts()
-        await asyncio.sleep(WINDOW_S)
-        elapsed = window.elapsed_s()
-        cpu = window.cpu_s(self.agent.pid)
-        later_frames, later_tokens = self.counts()
-        return (
-            (later_frames - frames) / elapsed,
-            (later_tokens - tokens) / elapsed,
-            cpu / elapsed,
-        )
-
-    async def measure_rest(self) -> None:
-        """Store memory and CPU by the number of idle links."""
-        for count in AGENT_LINKS:
-            await self.open_links(count)
-            _, _, cores = await self.observe()
-            resident = read_usage(self.agent.pid).resident
-            self.recorder.point("agent.link.memory", count, resident, "B")
-            self.recorder.point("agent.link.rest_cpu", count, cores, "core")
-        await self.close_links()
-
-    async def measure_tokens(self) -> None:
-        """Store CPU by the tokens a second on one link."""
-        await self.open_links(max(SPREAD_LINKS))
-        started = []
-        for count in AGENT_STREAMS:
-            started += await self.start(count - len(started), 1, 100_000)
-            frames, tokens, cores = await self.observe()
-            self.recorder.point("agent.token.cpu", tokens, cores, "core")
-            self.recorder.point("agent.token.frames", tokens, frames, "1/s")
-        await self.cancel(started)
-
-    async def measure_frames(self) -> None:
-        """Store CPU by the frames a second that carry the same tokens."""
-        for links in SPREAD_LINKS:
-            started = await self.start(SPREAD_STREAMS, links, 100_000)
-            frames, tokens, cores = await self.observe()
-            self.recorder.point("agent.frame.cpu", frames, cores, "core")
-            self.recorder.value(f"agent.frame.tokens_at_{links}_links", tokens, "1/s")
-            await self.cancel(started)
-
-    async def measure_log(self) -> None:
-        """Store memory by the tokens in the stream log, once answers ended."""
-        logged = 0
-        for _ in range(LOG_ROUNDS):
-            started = await self.start(LOG_STREAMS, 1, LOG_ANSWER)
-            for link, name in started:
-                await link.until(lambda link=link, name=name: link.finished(name, 1))
-            logged += LOG_STREAMS * LOG_ANSWER
-            resident = read_usage(self.agent.pid).resident
-            self.recorder.point("agent.log.memory", logged, resident, "B")
-
-
-async def measure_agent(recorder: Recorder) -> None:
-    """Store the agent's costs of links, tokens and frames."""
-    async with Cluster.create() as cluster:
-        await cluster.start_platform()
-        engine = await cluster.start_engine(slots=AGENT_SLOTS, token_gap_s=TOKEN_GAP_S)
-        agent = await cluster.start_agent(engine, SERVICE, slots=AGENT_SLOTS)
-        under_test = AgentUnderTest(cluster, agent, recorder)
-        try:
-            await under_test.measure_rest()
-            await under_test.measure_tokens()
-            await under_test.measure_frames()
-        finally:
-            await under_test.close_links()
-
-
-async def measure_log(recorder: Recorder) -> None:
-    """Store the agent's memory by logged tokens, from a fast engine."""
-    async with Cluster.create() as cluster:
-        await cluster.start_platform()
-        engine = await cluster.start_engine(slots=AGENT_SLOTS, token_gap_s=0.002)
-        agent = await cluster.start_agent(engine, SERVICE, slots=AGENT_SLOTS)
-        under_test = AgentUnderTest(cluster, agent, recorder)
-        try:
-            await under_test.open_links(1)
-            await under_test.measure_log()
-        finally:
-            await under_test.close_links()
-
-
 def account_documents(count: int) -> list[dict]:
     """Return a service with `count` client accounts."""
     objects = documents()[:-1]
@@ -236,10 +95,10 @@
 
     async def measure_rest(self) -> tuple[dict[str, float], dict[str, float]]:
         """Store memory, CPU and store calls at rest; returns the two rates."""
-        await asyncio.sleep(5.0)
+        await asyncio.sleep(SETTLE_S)
         before = await self.calls()
         window = Window.open(self.holder.pid, self.other.pid)
-        await asyncio.sleep(6.0)
+        await asyncio.sleep(REST_S)
         elapsed = window.elapsed_s()
         calls = {
             kind: (count - before.get(kind, 0)) / elapsed
@@ -338,7 +197,7 @@
     async def measure_rest(self) -> None:
         """Take the holder's CPU at rest, which is subtracted from the rest."""
         window = Window.open(self.fleet.holder.pid)
-        await asyncio.sleep(6.0)
+        await asyncio.sleep(REST_S)
         self.rest = window.cpu_s(self.fleet.holder.pid) / window.elapsed_s()
 
     async def cpu_of(self, calls) -> float:
@@ -355,8 +214,12 @@
             cpu = await self.cpu_of(self.report(n, 4) for n in range(count))
             self.recorder.point("controller.report.cpu", count, cpu, "s")
         for routes in REPORT_ROUTES:
-            cpu = await self.cpu_of(self.report(n, routes) for n in range(390))
-            self.recorder.point("controller.report_route.cpu", routes, cpu / 390, "s")
+            cpu = await self.cpu_of(
+                self.report(n, routes) for n in range(ROUTE_REPORTS)
+            )
+            self.recorder.point(
+                "controller.report_route.cpu", routes, cpu / ROUTE_REPORTS, "s"
+            )
             size = evidence_report(1, routes, 1).ByteSize()
             self.recorder.point("controller.report_route.bytes", routes, size, "B")
 
--- a/bench/capacityworkers.py
+++ b/bench/capacityworkers.py
@@ -28,6 +28,9 @@
 TOKEN_GAP_S = 0.055
 SLOTS = 1000
 ENDLESS_TOKENS = 100_000
+# A client opens at most 100 connections, the default of aiohttp.
+ANSWERS_PER_CLIENT = 96
+OPEN_LIMIT_S = 30.0
 CONCURRENT = 10  # requests of one token each
 
 
@@ -173,28 +176,40 @@
 
 
 class Callers:
-    """Answers held open through one client."""
+    """Answers held open through as few clients as possible."""
 
-    def __init__(self, client: Client, model: str) -> None:
-        self.client = client
+    def __init__(self, url: str, key: str, model: str) -> None:
+        self.url = url
+        self.key = key
         self.model = model
+        self.clients: list[Client] = []
         self.numbers = itertools.count()
         self.tasks: list[asyncio.Task] = []
         self.progress: list[Progress] = []
         self.tokens = 0
         self.errors: list[str] = []
 
-    async def parts(self, progress: Progress, max_tokens: int) -> AsyncIterator:
+    async def client(self, number: int) -> Client:
+        """Return the client of the answer with this number."""
+        while number // ANSWERS_PER_CLIENT >= len(self.clients):
+            client = Client([self.url], self.key)
+            self.clients.append(await client.__aenter__())
+        return self.clients[number // ANSWERS_PER_CLIENT]
+
+    async def parts(
+        self, client: Client, progress: Progress, max_tokens: int
+    ) -> AsyncIterator:
         """Yield the parts of a new answer."""
         prompt = f"Explain fault number {next(self.numbers)}"
         body = {"model": self.model, "prompt": prompt, "max_tokens": max_tokens}
-        async for part in self.client.stream("completions", body, progress):
+        async for part in client.stream("completions", body, progress):
             yield part
 
-    async def read(self, progress: Progress, max_tokens: int) -> None:
+    async def read(self, number: int, progress: Progress, max_tokens: int) -> None:
         """Read one answer to its end and count its tokens."""
         try:
-            async for part in self.parts(progress, max_tokens):
+            client = await self.client(number)
+            async for part in self.parts(client, progress, max_tokens):
                 self.tokens += len(part.tokens)
         except Exception as error:
             self.errors.append(repr(error))
@@ -204,17 +219,21 @@
         while len(self.tasks) < int(total):
             progress = Progress()
             self.progress.append(progress)
-            reading = self.read(progress, ENDLESS_TOKENS)
+            reading = self.read(len(self.tasks), progress, ENDLESS_TOKENS)
             self.tasks.append(asyncio.ensure_future(reading))
             await asyncio.sleep(0.01)
-        while not all(item.tokens for item in self.progress) and not self.errors:
+        deadline = asyncio.get_running_loop().time() + OPEN_LIMIT_S
+        while waiting := sum(not item.tokens for item in self.progress):
+            if self.errors or asyncio.get_running_loop().time() > deadline:
+                self.errors.append(f"{waiting} answers have no token")
+                break
             await asyncio.sleep(0.05)
         return len(self.tasks)
 
     async def request(self, count: str) -> int:
         """Make requests of one token each, a few at a time."""
         for _ in range(int(count) // CONCURRENT):
-            reads = [self.read(Progress(), 1) for _ in range(CONCURRENT)]
+            reads = [self.read(n, Progress(), 1) for n in range(CONCURRENT)]
             await asyncio.gather(*reads)
         return int(count)
 
@@ -226,6 +245,12 @@
         self.tasks.clear()
         self.progress.clear()
 
+    async def end(self) -> None:
+        """End all answers and clients."""
+        await self.close()
+        for client in self.clients:
+            await client.__aexit__()
+
     async def stat(self) -> dict:
         """Return the tokens received and the errors met."""
         return {"tokens": self.tokens, "errors": self.errors}
@@ -233,11 +258,10 @@
 
 async def run_callers(url: str, key: str, model: str) -> None:
     """Run the process of the callers."""
-    async with Client([url], key) as client:
-        callers = Callers(client, model)
-        names = ("open", "request", "close", "stat")
-        await answer_commands({name: getattr(callers, name) for name in names})
-        await callers.close()
+    callers = Callers(url, key, model)
+    names = ("open", "request", "close", "stat")
+    await answer_commands({name: getattr(callers, name) for name in names})
+    await callers.end()
 
 
 class Worker:
