--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples: configurations of two deployments and an embedding of the library."""
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -15,7 +15,16 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-PACKAGES = ("monsoontack", "standins", "specs", "bench", "demo", "tools", "tests")
+PACKAGES = (
+    "monsoontack",
+    "standins",
+    "specs",
+    "bench",
+    "demo",
+    "examples",
+    "tools",
+    "tests",
+)
 PARALLEL_MODULES = 8
 MODULE_TIMEOUT_S = 900
 RESULT = re.compile(
