--- a/examples/deployments.py
+++ b/examples/deployments.py
@@ -14,7 +14,9 @@
 FOLDER = Path(__file__).resolve().parent
 ENTRY_HOSTS_FROM = 10
 AGENT_HOSTS_FROM = 50
-ENTRIES_PER_DOMAIN = 1
+# An entry that hears neither store nor peer takes no new work. Two in each
+# failure domain keep a region serving that is cut off from the other one.
+ENTRIES_PER_DOMAIN = 2
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/docs_test.py
@@ -0,0 +1,176 @@
+"""Tests that the operators' pages agree with the code."""
+
+import ast
+import json
+import re
+import tempfile
+import unittest
+from collections.abc import Iterator
+from functools import cache
+from pathlib import Path
+
+from monsoontack.agent.metrics import make_client
+from monsoontack.config import objects
+from monsoontack.config.operator import check_files
+from monsoontack.entry.counters import PREFIX
+from monsoontack.ledger.answers import FOUND, NOT_RUN_MESSAGES
+from monsoontack.settings import models
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGES = ROOT / "docs" / "operators"
+# Position of the error code among the arguments of each function that takes one.
+CODE_ARGUMENT = {
+    "RequestError": 1,
+    "refuse": 1,
+    "refuse_not_run": 0,
+    "refuse_unknown": 0,
+    "refuse_found": 0,
+    "end_rest": 0,
+    "_abandon": 1,
+    "_end": 1,
+    "Refusal": 0,
+    "BackendFailure": 0,
+    "OrderOutcome": 1,
+    "_refusal": 2,
+    "_attach_end": 2,
+    "StreamEnd": 2,
+    "DispatchResult": 2,
+    "fail": 1,
+}
+CODE = re.compile(r"^[a-z]+(_[a-z]+)*$")
+
+
+@cache
+def nodes() -> list[tuple[Path, ast.AST]]:
+    return list(read_nodes())
+
+
+def read_nodes() -> Iterator[tuple[Path, ast.AST]]:
+    for path in sorted((ROOT / "monsoontack").rglob("*.py")):
+        if not path.name.endswith("_test.py") and "proto" not in path.parts:
+            for node in ast.walk(ast.parse(path.read_text())):
+                yield path.relative_to(ROOT / "monsoontack"), node
+
+
+def name_of(node: ast.AST) -> str:
+    return getattr(node, "attr", getattr(node, "id", ""))
+
+
+def values_of(node: ast.AST | None) -> list[str]:
+    """Return the strings that an expression such as `a or "b"` may give."""
+    match node:
+        case ast.Constant(value=str(text)):
+            return [text]
+        case ast.IfExp(body=first, orelse=second):
+            return values_of(first) + values_of(second)
+        case ast.BoolOp(values=parts):
+            return [text for part in parts for text in values_of(part)]
+    return []
+
+
+def code_expressions(node: ast.AST) -> list[ast.AST]:
+    if isinstance(node, ast.Assign) and name_of(node.targets[0]) == "code":
+        return [node.value]
+    if not isinstance(node, ast.Call):
+        return []
+    found = [k.value for k in node.keywords if k.arg == "code"]
+    position = CODE_ARGUMENT.get(name_of(node.func))
+    if position is not None:
+        found += node.args[position : position + 1]
+    return found
+
+
+def codes_in_code() -> set[str]:
+    codes = {c for _, n in nodes() for e in code_expressions(n) for c in values_of(e)}
+    golden = (ROOT / "tests" / "golden" / "errors.txt").read_text()
+    codes |= set(re.findall(r'"code": "(\w+)"', golden))
+    return {c for c in codes | set(FOUND) | set(NOT_RUN_MESSAGES) if CODE.match(c)}
+
+
+def metric_pattern(prefix: str, argument: ast.AST) -> str:
+    """Return a pattern for a name on the page, with `<word>` for what varies."""
+    parts = argument.values if isinstance(argument, ast.JoinedStr) else [argument]
+    texts = [
+        re.escape(p.value) if isinstance(p, ast.Constant) else r"<\w+>" for p in parts
+    ]
+    return f"`{re.escape(prefix)}\\.{''.join(texts)}`"
+
+
+def metrics_in_code() -> set[str]:
+    client = make_client("127.0.0.1:8125")
+    client.close()
+    agent_prefix = client._prefix
+    return {
+        metric_pattern(agent_prefix if path.parts[0] == "agent" else PREFIX, n.args[0])
+        for path, n in nodes()
+        if isinstance(n, ast.Call)
+        and name_of(n.func) in ("add", "gauge")
+        and name_of(getattr(n.func, "value", None)) == "counters"
+    }
+
+
+def json_blocks(page: str) -> list[str]:
+    return re.findall(r"```json\n(.*?)```", (PAGES / page).read_text(), re.DOTALL)
+
+
+def default_of(field) -> str:
+    if field.is_required():
+        return "-"
+    return f"`{json.dumps(field.get_default(call_default_factory=True))}`"
+
+
+class DocsTest(unittest.TestCase):
+    def test_scan_finds_known_names(self):
+        """Guards against a scan that finds nothing and so never fails."""
+        known = {"missing_key", "superseded", "write_budget", "late", "timeout"}
+        self.assertLessEqual(known, codes_in_code())
+        self.assertGreaterEqual(len(metrics_in_code()), 15)
+
+    def test_every_error_code_is_explained(self):
+        """Guards against an error code that the page does not explain."""
+        page = (PAGES / "errors.md").read_text()
+        listed = set(re.findall(r"^\| `(\w+)` \|", page, re.MULTILINE))
+        self.assertEqual(set(), codes_in_code() - listed)
+        self.assertEqual(set(), listed - codes_in_code())
+
+    def test_every_metric_is_listed(self):
+        """Guards against a statsd name that the page lacks."""
+        page = (ROOT / "docs" / "metrics.md").read_text()
+        used = sorted(metrics_in_code())
+        self.assertEqual([], [p for p in used if not re.search(p, page)])
+        listed = re.findall(r"^\| (`[^`]+`) \|", page, re.MULTILINE)
+        old = [n for n in listed if not any(re.fullmatch(p, n) for p in used)]
+        self.assertEqual([], old)
+
+    def test_object_examples_are_accepted(self):
+        """Guards against examples that `check` refuses."""
+        blocks = json_blocks("objects.md")
+        self.assertGreaterEqual(len(blocks), 4)
+        with tempfile.TemporaryDirectory() as folder:
+            paths = [Path(folder) / f"{i}.json" for i in range(len(blocks))]
+            for path, block in zip(paths, blocks, strict=True):
+                path.write_text(block)
+            base, *edits = paths
+            self.assertEqual((), check_files([base]))
+            for edit in edits:
+                self.assertEqual((), check_files([edit], [base]), edit.read_text())
+
+    def test_every_field_is_listed_with_its_default(self):
+        """Guards against settings and object fields that the pages lack."""
+        pages = {
+            "settings.md": [("", m) for m in vars(models).values()],
+            "objects.md": [
+                (f"| {kind} ", model.model_fields["spec"].annotation)
+                for kind, model in objects.MODELS.items()
+            ],
+        }
+        for page, found in pages.items():
+            text = (PAGES / page).read_text()
+            for start, model in found:
+                for name, field in getattr(model, "model_fields", {}).items():
+                    row = f"{start}| `{name}` | {default_of(field)} |"
+                    self.assertIn(row, text, page)
+
+
+if __name__ == "__main__":
+    unittest.main()
