--- a/monsoontack/agent/core.py
+++ b/monsoontack/agent/core.py
@@ -18,6 +18,7 @@
     CallOutcome,
     CallRequest,
     Engine,
+    EngineTokens,
     OrderOutcome,
     OrderRequest,
     PlainService,
@@ -229,31 +230,12 @@
         ended = False
         try:
             async for item in self.engine.generate(request_id, start):
-                now = self.now()
-                if isinstance(item, BackendFailure):
-                    ended = True
-                    self.counters.add(f"engine.{item.code}")
-                    actions = self.streams.fail(
-                        run, item.code, item.message, item.started, now
-                    )
-                else:
-                    ended = bool(item.finish)
-                    self.view.progress.record(run, now)
-                    actions = self.streams.append(
-                        run,
-                        item.first_position,
-                        item.tokens,
-                        item.texts,
-                        item.finish,
-                        now,
-                    )
-                self.perform(actions)
+                ended = self._take_item(run, item)
         except Exception as error:
             # Without an end the entry would wait until it finds a stall.
             log.exception("engine request failed", request=request_id)
             text = f"{type(error).__name__}: {error}"
-            failed = self.streams.fail(run, "backend_failed", text, True, self.now())
-            self.perform(failed)
+            self._take_item(run, BackendFailure("backend_failed", text, True))
         finally:
             self.runs.pop(run, None)
             self.view.progress.forget(run)
@@ -261,6 +243,23 @@
                 self.counters.add("engine.cancelled")
                 self.spawn(self.engine.cancel(request_id))
 
+    def _take_item(self, run: int, item: EngineTokens | BackendFailure) -> bool:
+        """Put engine output into the log; return whether it is the last."""
+        now = self.now()
+        if isinstance(item, BackendFailure):
+            self.counters.add(f"engine.{item.code}")
+            self.perform(
+                self.streams.fail(run, item.code, item.message, item.started, now)
+            )
+            return True
+        self.view.progress.record(run, now)
+        self.perform(
+            self.streams.append(
+                run, item.first_position, item.tokens, item.texts, item.finish, now
+            )
+        )
+        return bool(item.finish)
+
     def _call(self, link: Link, message: link_pb2.Call) -> None:
         call = CallRequest(
             message.call_id,
