--- a/monsoontack/store/http.py
+++ b/monsoontack/store/http.py
@@ -18,6 +18,7 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from monsoontack.core.sendonce import send_once
 from monsoontack.settings.models import ProcessSettings
 from monsoontack.store.api import (
     LIST_TOO_LARGE,
@@ -173,7 +174,7 @@
             headers=headers,
             timeout=timeout,
             allow_redirects=False,
-            middlewares=(_send_once,),
+            middlewares=() if method == "GET" else (send_once,),
         ) as response:
             body = await _read_body(response, limit)
             return _Answer(response.status, response.headers, body)
@@ -193,28 +194,6 @@
     return b"".join(parts)
 
 
-class BrokenConnection(aiohttp.ClientError):
-    """The connection broke after the request may have been sent."""
-
-
-async def _send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Keep aiohttp from sending a request again when a reused connection breaks.
-
-    A repeated conditional write would report a conflict with its own first
-    effect. aiohttp repeats after the two errors caught here, and no others.
-    """
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        if isinstance(error, aiohttp.ConnectionTimeoutError):
-            raise
-        raise BrokenConnection(_describe(error)) from error
-
-
 def _describe(error: BaseException) -> str:
     if isinstance(error, asyncio.TimeoutError):
         return "timeout"
