--- a/bench/entryload.py
+++ b/bench/entryload.py
@@ -86,7 +86,7 @@
 
 async def delivered(fleet: Fleet) -> int:
     """Return the tokens that the entry has taken from its links."""
-    state = await fleet.cluster.agent_state(fleet.entries[0])
+    state = await fleet.cluster.state_of(fleet.entries[0])
     return state["counters"].get("tokens", 0)
 
 
--- a/bench/resume.py
+++ b/bench/resume.py
@@ -190,7 +190,7 @@
 
 async def agent_tokens(fleet: Fleet) -> int:
     """Return the tokens that all agents have sent to entries."""
-    states = [await fleet.cluster.agent_state(b.agent) for b in fleet.backends]
+    states = [await fleet.cluster.state_of(b.agent) for b in fleet.backends]
     return sum(state["counters"].get("tokens", 0) for state in states)
 
 
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -152,7 +152,7 @@
         """Return the entry that holds the lease."""
         while True:
             for entry in self.live():
-                state = await self.cluster.agent_state(entry)
+                state = await self.cluster.state_of(entry)
                 if state["control"]["lease_epoch"]:
                     return entry
             await asyncio.sleep(0.2)
--- a/monsoontack/entry/completions.py
+++ b/monsoontack/entry/completions.py
@@ -6,6 +6,7 @@
 
 import falcon
 import falcon.asgi
+from returns.result import Failure
 
 from monsoontack.config.view import AccountConfig
 from monsoontack.core.records import RouteRequest
@@ -30,12 +31,15 @@
     read_priority,
     refuse,
 )
+from monsoontack.entry.routed import prefix_blocks
 from monsoontack.entry.session import GenerationRequest, Session
 from monsoontack.generation.attempts import AttemptLog
 from monsoontack.generation.eventid import EventId, new_generation
 
 # A caller that hears nothing for a few of these takes its connection for dead.
 PING_S = 0.5
+# Estimate of an answer's size on a link: token id and text.
+BYTES_PER_TOKEN = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,16 +106,18 @@
         now = context.now()
         service = ask.body.model
         version = context.picker.pick_version(context.view(), service, now, context.rng)
-        slots = context.live_slots(service)
-        if version is None or not slots:
-            message = f"no backend server of {service!r} takes traffic"
+        if version is None:
+            message = f"no version of {service!r} takes traffic"
             refuse(503, "version_unavailable", message, retry_after_s=1.0)
-        error = context.admission.admit(ask.account, service, slots, now)
-        if error is not None:
-            raise RequestRefusedError(error)
+        servers = context.pool.servers(service)
+        admitted = context.admission.request(
+            ask.account.name, service, servers, now, context.rng, ask.priority
+        )
+        if isinstance(admitted, Failure):
+            raise RequestRefusedError(admitted.failure())
         generation = new_generation(version, context.rng)
         session = self._session(ask, AttemptLog(generation, version))
-        session.holds_place = True
+        session.ticket = admitted.unwrap()
         context.generations.begin(session)
         return session
 
@@ -124,24 +130,30 @@
             log = AttemptLog(generation, version)
         else:
             log = AttemptLog.from_position(generation, version, event_id.position)
-        session = self._session(ask, log)
+        session = self._session(ask, log, "resume")
+        session.ticket = self.context.admission.resume(
+            ask.account.name, ask.body.model, self.context.now()
+        )
         self.context.counters.add("reconnects")
         self.context.generations.reconnect(session, event_id)
         return session
 
-    def _session(self, ask: Ask, log: AttemptLog) -> Session:
+    def _session(self, ask: Ask, log: AttemptLog, cause: str = "request") -> Session:
         document = {k: v for k, v in ask.document.items() if k != "monsoontack"}
+        body = json.dumps(document).encode()
         route = RouteRequest(
             service=ask.body.model,
             version=log.version,
             account=ask.account.name,
             priority=ask.priority,
-            prefix_blocks=self.context.prefix_blocks(ask.document),
+            prefix_blocks=prefix_blocks(ask.document),
+            request_bytes=len(body) + BYTES_PER_TOKEN * ask.body.token_limit,
+            cause=cause,
         )
         request = GenerationRequest(
             route=route,
             kind=self.kind,
-            body=json.dumps(document).encode(),
+            body=body,
             max_tokens=ask.body.token_limit,
             revision=self.context.view().revision,
             streamed=ask.body.stream,
@@ -152,8 +164,8 @@
         context = self.context
         context.generations.remove(session)
         context.generations.report(session)
-        if session.holds_place:
-            context.admission.release(ask.account, ask.body.model, context.now())
+        if session.ticket is not None:
+            context.admission.release(session.ticket, context.now())
 
     async def _events(self, ask: Ask, session, answer: AnswerFormat, request_id: str):
         with self.context.in_progress():
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -10,6 +10,7 @@
 import structlog
 import uvicorn
 
+from monsoontack.admission.admit import Admission as FairAdmission
 from monsoontack.core.records import Place
 from monsoontack.entry.agents import AgentFinder
 from monsoontack.entry.app import caller_app, operator_app
@@ -26,10 +27,9 @@
     OutcomeSink,
     Picker,
 )
+from monsoontack.entry.routed import RoutedPicker
 from monsoontack.entry.simple import (
-    ConcurrencyAdmission,
     CountingOutcomes,
-    LeastLoadedPicker,
     RefusingCalls,
 )
 from monsoontack.generation.progress import MONITOR_TICK_S, OwnPause
@@ -73,10 +73,14 @@
     """Return the entry's parts, wired together."""
     rng = random.Random()
     counters = Counters.from_address(settings.statsd_address)
-    picker = parts.picker or LeastLoadedPicker()
+    place = Place(settings.failure_domain, settings.region)
+    picker = parts.picker or RoutedPicker(place, rng)
     outcomes = parts.outcomes or CountingOutcomes()
     generations = Generations(picker, outcomes, counters, rng)
-    place = Place(settings.failure_domain, settings.region)
+    if isinstance(picker, RoutedPicker):
+        generations.link_up = picker.link_up
+        generations.cache_events = picker.cache_events
+        generations.answered = picker.answered
     identity = LinkIdentity(settings.name, place)
     pool = LinkPool(identity, generations, rng, settings.frame_silence_s)
     generations.pool = pool
@@ -93,7 +97,7 @@
         settings=settings,
         config=config,
         picker=picker,
-        admission=parts.admission or ConcurrencyAdmission(),
+        admission=parts.admission or FairAdmission(),
         calls=calls or RefusingCalls(),
         outcomes=outcomes,
         counters=counters,
@@ -119,6 +123,7 @@
         finder = AgentFinder(settings, http, context.pool)
         context.generations.is_known = finder.is_known
         work = [finder.run(), _monitor(context), _flush(context)]
+        work.append(_follow_fleet(context, finder))
         if isinstance(context.calls, Ledger):
             work.append(_share_write_budget(context.calls, finder))
         if control is not None:
@@ -188,6 +193,18 @@
         await asyncio.sleep(FLUSH_S)
 
 
+async def _follow_fleet(context: EntryContext, finder: AgentFinder) -> None:
+    """Pass accounts and the size of the fleet on to admission and routing."""
+    while True:
+        entries = [r for r in finder.records if r.role == "entry" and r.state == "live"]
+        live = max(len(entries), 1)
+        context.admission.configure(context.view().accounts, live)
+        if isinstance(context.picker, RoutedPicker):
+            known = {r.address for r in finder.records} | set(context.pool.links)
+            context.picker.keep(known, live, context.now())
+        await asyncio.sleep(FLUSH_S)
+
+
 async def _flush(context: EntryContext) -> None:
     while True:
         await asyncio.sleep(FLUSH_S)
--- a/monsoontack/entry/dispatch.py
+++ b/monsoontack/entry/dispatch.py
@@ -86,7 +86,7 @@
         pending = _Pending(link, asyncio.get_running_loop().create_future())
         self.pending[message.call_id] = pending
         self.running[link.address] += 1
-        link.sent_since_report += 1
+        link.note_sent(asyncio.get_running_loop().time())
         link.send(link_pb2.EntryMessage(revision=self.view().revision, call=message))
         try:
             async with asyncio.timeout(timeout_s + RESULT_GRACE_S):
@@ -95,6 +95,7 @@
             return DispatchResult(RunState.UNKNOWN, None, "timeout", link.address)
         finally:
             del self.pending[message.call_id]
+            link.note_ended(asyncio.get_running_loop().time())
             self.running[link.address] -= 1
             if not self.running[link.address]:
                 del self.running[link.address]
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -65,6 +65,9 @@
         self.is_known = lambda address: True
         self.call_results = lambda result, link: None
         self.calls_lost = lambda link: None
+        self.link_up = lambda address, service, now: None
+        self.cache_events = lambda address, events: None
+        self.answered = lambda address, latency_s, now: None
         self.order_results = lambda result, link: None
 
     def now(self) -> float:
@@ -101,6 +104,9 @@
         if self.sessions.get(session.generation) is not session:
             return
         del self.sessions[session.generation]
+        link = self.pool.links.get(session.state.address)
+        if link is not None:
+            link.note_ended(self.now())
         if session.is_ended or session.handover:
             return
         state = session.state
@@ -134,6 +140,10 @@
         now = self.now()
         if link.is_first_frame:
             self._tell(link, Answered())
+            if link.info is not None:
+                self.link_up(link.address, link.info.service, now)
+        if frame.cache_events:
+            self.cache_events(link.address, frame.cache_events)
         for chunk in frame.chunks:
             session = self.sessions.get(chunk.generation)
             if session is None:
@@ -238,7 +248,7 @@
         if server is None:
             return NoServer()
         link = self.pool.ensure(server.address)
-        link.sent_since_report += 1
+        link.note_sent(self.now())
         start = link_pb2.Start(
             generation=session.generation,
             attempt=attempt,
@@ -293,5 +303,8 @@
             gap,
         )
         self.outcomes.record(outcome)
-        if not failed and session.state.address:
-            self.picker.record(session.state.address, False, self.now())
+        address = session.state.address
+        if not failed and address:
+            self.picker.record(address, False, self.now())
+        if not failed and first is not None and len(session.state.recoveries) == 1:
+            self.answered(address, first - session.started_at, self.now())
--- a/monsoontack/entry/links.py
+++ b/monsoontack/entry/links.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
@@ -73,7 +74,8 @@
         self.revision = 0
         self.info: link_pb2.AgentInfo | None = None
         self.load: LoadReport | None = None
-        self.sent_since_report = 0
+        self.sent_at: deque[float] = deque()
+        self.ended_at: deque[float] = deque()
         now = asyncio.get_running_loop().time()
         self.opened_at = now
         self.used_at = now
@@ -86,6 +88,14 @@
         """Queue a message; it is lost if the link ends first."""
         self.outbox.put_nowait(message)
 
+    def note_sent(self, now: float) -> None:
+        """Count a request sent, until a load report includes it."""
+        self.sent_at.append(now)
+
+    def note_ended(self, now: float) -> None:
+        """Count a request ended, until a load report includes it."""
+        self.ended_at.append(now)
+
     def close(self) -> None:
         """End the link without telling the listener."""
         self.is_closed = True
@@ -127,9 +137,9 @@
     def _take_load(self, load: link_pb2.Load, now: float) -> None:
         self.progress.saw_load(load, now)
         reported_at = now - load.age_s
-        # Reports are a few ms apart in `age_s` noise; only a later one resets.
-        if self.load is None or reported_at > self.load.reported_at + 0.01:
-            self.sent_since_report = 0
+        for times in (self.sent_at, self.ended_at):
+            while times and times[0] <= reported_at:
+                times.popleft()
         self.load = LoadReport(load.running, load.queued, load.slots, reported_at)
 
     def _end(self) -> None:
@@ -263,7 +273,8 @@
             _backend_server(link),
             load=link.load,
             in_flight=self.in_flight(link.address),
-            sent_since_report=link.sent_since_report,
+            sent_since_report=len(link.sent_at),
+            ended_since_report=len(link.ended_at),
             leaving=link.leaving,
         )
 
--- a/monsoontack/entry/ports.py
+++ b/monsoontack/entry/ports.py
@@ -5,9 +5,12 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
+from returns.result import Result
+
+from monsoontack.admission.admit import Ticket
 from monsoontack.config.view import AccountConfig, ConfigView
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import BackendServer, Outcome, RouteRequest, ServerState
@@ -53,14 +56,30 @@
 class Admission(Protocol):
     """Decides whether a request may begin."""
 
-    def admit(
-        self, account: AccountConfig, service: str, slots: int, now: float
-    ) -> RequestError | None:
-        """Take a place for the request, or return why it is refused."""
+    def configure(
+        self, accounts: Mapping[str, AccountConfig], live_entries: int
+    ) -> None:
+        """Take over accounts of a new revision or a new number of entries."""
+        ...
+
+    def request(
+        self,
+        account: str,
+        service: str,
+        servers: Sequence[ServerState],
+        now: float,
+        rng: random.Random,
+        priority: int = 0,
+    ) -> Result[Ticket, RequestError]:
+        """Return a ticket for a new request, or why it is refused."""
+        ...
+
+    def resume(self, account: str, service: str, now: float) -> Ticket:
+        """Return a ticket for a running answer taken over from another entry."""
         ...
 
-    def release(self, account: AccountConfig, service: str, now: float) -> None:
-        """Give back the place of a request that ended."""
+    def release(self, ticket: Ticket, now: float) -> None:
+        """Give back the ticket of a request that ended."""
         ...
 
 
--- a/monsoontack/entry/simple.py
+++ b/monsoontack/entry/simple.py
@@ -3,17 +3,12 @@
 import random
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
-from monsoontack.config.view import AccountConfig, ConfigView
+from monsoontack.config.view import ConfigView
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import BackendServer, Outcome, RouteRequest, ServerState
 from monsoontack.ledger.records import ServiceCall
 
-# Requests accepted per live slot; those above the slots wait in engine queues.
-REQUESTS_PER_SLOT = 2
-OVERLOAD_RETRY_S = 1.0
-
 
 class LeastLoadedPicker:
     """Picks the least loaded backend server of the chosen version."""
@@ -58,36 +53,6 @@
     return busy / max(load.slots if load else 1, 1)
 
 
-@dataclass(slots=True)
-class ConcurrencyAdmission:
-    """Admits up to a multiple of the live slots, and each account's own limit."""
-
-    running: Counter = field(default_factory=Counter)
-    running_of_account: Counter = field(default_factory=Counter)
-
-    def admit(
-        self, account: AccountConfig, service: str, slots: int, now: float
-    ) -> RequestError | None:
-        """Take a place, or return `overloaded`."""
-        limit = account.max_concurrent
-        if limit and self.running_of_account[account.name] >= limit:
-            message = f"account {account.name!r} already has {limit} requests running"
-            return RequestError(429, "overloaded", message, retry_after_s=1.0)
-        if self.running[service] >= slots * REQUESTS_PER_SLOT:
-            message = f"service {service!r} has no free capacity"
-            return RequestError(
-                503, "overloaded", message, retry_after_s=OVERLOAD_RETRY_S
-            )
-        self.running[service] += 1
-        self.running_of_account[account.name] += 1
-        return None
-
-    def release(self, account: AccountConfig, service: str, now: float) -> None:
-        """Give a place back."""
-        self.running[service] -= 1
-        self.running_of_account[account.name] -= 1
-
-
 class CountingOutcomes:
     """Keeps counts of outcomes by service, version and result."""
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -128,7 +128,7 @@
         wanted = {b.address for b in self.backends if b.agent.is_running()}
         async with asyncio.timeout(READY_TIMEOUT_S):
             while True:
-                state = await self.cluster.agent_state(entry)
+                state = await self.cluster.state_of(entry)
                 up = {link["address"] for link in state["links"] if link["up"]}
                 if state["ready"] and wanted <= up:
                     return
@@ -148,6 +148,6 @@
 
     async def running_on(self, entry: ManagedProcess, index: int = 0) -> Backend:
         """Return the backend of the entry's generation number `index`."""
-        state = await self.cluster.agent_state(entry)
+        state = await self.cluster.state_of(entry)
         address = state["generations"][index]["agent"]
         return next(b for b in self.backends if b.address == address)
--- a/tests/failures_test.py
+++ b/tests/failures_test.py
@@ -46,7 +46,7 @@
         return await self.enterAsyncContext(Fleet.start(**options))
 
     async def counter(self, entry, name):
-        state = await self.fleet.cluster.agent_state(entry)
+        state = await self.fleet.cluster.state_of(entry)
         return state["counters"].get(name, 0)
 
     async def test_engine_killed(self):
@@ -170,7 +170,7 @@
         self.assertEqual(2, progress.connections)
         paused.resume()
         async with asyncio.timeout(HANG_GUARD_S):
-            while (await fleet.cluster.agent_state(paused))["generations"]:
+            while (await fleet.cluster.state_of(paused))["generations"]:
                 await asyncio.sleep(0.02)
         await follow(fleet, [paused], "two")
 
