--- /dev/null
+++ b/tests/border_test.py
@@ -0,0 +1,127 @@
+"""Tests of the entry's border that need a running fleet."""
+
+import asyncio
+import json
+import socket
+import unittest
+
+from standins.fleet import KEY, SERVICE, Fleet
+
+HANG_GUARD_S = 60.0
+HEADERS = {"Authorization": f"Bearer {KEY}"}
+
+
+class BorderTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, **options):
+        self.fleet = await self.enterAsyncContext(Fleet.start(**options))
+        self.entry = self.fleet.entries[0]
+        self.url = f"{self.entry.url}/v1/completions"
+        self.http = self.fleet.cluster.http
+
+    async def post(self, **fields):
+        body = {"model": SERVICE, "prompt": "x", "max_tokens": 20} | fields
+        async with self.http.post(self.url, json=body, headers=HEADERS) as response:
+            return response.status, response.headers, json.loads(await response.read())
+
+    async def until(self, condition):
+        async with asyncio.timeout(HANG_GUARD_S):
+            while not await condition():
+                await asyncio.sleep(0.02)
+
+    async def test_overload_is_refused_at_once(self):
+        """Guards against requests that queue without limit, and false run states."""
+        await self.start(engines=1, slots=1, token_gap_s=0.05)
+        answers = await asyncio.gather(*(self.post() for _ in range(12)))
+        statuses = [status for status, _, _ in answers]
+        self.assertIn(200, statuses)
+        refused = [(h, b["error"]) for s, h, b in answers if s == 429]
+        self.assertEqual(len(statuses), statuses.count(200) + len(refused))
+        self.assertTrue(refused)
+        for headers, error in refused:
+            self.assertEqual("overloaded", error["code"])
+            self.assertEqual("not_run", error["run_state"])
+            self.assertGreater(error["retry_after_s"], 0)
+            self.assertIn("Retry-After", headers)
+        report = await self.fleet.cluster.get_json(
+            f"{self.fleet.backends[0].engine.url}/requests"
+        )
+        self.assertEqual(statuses.count(200), len(report["seen"]))
+
+    async def test_caller_that_leaves_frees_the_engine(self):
+        """Guards against engine work for a caller that never comes back."""
+        await self.start(engines=1, token_gap_s=0.1)
+        body = {"model": SERVICE, "prompt": "x", "max_tokens": 600, "stream": True}
+        async with self.http.post(self.url, json=body, headers=HEADERS) as response:
+            await response.content.readline()
+        engine = self.fleet.backends[0].engine
+
+        async def is_free():
+            report = await self.fleet.cluster.get_json(f"{engine.url}/requests")
+            return report["seen"] and not report["held"]
+
+        await self.until(is_free)
+        state = await self.fleet.cluster.state_of(self.entry)
+        self.assertEqual([], state["generations"])
+        self.assertEqual(0, state["requests_in_progress"])
+
+    async def test_draining_entry(self):
+        """Guards against new work during a shutdown, and against a cut answer."""
+        await self.start(engines=1, token_gap_s=0.1)
+        running = asyncio.ensure_future(self.post())
+
+        async def has_begun():
+            return bool((await self.fleet.cluster.state_of(self.entry))["generations"])
+
+        await self.until(has_begun)
+        self.entry.terminate()
+
+        async def is_draining():
+            return (await self.fleet.cluster.state_of(self.entry))["draining"]
+
+        await self.until(is_draining)
+        status, _, document = await self.post()
+        self.assertEqual(503, status)
+        self.assertEqual("shutting_down", document["error"]["code"])
+        self.assertEqual("not_run", document["error"]["run_state"])
+        async with self.http.get(f"{self.entry.url}/readyz") as response:
+            self.assertEqual(503, response.status)
+        status, _, document = await running
+        self.assertEqual(200, status)
+        self.assertEqual(20, len(document["token_ids"]))
+        self.assertEqual(0, await self.entry.wait_ended())
+
+    async def test_whole_answer_past_the_drain_deadline(self):
+        """Guards against an exit after the deadline, and an answer without an end."""
+        await self.start(engines=1, token_gap_s=0.1, drain_deadline_s=3.0)
+        running = asyncio.ensure_future(self.post(max_tokens=600))
+
+        async def has_tokens():
+            state = await self.fleet.cluster.state_of(self.entry)
+            return any(item["position"] for item in state["generations"])
+
+        await self.until(has_tokens)
+        self.entry.terminate()
+        status, _, document = await running
+        self.assertEqual(503, status)
+        self.assertEqual("shutting_down", document["error"]["code"])
+        self.assertEqual("run", document["error"]["run_state"])
+        self.assertEqual(0, await self.entry.wait_ended())
+
+    async def test_counters_reach_statsd(self):
+        """Guards against counters that are kept but never sent."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+            receiver.bind(("127.0.0.1", 0))
+            receiver.setblocking(False)
+            port = receiver.getsockname()[1]
+            await self.start(engines=1, statsd_address=f"127.0.0.1:{port}")
+            await self.post(max_tokens=5)
+            loop = asyncio.get_running_loop()
+            received = ""
+            async with asyncio.timeout(HANG_GUARD_S):
+                while "monsoontack.entry.tokens:5|c" not in received:
+                    received += (await loop.sock_recv(receiver, 65_536)).decode() + "\n"
+        self.assertIn("monsoontack.entry.requests:1|c", received)
+
+
+if __name__ == "__main__":
+    unittest.main()
