--- a/monsoontack/controller/rollouts.py
+++ b/monsoontack/controller/rollouts.py
@@ -21,6 +21,7 @@
 from monsoontack.entry.rolloutguard import decode_report, marks_of
 from monsoontack.proto import peer_pb2
 from monsoontack.rollout.controller import RolloutController
+from monsoontack.rollout.plan import MIN_STEP_S
 from monsoontack.rollout.state import (
     STATE_PREFIX,
     Action,
@@ -76,6 +77,7 @@
         service: ControllerService,
         engines: Engines,
         load_rate_bytes_s: float,
+        min_step_s: float = MIN_STEP_S,
         unix_time: Callable[[], float] = time.time,
     ) -> None:
         self.service = service
@@ -85,7 +87,7 @@
         self.unix_time = unix_time
         self.name = self.gossip.state.process
         self.machine = RolloutController.from_config(
-            self.name, load_rate_bytes_s, unix_time()
+            self.name, load_rate_bytes_s, unix_time(), min_step_s
         )
         self.begun: int | None = None
         self.retry_at = 0.0
@@ -209,7 +211,9 @@
         if isinstance(result, Failure) and isinstance(result.failure(), Ambiguous):
             result = await self._read_back(key, value)
         event = _written(uid, value, result)
-        log.info("rollout", uid=uid, phase=action.state.phase, result=type(event).__name__)
+        log.info(
+            "rollout", uid=uid, phase=action.state.phase, result=type(event).__name__
+        )
         return event
 
     async def _read_back(self, key: str, value: bytes) -> Result:
@@ -257,9 +261,7 @@
         }
         self.proposals[action.uid] = uid
         log.info("shares", rollout=action.uid, share=status["share"])
-        result = await submit(
-            self.store, proposal, self.gossip.clock, SUBMIT_TIMEOUT_S
-        )
+        result = await submit(self.store, proposal, self.gossip.clock, SUBMIT_TIMEOUT_S)
         if isinstance(result, Failure):
             log.warning("shares not submitted", error=type(result.failure()).__name__)
         self.service.publisher.wake()
--- /dev/null
+++ b/monsoontack/controller/rollouts_test.py
@@ -0,0 +1,178 @@
+"""Rollouts on real processes: entries, agents and the stand-ins on loopback.
+
+Waits have limits against hanging only; a rollout's own deadline is part of
+what is tested.
+"""
+
+import asyncio
+import hashlib
+import time
+import unittest
+
+import aiohttp
+
+from monsoontack.config.operator import get_objects
+from monsoontack.config.revision import seed_store
+from monsoontack.store.http import HttpStore
+from standins.cluster import Cluster
+
+KEY, SERVICE = "key-1", "writer"
+DEADLINE_S = 50.0
+HANG_S = 150.0
+CALLERS = 6
+
+
+def configuration(deadline):
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    shares = {"kind": "engine", "shares": {"v1": 100}}
+    versions = [
+        {
+            "kind": "Version",
+            "name": f"{SERVICE}.{name}",
+            "spec": {"service": SERVICE, "version": name, "weights_bytes": 1000},
+        }
+        for name in ("v1", "v2")
+    ]
+    rollout = {
+        "service": SERVICE,
+        "from_version": "v1",
+        "to_version": "v2",
+        "deadline_unix_s": deadline,
+    }
+    return [
+        {"kind": "Service", "name": SERVICE, "spec": shares},
+        *versions,
+        {"kind": "Rollout", "name": "up", "spec": rollout},
+        {"kind": "ClientAccount", "name": "a", "spec": {"key_digests": [digest]}},
+    ]
+
+
+class RolloutProcessesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = await self.enterAsyncContext(Cluster.create())
+        self.deadline = time.time() + DEADLINE_S
+        await self.cluster.start_platform(self.seed)
+        self.engines = [
+            await self.cluster.start_engine(token_gap_s=0.002) for _ in range(3)
+        ]
+        for engine in self.engines:
+            await self.cluster.start_agent(engine, service=SERVICE)
+        self.entries = [
+            await self.cluster.start_entry(rollout_min_step_s=2.0) for _ in range(3)
+        ]
+        self.failed, self.sent = 0, 0
+        self.callers = [asyncio.ensure_future(self.call(i)) for i in range(CALLERS)]
+        self.addCleanup(lambda: [caller.cancel() for caller in self.callers])
+
+    async def seed(self, url):
+        self.store = HttpStore(url)
+        self.addAsyncCleanup(self.store.close)
+        (await seed_store(self.store, configuration(self.deadline))).unwrap()
+
+    async def call(self, number):
+        """Send short requests to all entries in turn, without a pause."""
+        headers = {"Authorization": f"Bearer {KEY}"}
+        while True:
+            entry = self.entries[(number + self.sent) % len(self.entries)]
+            body = {"model": SERVICE, "prompt": f"p{self.sent}", "max_tokens": 2}
+            self.sent += 1
+            try:
+                url = f"{entry.url}/v1/completions"
+                async with self.cluster.http.post(
+                    url, json=body, headers=headers
+                ) as response:
+                    await response.read()
+                    self.failed += response.status != 200
+            except aiohttp.ClientError:
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(0.05)
+
+    async def rollout(self):
+        result = await get_objects(self.store, "Rollout")
+        (document,) = result.value_or([{"status": {}}])
+        return document["status"]
+
+    async def until(self, condition):
+        async with asyncio.timeout(HANG_S):
+            while not await condition():
+                await asyncio.sleep(0.2)
+
+    async def until_phase(self, *phases):
+        async def reached():
+            return (await self.rollout()).get("phase") in phases
+
+        await self.until(reached)
+        return await self.rollout()
+
+    async def until_share(self, share):
+        async def reached():
+            return (await self.rollout()).get("share", 0) >= share
+
+        await self.until(reached)
+
+    async def make_bad(self):
+        fault = {"faults": [{"kind": "fail", "version": "v2"}]}
+        for engine in self.engines:
+            await self.cluster.set_faults(engine, fault)
+
+    async def started_on_v2(self):
+        """Return how many requests the engines have begun on v2."""
+        count = 0
+        for engine in self.engines:
+            seen = (await self.cluster.get_json(f"{engine.url}/requests"))["seen"]
+            count += sum(request["version"] == "v2" for request in seen)
+        return count
+
+    async def holder(self):
+        for entry in self.entries:
+            state = await self.cluster.agent_state(entry)
+            if state["control"]["lease_epoch"]:
+                return entry
+        return None
+
+    async def stopped_everywhere(self):
+        states = [await self.cluster.agent_state(e) for e in self.entries]
+        return all(state["control"]["stop_marks"] for state in states)
+
+    async def test_good_version_finishes_though_the_holder_is_killed(self):
+        """Guards against a takeover that loses, restarts or stops a rollout."""
+        await self.until_share(25)
+        holder = await self.holder()
+        self.entries.remove(holder)
+        holder.kill()
+        status = await self.until_phase("complete", "rolled_back")
+        self.assertEqual("complete", status["phase"], status["reason"])
+        self.assertLess(time.time(), self.deadline)
+        self.assertEqual(100.0, status["share"])
+
+    async def test_bad_version_is_rolled_back_though_the_holder_is_killed(self):
+        """Guards against a rollback that needs the controller that began it."""
+        await self.until_share(25)
+        await self.make_bad()
+        holder = await self.holder()
+        self.entries.remove(holder)
+        holder.kill()
+        status = await self.until_phase("complete", "rolled_back")
+        self.assertEqual("rolled_back", status["phase"])
+        self.assertIn("failed on v2", status["reason"])
+        await self.until(self.stopped_everywhere)
+
+    async def test_bad_version_is_stopped_while_the_object_api_is_down(self):
+        """Guards against a stop that needs the object API."""
+        await self.until_share(50)
+        await self.cluster.set_faults(self.cluster.store, {"outage": True})
+        await self.make_bad()
+        await self.until(self.stopped_everywhere)
+        await asyncio.sleep(3.0)
+        before, sent = await self.started_on_v2(), self.sent
+        await asyncio.sleep(3.0)
+        self.assertEqual(before, await self.started_on_v2())
+        self.assertGreater(self.sent, sent)
+        await self.cluster.set_faults(self.cluster.store, {"outage": False})
+        status = await self.until_phase("complete", "rolled_back")
+        self.assertEqual("rolled_back", status["phase"])
+        self.assertEqual(0.0, status["share"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/monsoontack/entry/control.py
+++ b/monsoontack/entry/control.py
@@ -16,6 +16,7 @@
 from monsoontack.core.records import VmRecord
 from monsoontack.entry.gossip import Gossip
 from monsoontack.entry.peers import GrpcPeers, make_server
+from monsoontack.entry.rolloutguard import EntryGuard
 from monsoontack.settings.models import EntrySettings
 from monsoontack.store.http import HttpStore
 
@@ -34,6 +35,7 @@
         self.gossip = Gossip.from_settings(settings, store, self.peers, clock, rng)
         self.controller = ControllerService(store, self.gossip, clock, rng)
         self.server = make_server(self.gossip, settings.peer_address)
+        self.guard: EntryGuard | None = None
 
     @classmethod
     def from_settings(cls, settings: EntrySettings, rng: random.Random) -> "Control":
@@ -72,4 +74,5 @@
             "neighbours": list(state.neighbours),
             "members": len(state.members),
             "stop_marks": sorted(state.marks),
+            "rollouts": self.guard.dump() if self.guard else {},
         }
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -26,6 +26,7 @@
     OutcomeSink,
     Picker,
 )
+from monsoontack.entry.rollouts import guard_parts, rollout_work
 from monsoontack.entry.simple import (
     ConcurrencyAdmission,
     CountingOutcomes,
@@ -115,6 +116,7 @@
         if parts.config is None:
             control = Control.from_settings(settings, random.Random())
             parts.store = parts.store or control.store
+            guard = guard_parts(parts, control.gossip)
         context = build_context(settings, parts, parts.config or control.gossip)
         finder = AgentFinder(settings, http, context.pool)
         context.generations.is_known = finder.is_known
@@ -125,6 +127,7 @@
             context.control = control
             finder.listeners.append(control.set_vms)
             work.append(control.run())
+            work += rollout_work(guard, control, context, finder)
         tasks = [asyncio.ensure_future(item) for item in work]
         servers = [
             _server(caller_app(context), settings.http_address),
--- a/monsoontack/entry/engines.py
+++ b/monsoontack/entry/engines.py
@@ -22,6 +22,7 @@
         self.pool = pool
         self.records = records
         self.seen: dict[str, tuple[str, ...]] = {}
+        self.orders: dict[str, str] = {}
         self.on_order: Callable[[str, str], None] = lambda order_id, code: None
 
     def versions(self) -> dict[str, dict[str, tuple[str, ...]]]:
@@ -43,13 +44,14 @@
         order = link_pb2.Order(
             order_id=order_id, kind="load", version=action.version, fence=action.fence
         )
+        self.orders[order_id] = action.version
         link = self.pool.ensure(action.address)
         link.send(link_pb2.EntryMessage(order=order))
 
     def on_result(self, result: link_pb2.OrderResult, link: Link) -> None:
         """Pass the result of an order on."""
-        if result.code == "ok" and link.address in self.seen:
-            version = result.order_id.rpartition("-")[2]
+        version = self.orders.pop(result.order_id, None)
+        if result.code == "ok" and version is not None and link.address in self.seen:
             known = self.seen[link.address]
             self.seen[link.address] = tuple(dict.fromkeys((*known, version)))
         self.on_order(result.order_id, result.code)
--- a/monsoontack/rollout/controller.py
+++ b/monsoontack/rollout/controller.py
@@ -13,7 +13,7 @@
 from monsoontack.core.records import StopMark
 from monsoontack.rollout.evidence import EvidenceSum
 from monsoontack.rollout.judge import threshold_for
-from monsoontack.rollout.plan import LoadBucket
+from monsoontack.rollout.plan import MIN_STEP_S, LoadBucket
 from monsoontack.rollout.state import (
     Action,
     Event,
@@ -51,8 +51,11 @@
             ...
     """
 
-    def __init__(self, name: str, load_rate_bytes_s: float, now: float) -> None:
+    def __init__(
+        self, name: str, load_rate_bytes_s: float, now: float, min_step_s: float
+    ) -> None:
         self.name = name
+        self.min_step_s = min_step_s
         self.load_rate_bytes_s = load_rate_bytes_s
         self.epoch = 0
         self.threshold = threshold_for(CONTROLLER_ALPHA)
@@ -67,10 +70,14 @@
 
     @classmethod
     def from_config(
-        cls, name: str, load_rate_bytes_s: float, now: float
+        cls,
+        name: str,
+        load_rate_bytes_s: float,
+        now: float,
+        min_step_s: float = MIN_STEP_S,
     ) -> "RolloutController":
-        """Return a controller without the lease."""
-        return cls(name, load_rate_bytes_s, now)
+        """Return a controller without the lease; a step lasts `min_step_s` or more."""
+        return cls(name, load_rate_bytes_s, now, min_step_s)
 
     def configure(
         self,
@@ -95,7 +102,9 @@
                 self.watches[uid].config = config
                 continue
             stored = self.stored.pop(uid, None)
-            self.watches[uid] = Watch.open(config, self.threshold, stored, now)
+            self.watches[uid] = Watch.open(
+                config, self.threshold, stored, now, self.min_step_s
+            )
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event at Unix time `now` and return the actions to execute."""
--- a/monsoontack/rollout/plan.py
+++ b/monsoontack/rollout/plan.py
@@ -11,20 +11,20 @@
 MIN_ENGINES = 2  # one engine of a version would make its loss look like a fault
 
 
-def step_end(step: int, now: float, deadline: float) -> float:
+def step_end(step: int, now: float, deadline: float, min_step_s: float) -> float:
     """Return when a step that starts at `now` ends, so that all fit.
 
     The remaining time is shared in proportion to `STEP_WEIGHTS`, with a reserve
-    before the deadline; a step lasts at least `MIN_STEP_S`.
+    before the deadline; a step lasts at least `min_step_s`.
     """
     usable = max(0.0, (deadline - now) * (1 - RESERVE))
     part = STEP_WEIGHTS[step] / sum(STEP_WEIGHTS[step:])
-    return now + max(MIN_STEP_S, usable * part)
+    return now + max(min_step_s, usable * part)
 
 
-def fits(step: int, now: float, deadline: float) -> bool:
+def fits(step: int, now: float, deadline: float, min_step_s: float) -> bool:
     """Return whether the steps from `step` on can still end by the deadline."""
-    return now + MIN_STEP_S * (len(STEPS) - step) <= deadline
+    return now + min_step_s * (len(STEPS) - step) <= deadline
 
 
 def engines_needed(share: float, engines: int) -> int:
--- a/monsoontack/rollout/watch.py
+++ b/monsoontack/rollout/watch.py
@@ -23,7 +23,9 @@
     WriteState,
 )
 
-MIN_REPORTING = 0.8  # part of the live entries that must report to advance
+# Part of the listed entries that must report to advance; two of three suffice,
+# since the VM list still shows an entry for a while after its death.
+MIN_REPORTING = 0.6
 MIN_ENDED = 0.3  # part of the expected requests that must have ended to advance
 ENDED_SLACK = 10  # requests; below it the part says little
 LOAD_TIMEOUT_S = 900.0
@@ -44,6 +46,7 @@
     state: RolloutState
     version: int
     judge: Judge
+    min_step_s: float
     wanted: RolloutState | None = None
     writing: RolloutState | None = None
     published: tuple[float, Phase] | None = None
@@ -60,13 +63,14 @@
         threshold: float,
         stored: tuple[RolloutState, int] | None,
         now: float,
+        min_step_s: float,
     ) -> "Watch":
         """Start a rollout, or go on from the state that a predecessor stored."""
         judge = Judge(config.from_version, config.to_version, threshold)
         if stored is not None:
             state, version = stored
             judge.restore(state.evidence)
-            return cls(config, state, version, judge, saved_at=now)
+            return cls(config, state, version, judge, min_step_s, saved_at=now)
         state = RolloutState(
             config.uid,
             config.service,
@@ -74,7 +78,7 @@
             config.to_version,
             reason="loading weights",
         )
-        return cls(config, state, 0, judge, wanted=state, saved_at=now)
+        return cls(config, state, 0, judge, min_step_s, wanted=state, saved_at=now)
 
     def next_write(self, epoch: int) -> list[Action]:
         """Return the write of the wanted state, unless one is under way."""
@@ -152,7 +156,7 @@
         deadline = self.config.deadline_unix_s
         if now >= deadline:
             self.roll_back(f"deadline missed; {obstacle or 'evidence came too late'}")
-        elif self.state.step < 0 and not fits(0, now, deadline):
+        elif self.state.step < 0 and not fits(0, now, deadline, self.min_step_s):
             self.roll_back(f"too little time before the deadline; {obstacle}")
         elif obstacle or now < self.state.step_ends_unix_s:
             self._save(obstacle, now)
@@ -175,7 +179,7 @@
             return
         seen = self.judge.summary() if state.step >= 0 else "weights are loaded"
         step = state.step + 1
-        ends = step_end(step, now, self.config.deadline_unix_s)
+        ends = step_end(step, now, self.config.deadline_unix_s, self.min_step_s)
         reason = f"at {STEPS[step]:g}%: {seen}"
         started = state.at_step(step, now, ends, reason)
         self.wanted = replace(started, evidence=self.judge.record())
--- a/monsoontack/settings/models.py
+++ b/monsoontack/settings/models.py
@@ -59,6 +59,7 @@
     frame_silence_s: Seconds = 1.0
     dispatch_window_s: Seconds = 5.0
     weight_load_bytes_s: float = Field(default=500_000_000.0, gt=0)
+    rollout_min_step_s: Seconds = 30.0
 
 
 class BackendSettings(Model):
