--- a/standins/processes.py
+++ b/standins/processes.py
@@ -11,7 +11,7 @@
 # Below the ephemeral range, whose ports outgoing connections may take.
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
-PORTS_PER_BLOCK = 100
+PORTS_PER_BLOCK = 400
 START_TIMEOUT_S = 60.0
 POLL_S = 0.02
 
