--- a/monsoontack/entry/calls_test.py
+++ b/monsoontack/entry/calls_test.py
@@ -153,6 +153,8 @@
             status, _, _ = await self.call(self.entries[0], f"k{lost}")
             self.assertEqual(200, status)
         self.assertEqual({"k1": 1, "k2": 1, "k3": 1}, await self.executions())
+        dump = await self.cluster.agent_state(self.entries[0])
+        self.assertEqual(3, dump["calls"]["counts"]["dispatched"])
         await self.wait_for_records("done", "done", "done")
 
     async def test_service_answer_lost(self):
--- a/monsoontack/entry/dump.py
+++ b/monsoontack/entry/dump.py
@@ -3,6 +3,7 @@
 from monsoontack.entry.context import EntryContext
 from monsoontack.entry.links import Link
 from monsoontack.entry.session import Session
+from monsoontack.ledger.service import Ledger
 
 
 def state_dump(context: EntryContext) -> dict:
@@ -10,6 +11,7 @@
     now = context.now()
     view = context.view()
     settings = context.settings
+    calls = context.calls
     return {
         "entry": settings.name,
         "failure_domain": settings.failure_domain,
@@ -23,6 +25,7 @@
         "generations": [
             _session(session, now) for session in context.generations.sessions.values()
         ],
+        "calls": calls.describe() if isinstance(calls, Ledger) else None,
         "counters": dict(sorted(context.counters.totals.items())),
     }
 
--- a/monsoontack/ledger/service.py
+++ b/monsoontack/ledger/service.py
@@ -205,6 +205,16 @@
             return RequestError(500, "malformed_record", str(error), RunState.UNKNOWN)
         return describe_record(key, record)
 
+    def describe(self) -> dict:
+        """Return the fields of the state dump."""
+        return {
+            "unsettled": len(self.unsettled),
+            "store_down": self.health.is_down,
+            "live_entries": self.budget.live_entries,
+            "writes_per_s": round(self.budget.rate, 3),
+            "counts": dict(sorted(self.counts.items())),
+        }
+
     async def settle(self, timeout_s: float) -> int:
         """Wait until all records are settled; return how many are not in time."""
         if self.unsettled:
