--- a/monsoontack/entry/calls_test.py
+++ b/monsoontack/entry/calls_test.py
@@ -153,7 +153,7 @@
             status, _, _ = await self.call(self.entries[0], f"k{lost}")
             self.assertEqual(200, status)
         self.assertEqual({"k1": 1, "k2": 1, "k3": 1}, await self.executions())
-        dump = await self.cluster.agent_state(self.entries[0])
+        dump = await self.cluster.state_of(self.entries[0])
         self.assertEqual(3, dump["calls"]["counts"]["dispatched"])
         await self.wait_for_records("done", "done", "done")
 
