--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -10,6 +10,7 @@
 import structlog
 import uvicorn
 
+from monsoontack.admission.admit import Admission as FairAdmission
 from monsoontack.core.records import Place
 from monsoontack.entry.agents import AgentFinder
 from monsoontack.entry.app import caller_app, operator_app
@@ -26,10 +27,10 @@
     OutcomeSink,
     Picker,
 )
+from monsoontack.entry.rollouts import guard_parts, rollout_work
+from monsoontack.entry.routed import RoutedPicker
 from monsoontack.entry.simple import (
-    ConcurrencyAdmission,
     CountingOutcomes,
-    LeastLoadedPicker,
     RefusingCalls,
 )
 from monsoontack.generation.progress import MONITOR_TICK_S, OwnPause
@@ -56,6 +57,7 @@
     calls: CallRunner | None = None
     store: ObjectStore | None = None
     outcomes: OutcomeSink | None = None
+    routing: RoutedPicker | None = None
 
 
 class QuietServer(uvicorn.Server):
@@ -67,16 +69,27 @@
         yield
 
 
+def add_routing(parts: EntryParts, place: Place) -> RoutedPicker:
+    """Make the routing decisions of an entry at `place` its picker."""
+    parts.routing = RoutedPicker(place, random.Random())
+    parts.picker = parts.routing
+    return parts.routing
+
+
 def build_context(
     settings: EntrySettings, parts: EntryParts, config: ConfigSource
 ) -> EntryContext:
     """Return the entry's parts, wired together."""
     rng = random.Random()
     counters = Counters.from_address(settings.statsd_address)
-    picker = parts.picker or LeastLoadedPicker()
+    place = Place(settings.failure_domain, settings.region)
+    picker = parts.picker or add_routing(parts, place)
     outcomes = parts.outcomes or CountingOutcomes()
     generations = Generations(picker, outcomes, counters, rng)
-    place = Place(settings.failure_domain, settings.region)
+    if parts.routing is not None:
+        generations.link_up = parts.routing.link_up
+        generations.cache_events = parts.routing.cache_events
+        generations.answered = parts.routing.answered
     identity = LinkIdentity(settings.name, place)
     pool = LinkPool(identity, generations, rng, settings.frame_silence_s)
     generations.pool = pool
@@ -93,7 +106,7 @@
         settings=settings,
         config=config,
         picker=picker,
-        admission=parts.admission or ConcurrencyAdmission(),
+        admission=parts.admission or FairAdmission(),
         calls=calls or RefusingCalls(),
         outcomes=outcomes,
         counters=counters,
@@ -115,16 +128,21 @@
         if parts.config is None:
             control = Control.from_settings(settings, random.Random())
             parts.store = parts.store or control.store
+            if parts.picker is None:
+                add_routing(parts, Place(settings.failure_domain, settings.region))
+            guard = guard_parts(parts, control.gossip)
         context = build_context(settings, parts, parts.config or control.gossip)
         finder = AgentFinder(settings, http, context.pool)
         context.generations.is_known = finder.is_known
         work = [finder.run(), _monitor(context), _flush(context)]
+        work.append(_follow_fleet(context, finder, parts.routing))
         if isinstance(context.calls, Ledger):
             work.append(_share_write_budget(context.calls, finder))
         if control is not None:
             context.control = control
             finder.listeners.append(control.set_vms)
             work.append(control.run())
+            work += rollout_work(guard, control, context, finder)
         tasks = [asyncio.ensure_future(item) for item in work]
         servers = [
             _server(caller_app(context), settings.http_address),
@@ -188,6 +206,20 @@
         await asyncio.sleep(FLUSH_S)
 
 
+async def _follow_fleet(
+    context: EntryContext, finder: AgentFinder, routing: RoutedPicker | None
+) -> None:
+    """Pass accounts and the size of the fleet on to admission and routing."""
+    while True:
+        entries = [r for r in finder.records if r.role == "entry" and r.state == "live"]
+        live = max(len(entries), 1)
+        context.admission.configure(context.view().accounts, live)
+        if routing is not None:
+            known = {r.address for r in finder.records} | set(context.pool.links)
+            routing.keep(known, live, context.now())
+        await asyncio.sleep(FLUSH_S)
+
+
 async def _flush(context: EntryContext) -> None:
     while True:
         await asyncio.sleep(FLUSH_S)
