--- a/bench/resume.py
+++ b/bench/resume.py
@@ -25,6 +25,8 @@
 SILENT_P95_S = 2.5
 WORST_S = 5.0
 MAX_ROUNDS = 60
+# Several failures in a row would eject the engine and end the losses.
+FAULT_SHARE = 0.2
 EXTRA_GENERATIONS = 500
 LOSS_EVERY = 50
 EXTRA_PERCENT = 3.0
@@ -123,14 +125,21 @@
 
 
 async def measure_engine(kind: str, rng: random.Random) -> Losses:
-    """Measure an engine whose streams break (`fail`) or stop (`silent`)."""
+    """Measure engines of which some streams break (`fail`) or stop (`silent`).
+
+    A continued stream may be struck again at once, which adds to its gap.
+    """
     async with start_fleet() as fleet:
-        position = rng.randrange(5, LENGTH - 15)
-        fault = {"kind": kind, "at_position": position}
-        engine = fleet.backends[0].engine
-        await fleet.cluster.set_faults(engine, {"faults": [fault]})
-        # A server that failed a generation is picked again for others.
-        return await run_rounds(fleet, [fleet.entries[0].url], None, None, rng)
+
+        async def set_faults() -> None:
+            position = rng.randrange(5, LENGTH - 15)
+            fault = {"kind": kind, "at_position": position, "share": FAULT_SHARE}
+            for backend in fleet.backends:
+                fault["seed"] = rng.randrange(1000)
+                await fleet.cluster.set_faults(backend.engine, {"faults": [fault]})
+
+        await set_faults()
+        return await run_rounds(fleet, [fleet.entries[0].url], None, set_faults, rng)
 
 
 async def measure_link(faults: dict, rng: random.Random) -> Losses:
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -48,7 +48,11 @@
 
 @dataclass(slots=True)
 class EntryParts:
-    """Decisions that may be replaced; None takes the first version."""
+    """Decisions that may be replaced; None takes the usual one.
+
+    `routing` gets the news of links that routing needs; `picker` may be a
+    wrapper around it.
+    """
 
     config: ConfigSource | None = None
     picker: Picker | None = None
@@ -56,6 +60,12 @@
     calls: CallRunner | None = None
     store: ObjectStore | None = None
     outcomes: OutcomeSink | None = None
+    routing: RoutedPicker | None = None
+
+    def set_routing(self, place: Place) -> None:
+        """Route by `monsoontack.routing` unless a picker is given."""
+        if self.picker is None:
+            self.routing = self.picker = RoutedPicker(place, random.Random())
 
 
 class QuietServer(uvicorn.Server):
@@ -74,13 +84,14 @@
     rng = random.Random()
     counters = Counters.from_address(settings.statsd_address)
     place = Place(settings.failure_domain, settings.region)
-    picker = parts.picker or RoutedPicker(place, rng)
+    parts.set_routing(place)
+    picker, routing = parts.picker, parts.routing
     outcomes = parts.outcomes or CountingOutcomes()
     generations = Generations(picker, outcomes, counters, rng)
-    if isinstance(picker, RoutedPicker):
-        generations.link_up = picker.link_up
-        generations.cache_events = picker.cache_events
-        generations.answered = picker.answered
+    if routing is not None:
+        generations.link_up = routing.link_up
+        generations.cache_events = routing.cache_events
+        generations.answered = routing.answered
     identity = LinkIdentity(settings.name, place)
     pool = LinkPool(identity, generations, rng, settings.frame_silence_s)
     generations.pool = pool
@@ -110,6 +121,7 @@
 async def run(settings: EntrySettings, parts: EntryParts | None = None) -> None:
     """Run an entry until SIGTERM or SIGINT, then drain and return."""
     parts = parts or EntryParts()
+    parts.set_routing(Place(settings.failure_domain, settings.region))
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -123,7 +135,7 @@
         finder = AgentFinder(settings, http, context.pool)
         context.generations.is_known = finder.is_known
         work = [finder.run(), _monitor(context), _flush(context)]
-        work.append(_follow_fleet(context, finder))
+        work.append(_follow_fleet(context, finder, parts.routing))
         if isinstance(context.calls, Ledger):
             work.append(_share_write_budget(context.calls, finder))
         if control is not None:
@@ -193,15 +205,17 @@
         await asyncio.sleep(FLUSH_S)
 
 
-async def _follow_fleet(context: EntryContext, finder: AgentFinder) -> None:
+async def _follow_fleet(
+    context: EntryContext, finder: AgentFinder, routing: RoutedPicker | None
+) -> None:
     """Pass accounts and the size of the fleet on to admission and routing."""
     while True:
         entries = [r for r in finder.records if r.role == "entry" and r.state == "live"]
         live = max(len(entries), 1)
         context.admission.configure(context.view().accounts, live)
-        if isinstance(context.picker, RoutedPicker):
+        if routing is not None:
             known = {r.address for r in finder.records} | set(context.pool.links)
-            context.picker.keep(known, live, context.now())
+            routing.keep(known, live, context.now())
         await asyncio.sleep(FLUSH_S)
 
 
