--- a/monsoontack/entry/app.py
+++ b/monsoontack/entry/app.py
@@ -1,6 +1,7 @@
 """HTTP applications of an entry: the callers' API and the operators' one."""
 
 import json
+import math
 import uuid
 from http import HTTPStatus
 
@@ -63,7 +64,7 @@
         resp.status = error.status
         resp.sse = None
         if error.retry_after_s is not None:
-            resp.set_header("Retry-After", str(max(round(error.retry_after_s), 0)))
+            resp.set_header("Retry-After", str(math.ceil(error.retry_after_s)))
         resp.text = json.dumps(error_document(error, req.context.request_id))
         resp.content_type = falcon.MEDIA_JSON
 
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import replace
 
 import structlog
@@ -61,6 +62,7 @@
         self.rng = rng
         self.pool: LinkPool | None = None
         self.sessions: dict[str, Session] = {}
+        self.held: Counter[str] = Counter()
         self.abandoned: dict[str, tuple[float, str, int]] = {}
         self.is_known = lambda address: True
         self.call_results = lambda result, link: None
@@ -89,7 +91,9 @@
         former = self.sessions.get(session.generation)
         if former is not None:
             self._supersede(former, session)
+            self.held[former.state.address] -= 1
         self.sessions[session.generation] = session
+        self.held[session.state.address] += 1
 
     def _supersede(self, former: Session, session: Session) -> None:
         state = former.state
@@ -104,6 +108,7 @@
         if self.sessions.get(session.generation) is not session:
             return
         del self.sessions[session.generation]
+        self.held[session.state.address] -= 1
         link = self.pool.links.get(session.state.address)
         if link is not None:
             link.note_ended(self.now())
@@ -131,7 +136,7 @@
 
     def in_flight(self, address: str) -> int:
         """Return how many sessions run on an agent's backend server."""
-        return sum(s.state.address == address for s in self.sessions.values())
+        return self.held[address]
 
     # Events from links.
 
@@ -196,6 +201,7 @@
         """Advance a session by one event and execute what follows from it."""
         if session.is_ended:
             return
+        address = session.state.address
         events = [event]
         while events:
             current = events.pop(0)
@@ -203,6 +209,9 @@
                 follow_up = self._execute(session, action, current)
                 if follow_up is not None:
                     events.append(follow_up)
+        if self.sessions.get(session.generation) is session:
+            self.held[address] -= 1
+            self.held[session.state.address] += 1
 
     def _execute(self, session: Session, action, cause: Event) -> Event | None:
         match action:
--- a/monsoontack/entry/generations_test.py
+++ b/monsoontack/entry/generations_test.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 import unittest
+from collections import Counter
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -238,7 +239,11 @@
     def close(self):
         for entry in self.entries:
             entry.monitor.cancel()
+            sessions = entry.generations.sessions.values()
+            held = Counter(session.state.address for session in sessions)
+            assert held == +entry.generations.held
             entry.generations.sessions.clear()
+            entry.generations.held.clear()
             entry.pool.close()
 
     def strike(self, kind, entry, session):
