--- a/monsoontack/entry/app.py
+++ b/monsoontack/entry/app.py
@@ -3,6 +3,7 @@
 import json
 import math
 import uuid
+from dataclasses import replace
 from http import HTTPStatus
 
 import falcon
@@ -61,6 +62,9 @@
     def answer(self, req, resp, error: RequestError) -> None:
         """Set the response to a typed error."""
         self.context.counters.add(f"errors.{error.code}")
+        # A refused reconnect says nothing about the work that it asks for.
+        if error.run_state is RunState.NOT_RUN and req.get_header("Last-Event-ID"):
+            error = replace(error, run_state=RunState.UNKNOWN)
         resp.status = error.status
         resp.sse = None
         if error.retry_after_s is not None:
