--- a/monsoontack/entry/completions.py
+++ b/monsoontack/entry/completions.py
@@ -105,16 +105,18 @@
         context = self.context
         now = context.now()
         service = ask.body.model
-        version = context.picker.pick_version(context.view(), service, now, context.rng)
-        if version is None:
-            message = f"no version of {service!r} takes traffic"
-            refuse(503, "version_unavailable", message, retry_after_s=1.0)
         servers = context.pool.servers(service)
         admitted = context.admission.request(
             ask.account.name, service, servers, now, context.rng, ask.priority
         )
         if isinstance(admitted, Failure):
             raise RequestRefusedError(admitted.failure())
+        # The rollout guard counts a request as sent from the choice of version on.
+        version = context.picker.pick_version(context.view(), service, now, context.rng)
+        if version is None:
+            context.admission.release(admitted.unwrap(), now)
+            message = f"no version of {service!r} takes traffic"
+            refuse(503, "version_unavailable", message, retry_after_s=1.0)
         generation = new_generation(version, context.rng)
         session = self._session(ask, AttemptLog(generation, version))
         session.ticket = admitted.unwrap()
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -27,6 +27,7 @@
     OutcomeSink,
     Picker,
 )
+from monsoontack.entry.rollouts import guard_parts, rollout_work
 from monsoontack.entry.routed import RoutedPicker
 from monsoontack.entry.simple import (
     CountingOutcomes,
@@ -48,11 +49,7 @@
 
 @dataclass(slots=True)
 class EntryParts:
-    """Decisions that may be replaced; None takes the usual one.
-
-    `routing` gets the news of links that routing needs; `picker` may be a
-    wrapper around it.
-    """
+    """Decisions that may be replaced; None takes the first version."""
 
     config: ConfigSource | None = None
     picker: Picker | None = None
@@ -62,11 +59,6 @@
     outcomes: OutcomeSink | None = None
     routing: RoutedPicker | None = None
 
-    def set_routing(self, place: Place) -> None:
-        """Route by `monsoontack.routing` unless a picker is given."""
-        if self.picker is None:
-            self.routing = self.picker = RoutedPicker(place, random.Random())
-
 
 class QuietServer(uvicorn.Server):
     """Server that leaves the signals to the daemon."""
@@ -77,6 +69,13 @@
         yield
 
 
+def add_routing(parts: EntryParts, place: Place) -> RoutedPicker:
+    """Make the routing decisions of an entry at `place` its picker."""
+    parts.routing = RoutedPicker(place, random.Random())
+    parts.picker = parts.routing
+    return parts.routing
+
+
 def build_context(
     settings: EntrySettings, parts: EntryParts, config: ConfigSource
 ) -> EntryContext:
@@ -84,14 +83,13 @@
     rng = random.Random()
     counters = Counters.from_address(settings.statsd_address)
     place = Place(settings.failure_domain, settings.region)
-    parts.set_routing(place)
-    picker, routing = parts.picker, parts.routing
+    picker = parts.picker or add_routing(parts, place)
     outcomes = parts.outcomes or CountingOutcomes()
     generations = Generations(picker, outcomes, counters, rng)
-    if routing is not None:
-        generations.link_up = routing.link_up
-        generations.cache_events = routing.cache_events
-        generations.answered = routing.answered
+    if parts.routing is not None:
+        generations.link_up = parts.routing.link_up
+        generations.cache_events = parts.routing.cache_events
+        generations.answered = parts.routing.answered
     identity = LinkIdentity(settings.name, place)
     pool = LinkPool(identity, generations, rng, settings.frame_silence_s)
     generations.pool = pool
@@ -121,7 +119,6 @@
 async def run(settings: EntrySettings, parts: EntryParts | None = None) -> None:
     """Run an entry until SIGTERM or SIGINT, then drain and return."""
     parts = parts or EntryParts()
-    parts.set_routing(Place(settings.failure_domain, settings.region))
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -131,6 +128,9 @@
         if parts.config is None:
             control = Control.from_settings(settings, random.Random())
             parts.store = parts.store or control.store
+            if parts.picker is None:
+                add_routing(parts, Place(settings.failure_domain, settings.region))
+            guard = guard_parts(parts, control.gossip)
         context = build_context(settings, parts, parts.config or control.gossip)
         finder = AgentFinder(settings, http, context.pool)
         context.generations.is_known = finder.is_known
@@ -142,6 +142,7 @@
             context.control = control
             finder.listeners.append(control.set_vms)
             work.append(control.run())
+            work += rollout_work(guard, control, context, finder)
         tasks = [asyncio.ensure_future(item) for item in work]
         servers = [
             _server(caller_app(context), settings.http_address),
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -299,6 +299,8 @@
         """Give the outcome of a finished session to the evidence."""
         produced = session.log.end_position - session.first_position
         first = session.first_token_at
+        # The first token of a resumed answer came from another entry.
+        resumed = bool(session.resumed_address)
         gap = None
         if first is not None and produced > 1:
             gap = (session.last_token_at - first) / (produced - 1)
@@ -308,7 +310,7 @@
             session.log.version,
             session.request.kind,
             failed,
-            None if first is None else first - session.started_at,
+            None if first is None or resumed else first - session.started_at,
             gap,
         )
         self.outcomes.record(outcome)
