--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -243,7 +243,7 @@
         path = self.write_settings(name, settings)
         arguments = [command, "--settings", str(path)]
         process = self.spawn(name, [*self.product, *arguments], port)
-        await process.wait_ready()
+        await process.wait_ready(self.operator_port(process))
         return process
 
     async def restart_daemon(self, ended: ManagedProcess) -> ManagedProcess:
@@ -252,9 +252,14 @@
         path = self.folder / f"{ended.name}.json"
         arguments = [command, "--settings", str(path)]
         process = self.spawn(ended.name, [*self.product, *arguments], ended.port)
-        await process.wait_ready()
+        await process.wait_ready(self.operator_port(process))
         return process
 
+    def operator_port(self, process: ManagedProcess) -> int:
+        """Return the port of a daemon's operator address."""
+        address = self.settings_of(process)["operator_address"]
+        return int(address.rpartition(":")[2])
+
     def settings_of(self, process: ManagedProcess) -> dict:
         """Return the settings file of an entry or agent as a document."""
         path = self.folder / f"{process.name}.json"
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -131,14 +131,18 @@
             await asyncio.sleep(POLL_S)
         return self.popen.returncode
 
-    async def wait_ready(self) -> None:
-        """Wait until the process accepts connections on its port."""
+    async def wait_ready(self, *other_ports: int) -> None:
+        """Wait until the process accepts connections on its port and the others."""
+        for port in (self.port, *other_ports):
+            await self._wait_listening(port)
+
+    async def _wait_listening(self, port: int) -> None:
         deadline = asyncio.get_running_loop().time() + START_TIMEOUT_S
         while asyncio.get_running_loop().time() < deadline:
             if not self.is_running():
                 raise StartError(f"{self.name} ended early:\n{self.read_log()}")
             try:
-                _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
             except OSError:
                 await asyncio.sleep(POLL_S)
                 continue
