Refuse rollout states of a higher epoch, found by the model

Once the model published under object versions, as the executor does, and no longer under the sealed head, it had a paused holder read its successor's state, overwrite it under a matching version and undo a published rollback. The controller now steps down when a stored state has a higher epoch; the variant without that check has a counterexample.

--- a/monsoontack/entry/rolloutguard.py
+++ b/monsoontack/entry/rolloutguard.py
@@ -23,7 +23,6 @@
 from monsoontack.rollout.evidence import BUCKETS, Counts, EvidenceCounters, EvidenceKey
 from monsoontack.rollout.evidence import EvidenceReport as Report
 from monsoontack.rollout.guard import STORE_SILENCE_S, Guard
-from monsoontack.rollout.judge import threshold_for
 
 TICK_S = 1.0
 Running = Callable[[], Counter]
@@ -69,8 +68,7 @@
 
     def tick(self) -> None:
         """Judge windows that are over, and count running requests afresh."""
-        members = len(self.gossip.state.members) + 1
-        self.guard.threshold = threshold_for(0.001, members)
+        self.guard.set_judges(len(self.gossip.state.members) + 1)
         running = self.running()
         for watched in self.guard.watched.values():
             rollout = watched.rollout
--- a/monsoontack/rollout/controller.py
+++ b/monsoontack/rollout/controller.py
@@ -137,6 +137,10 @@
         return []
 
     def _gain(self, event: LeaseGained, now: float) -> list[Action]:
+        if any(state.epoch > event.epoch for state, _ in event.stored.values()):
+            # Its versions would let this controller overwrite its successor.
+            self._lose()
+            return [StepDown("a stored rollout state has a higher lease epoch")]
         self.epoch = event.epoch
         self.stored = dict(event.stored)
         self.watches = {}
--- a/monsoontack/rollout/controller_test.py
+++ b/monsoontack/rollout/controller_test.py
@@ -1,6 +1,7 @@
 """Tests of the step machine of rollouts."""
 
 import unittest
+from dataclasses import replace
 from itertools import combinations
 
 from monsoontack.config.view import RolloutConfig
@@ -181,6 +182,17 @@
         self.assertIsInstance(harness.others[-1], StepDown)
         self.assertEqual(before, len(harness.published))
 
+    def test_state_of_a_higher_epoch_steps_down(self):
+        """Guards against a paused holder that reads its successor's state and
+        then overwrites it; found by the model with epoch checks on writes only."""
+        first = Harness()
+        first.run(60)
+        stored = replace(first.state, epoch=8)
+        second = Harness({"u1": (stored, first.version)})
+        second.run(900)
+        self.assertIsInstance(second.others[-1], StepDown)
+        self.assertEqual([], second.published)
+
     def test_fenced_load_steps_down(self):
         """Guards against orders from a controller that lost its lease."""
         harness = Harness()
--- a/monsoontack/rollout/guard.py
+++ b/monsoontack/rollout/guard.py
@@ -81,6 +81,12 @@
         """Return the guard of an entry among `judges` entries."""
         return cls(entry, threshold_for(alpha, judges))
 
+    def set_judges(self, judges: int) -> None:
+        """Take in how many entries there are, each of which may stop a version."""
+        self.threshold = threshold_for(GUARD_ALPHA, judges)
+        for watched in self.watched.values():
+            watched.judge.threshold = self.threshold
+
     def configure(self, rollouts: Mapping[str, RolloutConfig], now: float) -> None:
         """Follow the rollouts of a newly adopted revision, keyed by uid.
 
--- a/specs/rollout.py
+++ b/specs/rollout.py
@@ -6,10 +6,13 @@
 from each other, and spread stop marks. The store is down and up again at any
 time, during which nothing is read, written or published.
 
-A controller acts as `monsoontack.rollout.controller` does: it seals the head
+A controller acts as `monsoontack.controller.rollouts` does: it seals the head
 with its epoch, reads the stored state, writes the next step or the rollback
 under the version that it read, and publishes only what it has written. A write
-whose condition fails ends its term.
+whose condition fails, or a state that a higher epoch wrote, ends its term.
+Shares are published under the version of the published objects that its
+publisher read last; the publisher reads them again only while the head carries
+its own epoch.
 
 Checked:
 
@@ -22,7 +25,7 @@
 * `head_was_stored`: no share is published above the highest stored one.
 
 Bound: 2 controllers, 3 lease epochs, 2 entries, shares none, part and full, at
-most 5 stored versions (330,198 states). The state space is finite and searched
+most 5 stored versions (137,716 states). The state space is finite and searched
 whole. The broken variants need only 2 epochs.
 """
 
@@ -43,7 +46,7 @@
 
     `stage` is `idle`, `seal`, `read`, `ready` (knows the stored state) or
     `publish` (has written `step` and not yet published it). `head` is the
-    version of the head that it wrote last.
+    version of the published objects that it read last.
     """
 
     stage: str = "idle"
@@ -71,6 +74,7 @@
     epoch: int = 0
     stored_version: int = 0
     stored_step: int = 0
+    stored_epoch: int = 0
     head_version: int = 0
     head_epoch: int = 0
     head_step: int = 0
@@ -112,7 +116,7 @@
     return replace(world, terms=_put(world.terms, index, Term()))
 
 
-def seal_moves(world: World, index: int) -> Iterator[tuple[str, World]]:
+def seal_moves(world: World, index: int, unsafe: str) -> Iterator[tuple[str, World]]:
     """A controller marks the head with its epoch, then reads the state."""
     term = world.terms[index]
     if not world.up:
@@ -120,13 +124,13 @@
     if term.stage == "seal" and world.head_epoch > term.epoch:
         yield f"c{index} finds a higher epoch", _end_term(world, index)
     elif term.stage == "seal":
-        sealed = replace(
-            world, head_version=world.head_version + 1, head_epoch=term.epoch
-        )
+        sealed = replace(world, head_epoch=term.epoch)
         yield (
             f"c{index} seals the head",
             _term(sealed, index, stage="read", head=sealed.head_version),
         )
+    elif term.stage == "read" and world.stored_epoch > term.epoch and unsafe != "read":
+        yield f"c{index} finds a state of a higher epoch", _end_term(world, index)
     elif term.stage == "read":
         found = {"version": world.stored_version, "step": world.stored_step}
         yield f"c{index} reads the state", _term(world, index, stage="ready", **found)
@@ -152,6 +156,7 @@
         world,
         stored_version=world.stored_version + 1,
         stored_step=wanted,
+        stored_epoch=term.epoch,
         stored_rollback=world.stored_rollback or wanted == ROLLED_BACK,
         highest_stored=max(world.highest_stored, wanted),
     )
@@ -165,7 +170,11 @@
     if not (world.up and term.stage == "publish"):
         return
     if term.head != world.head_version and unsafe != "publish":
-        yield f"c{index} fails to publish", _end_term(world, index)
+        if world.head_epoch == term.epoch:
+            again = _term(world, index, head=world.head_version)
+            yield f"c{index} reads the published objects again", again
+        else:
+            yield f"c{index} fails to publish", _end_term(world, index)
         return
     share = max(term.step, 0)
     if share == world.head_step and term.step != ROLLED_BACK:
@@ -212,7 +221,7 @@
     yield from store_moves(world)
     for index in (0, 1):
         yield from lease_moves(world, index)
-        yield from seal_moves(world, index)
+        yield from seal_moves(world, index, unsafe)
         yield from write_moves(world, index, unsafe)
         yield from publish_moves(world, index, unsafe)
         yield from entry_moves(world, index, unsafe)
@@ -233,7 +242,8 @@
 def rollout_model(unsafe: str = "", initial: World | None = None) -> Protocol:
     """Return the model; `unsafe` names the check that a broken variant omits.
 
-    `write` writes without the version condition, `publish` publishes without
+    `read` goes on from a state that a higher epoch wrote, `write` writes without
+    the version condition, `publish` publishes without
     the condition on the head, `mark` lets configuration override a stop mark.
     """
     return Protocol(
--- a/specs/specs_test.py
+++ b/specs/specs_test.py
@@ -36,6 +36,7 @@
     def test_rollout_needs_each_check(self):
         """Guards against a rollout model that cannot fail."""
         variants = (
+            ("read", "head_stays_rolled_back", "publishes 1"),
             ("write", "rollback_is_final", "writes step 2"),
             ("publish", "head_stays_rolled_back", "publishes 2"),
             ("mark", "marked_gets_nothing", "sends"),
