Wire routing, admission, ejection and membership into the entry

The entry's picker and admission are monsoontack.entry.routing. Load estimates count requests sent and ended since the report was true; before, each report reset the count although it was older than the last requests.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -12,6 +12,7 @@
     RoundRobin,
 )
 from monsoontack.admission.admit import Admission
+from monsoontack.config.view import AccountConfig
 from monsoontack.core.records import (
     BackendServer,
     LoadReport,
@@ -70,7 +71,7 @@
     admission = Admission()
     weights = [1 / (rank + 1) for rank in range(N_ACCOUNTS)]
     accounts = rng.choices(range(N_ACCOUNTS), weights, k=DECISIONS)
-    names = [f"account-{index}" for index in accounts]
+    names = [AccountConfig(f"account-{index}", ()) for index in accounts]
     open_tickets = []
     start = time.process_time()
     for index, name in enumerate(names):
--- a/bench/servingmodel.py
+++ b/bench/servingmodel.py
@@ -16,6 +16,7 @@
 from returns.result import Success
 
 from monsoontack.admission.admit import Admission
+from monsoontack.config.view import AccountConfig
 from monsoontack.core.records import (
     BackendServer,
     LoadReport,
@@ -24,6 +25,7 @@
     ServerState,
 )
 from monsoontack.routing.linkbudget import LocalShare
+from monsoontack.routing.load import OwnRequests
 from monsoontack.routing.picker import Picker
 
 SERVICE, VERSION = "desk", "v1"
@@ -121,10 +123,12 @@
     def __init__(self, place: Place, accounts: Sequence[str]):
         self.picker = Picker(place, LocalShare.for_entries(2, 0.0))
         self.admission = Admission(live_entries=len(ENTRY_PLACES))
+        self.accounts = {name: AccountConfig(name, ()) for name in accounts}
 
     def choose(self, request: RouteRequest, states, now: float, rng):
         """Return engine and ticket, or a refusal."""
-        taken = self.admission.request(request.account, SERVICE, states, now, rng)
+        account = self.accounts[request.account]
+        taken = self.admission.request(account, SERVICE, states, now, rng)
         if not isinstance(taken, Success):
             return None, None, taken.failure()
         ticket = taken.unwrap()
@@ -158,21 +162,19 @@
     place: Place
     policy: object
     loads: dict[str, LoadReport] = field(default_factory=dict)
-    sent: dict[str, deque] = field(default_factory=dict)
-    ended: dict[str, deque] = field(default_factory=dict)
-    in_flight: Counter = field(default_factory=Counter)
+    own: dict[str, OwnRequests] = field(default_factory=dict)
 
     def states(self, engines: Sequence[Engine]) -> list[ServerState]:
         """Return what this entry knows of every engine."""
         result = []
         for engine in engines:
-            address = engine.server.address
+            own = self.own_at(engine.server.address)
             state = ServerState(
                 engine.server,
-                self.loads.get(address),
-                self.in_flight[address],
-                len(self.sent.get(address, ())),
-                len(self.ended.get(address, ())),
+                self.loads.get(engine.server.address),
+                own.in_flight,
+                len(own.sent),
+                len(own.ended),
             )
             result.append(state)
         return result
@@ -180,15 +182,11 @@
     def take_load(self, address: str, load: LoadReport) -> None:
         """Take a late load report and drop what it includes."""
         self.loads[address] = load
-        for changes in (self.sent, self.ended):
-            times = changes.setdefault(address, deque())
-            while times and times[0] <= load.reported_at:
-                times.popleft()
+        self.own_at(address).reported(load.reported_at)
 
-    def note_end(self, address: str, now: float) -> None:
-        """Count the end of a request, also of an abandoned one."""
-        self.in_flight[address] -= 1
-        self.ended.setdefault(address, deque()).append(now)
+    def own_at(self, address: str) -> OwnRequests:
+        """Return this entry's requests at one engine."""
+        return self.own.setdefault(address, OwnRequests())
 
 
 @dataclass(slots=True)
@@ -322,8 +320,7 @@
             return
         entry.policy.sent(request, server)
         address = server.address
-        entry.in_flight[address] += 1
-        entry.sent.setdefault(address, deque()).append(self.now)
+        entry.own_at(address).note_sent(self.now)
         if server.place.region != entry.place.region and self.warm:
             self.totals.remote_bytes += request.request_bytes
         caller.sent_at = self.now
@@ -368,7 +365,7 @@
     def _end(self, engine: Engine, caller: Caller, entry: Entry, ticket) -> None:
         engine.running -= 1
         address = engine.server.address
-        entry.note_end(address, self.now)
+        entry.own_at(address).note_ended(self.now)
         first = caller.first_token_s
         entry.policy.ended(ticket, address, False, first, self.now, self.rng)
         if self.warm and caller.born_at >= self.warm_at:
@@ -381,7 +378,7 @@
             return
         caller.abandoned = True
         address = engine.server.address
-        entry.note_end(address, self.now)
+        entry.own_at(address).note_ended(self.now)
         self.totals.abandoned += self.warm
         entry.policy.ended(ticket, address, True, None, self.now, self.rng)
 
--- a/monsoontack/admission/admit.py
+++ b/monsoontack/admission/admit.py
@@ -12,7 +12,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
@@ -105,25 +105,18 @@
 class Admission:
     """Admission decisions of one entry.
 
-    `refused` counts refusals per service and reason.
+    `live_entries` is the number of entries that share the traffic, `refused`
+    counts refusals per service and reason.
     """
 
-    accounts: Mapping[str, AccountConfig] = field(default_factory=dict)
     live_entries: int = 1
     services: dict[str, ServiceAdmission] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=itertools.count)
     refused: Counter[tuple[str, str]] = field(default_factory=Counter)
 
-    def configure(
-        self, accounts: Mapping[str, AccountConfig], live_entries: int
-    ) -> None:
-        """Take over accounts of a new revision or a new number of entries."""
-        self.accounts = accounts
-        self.live_entries = max(live_entries, 1)
-
     def request(
         self,
-        account: str,
+        account: AccountConfig,
         service: str,
         servers: Sequence[ServerState],
         now: float,
@@ -140,26 +133,24 @@
         if not room.slots:
             self.refused[service, "no_server"] += 1
             return Failure(_no_server(service))
-        config = self.accounts.get(account)
-        use = state.shares.use_of(account, config.weight if config else 1.0, now)
+        use = state.shares.use_of(account.name, account.weight, now)
         state.shares.refresh(room.capacity, state.hold_s, now)
         # The refresh drops idle accounts, and a new one may look idle.
-        state.shares.uses[account] = use
-        reason = self._refusal_reason(config, use, state, room, priority)
+        state.shares.uses[account.name] = use
+        reason = self._refusal_reason(account, use, state, room, priority)
         if reason:
             self.refused[service, reason] += 1
             return Failure(_refusal(service, reason, use, state, room, now, rng))
-        return Success(self._admit(account, service, use, state, now))
+        return Success(self._admit(account.name, service, use, state, now))
 
-    def resume(self, account: str, service: str, now: float) -> Ticket:
+    def resume(self, account: AccountConfig, service: str, now: float) -> Ticket:
         """Return a ticket for a running answer taken over from another entry.
 
         It is never refused: its work is under way already.
         """
         state = self.services.setdefault(service, ServiceAdmission())
-        config = self.accounts.get(account)
-        use = state.shares.use_of(account, config.weight if config else 1.0, now)
-        return self._admit(account, service, use, state, now)
+        use = state.shares.use_of(account.name, account.weight, now)
+        return self._admit(account.name, service, use, state, now)
 
     def release(self, ticket: Ticket, now: float) -> None:
         """Give back a ticket at the end of its request; a second time is void."""
@@ -184,15 +175,15 @@
 
     def _refusal_reason(
         self,
-        config: AccountConfig | None,
+        account: AccountConfig,
         use: AccountUse,
         state: ServiceAdmission,
         room: Room,
         priority: int,
     ) -> str:
         """Return why the request is refused, empty if it is admitted."""
-        if config is not None and config.max_concurrent:
-            own_part = -(-config.max_concurrent // self.live_entries)
+        if account.max_concurrent:
+            own_part = -(-account.max_concurrent // self.live_entries)
             if use.in_flight >= own_part:
                 return "account_limit"
         if room.held + 1 > room.limit:
--- a/monsoontack/admission/admit_test.py
+++ b/monsoontack/admission/admit_test.py
@@ -12,6 +12,7 @@
 from monsoontack.core.records import BackendServer, LoadReport, Place, ServerState
 
 PLACE = Place("almaty-a", "Almaty")
+ACCOUNT = AccountConfig("a", ())
 
 
 def servers(held, slots=16, leaving=False):
@@ -23,8 +24,8 @@
     """One server whose requests all take `hold_s`; callers retry as told."""
 
     def __init__(self, weights, hold_s=1.0, slots=16, seed=11):
-        accounts = {n: AccountConfig(n, (), weight=w) for n, w in weights.items()}
-        self.admission = Admission(accounts=accounts)
+        self.accounts = {n: AccountConfig(n, (), weight=w) for n, w in weights.items()}
+        self.admission = Admission()
         self.rng = random.Random(seed)
         self.hold_s, self.slots = hold_s, slots
         self.running, self.done, self.errors = [], dict.fromkeys(weights, 0), []
@@ -46,7 +47,8 @@
     def offer(self, account, now):
         self.offered[account] += 1
         view = servers(len(self.running), self.slots)
-        result = self.admission.request(account, "desk", view, now, self.rng)
+        config = self.accounts[account]
+        result = self.admission.request(config, "desk", view, now, self.rng)
         if isinstance(result, Success):
             self.running.append((now + self.hold_s, result.unwrap()))
         else:
@@ -117,15 +119,15 @@
         """Guards against admission on slots that will not take the work."""
         rng = random.Random(1)
         view = servers(0, leaving=True)
-        error = Admission().request("a", "desk", view, 0.0, rng).failure()
+        error = Admission().request(ACCOUNT, "desk", view, 0.0, rng).failure()
         self.assertEqual("no_backend_server", error.code)
         self.assertIsNotNone(error.retry_after_s)
 
     def test_release_counts_once(self):
         """Guards against shares that drift when a request ends twice."""
         admission, rng = Admission(), random.Random(1)
-        ticket = admission.request("a", "desk", servers(0), 0.0, rng).unwrap()
-        resumed = admission.resume("a", "desk", 0.0)
+        ticket = admission.request(ACCOUNT, "desk", servers(0), 0.0, rng).unwrap()
+        resumed = admission.resume(ACCOUNT, "desk", 0.0)
         admission.release(ticket, 1.0)
         admission.release(ticket, 2.0)
         self.assertEqual(1, admission.services["desk"].shares.in_flight)
@@ -135,10 +137,9 @@
     def test_account_maximum_is_divided_among_entries(self):
         """Guards against a limit that grows with the number of entries."""
         account = AccountConfig("a", (), max_concurrent=4)
-        admission, rng = Admission(), random.Random(1)
-        admission.configure({"a": account}, live_entries=2)
+        admission, rng = Admission(live_entries=2), random.Random(1)
         results = [
-            admission.request("a", "desk", servers(0), 0.0, rng) for _ in range(3)
+            admission.request(account, "desk", servers(0), 0.0, rng) for _ in range(3)
         ]
         self.assertEqual(2, sum(isinstance(r, Success) for r in results))
 
--- a/monsoontack/entry/completions.py
+++ b/monsoontack/entry/completions.py
@@ -6,6 +6,7 @@
 
 import falcon
 import falcon.asgi
+from returns.result import Success
 
 from monsoontack.config.view import AccountConfig
 from monsoontack.core.records import RouteRequest
@@ -33,9 +34,12 @@
 from monsoontack.entry.session import GenerationRequest, Session
 from monsoontack.generation.attempts import AttemptLog
 from monsoontack.generation.eventid import EventId, new_generation
+from monsoontack.routing.blocks import prompt_blocks
 
 # A caller that hears nothing for a few of these takes its connection for dead.
 PING_S = 0.5
+# A typical answer, as an estimate for the link between regions.
+ANSWER_BYTES = 4000
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,16 +106,19 @@
         now = context.now()
         service = ask.body.model
         version = context.picker.pick_version(context.view(), service, now, context.rng)
-        slots = context.live_slots(service)
-        if version is None or not slots:
+        servers = context.pool.servers(service)
+        if version is None or all(state.leaving for state in servers):
             message = f"no backend server of {service!r} takes traffic"
             refuse(503, "version_unavailable", message, retry_after_s=1.0)
-        error = context.admission.admit(ask.account, service, slots, now)
-        if error is not None:
-            raise RequestRefusedError(error)
+        admitted = context.admission.admit(
+            ask.account, service, servers, ask.priority, now
+        )
+        if not isinstance(admitted, Success):
+            context.counters.add("refused.overloaded")
+            raise RequestRefusedError(admitted.failure())
         generation = new_generation(version, context.rng)
         session = self._session(ask, AttemptLog(generation, version))
-        session.holds_place = True
+        session.ticket = admitted.unwrap()
         context.generations.begin(session)
         return session
 
@@ -125,6 +132,9 @@
         else:
             log = AttemptLog.from_position(generation, version, event_id.position)
         session = self._session(ask, log)
+        session.ticket = self.context.admission.resume(
+            ask.account, ask.body.model, self.context.now()
+        )
         self.context.counters.add("reconnects")
         self.context.generations.reconnect(session, event_id)
         return session
@@ -136,7 +146,8 @@
             version=log.version,
             account=ask.account.name,
             priority=ask.priority,
-            prefix_blocks=self.context.prefix_blocks(ask.document),
+            prefix_blocks=prompt_blocks(ask.document),
+            request_bytes=len(json.dumps(document)) + ANSWER_BYTES,
         )
         request = GenerationRequest(
             route=route,
@@ -152,8 +163,8 @@
         context = self.context
         context.generations.remove(session)
         context.generations.report(session)
-        if session.holds_place:
-            context.admission.release(ask.account, ask.body.model, context.now())
+        if session.ticket is not None:
+            context.admission.release(session.ticket, context.now())
 
     async def _events(self, ask: Ask, session, answer: AnswerFormat, request_id: str):
         with self.context.in_progress():
--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -20,6 +20,7 @@
     Picker,
 )
 from monsoontack.entry.requests import RequestRefusedError
+from monsoontack.entry.routing import Routing
 from monsoontack.settings.models import EntrySettings
 
 NOT_READY_RETRY_S = 1.0
@@ -39,7 +40,7 @@
     generations: Generations
     pool: LinkPool
     rng: random.Random
-    prefix_blocks: Callable[[dict], tuple[int, ...]] = lambda document: ()
+    routing: Routing | None = None
     control: Control | None = None
     draining: bool = False
     requests_in_progress: int = 0
@@ -53,11 +54,6 @@
         """Return the configuration in force."""
         return self.config.view()
 
-    def live_slots(self, service: str) -> int:
-        """Return the slots of all linked backend servers of a service."""
-        servers = self.pool.servers(service)
-        return sum(state.server.slots for state in servers if not state.leaving)
-
     def is_ready(self) -> bool:
         """Whether the entry takes new work."""
         return not self.draining and self.config.is_ready(self.now())
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -26,12 +26,8 @@
     OutcomeSink,
     Picker,
 )
-from monsoontack.entry.simple import (
-    ConcurrencyAdmission,
-    CountingOutcomes,
-    LeastLoadedPicker,
-    RefusingCalls,
-)
+from monsoontack.entry.routing import Routing
+from monsoontack.entry.simple import CountingOutcomes, RefusingCalls
 from monsoontack.generation.progress import MONITOR_TICK_S, OwnPause
 from monsoontack.ledger.service import Ledger
 from monsoontack.settings.models import EntrySettings
@@ -73,7 +69,8 @@
     """Return the entry's parts, wired together."""
     rng = random.Random()
     counters = Counters.from_address(settings.statsd_address)
-    picker = parts.picker or LeastLoadedPicker()
+    routing = Routing.from_settings(settings, rng)
+    picker = parts.picker or routing
     outcomes = parts.outcomes or CountingOutcomes()
     generations = Generations(picker, outcomes, counters, rng)
     place = Place(settings.failure_domain, settings.region)
@@ -83,9 +80,7 @@
     dispatcher = LinkDispatcher(pool, picker, outcomes, config.view, rng)
     generations.call_results = dispatcher.on_result
     generations.calls_lost = dispatcher.on_link_lost
-    pool.in_flight = lambda address: (
-        generations.in_flight(address) + dispatcher.in_flight(address)
-    )
+    pool.observers.append(routing)
     calls = parts.calls
     if calls is None and parts.store is not None:
         calls = Ledger(parts.store, dispatcher, window_s=settings.dispatch_window_s)
@@ -93,13 +88,14 @@
         settings=settings,
         config=config,
         picker=picker,
-        admission=parts.admission or ConcurrencyAdmission(),
+        admission=parts.admission or routing,
         calls=calls or RefusingCalls(),
         outcomes=outcomes,
         counters=counters,
         generations=generations,
         pool=pool,
         rng=rng,
+        routing=routing,
     )
 
 
@@ -116,7 +112,7 @@
             control = Control.from_settings(settings, random.Random())
             parts.store = parts.store or control.store
         context = build_context(settings, parts, parts.config or control.gossip)
-        finder = AgentFinder(settings, http, context.pool)
+        finder = AgentFinder(settings, http, context.pool, context.routing)
         context.generations.is_known = finder.is_known
         work = [finder.run(), _monitor(context), _flush(context)]
         if isinstance(context.calls, Ledger):
--- a/monsoontack/entry/dispatch.py
+++ b/monsoontack/entry/dispatch.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import uuid
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,6 +17,8 @@
 ROUTE = "calls"
 # The agent ends a call at its timeout; its result then needs one frame.
 RESULT_GRACE_S = 0.5
+# Headers and answer of a call, as an estimate for the link between regions.
+CALL_BYTES = 2000
 
 
 @dataclass(slots=True)
@@ -40,11 +41,9 @@
     view: Callable[[], ConfigView]
     rng: random.Random
     pending: dict[str, _Pending] = field(default_factory=dict)
-    running: Counter = field(default_factory=Counter)
 
-    def in_flight(self, address: str) -> int:
-        """Return how many calls wait for the agent's answer."""
-        return self.running[address]
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
 
     async def dispatch(
         self,
@@ -60,7 +59,8 @@
             call.service,
             version or "",
             call.account,
-            request_bytes=len(call.body),
+            request_bytes=len(call.body) + CALL_BYTES,
+            cause="call",
             excluded=frozenset(asked),
         )
         servers = self.pool.servers(call.service)
@@ -85,8 +85,7 @@
     ) -> DispatchResult:
         pending = _Pending(link, asyncio.get_running_loop().create_future())
         self.pending[message.call_id] = pending
-        self.running[link.address] += 1
-        link.sent_since_report += 1
+        self.pool.own_at(link.address).note_sent(self._now())
         link.send(link_pb2.EntryMessage(revision=self.view().revision, call=message))
         try:
             async with asyncio.timeout(timeout_s + RESULT_GRACE_S):
@@ -95,9 +94,7 @@
             return DispatchResult(RunState.UNKNOWN, None, "timeout", link.address)
         finally:
             del self.pending[message.call_id]
-            self.running[link.address] -= 1
-            if not self.running[link.address]:
-                del self.running[link.address]
+            self.pool.own_at(link.address).note_ended(self._now())
 
     def on_result(self, result: link_pb2.CallResult, link: Link) -> None:
         """Take a call result from a frame; one that nobody waits for is dropped."""
@@ -117,8 +114,9 @@
     ) -> None:
         now = asyncio.get_running_loop().time()
         failed = result.answer is None or result.answer.status >= 500
-        self.picker.record(result.address, failed, now)
         latency_s = None if failed else now - started_at
+        if result.address:
+            self.picker.record(result.address, failed, now, latency_s)
         self.outcomes.record(Outcome(service, version, ROUTE, failed, latency_s))
 
 
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -86,6 +86,8 @@
         if former is not None:
             self._supersede(former, session)
         self.sessions[session.generation] = session
+        if former is not None:
+            self._count(former)
 
     def _supersede(self, former: Session, session: Session) -> None:
         state = former.state
@@ -100,6 +102,7 @@
         if self.sessions.get(session.generation) is not session:
             return
         del self.sessions[session.generation]
+        self._count(session)
         if session.is_ended or session.handover:
             return
         state = session.state
@@ -122,9 +125,18 @@
                 state.phase = Phase.ENDED
                 self._end(session, error)
 
-    def in_flight(self, address: str) -> int:
-        """Return how many sessions run on an agent's backend server."""
-        return sum(s.state.address == address for s in self.sessions.values())
+    def _count(self, session: Session) -> None:
+        """Keep the load estimate of the agents at which a session runs."""
+        is_kept = self.sessions.get(session.generation) is session
+        address = session.state.address if is_kept and not session.is_ended else ""
+        if address == session.counted_at:
+            return
+        now = self.now()
+        if session.counted_at:
+            self.pool.own_at(session.counted_at).note_ended(now)
+        if address:
+            self.pool.own_at(address).note_sent(now)
+        session.counted_at = address
 
     # Events from links.
 
@@ -148,6 +160,8 @@
 
     def _take_chunk(self, session: Session, chunk: link_pb2.Chunk, now: float) -> None:
         accepted = session.accept(chunk, now)
+        if session.is_ended:
+            self._count(session)
         self.counters.add("tokens", accepted)
         if not accepted and not session.log.finish:
             self.counters.add("chunks.dropped")
@@ -190,6 +204,7 @@
                 follow_up = self._execute(session, action, current)
                 if follow_up is not None:
                     events.append(follow_up)
+        self._count(session)
 
     def _execute(self, session: Session, action, cause: Event) -> Event | None:
         match action:
@@ -229,13 +244,16 @@
 
     def _start(self, session: Session, attempt: int, excluded: frozenset) -> Event:
         request = session.request
-        route = replace(request.route, excluded=request.route.excluded | excluded)
+        route = replace(
+            request.route,
+            excluded=request.route.excluded | excluded,
+            cause="request" if attempt == 1 else "resume",
+        )
         servers = self.pool.servers(route.service)
         server = self.picker.pick(route, servers, self.now(), self.rng)
         if server is None:
             return NoServer()
         link = self.pool.ensure(server.address)
-        link.sent_since_report += 1
         start = link_pb2.Start(
             generation=session.generation,
             attempt=attempt,
@@ -271,6 +289,7 @@
     def _end(self, session: Session, error: RequestError) -> None:
         session.error = error
         session.wake.set()
+        self._count(session)
         self.counters.add(f"typed_end.{error.code}")
 
     def report(self, session: Session) -> None:
@@ -291,4 +310,7 @@
         )
         self.outcomes.record(outcome)
         if not failed and session.state.address:
-            self.picker.record(session.state.address, False, self.now())
+            # After a recovery the first token came from another server.
+            is_own = not session.state.recoveries and first is not None
+            latency_s = first - session.started_at if is_own else None
+            self.picker.record(session.state.address, False, self.now(), latency_s)
--- a/monsoontack/entry/links.py
+++ b/monsoontack/entry/links.py
@@ -23,6 +23,7 @@
 )
 from monsoontack.generation.progress import LinkProgress
 from monsoontack.proto import link_pb2, link_pb2_grpc
+from monsoontack.routing.load import OwnRequests
 
 log = structlog.get_logger("entry.links")
 
@@ -73,7 +74,7 @@
         self.revision = 0
         self.info: link_pb2.AgentInfo | None = None
         self.load: LoadReport | None = None
-        self.sent_since_report = 0
+        self.own = OwnRequests()
         now = asyncio.get_running_loop().time()
         self.opened_at = now
         self.used_at = now
@@ -127,9 +128,7 @@
     def _take_load(self, load: link_pb2.Load, now: float) -> None:
         self.progress.saw_load(load, now)
         reported_at = now - load.age_s
-        # Reports are a few ms apart in `age_s` noise; only a later one resets.
-        if self.load is None or reported_at > self.load.reported_at + 0.01:
-            self.sent_since_report = 0
+        self.own.reported(reported_at)
         self.load = LoadReport(load.running, load.queued, load.slots, reported_at)
 
     def _end(self) -> None:
@@ -163,7 +162,11 @@
 
 
 class LinkPool:
-    """All links of an entry, by agent address."""
+    """All links of an entry, by agent address.
+
+    `observers` hear of frames and lost links before the listener, so that what
+    it does next rests on the newest state.
+    """
 
     def __init__(
         self,
@@ -181,7 +184,8 @@
         self.links: dict[str, Link] = {}
         self.wanted: dict[str, VmRecord] = {}
         self.backoffs: dict[str, Backoff] = {}
-        self.in_flight: Callable[[str], int] = lambda address: 0
+        self.own: dict[str, OwnRequests] = {}
+        self.observers: list[LinkListener] = []
 
     def set_wanted(self, records: Iterable[VmRecord]) -> None:
         """Replace the set of agents to keep links to."""
@@ -195,10 +199,15 @@
         link = self.links.get(address)
         if link is None or link.is_closed:
             link = self.open_link(address, self.identity, self)
+            link.own = self.own_at(address)
             self.links[address] = link
         link.used_at = asyncio.get_running_loop().time()
         return link
 
+    def own_at(self, address: str) -> OwnRequests:
+        """Return this entry's own requests at an agent."""
+        return self.own.setdefault(address, OwnRequests())
+
     def tick(self, now: float) -> list[Link]:
         """Open wanted links, close idle ones, replace silent ones.
 
@@ -216,6 +225,7 @@
         for link in [l_ for l_ in self.links.values() if self._is_idle(l_, now)]:
             link.close()
             del self.links[link.address]
+            del self.own[link.address]
         return silent
 
     def _is_silent(self, link: Link, now: float) -> bool:
@@ -223,7 +233,7 @@
         return link.progress.is_silent(now, limit)
 
     def _is_idle(self, link: Link, now: float) -> bool:
-        if link.address in self.wanted or self.in_flight(link.address):
+        if link.address in self.wanted or self.own_at(link.address).in_flight:
             return False
         return now - link.used_at > IDLE_CLOSE_S
 
@@ -237,6 +247,8 @@
         if link.is_first_frame:
             self.backoffs.pop(link.address, None)
             log.info("link up", address=link.address)
+        for observer in self.observers:
+            observer.on_frame(link, frame)
         self.listener.on_frame(link, frame)
 
     def on_link_lost(self, link: Link, was_up: bool) -> None:
@@ -249,6 +261,8 @@
             backoff.failed(now, self.rng)
         if was_up:
             log.info("link down", address=link.address)
+        for observer in self.observers:
+            observer.on_link_lost(link, was_up)
         self.listener.on_link_lost(link, was_up)
 
     def servers(self, service: str) -> list[ServerState]:
@@ -262,8 +276,9 @@
         return ServerState(
             _backend_server(link),
             load=link.load,
-            in_flight=self.in_flight(link.address),
-            sent_since_report=link.sent_since_report,
+            in_flight=link.own.in_flight,
+            sent_since_report=len(link.own.sent),
+            ended_since_report=len(link.own.ended),
             leaving=link.leaving,
         )
 
--- a/monsoontack/entry/ports.py
+++ b/monsoontack/entry/ports.py
@@ -1,13 +1,16 @@
 """Protocols behind which the entry's decisions stand.
 
-The entry calls them on its event loop; none of them may block. `simple.py`
-has a first version of each.
+The entry calls them on its event loop; none of them may block. `routing.py`
+implements `Picker` and `Admission`, `simple.py` has plain versions of others.
 """
 
 import random
 from collections.abc import Sequence
 from typing import Protocol
 
+from returns.result import Result
+
+from monsoontack.admission.admit import Ticket
 from monsoontack.config.view import AccountConfig, ConfigView
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import BackendServer, Outcome, RouteRequest, ServerState
@@ -45,8 +48,13 @@
         """Return one of `servers` that may take the request, else None."""
         ...
 
-    def record(self, address: str, failed: bool, now: float) -> None:
-        """Note how an attempt on a backend server ended."""
+    def record(
+        self, address: str, failed: bool, now: float, latency_s: float | None = None
+    ) -> None:
+        """Note how an attempt on a backend server ended.
+
+        `latency_s` is the time to its first output in seconds, if it is known.
+        """
         ...
 
 
@@ -54,13 +62,25 @@
     """Decides whether a request may begin."""
 
     def admit(
-        self, account: AccountConfig, service: str, slots: int, now: float
-    ) -> RequestError | None:
-        """Take a place for the request, or return why it is refused."""
+        self,
+        account: AccountConfig,
+        service: str,
+        servers: Sequence[ServerState],
+        priority: int,
+        now: float,
+    ) -> Result[Ticket, RequestError]:
+        """Return a ticket for the request, or why it is refused.
+
+        `servers` are the linked backend servers of the service.
+        """
+        ...
+
+    def resume(self, account: AccountConfig, service: str, now: float) -> Ticket:
+        """Return a ticket for an answer that runs already; it isn't refused."""
         ...
 
-    def release(self, account: AccountConfig, service: str, now: float) -> None:
-        """Give back the place of a request that ended."""
+    def release(self, ticket: Ticket, now: float) -> None:
+        """Give back the ticket of a request that ended."""
         ...
 
 
--- a/monsoontack/entry/session.py
+++ b/monsoontack/entry/session.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from monsoontack.admission.admit import Ticket
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import RouteRequest, TokenChunk
 from monsoontack.generation.attempts import AttemptLog
@@ -41,7 +42,8 @@
         self.first_token_at: float | None = None
         self.last_token_at = now
         self.first_position = attempt_log.end_position
-        self.holds_place = False
+        self.ticket: Ticket | None = None
+        self.counted_at = ""
         self.resumed_address = ""
 
     @property
--- a/monsoontack/entry/simple.py
+++ b/monsoontack/entry/simple.py
@@ -1,92 +1,11 @@
 """First versions of the entry's decisions, used until the full ones are set."""
 
-import random
 from collections import Counter
-from collections.abc import Sequence
-from dataclasses import dataclass, field
 
-from monsoontack.config.view import AccountConfig, ConfigView
 from monsoontack.core.errors import RequestError
-from monsoontack.core.records import BackendServer, Outcome, RouteRequest, ServerState
+from monsoontack.core.records import Outcome
 from monsoontack.ledger.records import ServiceCall
 
-# Requests accepted per live slot; those above the slots wait in engine queues.
-REQUESTS_PER_SLOT = 2
-OVERLOAD_RETRY_S = 1.0
-
-
-class LeastLoadedPicker:
-    """Picks the least loaded backend server of the chosen version."""
-
-    def pick_version(
-        self, view: ConfigView, service: str, now: float, rng: random.Random
-    ) -> str | None:
-        """Choose a version by the published shares."""
-        shares = [(name, share) for name, share in view.services[service].shares]
-        if not any(share > 0 for _, share in shares):
-            return None
-        names, weights = zip(*shares, strict=True)
-        return rng.choices(names, weights)[0]
-
-    def pick(
-        self,
-        request: RouteRequest,
-        servers: Sequence[ServerState],
-        now: float,
-        rng: random.Random,
-    ) -> BackendServer | None:
-        """Return the least loaded server that has the version."""
-        fit = [
-            state
-            for state in servers
-            if request.version in state.server.versions
-            and not state.leaving
-            and state.server.address not in request.excluded
-        ]
-        if not fit:
-            return None
-        return min(fit, key=lambda state: (_load(state), rng.random())).server
-
-    def record(self, address: str, failed: bool, now: float) -> None:
-        """Ignore outcomes."""
-
-
-def _load(state: ServerState) -> float:
-    load = state.load
-    held = load.running + load.queued if load else 0
-    busy = max(held + state.sent_since_report, state.in_flight)
-    return busy / max(load.slots if load else 1, 1)
-
-
-@dataclass(slots=True)
-class ConcurrencyAdmission:
-    """Admits up to a multiple of the live slots, and each account's own limit."""
-
-    running: Counter = field(default_factory=Counter)
-    running_of_account: Counter = field(default_factory=Counter)
-
-    def admit(
-        self, account: AccountConfig, service: str, slots: int, now: float
-    ) -> RequestError | None:
-        """Take a place, or return `overloaded`."""
-        limit = account.max_concurrent
-        if limit and self.running_of_account[account.name] >= limit:
-            message = f"account {account.name!r} already has {limit} requests running"
-            return RequestError(429, "overloaded", message, retry_after_s=1.0)
-        if self.running[service] >= slots * REQUESTS_PER_SLOT:
-            message = f"service {service!r} has no free capacity"
-            return RequestError(
-                503, "overloaded", message, retry_after_s=OVERLOAD_RETRY_S
-            )
-        self.running[service] += 1
-        self.running_of_account[account.name] += 1
-        return None
-
-    def release(self, account: AccountConfig, service: str, now: float) -> None:
-        """Give a place back."""
-        self.running[service] -= 1
-        self.running_of_account[account.name] -= 1
-
 
 class CountingOutcomes:
     """Keeps counts of outcomes by service, version and result."""
--- a/monsoontack/membership/subset.py
+++ b/monsoontack/membership/subset.py
@@ -94,12 +94,13 @@
 ) -> list[VmRecord]:
     """Return the agents that an entry keeps links to, for all services.
 
-    `records` are the VMs that may take work, entries and agents. Agents of the
+    `entry` is the address of its process for other processes. `records` are the
+    VMs that may take work, entries and agents. Agents of the
     own region come first; the other region fills up a service that has too few
     there, and a small reserve is linked while the link between regions allows.
     """
     entries = [
-        record.vm
+        record.address
         for record in records
         if record.role == "entry" and record.place.region == place.region
     ]
--- a/monsoontack/membership/subset_test.py
+++ b/monsoontack/membership/subset_test.py
@@ -45,7 +45,7 @@
             for i in range(10)
         ]
         records.append(VmRecord("vm-e", "entry", "e", "", HERE))
-        chosen = choose_links("vm-e", HERE, records, 16)
+        chosen = choose_links("e", HERE, records, 16)
         self.assertEqual(["Almaty"] * 10, [r.place.region for r in chosen[:10]])
         self.assertGreaterEqual(len(chosen), 12)
 
@@ -54,7 +54,7 @@
         records = [
             VmRecord(f"vm-{i}", "agent", f"far-{i}", "", FAR) for i in range(30)
         ] + [VmRecord(f"vm-e{i}", "entry", f"e{i}", "", HERE) for i in range(400)]
-        self.assertEqual(2, len(choose_links("vm-e0", HERE, records, 16)))
+        self.assertEqual(2, len(choose_links("e0", HERE, records, 16)))
 
 
 if __name__ == "__main__":
--- a/monsoontack/routing/load.py
+++ b/monsoontack/routing/load.py
@@ -6,10 +6,44 @@
 `monsoontack.routing.picker` allows for them, and `fleet_held` extrapolates.
 """
 
+from collections import deque
 from collections.abc import Sequence
+from dataclasses import dataclass, field
 
 from monsoontack.core.records import ServerState
 
+# Plain services may never report load; this bounds what is remembered for them.
+MAX_CHANGES = 1024
+
+
+@dataclass(slots=True)
+class OwnRequests:
+    """This entry's own requests at one server, and their changes since a report.
+
+    `sent` and `ended` hold the times of changes that the newest load report
+    does not include; `in_flight` counts what runs now.
+    """
+
+    in_flight: int = 0
+    sent: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_CHANGES))
+    ended: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_CHANGES))
+
+    def note_sent(self, now: float) -> None:
+        """Count a request sent to the server."""
+        self.in_flight += 1
+        self.sent.append(now)
+
+    def note_ended(self, now: float) -> None:
+        """Count the end of a request at the server."""
+        self.in_flight -= 1
+        self.ended.append(now)
+
+    def reported(self, reported_at: float) -> None:
+        """Drop the changes that a report which was true at that time includes."""
+        for times in (self.sent, self.ended):
+            while times and times[0] <= reported_at:
+                times.popleft()
+
 
 def held_requests(state: ServerState) -> int:
     """Return the estimated number of requests running or queued at a server."""
