--- a/monsoontack/entry/completions.py
+++ b/monsoontack/entry/completions.py
@@ -6,7 +6,7 @@
 
 import falcon
 import falcon.asgi
-from returns.result import Success
+from returns.result import Failure
 
 from monsoontack.config.view import AccountConfig
 from monsoontack.core.records import RouteRequest
@@ -31,15 +31,15 @@
     read_priority,
     refuse,
 )
+from monsoontack.entry.routed import prefix_blocks
 from monsoontack.entry.session import GenerationRequest, Session
 from monsoontack.generation.attempts import AttemptLog
 from monsoontack.generation.eventid import EventId, new_generation
-from monsoontack.routing.blocks import prompt_blocks
 
 # A caller that hears nothing for a few of these takes its connection for dead.
 PING_S = 0.5
-# A typical answer, as an estimate for the link between regions.
-ANSWER_BYTES = 4000
+# Estimate of an answer's size on a link: token id and text.
+BYTES_PER_TOKEN = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,17 +105,18 @@
         context = self.context
         now = context.now()
         service = ask.body.model
-        version = context.picker.pick_version(context.view(), service, now, context.rng)
         servers = context.pool.servers(service)
-        if version is None or all(state.leaving for state in servers):
-            message = f"no backend server of {service!r} takes traffic"
-            refuse(503, "version_unavailable", message, retry_after_s=1.0)
-        admitted = context.admission.admit(
-            ask.account, service, servers, ask.priority, now
+        admitted = context.admission.request(
+            ask.account.name, service, servers, now, context.rng, ask.priority
         )
-        if not isinstance(admitted, Success):
-            context.counters.add("refused.overloaded")
+        if isinstance(admitted, Failure):
             raise RequestRefusedError(admitted.failure())
+        # The rollout guard counts a request as sent from the choice of version on.
+        version = context.picker.pick_version(context.view(), service, now, context.rng)
+        if version is None:
+            context.admission.release(admitted.unwrap(), now)
+            message = f"no version of {service!r} takes traffic"
+            refuse(503, "version_unavailable", message, retry_after_s=1.0)
         generation = new_generation(version, context.rng)
         session = self._session(ask, AttemptLog(generation, version))
         session.ticket = admitted.unwrap()
@@ -131,28 +132,30 @@
             log = AttemptLog(generation, version)
         else:
             log = AttemptLog.from_position(generation, version, event_id.position)
-        session = self._session(ask, log)
+        session = self._session(ask, log, "resume")
         session.ticket = self.context.admission.resume(
-            ask.account, ask.body.model, self.context.now()
+            ask.account.name, ask.body.model, self.context.now()
         )
         self.context.counters.add("reconnects")
         self.context.generations.reconnect(session, event_id)
         return session
 
-    def _session(self, ask: Ask, log: AttemptLog) -> Session:
+    def _session(self, ask: Ask, log: AttemptLog, cause: str = "request") -> Session:
         document = {k: v for k, v in ask.document.items() if k != "monsoontack"}
+        body = json.dumps(document).encode()
         route = RouteRequest(
             service=ask.body.model,
             version=log.version,
             account=ask.account.name,
             priority=ask.priority,
-            prefix_blocks=prompt_blocks(ask.document),
-            request_bytes=len(json.dumps(document)) + ANSWER_BYTES,
+            prefix_blocks=prefix_blocks(ask.document),
+            request_bytes=len(body) + BYTES_PER_TOKEN * ask.body.token_limit,
+            cause=cause,
         )
         request = GenerationRequest(
             route=route,
             kind=self.kind,
-            body=json.dumps(document).encode(),
+            body=body,
             max_tokens=ask.body.token_limit,
             revision=self.context.view().revision,
             streamed=ask.body.stream,
--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -20,7 +20,6 @@
     Picker,
 )
 from monsoontack.entry.requests import RequestRefusedError
-from monsoontack.entry.routing import Routing
 from monsoontack.settings.models import EntrySettings
 
 NOT_READY_RETRY_S = 1.0
@@ -40,7 +39,6 @@
     generations: Generations
     pool: LinkPool
     rng: random.Random
-    routing: Routing | None = None
     control: Control | None = None
     draining: bool = False
     requests_in_progress: int = 0
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import replace
 
 import structlog
@@ -61,10 +62,15 @@
         self.rng = rng
         self.pool: LinkPool | None = None
         self.sessions: dict[str, Session] = {}
+        self.held: Counter[str] = Counter()
         self.abandoned: dict[str, tuple[float, str, int]] = {}
         self.is_known = lambda address: True
         self.call_results = lambda result, link: None
         self.calls_lost = lambda link: None
+        self.link_up = lambda address, service, now: None
+        self.cache_events = lambda address, events: None
+        self.answered = lambda address, latency_s, now: None
+        self.order_results = lambda result, link: None
 
     def now(self) -> float:
         """Return the loop's time in seconds."""
@@ -85,9 +91,9 @@
         former = self.sessions.get(session.generation)
         if former is not None:
             self._supersede(former, session)
+            self.held[former.state.address] -= 1
         self.sessions[session.generation] = session
-        if former is not None:
-            self._count(former)
+        self.held[session.state.address] += 1
 
     def _supersede(self, former: Session, session: Session) -> None:
         state = former.state
@@ -102,7 +108,10 @@
         if self.sessions.get(session.generation) is not session:
             return
         del self.sessions[session.generation]
-        self._count(session)
+        self.held[session.state.address] -= 1
+        link = self.pool.links.get(session.state.address)
+        if link is not None:
+            link.note_ended(self.now())
         if session.is_ended or session.handover:
             return
         state = session.state
@@ -125,18 +134,9 @@
                 state.phase = Phase.ENDED
                 self._end(session, error)
 
-    def _count(self, session: Session) -> None:
-        """Keep the load estimate of the agents at which a session runs."""
-        is_kept = self.sessions.get(session.generation) is session
-        address = session.state.address if is_kept and not session.is_ended else ""
-        if address == session.counted_at:
-            return
-        now = self.now()
-        if session.counted_at:
-            self.pool.own_at(session.counted_at).note_ended(now)
-        if address:
-            self.pool.own_at(address).note_sent(now)
-        session.counted_at = address
+    def in_flight(self, address: str) -> int:
+        """Return how many sessions run on an agent's backend server."""
+        return self.held[address]
 
     # Events from links.
 
@@ -145,6 +145,10 @@
         now = self.now()
         if link.is_first_frame:
             self._tell(link, Answered())
+            if link.info is not None:
+                self.link_up(link.address, link.info.service, now)
+        if frame.cache_events:
+            self.cache_events(link.address, frame.cache_events)
         for chunk in frame.chunks:
             session = self.sessions.get(chunk.generation)
             if session is None:
@@ -157,11 +161,11 @@
                 self.apply(session, AttemptEnded(end.attempt, end.code, end.started))
         for result in frame.results:
             self.call_results(result, link)
+        for result in frame.order_results:
+            self.order_results(result, link)
 
     def _take_chunk(self, session: Session, chunk: link_pb2.Chunk, now: float) -> None:
         accepted = session.accept(chunk, now)
-        if session.is_ended:
-            self._count(session)
         self.counters.add("tokens", accepted)
         if not accepted and not session.log.finish:
             self.counters.add("chunks.dropped")
@@ -197,6 +201,7 @@
         """Advance a session by one event and execute what follows from it."""
         if session.is_ended:
             return
+        address = session.state.address
         events = [event]
         while events:
             current = events.pop(0)
@@ -204,7 +209,9 @@
                 follow_up = self._execute(session, action, current)
                 if follow_up is not None:
                     events.append(follow_up)
-        self._count(session)
+        if self.sessions.get(session.generation) is session:
+            self.held[address] -= 1
+            self.held[session.state.address] += 1
 
     def _execute(self, session: Session, action, cause: Event) -> Event | None:
         match action:
@@ -244,16 +251,13 @@
 
     def _start(self, session: Session, attempt: int, excluded: frozenset) -> Event:
         request = session.request
-        route = replace(
-            request.route,
-            excluded=request.route.excluded | excluded,
-            cause="request" if attempt == 1 else "resume",
-        )
+        route = replace(request.route, excluded=request.route.excluded | excluded)
         servers = self.pool.servers(route.service)
         server = self.picker.pick(route, servers, self.now(), self.rng)
         if server is None:
             return NoServer()
         link = self.pool.ensure(server.address)
+        link.note_sent(self.now())
         start = link_pb2.Start(
             generation=session.generation,
             attempt=attempt,
@@ -289,13 +293,14 @@
     def _end(self, session: Session, error: RequestError) -> None:
         session.error = error
         session.wake.set()
-        self._count(session)
         self.counters.add(f"typed_end.{error.code}")
 
     def report(self, session: Session) -> None:
         """Give the outcome of a finished session to the evidence."""
         produced = session.log.end_position - session.first_position
         first = session.first_token_at
+        # The first token of a resumed answer came from another entry.
+        resumed = bool(session.resumed_address)
         gap = None
         if first is not None and produced > 1:
             gap = (session.last_token_at - first) / (produced - 1)
@@ -305,12 +310,12 @@
             session.log.version,
             session.request.kind,
             failed,
-            None if first is None else first - session.started_at,
+            None if first is None or resumed else first - session.started_at,
             gap,
         )
         self.outcomes.record(outcome)
-        if not failed and session.state.address:
-            # After a recovery the first token came from another server.
-            is_own = not session.state.recoveries and first is not None
-            latency_s = first - session.started_at if is_own else None
-            self.picker.record(session.state.address, False, self.now(), latency_s)
+        address = session.state.address
+        if not failed and address:
+            self.picker.record(address, False, self.now())
+        if not failed and first is not None and len(session.state.recoveries) == 1:
+            self.answered(address, first - session.started_at, self.now())
--- a/monsoontack/entry/ports.py
+++ b/monsoontack/entry/ports.py
@@ -1,11 +1,11 @@
 """Protocols behind which the entry's decisions stand.
 
-The entry calls them on its event loop; none of them may block. `routing.py`
-implements `Picker` and `Admission`, `simple.py` has plain versions of others.
+The entry calls them on its event loop; none of them may block. `simple.py`
+has a first version of each.
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from returns.result import Result
@@ -48,35 +48,34 @@
         """Return one of `servers` that may take the request, else None."""
         ...
 
-    def record(
-        self, address: str, failed: bool, now: float, latency_s: float | None = None
-    ) -> None:
-        """Note how an attempt on a backend server ended.
-
-        `latency_s` is the time to its first output in seconds, if it is known.
-        """
+    def record(self, address: str, failed: bool, now: float) -> None:
+        """Note how an attempt on a backend server ended."""
         ...
 
 
 class Admission(Protocol):
     """Decides whether a request may begin."""
 
-    def admit(
+    def configure(
+        self, accounts: Mapping[str, AccountConfig], live_entries: int
+    ) -> None:
+        """Take over accounts of a new revision or a new number of entries."""
+        ...
+
+    def request(
         self,
-        account: AccountConfig,
+        account: str,
         service: str,
         servers: Sequence[ServerState],
-        priority: int,
         now: float,
+        rng: random.Random,
+        priority: int = 0,
     ) -> Result[Ticket, RequestError]:
-        """Return a ticket for the request, or why it is refused.
-
-        `servers` are the linked backend servers of the service.
-        """
+        """Return a ticket for a new request, or why it is refused."""
         ...
 
-    def resume(self, account: AccountConfig, service: str, now: float) -> Ticket:
-        """Return a ticket for an answer that runs already; it isn't refused."""
+    def resume(self, account: str, service: str, now: float) -> Ticket:
+        """Return a ticket for a running answer taken over from another entry."""
         ...
 
     def release(self, ticket: Ticket, now: float) -> None:
--- a/monsoontack/entry/session.py
+++ b/monsoontack/entry/session.py
@@ -43,7 +43,6 @@
         self.last_token_at = now
         self.first_position = attempt_log.end_position
         self.ticket: Ticket | None = None
-        self.counted_at = ""
         self.resumed_address = ""
 
     @property
--- a/monsoontack/rollout/judge.py
+++ b/monsoontack/rollout/judge.py
@@ -19,6 +19,7 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from operator import add
 
 from monsoontack.rollout.evidence import (
     BUCKETS,
@@ -28,8 +29,9 @@
     bucket_bound_s,
 )
 
+# Versions up to 20% worse lose evidence under each of these, so the test needs
+# no further tolerance; one of 1.1 cost a quarter of the evidence per request.
 FAILURE_RATIOS = (1.5, 2.0, 4.0, 15.0, 60.0)
-FAILURE_TOLERANCE = 1.1  # ratio of failure rates that counts as equal
 FAILURE_DRIFT = 1.2  # further tolerance against a reference of another time
 FAILURE_CAP = 0.2  # a lost engine fails many requests of one window together
 SHIFTS = (0.05, 0.12, 0.25)
@@ -44,6 +46,7 @@
 MAX_ROUTES = 8
 RESTARTS = 480  # restarts in a rollout of eight hours
 TESTS = 3 * (MAX_ROUTES + 1)
+LOOKS = 6  # before each of the four next steps, the watch and the completion
 
 
 def threshold_for(alpha: float, judges: int = 1) -> float:
@@ -55,6 +58,17 @@
     return math.log(TESTS * RESTARTS * max(judges, 1) / alpha)
 
 
+def look_threshold_for(alpha: float) -> float:
+    """Return the log likelihood ratio at which a look before a step convicts.
+
+    There are only a few looks, so less evidence suffices than for a test that
+    is checked after every window. A test that restarts is at its maximum over
+    all starting times; read backwards in time that is one likelihood ratio, so
+    a single look errs with probability `alpha` for steady traffic.
+    """
+    return math.log(TESTS * LOOKS / alpha)
+
+
 @dataclass(frozen=True, slots=True)
 class Finding:
     """A fault of the new version: what was measured, in words and figures."""
@@ -79,7 +93,7 @@
             self.previous, self.current = self.current, []
             self.started_at = now
         if self.current:
-            self.current = [a + b for a, b in zip(self.current, counts, strict=True)]
+            self.current = list(map(add, self.current, counts))
         else:
             self.current = list(counts)
 
@@ -87,7 +101,7 @@
         """Return the sum of both periods, or an empty list."""
         if not (self.current and self.previous):
             return self.current or self.previous
-        return [a + b for a, b in zip(self.current, self.previous, strict=True)]
+        return list(map(add, self.current, self.previous))
 
 
 @dataclass(slots=True)
@@ -112,6 +126,10 @@
         old = 100 * self.old_events / max(self.old, 1)
         return old, 100 * self.new_events / max(self.new, 1)
 
+    def when(self) -> str:
+        """Return when the old version's requests of this tally ended."""
+        return "until its traffic ended" if self.referenced else "at the same time"
+
 
 class SequentialTest:
     """Log likelihood ratios of one metric, one per alternative."""
@@ -169,7 +187,7 @@
             self._refer(n_new, f_new)
 
     def _compare(self, n_old: int, f_old: float, n_new: int, f_new: float) -> None:
-        equal = FAILURE_TOLERANCE * n_new / (FAILURE_TOLERANCE * n_new + n_old)
+        equal = n_new / (n_new + n_old)
         for i, ratio in enumerate(FAILURE_RATIOS):
             worse = ratio * n_new / (ratio * n_new + n_old)
             self.logs[i] += f_new * math.log(worse / equal)
@@ -196,7 +214,7 @@
             n_old, f_old = self.reference.total()
             before = f"{100 * f_old / n_old:.2f}% of {n_old} on {old} before"
         else:
-            before = f"{share_old:.2f}% of {tally.old} on {old} at the same time"
+            before = f"{share_old:.2f}% of {tally.old} on {old} {tally.when()}"
         return f"{share_new:.2f}% of {tally.new} requests failed on {new}, {before}"
 
 
@@ -285,7 +303,7 @@
             share_old = 100 * sum(total[self.bound :]) / max(sum(total), 1)
             before = f"{share_old:.0f}% of {sum(total)} on {old} before"
         else:
-            before = f"{share_old:.0f}% of {tally.old} on {old} at the same time"
+            before = f"{share_old:.0f}% of {tally.old} on {old} {tally.when()}"
         return (
             f"{self.words} above {bound_ms:.0f} ms for {share_new:.0f}% of"
             f" {tally.new} requests on {new}, {before}"
@@ -325,18 +343,22 @@
                 if restart:
                     test.restart()
                 test.update(old, new, now)
-        return self._convict()
+        return self._convict(self.threshold)
 
     def _tests_of(self, route: str) -> tuple[SequentialTest, ...]:
         if route not in self.routes and len(self.routes) <= MAX_ROUTES:
             self.routes[route] = _tests()
         return self.routes.get(route, ())
 
-    def _convict(self) -> Finding | None:
+    def look(self, alpha: float) -> Finding | None:
+        """Decide once before the next step; see `look_threshold_for`."""
+        return self._convict(min(self.threshold, look_threshold_for(alpha)))
+
+    def _convict(self, threshold: float) -> Finding | None:
         if self.finding is not None:
             return self.finding
         evidence, route, test = self._strongest()
-        if evidence >= self.threshold:
+        if evidence >= threshold:
             self.finding = Finding(
                 test.metric, route, self._describe(route, test), evidence
             )
@@ -353,8 +375,13 @@
         return f"{where}: {test.text(self.old, self.new)}"
 
     def summary(self) -> str:
-        """Return the figures of the test that is nearest to its threshold."""
+        """Return the figures of the test nearest to its threshold.
+
+        Without evidence against the version these are the overall failures.
+        """
         evidence, route, test = self._strongest()
+        if evidence <= 0.0:
+            route, test = OVERALL, self.routes[OVERALL][0]
         share = 100 * max(evidence, 0.0) / self.threshold
         return f"{self._describe(route, test)} ({share:.0f}% of the evidence to stop)"
 
--- /dev/null
+++ b/specs/ledger_machine_test.py
@@ -0,0 +1,61 @@
+"""Checks the real ledger state machine over generated orders of events."""
+
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from monsoontack.core.errors import RunState
+from monsoontack.ledger import machine
+from monsoontack.ledger.protocol import Dispatch, Phase
+from specs.ledgerdriver import LedgerMachine
+
+SETTINGS = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=400,
+    stateful_step_count=60,
+)
+
+
+class LedgerMachineTest(unittest.TestCase):
+    def test_properties_hold(self):
+        """Guards against an order of events that the fault tests do not reach."""
+        run_state_machine_as_test(LedgerMachine, settings=SETTINGS)
+
+    def test_dispatch_after_a_refusal_is_found(self):
+        """Guards against rules that never come near a violation."""
+        right = machine._abandon
+
+        def broken(state, code, now, retry_after_s=None):
+            state, actions = right(state, code, now, retry_after_s)
+            if code == "dispatch_window_passed":
+                dispatch = Dispatch(state.version, 0.0)
+                return replace(state, phase=Phase.DISPATCHING), [actions[0], dispatch]
+            return state, actions
+
+        self.check_broken("_abandon", broken, "dispatch_window_passed")
+
+    def test_lost_answer_taken_as_not_run_is_found(self):
+        """Guards against rules that never lose the answer of a dispatch."""
+        right = machine._dispatched
+
+        def broken(state, result, now):
+            if result.run_state is RunState.UNKNOWN:
+                result = replace(result, run_state=RunState.NOT_RUN)
+            return right(state, result, now)
+
+        self.check_broken("_dispatched", broken, "answer_lost")
+
+    def check_broken(self, name, broken, message):
+        quiet = settings(SETTINGS, print_blob=False, report_multiple_bugs=False)
+        with mock.patch.object(machine, name, broken):
+            with self.assertRaisesRegex(AssertionError, message):
+                run_state_machine_as_test(LedgerMachine, settings=quiet)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -15,6 +15,7 @@
 since the platform's list lags too; `set_vm_state` and `remove_vm` change it.
 """
 
+import asyncio
 import itertools
 import json
 import os
@@ -28,19 +29,13 @@
 import aiohttp
 
 from monsoontack.core.records import Place, VmRecord
-from standins.processes import ManagedProcess, PortBlock
+from standins.processes import POLL_S, START_TIMEOUT_S, ManagedProcess, PortBlock
 
 ROOT = Path(__file__).resolve().parent.parent
 DEFAULT_PLACE = Place("domain-a", "region-1")
 Seed = Callable[[str], Awaitable[None]]
 
 
-def vm_line(record: VmRecord) -> dict:
-    """Return a line of the VM list in the format of docs/platform.md."""
-    fields = asdict(record)
-    return fields | fields.pop("place")
-
-
 class Cluster:
     """Processes of one test, demonstration or measurement."""
 
@@ -50,10 +45,13 @@
         self.processes: list[ManagedProcess] = []
         self.numbers = itertools.count(1)
         self.vms: dict[str, VmRecord] = {}
+        self.gates: dict[str, ManagedProcess] = {}
         self.store: ManagedProcess | None = None
         self.vm_list: ManagedProcess | None = None
         self.http: aiohttp.ClientSession | None = None
         self.temporary: tempfile.TemporaryDirectory | None = None
+        # Command that runs the product; its arguments are appended.
+        self.product = [sys.executable, "-m", "monsoontack"]
 
     @classmethod
     def create(cls) -> "Cluster":
@@ -77,12 +75,12 @@
         if self.temporary is not None:
             self.temporary.cleanup()
 
-    def spawn(self, name: str, arguments: Sequence[str], port: int) -> ManagedProcess:
-        """Start `python -m <arguments>` with its output in a log file."""
+    def spawn(self, name: str, command: Sequence[str], port: int) -> ManagedProcess:
+        """Start `command` with its output in a log file."""
         log_path = self.folder / f"{name}.log"
         with log_path.open("ab") as log:
             popen = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                command,
                 cwd=ROOT,
                 env=dict(os.environ, PYTHONPATH=str(ROOT)),
                 stdin=subprocess.DEVNULL,
@@ -97,8 +95,9 @@
         """Start `standins.<module>` with command line options."""
         port = self.ports.take()
         name = f"{module}-{next(self.numbers)}"
-        arguments = [f"standins.{module}", "--port", str(port), *options]
-        process = self.spawn(name, arguments, port)
+        command = [sys.executable, "-m", f"standins.{module}"]
+        command += ["--port", str(port), *options]
+        process = self.spawn(name, command, port)
         await process.wait_ready()
         return process
 
@@ -132,6 +131,15 @@
         options = ["--checks-fencing"] if checks_fencing else []
         return await self.start_standin("service", f"--delay-s={delay_s}", *options)
 
+    async def start_gate(self, target: str) -> ManagedProcess:
+        """Start a `standins.tcpgate` before the `ip:port` of a target."""
+        control_port = self.ports.take()
+        gate = await self.start_standin(
+            "tcpgate", f"--target={target}", f"--control-port={control_port}"
+        )
+        gate.control_port = control_port
+        return gate
+
     def common_settings(self, name: str, place: Place) -> dict:
         """Return the settings that entries and agents share."""
         return {
@@ -158,12 +166,14 @@
         checks_fencing: bool = False,
         place: Place = DEFAULT_PLACE,
         backend_url: str = "",
+        gated: bool = False,
         **settings,
     ) -> ManagedProcess:
         """Start an agent beside a backend server; `address` is its link address.
 
-        `backend_url` may lead through a `standins.tcpgate`; `settings` are
-        further fields of the settings file.
+        `backend_url` may lead through a gate. If `gated`, the VM list names a
+        gate in front of the agent, which `gates` holds by the agent's name.
+        `settings` are further fields of the settings file.
         """
         name = f"agent-{next(self.numbers)}"
         port = self.ports.take()
@@ -182,11 +192,15 @@
         }
         document |= settings
         process = await self.start_daemon("agent", name, document, port)
+        address = process.address
+        if gated:
+            self.gates[name] = await self.start_gate(address)
+            address = self.gates[name].address
         await self.put_vm(
             VmRecord(
                 document["vm"],
                 "agent",
-                document["link_address"],
+                address,
                 "",
                 place,
                 service=service,
@@ -227,8 +241,8 @@
     ) -> ManagedProcess:
         """Write the settings file, start the daemon and wait until it listens."""
         path = self.write_settings(name, settings)
-        arguments = ["monsoontack", command, "--settings", str(path)]
-        process = self.spawn(name, arguments, port)
+        arguments = [command, "--settings", str(path)]
+        process = self.spawn(name, [*self.product, *arguments], port)
         await process.wait_ready()
         return process
 
@@ -236,8 +250,8 @@
         """Start a daemon again that has ended, with the same settings."""
         command = ended.name.partition("-")[0]
         path = self.folder / f"{ended.name}.json"
-        arguments = ["monsoontack", command, "--settings", str(path)]
-        process = self.spawn(ended.name, arguments, ended.port)
+        arguments = [command, "--settings", str(path)]
+        process = self.spawn(ended.name, [*self.product, *arguments], ended.port)
         await process.wait_ready()
         return process
 
@@ -263,15 +277,14 @@
 
     async def publish_vms(self) -> None:
         """Write the VM list to its stand-in."""
-        body = {"vms": [vm_line(record) for record in self.vms.values()]}
+        body = {"vms": [asdict(record) for record in self.vms.values()]}
         url = f"{self.vm_list.url}/vms"
         async with self.http.put(url, json=body) as response:
             response.raise_for_status()
 
     async def set_faults(self, process: ManagedProcess, document: dict) -> None:
         """Send a `/faults` body to a stand-in."""
-        url = f"{process.url}/faults"
-        async with self.http.post(url, json=document) as response:
+        async with self.http.post(process.faults_url, json=document) as response:
             if response.status != 200:
                 raise ValueError(await response.text())
 
@@ -281,7 +294,17 @@
             response.raise_for_status()
             return await response.json()
 
-    async def agent_state(self, process: ManagedProcess) -> dict:
+    async def wait_links(self, entry: ManagedProcess, count: int) -> None:
+        """Wait until an entry is ready and has links to `count` agents."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                state = await self.state_of(entry)
+                up = sum(link["up"] for link in state["links"])
+                if state["ready"] and up >= count:
+                    return
+                await asyncio.sleep(POLL_S)
+
+    async def state_of(self, process: ManagedProcess) -> dict:
         """Return the state dump of an entry or agent."""
         address = self.settings_of(process)["operator_address"]
         return await self.get_json(f"http://{address}/state")
