--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -20,6 +20,7 @@
     Picker,
 )
 from monsoontack.entry.requests import RequestRefusedError
+from monsoontack.entry.routed import RoutedPicker
 from monsoontack.settings.models import EntrySettings
 
 NOT_READY_RETRY_S = 1.0
@@ -40,6 +41,7 @@
     pool: LinkPool
     rng: random.Random
     control: Control | None = None
+    routing: RoutedPicker | None = None
     draining: bool = False
     requests_in_progress: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -113,6 +113,7 @@
         generations=generations,
         pool=pool,
         rng=rng,
+        routing=parts.routing,
     )
 
 
@@ -213,10 +214,12 @@
     while True:
         entries = [r for r in finder.records if r.role == "entry" and r.state == "live"]
         live = max(len(entries), 1)
+        region = context.settings.region
+        in_region = max(sum(r.place.region == region for r in entries), 1)
         context.admission.configure(context.view().accounts, live)
         if routing is not None:
             known = {r.address for r in finder.records} | set(context.pool.links)
-            routing.keep(known, live, context.now())
+            routing.keep(known, in_region, context.now())
         await asyncio.sleep(FLUSH_S)
 
 
--- a/monsoontack/entry/dump.py
+++ b/monsoontack/entry/dump.py
@@ -21,6 +21,8 @@
         "control": context.control.dump() if context.control else None,
         "draining": context.draining,
         "requests_in_progress": context.requests_in_progress,
+        "routing": context.routing.dump(now) if context.routing else None,
+        "members": context.pool.members.dump() if context.pool.members else None,
         "links": [_link(link, now) for link in context.pool.links.values()],
         "generations": [
             _session(session, now) for session in context.generations.sessions.values()
--- a/monsoontack/entry/links.py
+++ b/monsoontack/entry/links.py
@@ -53,6 +53,14 @@
         ...
 
 
+class LinkMembers(LinkListener, Protocol):
+    """Listener that also knows which agents leave, such as by the VM list."""
+
+    def is_leaving(self, address: str) -> bool:
+        """Return whether an agent takes no new work because it leaves."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class LinkIdentity:
     """What the entry says about itself in Hello."""
@@ -173,7 +181,11 @@
 
 
 class LinkPool:
-    """All links of an entry, by agent address."""
+    """All links of an entry, by agent address.
+
+    `members` hears of frames and lost links before the listener, so that what
+    the listener does next rests on the newest state.
+    """
 
     def __init__(
         self,
@@ -188,6 +200,7 @@
         self.rng = rng
         self.silence_s = silence_s
         self.open_link = open_link
+        self.members: LinkMembers | None = None
         self.links: dict[str, Link] = {}
         self.wanted: dict[str, VmRecord] = {}
         self.backoffs: dict[str, Backoff] = {}
@@ -247,6 +260,8 @@
         if link.is_first_frame:
             self.backoffs.pop(link.address, None)
             log.info("link up", address=link.address)
+        if self.members is not None:
+            self.members.on_frame(link, frame)
         self.listener.on_frame(link, frame)
 
     def on_link_lost(self, link: Link, was_up: bool) -> None:
@@ -259,6 +274,8 @@
             backoff.failed(now, self.rng)
         if was_up:
             log.info("link down", address=link.address)
+        if self.members is not None:
+            self.members.on_link_lost(link, was_up)
         self.listener.on_link_lost(link, was_up)
 
     def servers(self, service: str) -> list[ServerState]:
@@ -275,9 +292,12 @@
             in_flight=self.in_flight(link.address),
             sent_since_report=len(link.sent_at),
             ended_since_report=len(link.ended_at),
-            leaving=link.leaving,
+            leaving=link.leaving or self._is_leaving(link.address),
         )
 
+    def _is_leaving(self, address: str) -> bool:
+        return self.members is not None and self.members.is_leaving(address)
+
     def close(self) -> None:
         """End all links."""
         for link in list(self.links.values()):
--- a/monsoontack/entry/routed.py
+++ b/monsoontack/entry/routed.py
@@ -91,8 +91,24 @@
                 address, event.sequence, event.kind, event.blocks
             )
 
+    def dump(self, now: float) -> dict:
+        """Return the state for the operators' dump; `shares` below 1 only."""
+        ejection, link = self.picker.ejection, self.picker.link
+        shares = {address: ejection.share(address, now) for address in ejection.health}
+        return {
+            "shares": {a: round(share, 3) for a, share in shares.items() if share < 1},
+            "ejected": ejection.ejected,
+            "link_bytes": dict(link.sent),
+            "link_refused": dict(link.refused),
+            "cache_event_gaps": self.picker.prefixes.gaps,
+        }
+
     def keep(self, known: set[str], live_entries: int, now: float) -> None:
-        """Forget servers that left the VM list and follow the fleet's size."""
+        """Forget servers that left the VM list and follow the fleet's size.
+
+        `live_entries` counts those of the own region, which share the link to
+        the other one.
+        """
         for address in set(self.services) - known:
             del self.services[address]
             self.picker.ejection.remove(address)
--- a/monsoontack/entry/routing_test.py
+++ b/monsoontack/entry/routing_test.py
@@ -62,7 +62,7 @@
             await asyncio.sleep(0.05)
 
     async def all_linked(self):
-        dump = await self.cluster.agent_state(self.entry)
+        dump = await self.cluster.state_of(self.entry)
         links = [link for link in dump["links"] if link["up"] and link["slots"]]
         return dump["ready"] and len(links) == len(self.agents)
 
@@ -78,12 +78,12 @@
         return len(document["seen"])
 
     async def link_dump(self, agent):
-        dump = await self.cluster.agent_state(self.entry)
+        dump = await self.cluster.state_of(self.entry)
         address = f"127.0.0.1:{agent.port}"
         return next((x for x in dump["links"] if x["address"] == address), None)
 
     async def share(self, agent):
-        dump = await self.cluster.agent_state(self.entry)
+        dump = await self.cluster.state_of(self.entry)
         return dump["routing"]["shares"].get(f"127.0.0.1:{agent.port}", 1.0)
 
 
