--- a/monsoontack/agent/core.py
+++ b/monsoontack/agent/core.py
@@ -27,7 +27,6 @@
 from monsoontack.agent.fencing import CallFences, OrderFence
 from monsoontack.agent.links import AgentIdentity, Link, build_frame
 from monsoontack.agent.load import EngineView, TokenProgress
-from monsoontack.agent.metrics import Counters
 from monsoontack.agent.records import (
     Action,
     AttachRequest,
@@ -40,10 +39,12 @@
 )
 from monsoontack.agent.schedule import FrameSchedule
 from monsoontack.agent.streamlog import StreamLog, describe
+from monsoontack.core.counters import Counters
 from monsoontack.proto import link_pb2
 from monsoontack.settings.models import AgentSettings
 
 MAX_RUNNING_CALLS = 1024
+METRICS_PREFIX = "monsoontack.agent"
 
 log = structlog.get_logger("agent")
 
@@ -76,7 +77,7 @@
         self.call_fences = CallFences()
         self.order_fence = OrderFence()
         self.drain = DrainState(settings.drain_deadline_s)
-        self.counters = Counters()
+        self.counters = Counters.from_address(settings.statsd_address, METRICS_PREFIX)
         self.links: dict[int, Link] = {}
         self.link_numbers = itertools.count(1)
         self.runs: dict[int, asyncio.Task] = {}
--- a/monsoontack/agent/daemon.py
+++ b/monsoontack/agent/daemon.py
@@ -9,7 +9,6 @@
 from monsoontack.agent.core import Agent
 from monsoontack.agent.drain import Phase
 from monsoontack.agent.enginehttp import HttpEngine
-from monsoontack.agent.metrics import make_client
 from monsoontack.agent.operator import make_operator_server
 from monsoontack.agent.polls import poll_cache, poll_load, poll_versions, poll_vm_list
 from monsoontack.agent.server import make_server
@@ -93,7 +92,6 @@
 
 async def send_counters(agent: Agent) -> None:
     """Send the counters to statsd at intervals."""
-    client = make_client(agent.settings.statsd_address)
     while True:
         await asyncio.sleep(STATSD_INTERVAL_S)
-        agent.counters.flush(client)
+        agent.counters.flush()
--- a/monsoontack/agent/enginehttp.py
+++ b/monsoontack/agent/enginehttp.py
@@ -217,10 +217,13 @@
 async def refusal(response: aiohttp.ClientResponse) -> BackendFailure:
     """Return the failure for a status other than 200.
 
-    A status 4xx or 503 means that the engine did not take the request.
+    A status 4xx or 503 means that the engine did not take the request. After
+    400 and 422 no other engine of the version would take it either.
     """
     text = (await response.text())[:MAX_MESSAGE_CHARACTERS]
     message = f"status {response.status}: {text}"
+    if response.status in (400, 422):
+        return BackendFailure("invalid", message, False)
     if 400 <= response.status < 500 or response.status == 503:
         return BackendFailure("refused", message, False)
     return BackendFailure("backend_failed", message, True)
--- a/monsoontack/agent/enginehttp_test.py
+++ b/monsoontack/agent/enginehttp_test.py
@@ -1,11 +1,9 @@
 """Tests of the engine's HTTP format and of the counters."""
 
 import json
-import socket
 import unittest
 
 from monsoontack.agent.enginehttp import engine_request, parse_event
-from monsoontack.agent.metrics import Counters, make_client
 from monsoontack.agent.records import StartRequest
 
 
@@ -43,24 +41,5 @@
         return item.first_position, item.tokens, item.texts, item.finish
 
 
-class CountersTest(unittest.TestCase):
-    def test_flush_sends_each_change_once(self):
-        """Guards against counters that statsd adds up twice or never gets."""
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
-            receiver.bind(("127.0.0.1", 0))
-            receiver.settimeout(60)
-            client = make_client(f"127.0.0.1:{receiver.getsockname()[1]}")
-            counters = Counters()
-            counters.add("frames", 2)
-            counters.add("tokens", 0)
-            counters.flush(client)
-            self.assertEqual(b"agent.frames:2|c", receiver.recv(2000))
-            counters.add("frames")
-            counters.flush(client)
-            self.assertEqual(b"agent.frames:1|c", receiver.recv(2000))
-            self.assertEqual({"frames": 3}, dict(counters.totals))
-            client.close()
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/monsoontack/entry/counters.py
+++ b/monsoontack/core/counters.py
@@ -1,15 +1,18 @@
-"""Counters of the entry, sent to statsd once a second in one batch."""
+"""Counters and gauges of a daemon, sent to statsd in batches."""
 
 from collections import Counter
 
 from statsd import StatsClient
 
-PREFIX = "monsoontack.entry"
-FLUSH_S = 1.0
+# Below the usual MTU of 1500 bytes, so that no packet is fragmented.
+MAX_PACKET_BYTES = 1400
 
 
 class Counters:
-    """Counts by name since the process started."""
+    """Counts by name since the process started; `totals` holds them.
+
+    `flush` sends only what changed; without a statsd server nothing is sent.
+    """
 
     def __init__(self, client: StatsClient | None = None):
         self.client = client
@@ -18,18 +21,25 @@
         self.gauges: dict[str, float] = {}
 
     @classmethod
-    def from_address(cls, address: str | None) -> "Counters":
+    def from_address(cls, address: str | None, prefix: str) -> "Counters":
         """Return counters that go to a statsd server at `ip:port`, if given."""
         if address is None:
             return cls()
         host, _, port = address.rpartition(":")
         host = host.strip("[]")
-        is_ipv6 = ":" in host
-        return cls(StatsClient(host, int(port), prefix=PREFIX, ipv6=is_ipv6))
+        client = StatsClient(
+            host,
+            int(port),
+            prefix=prefix,
+            maxudpsize=MAX_PACKET_BYTES,
+            ipv6=":" in host,
+        )
+        return cls(client)
 
     def add(self, name: str, count: int = 1) -> None:
         """Add to a counter."""
-        self.totals[name] += count
+        if count:
+            self.totals[name] += count
 
     def gauge(self, name: str, value: float) -> None:
         """Set the current value of a gauge."""
--- a/monsoontack/entry/app.py
+++ b/monsoontack/entry/app.py
@@ -81,6 +81,7 @@
 
     async def on_get(self, req, resp) -> None:
         """List them in OpenAI's form."""
+        self.context.check_configured()
         view = self.context.view()
         account = authenticate(req.get_header("Authorization"), view)
         names = sorted(
--- a/monsoontack/entry/calls.py
+++ b/monsoontack/entry/calls.py
@@ -1,8 +1,10 @@
 """Calls to plain services: `/v1/services/{service}/{path}`, `/v1/calls/{key}`."""
 
+import asyncio
+
 import falcon.asgi
 
-from monsoontack.core.errors import RequestError
+from monsoontack.core.errors import RequestError, RunState
 from monsoontack.entry.context import EntryContext
 from monsoontack.entry.requests import (
     RequestRefusedError,
@@ -49,6 +51,9 @@
         """Run a POST call."""
         await self._run(req, resp, service, path)
 
+    # Which of these may be repeated stands in the service's configuration.
+    on_put = on_patch = on_delete = on_post
+
     async def _run(self, req: falcon.asgi.Request, resp, service: str, path: str):
         context = self.context
         context.counters.add("calls")
@@ -74,7 +79,7 @@
             timeout_s=config.call_timeout_s,
         )
         with context.in_progress():
-            answer = await context.calls.run(call)
+            answer = await self._run_until_drained(call)
         if isinstance(answer, RequestError):
             raise RequestRefusedError(answer)
         resp.status = answer.status
@@ -82,6 +87,24 @@
             resp.set_header(name, value)
         resp.data = answer.body
 
+    async def _run_until_drained(self, call: ServiceCall):
+        """Run a call, but answer at the drain deadline at the latest.
+
+        The call itself goes on until the process ends, so that its record is
+        settled if an outcome still comes.
+        """
+        context = self.context
+        run = asyncio.ensure_future(context.calls.run(call))
+        over = asyncio.ensure_future(context.drain_over.wait())
+        try:
+            await asyncio.wait((run, over), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            over.cancel()
+        if run.done():
+            return run.result()
+        message = "this entry left before the call ended"
+        return RequestError(503, "shutting_down", message, RunState.UNKNOWN, 0.0)
+
 
 def _passed_on(headers: dict[str, str]) -> tuple[tuple[str, str], ...]:
     pairs = ((name.lower(), value) for name, value in headers.items())
@@ -96,6 +119,7 @@
 
     async def on_get(self, req, resp, key: str) -> None:
         """Answer the recorded outcome."""
+        self.context.check_configured()
         view = self.context.view()
         account = authenticate(req.get_header("Authorization"), view)
         record = await self.context.calls.find(account.name, key)
--- a/monsoontack/entry/calls_test.py
+++ b/monsoontack/entry/calls_test.py
@@ -50,8 +50,8 @@
         self.agent = await self.cluster.start_agent(self.service, "holds", "service")
         self.entries = [await self.start_entry(), await self.start_entry()]
 
-    async def start_entry(self):
-        entry = await self.cluster.start_entry(dispatch_window_s=WINDOW_S)
+    async def start_entry(self, **settings):
+        entry = await self.cluster.start_entry(dispatch_window_s=WINDOW_S, **settings)
         async with asyncio.timeout(HANG_S):
             while (await self.call(entry, "", method="GET"))[0] != 200:
                 await asyncio.sleep(0.1)
@@ -113,6 +113,18 @@
         await self.wait_for_records("claimed")
         return caller
 
+    async def test_call_running_at_the_drain_deadline(self):
+        """Guards against an untyped answer, or `not_run` for a call that runs."""
+        # Of the deadline, 1 s is kept for closing connections.
+        entry = await self.start_entry(drain_deadline_s=1.3)
+        await self.service_fault("late", delay_s=0.9)
+        caller = asyncio.ensure_future(self.error(entry, "k"))
+        await self.wait_for_records("claimed")
+        entry.terminate()
+        async with asyncio.timeout(HANG_S):
+            code, run_state = await caller
+        self.assertEqual(("shutting_down", "unknown"), (code, run_state))
+
     async def test_entry_killed_between_claim_and_dispatch(self):
         """Guards against a claim that another entry dispatches."""
         first, second = self.entries
--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 
 from monsoontack.config.view import ConfigView
+from monsoontack.core.counters import Counters
 from monsoontack.core.errors import RequestError
 from monsoontack.entry.control import Control
-from monsoontack.entry.counters import Counters
 from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkPool
 from monsoontack.entry.ports import (
@@ -45,6 +45,7 @@
     draining: bool = False
     requests_in_progress: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
+    drain_over: asyncio.Event = field(default_factory=asyncio.Event)
 
     def now(self) -> float:
         """Return the loop's time in seconds."""
@@ -68,6 +69,10 @@
                 retry_after_s=0.0,
             )
             raise RequestRefusedError(error)
+        self.check_configured()
+
+    def check_configured(self) -> None:
+        """Refuse a request that needs the configuration while there is none."""
         if not self.config.is_ready(self.now()):
             error = RequestError(
                 503,
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -11,12 +11,12 @@
 import uvicorn
 
 from monsoontack.admission.admit import Admission as FairAdmission
+from monsoontack.core.counters import Counters
 from monsoontack.core.records import Place
 from monsoontack.entry.agents import AgentFinder
 from monsoontack.entry.app import caller_app, operator_app
 from monsoontack.entry.context import EntryContext
 from monsoontack.entry.control import Control
-from monsoontack.entry.counters import FLUSH_S, Counters
 from monsoontack.entry.dispatch import LinkDispatcher
 from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkIdentity, LinkPool
@@ -45,6 +45,9 @@
 # Left of the drain deadline for closing connections.
 CLOSE_S = 1.0
 DRAIN_CHECK_S = 0.05
+METRICS_PREFIX = "monsoontack.entry"
+# Between two sends to statsd, and two looks at the size of the fleet.
+FLUSH_S = 1.0
 
 
 @dataclass(slots=True)
@@ -81,7 +84,7 @@
 ) -> EntryContext:
     """Return the entry's parts, wired together."""
     rng = random.Random()
-    counters = Counters.from_address(settings.statsd_address)
+    counters = Counters.from_address(settings.statsd_address, METRICS_PREFIX)
     place = Place(settings.failure_domain, settings.region)
     picker = parts.picker or add_routing(parts, place)
     outcomes = parts.outcomes or CountingOutcomes()
@@ -154,6 +157,8 @@
         watch = asyncio.ensure_future(stopping.wait())
         await asyncio.wait([watch, *serving, *tasks], return_when="FIRST_COMPLETED")
         _log_failures(tasks)
+        # Set before the lease is given up, which waits for the store.
+        context.draining = True
         if control is not None:
             await control.release()
         await _drain(context)
@@ -233,10 +238,9 @@
 async def _drain(context: EntryContext) -> None:
     """Refuse new work, let requests end, hand long streams over.
 
-    Whole answers that are still computed at the deadline get a typed error
+    Whole answers and calls that still run at the deadline get a typed error
     with the state of the request, since their callers cannot follow a stream.
     """
-    context.draining = True
     started = context.now()
     deadline = started + max(context.settings.drain_deadline_s - CLOSE_S, 0.0)
     handover_at = min(started + HANDOVER_AFTER_S, deadline)
@@ -246,6 +250,7 @@
             context.generations.hand_over_streams()
         await asyncio.sleep(DRAIN_CHECK_S)
     context.generations.end_rest("shutting_down", "this entry is leaving")
+    context.drain_over.set()
     await asyncio.sleep(DRAIN_CHECK_S)
     if isinstance(context.calls, Ledger):
         left_s = max(deadline - context.now(), 0.0)
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -11,9 +11,9 @@
 
 import structlog
 
+from monsoontack.core.counters import Counters
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import Outcome
-from monsoontack.entry.counters import Counters
 from monsoontack.entry.links import Link, LinkPool
 from monsoontack.entry.ports import OutcomeSink, Picker
 from monsoontack.entry.session import Session
@@ -158,7 +158,8 @@
         for end in frame.ends:
             session = self.sessions.get(end.generation)
             if session is not None:
-                self.apply(session, AttemptEnded(end.attempt, end.code, end.started))
+                ended = AttemptEnded(end.attempt, end.code, end.started, end.message)
+                self.apply(session, ended)
         for result in frame.results:
             self.call_results(result, link)
         for result in frame.order_results:
--- a/monsoontack/entry/generations_test.py
+++ b/monsoontack/entry/generations_test.py
@@ -15,9 +15,9 @@
 from monsoontack.agent.backend import BackendFailure, EngineTokens
 from monsoontack.agent.core import Agent
 from monsoontack.agent.server import LinkServicer
+from monsoontack.core.counters import Counters
 from monsoontack.core.pausedloop import run_paused
 from monsoontack.core.records import Place, RouteRequest
-from monsoontack.entry.counters import Counters
 from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import Link, LinkIdentity, LinkPool
 from monsoontack.entry.session import GenerationRequest, Session
--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -22,6 +22,8 @@
 # Attempts without one new token, after which the answer is given up.
 MAX_FRUITLESS_ATTEMPTS = 6
 RETRY_AFTER_S = 1.0
+# A retry of these would end the same way.
+FINAL_CODES = frozenset(("superseded", "resume_state_lost", "invalid_request"))
 MAX_PATIENCE_POWER = 3
 
 
@@ -72,6 +74,7 @@
     attempt: int
     code: str
     started: bool = True
+    message: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,6 +255,9 @@
     if event.code == "not_found":
         # The agent has lost its log, so the tokens held here continue it.
         return _start_elsewhere(state, now, "not_found")
+    if event.code == "invalid" and not state.log.end_position:
+        message = f"the engine refused the request: {event.message}"
+        return _end(state, "invalid_request", message, 400)
     return _give_up_server(state, now, event.code)
 
 
@@ -303,7 +309,7 @@
 
 def _end(state: GenerationState, code: str, message: str, status: int) -> list[Action]:
     state.phase = Phase.ENDED
-    retry = None if code in ("superseded", "resume_state_lost") else RETRY_AFTER_S
+    retry = None if code in FINAL_CODES else RETRY_AFTER_S
     return [EndWith(RequestError(status, code, message, state.run_state, retry))]
 
 
--- a/monsoontack/generation/resume_test.py
+++ b/monsoontack/generation/resume_test.py
@@ -60,6 +60,26 @@
         twice = self.end_after(refused, Sent("b"), again)
         self.assertEqual(RunState.NOT_RUN, twice)
 
+    def test_request_that_no_engine_takes_ends_at_once(self):
+        """Guards against a wrong request that is tried on every engine."""
+        state = begun()
+        ended = AttemptEnded(
+            1, "invalid", started=False, message="seed is not a number"
+        )
+        (end,) = plan_recovery(state, ended, 1.0)
+        self.assertEqual((400, "invalid_request"), (end.error.status, end.error.code))
+        self.assertEqual(RunState.NOT_RUN, end.error.run_state)
+        self.assertIsNone(end.error.retry_after_s)
+        self.assertIn("seed is not a number", end.error.message)
+
+    def test_running_answer_survives_an_engine_that_refuses_it(self):
+        """Guards against one faulty engine that ends an answer others can finish."""
+        state = begun()
+        state.log.accept(TokenChunk(GENERATION, 1, 0, (5,), ("a",)))
+        ended = AttemptEnded(1, "invalid", started=False)
+        (action,) = plan_recovery(state, ended, 1.0)
+        self.assertIsInstance(action, StartElsewhere)
+
     def test_stall_cancels_and_avoids_the_server(self):
         """Guards against a stalled engine that is picked again at once."""
         state = begun()
--- a/monsoontack/ledger/service.py
+++ b/monsoontack/ledger/service.py
@@ -46,7 +46,13 @@
     ServiceCall,
     record_key,
 )
-from monsoontack.store.api import NotFound, ObjectStore, StoredObject, Unavailable
+from monsoontack.store.api import (
+    Ambiguous,
+    NotFound,
+    ObjectStore,
+    StoredObject,
+    Unavailable,
+)
 
 log = structlog.get_logger("ledger.service")
 
@@ -181,7 +187,8 @@
     def _note_health(self, result: Result) -> None:
         error = None if isinstance(result, Success) else result.failure()
         over_rate = isinstance(error, Unavailable) and error.retry_after_s is not None
-        answered = not isinstance(error, Unavailable) or over_rate
+        # A store that accepts writes but never answers is down as well.
+        answered = not isinstance(error, Unavailable | Ambiguous) or over_rate
         self.health.record(answered, self.clock.now())
 
     async def find(self, account: str, key: str) -> dict | RequestError:
--- a/monsoontack/ledger/service_test.py
+++ b/monsoontack/ledger/service_test.py
@@ -1,6 +1,7 @@
 """Tests of the ledger service, its limits and idempotent calls."""
 
 import asyncio
+import random
 import unittest
 
 from monsoontack.core.errors import RequestError, RunState
@@ -8,6 +9,7 @@
 from monsoontack.ledger.limits import StoreHealth, WriteBudget
 from monsoontack.ledger.records import DispatchResult, ServiceAnswer, ServiceCall
 from monsoontack.ledger.service import Ledger
+from monsoontack.store.faulty import FaultyStore
 from monsoontack.store.memory import MemoryStore
 
 ANSWER = ServiceAnswer(200, (), b"ok")
@@ -102,6 +104,21 @@
 
         run_paused(scenario())
 
+    def test_refused_at_once_while_writes_get_no_answer(self):
+        """Guards against callers that each wait for a store that hangs."""
+
+        async def scenario():
+            store = FaultyStore(MemoryStore(), random.Random(1), cut=True)
+            dispatcher = ScriptedDispatcher(ran())
+            ledger = Ledger(store, dispatcher)
+            for number in range(100):
+                refusal = await ledger.run(call(f"k{number}"))
+                self.assertEqual(RunState.NOT_RUN, refusal.run_state)
+            self.assertLess(ledger.counts["store.create"], 5)
+            self.assertEqual([], dispatcher.asked)
+
+        run_paused(scenario())
+
     def test_write_budget_refuses_with_a_retry_time(self):
         """Guards against writes above the fleet's budget, and a useless retry."""
 
--- a/tests/docs_test.py
+++ b/tests/docs_test.py
@@ -9,10 +9,10 @@
 from functools import cache
 from pathlib import Path
 
-from monsoontack.agent.metrics import make_client
+from monsoontack.agent.core import METRICS_PREFIX as AGENT_PREFIX
 from monsoontack.config import objects
 from monsoontack.config.operator import check_files
-from monsoontack.entry.counters import PREFIX
+from monsoontack.entry.daemon import METRICS_PREFIX as ENTRY_PREFIX
 from monsoontack.ledger.answers import FOUND, NOT_RUN_MESSAGES
 from monsoontack.settings import models
 
@@ -97,11 +97,9 @@
 
 
 def metrics_in_code() -> set[str]:
-    client = make_client("127.0.0.1:8125")
-    client.close()
-    agent_prefix = client._prefix
+    prefixes = {"agent": AGENT_PREFIX}
     return {
-        metric_pattern(agent_prefix if path.parts[0] == "agent" else PREFIX, n.args[0])
+        metric_pattern(prefixes.get(path.parts[0], ENTRY_PREFIX), n.args[0])
         for path, n in nodes()
         if isinstance(n, ast.Call)
         and name_of(n.func) in ("add", "gauge")
