--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -317,5 +317,6 @@
         address = session.state.address
         if not failed and address:
             self.picker.record(address, False, self.now())
-        if not failed and first is not None and len(session.state.recoveries) == 1:
+        is_first_try = not resumed and len(session.state.recoveries) == 1
+        if not failed and first is not None and is_first_try:
             self.answered(address, first - session.started_at, self.now())
