--- a/monsoontack/config/publisher_test.py
+++ b/monsoontack/config/publisher_test.py
@@ -20,7 +20,6 @@
     Head,
     chunk_key,
     chunk_name,
-    decode_chunk,
     decode_head,
     encode_head,
     seed_store,
@@ -30,35 +29,12 @@
 from monsoontack.core.pausedloop import run_paused
 from monsoontack.store.api import Unavailable
 from monsoontack.store.faulty import FaultRates, FaultyStore
-from monsoontack.store.memory import MemoryStore
+from standins.recordingstore import GatedStore, RecordingStore
 
 SEEDS = int(os.environ.get("PUBLISH_SEEDS", "300"))
 CHAOS = FaultRates(0.05, 0.08, 0.05, 0.08, delay_s=6.0, latency_s=0.4)
 
 
-class RecordingStore(MemoryStore):
-    """Keeps every head that was written, with the chunk values at that time."""
-
-    def __init__(self):
-        super().__init__()
-        self.heads, self.documents = [], {}
-
-    def _put(self, key, value):
-        stored = super()._put(key, value)
-        if key == HEAD_KEY:
-            head = decode_head(value)
-            self.heads.append(head)
-            found = {}
-            for digest in head.chunks.values():
-                found |= {
-                    (item["kind"], item["name"]): item
-                    for item in decode_chunk(self.objects[chunk_key(digest)].value)
-                    if "spec" in item
-                }
-            self.documents[head.revision] = found
-        return stored
-
-
 def put(document, base=0):
     return {"op": "put", "base_version": base, "object": document}
 
@@ -355,23 +331,6 @@
         run_paused(scenario())
 
 
-class GatedStore(FaultyStore):
-    """Holds calls of one method on keys with a prefix back until `open` is set."""
-
-    def __init__(self, inner, method, prefix):
-        super().__init__(inner, random.Random(1))
-        self.reached, self.open = asyncio.Event(), asyncio.Event()
-        held = getattr(self, method)
-
-        async def gated(key, *arguments):
-            if key.startswith(prefix):
-                self.reached.set()
-                await self.open.wait()
-            return await held(key, *arguments)
-
-        setattr(self, method, gated)
-
-
 class Operator:
     """Submits edits of a few contended objects from versions it has read."""
 
--- a/monsoontack/controller/fleet_test.py
+++ b/monsoontack/controller/fleet_test.py
@@ -1,7 +1,7 @@
 """Tests of configuration in a whole fleet, on the paused loop.
 
 Each node is an entry's gossip and controller over an in-memory network and a
-store with faults.
+store with faults (`standins.localfleet`).
 """
 
 import asyncio
@@ -13,147 +13,15 @@
 import structlog
 
 from monsoontack.config.check_test import GOOD, account, rollout
-from monsoontack.config.operator import submit, wait_outcome
+from monsoontack.config.operator import wait_outcome
 from monsoontack.config.proposal import proposal_key
-from monsoontack.config.publisher_test import RecordingStore, delete, proposal, put
-from monsoontack.config.revision import HEAD_KEY, decode_head, seed_store
-from monsoontack.controller.service import ControllerService
-from monsoontack.core.clock import LoopClock
+from monsoontack.config.publisher_test import delete, proposal, put
 from monsoontack.core.pausedloop import run_paused
-from monsoontack.core.records import Place, StopMark, VmRecord
-from monsoontack.entry.gossip import Gossip
-from monsoontack.entry.peers import PeerUnreachableError
-from monsoontack.store.faulty import FaultRates, FaultyStore
+from monsoontack.core.records import StopMark
+from monsoontack.store.faulty import FaultRates
+from standins.localfleet import Fleet
 
 SEEDS = int(os.environ.get("FLEET_SEEDS", "200"))
-DOMAINS = ("a", "b", "c")
-
-
-class MemoryPeers:
-    """`PeerTransport` between the nodes of one fleet."""
-
-    def __init__(self, fleet, name):
-        self.fleet, self.name = fleet, name
-
-    async def _reach(self, address):
-        await asyncio.sleep(self.fleet.rng.uniform(0.0005, 0.02))
-        if not self.fleet.connected(self.name, address):
-            await asyncio.sleep(1.0)
-            raise PeerUnreachableError(address)
-        return self.fleet.nodes[address].gossip
-
-    async def push(self, address, digest):
-        return (await self._reach(address)).answer(digest)
-
-    async def pull(self, address, digest):
-        return (await self._reach(address)).answer(digest)
-
-    async def fetch(self, address, digests):
-        values = (await self._reach(address)).chunk_values(list(digests))
-        return dict(list(values.items())[: self.fleet.fetch_limit])
-
-    async def report(self, address, report):
-        return (await self._reach(address)).take_report(report)
-
-
-class Node:
-    """One life of one entry; `revisions` are those it adopted, in order."""
-
-    def __init__(self, fleet, name, place, store):
-        self.store = store
-        self.record = VmRecord(name, "entry", name, "", place)
-        clock = LoopClock()
-        peers = MemoryPeers(fleet, name)
-        self.gossip = Gossip(self.record, name, store, peers, clock, fleet.rng)
-        self.controller = ControllerService(store, self.gossip, clock, fleet.rng)
-        self.revisions = []
-        self.gossip.on_adopted.append(lambda view: self.revisions.append(view.revision))
-        self.tasks = []
-
-    def start(self):
-        runs = (self.gossip.run(), self.controller.run())
-        self.tasks = [asyncio.ensure_future(run) for run in runs]
-
-    def kill(self):
-        for task in [*self.tasks, *self.controller.lease.requests]:
-            task.cancel()
-        self.tasks = []
-
-    @property
-    def now(self):
-        return asyncio.get_running_loop().time()
-
-    def ready(self):
-        return self.gossip.is_ready(self.now)
-
-    def fresh(self):
-        return self.gossip.is_fresh(self.now)
-
-
-class Fleet:
-    """Nodes over one store; `islands` maps names of cut-off nodes to a group."""
-
-    def __init__(self, count, seed=1):
-        self.rng = random.Random(seed)
-        self.memory = RecordingStore()
-        self.clock = LoopClock()
-        self.fetch_limit = 100
-        self.islands, self.nodes, self.ended = {}, {}, []
-        self.places = {
-            f"n{i}": Place(DOMAINS[i % 3], "r1" if i % 3 else "r0")
-            for i in range(count)
-        }
-
-    async def start(self):
-        await seed_store(self.memory, GOOD)
-        for name in self.places:
-            self.restart(name)
-        await asyncio.sleep(3)
-
-    def restart(self, name):
-        """Start a node without any state; its former life ends."""
-        if old := self.nodes.get(name):
-            old.kill()
-            self.ended.append(old)
-        store = FaultyStore(self.memory, self.rng)
-        node = self.nodes[name] = Node(self, name, self.places[name], store)
-        node.start()
-        for other in self.nodes.values():
-            other.controller.set_entries(n.record for n in self.nodes.values())
-
-    def connected(self, one, other):
-        alive = other in self.nodes and self.nodes[other].tasks
-        return alive and self.islands.get(one) == self.islands.get(other)
-
-    def live(self):
-        return [node for node in self.nodes.values() if node.tasks]
-
-    def outage(self, value):
-        for node in self.nodes.values():
-            node.store.outage = value
-
-    def holder(self):
-        return next((n for n in self.live() if n.controller.lease.epoch()), None)
-
-    async def submit(self, document):
-        return await submit(self.memory, document, self.clock, 5.0)
-
-    def head(self):
-        return decode_head(self.memory.objects[HEAD_KEY].value)
-
-    def behind(self):
-        revision = self.head().revision
-        return [n for n in self.live() if n.gossip.view().revision != revision]
-
-    async def until_spread(self, limit_s):
-        """Return the time until all live nodes have the published head."""
-        started = self.clock.now()
-        while self.behind():
-            if self.clock.now() > started + limit_s:
-                names = [node.record.vm for node in self.behind()]
-                raise AssertionError(f"{names} are behind after {limit_s} s")
-            await asyncio.sleep(0.05)
-        return self.clock.now() - started
 
 
 def running(scenario):
@@ -171,7 +39,7 @@
     async def test_in_force_names_the_unconfirmed(self):
         """Guards against `InForce` before every live entry has the revision."""
         fleet = Fleet(9)
-        await fleet.start()
+        await fleet.start(GOOD)
         cut = next(n for n in fleet.live() if n is not fleet.holder())
         fleet.islands[cut.record.vm] = "cut"
         cut.store.cut = True
@@ -192,7 +60,7 @@
         """Guards against entries that stop in an outage, that give unproved
         versions new traffic, or that do not follow when the store returns."""
         fleet = Fleet(9)
-        await fleet.start()
+        await fleet.start(GOOD)
         await asyncio.sleep(20)
         self.assertTrue(all(node.fresh() for node in fleet.live()))
         fleet.outage(True)
@@ -210,7 +78,7 @@
     async def test_start_in_an_outage_needs_two_peers(self):
         """Guards against a start from nothing or from a single, old peer."""
         fleet = Fleet(4)
-        await fleet.start()
+        await fleet.start(GOOD)
         fleet.outage(True)
         fleet.nodes["n1"].kill()
         fleet.nodes["n2"].kill()
@@ -229,7 +97,7 @@
     async def test_all_restart_in_an_outage(self):
         """Guards against entries that start from each other's empty state."""
         fleet = Fleet(4)
-        await fleet.start()
+        await fleet.start(GOOD)
         for name in fleet.places:
             fleet.restart(name)
             fleet.nodes[name].store.outage = True
@@ -244,7 +112,7 @@
         """Guards against new work under a configuration that nobody renews, and
         against an entry that stops although a peer still answers."""
         fleet = Fleet(6)
-        await fleet.start()
+        await fleet.start(GOOD)
         for name in ("n0", "n1", "n2"):
             fleet.islands[name] = name if name == "n0" else "pair"
             fleet.nodes[name].store.cut = True
@@ -259,7 +127,7 @@
         """Guards against a partitioned region that goes back, stops or takes part
         in a rollout, and against one that does not catch up."""
         fleet = Fleet(9)
-        await fleet.start()
+        await fleet.start(GOOD)
         await fleet.submit(proposal("1", put(account("c", "3"))))
         await asyncio.sleep(8)
         far = [n for n in fleet.live() if n.record.place.region == "r0"]
@@ -283,7 +151,7 @@
         controller among them, keeps from the others."""
         for seed in range(10):
             fleet = Fleet(30, seed)
-            await fleet.start()
+            await fleet.start(GOOD)
             await asyncio.sleep(5)
             fleet.holder().kill()
             for node in fleet.rng.sample(fleet.live(), 10):
@@ -298,7 +166,7 @@
         """Guards against a fleet that nobody watches the store for, while the VM
         list still shows the dead watchers."""
         fleet = Fleet(24)
-        await fleet.start()
+        await fleet.start(GOOD)
         await asyncio.sleep(5)
         watchers = [n for n in fleet.live() if n.gossip.state.store_busy]
         for node in watchers:
@@ -316,7 +184,7 @@
         """Guards against a stop mark that is lost, that needs the store, or that
         outlives or returns after its rollout."""
         fleet = Fleet(20)
-        await fleet.start()
+        await fleet.start(GOOD)
         fleet.outage(True)
         fleet.holder().kill()
         mark = StopMark("up.1", "desk", "v2", "failures", "n1")
@@ -341,7 +209,7 @@
         """Guards against a mark that is dropped because its rollout has not been
         published here yet."""
         fleet = Fleet(2)
-        await fleet.start()
+        await fleet.start(GOOD)
         gossip = fleet.nodes["n0"].gossip
         gossip.stop(StopMark("next.2", "desk", "v2", "failures", "n1"))
         gossip.stop(StopMark("gone.1", "desk", "v2", "failures", "n1"))
@@ -353,7 +221,7 @@
         totals = []
         for count in (12, 60):
             fleet = Fleet(count)
-            await fleet.start()
+            await fleet.start(GOOD)
             await asyncio.sleep(10)
             before = fleet.memory.calls.copy()
             await asyncio.sleep(60)
@@ -366,7 +234,7 @@
     async def test_idle_entries_report_seldom(self):
         """Guards against a lease holder that is busy with reports of no news."""
         fleet = Fleet(12)
-        await fleet.start()
+        await fleet.start(GOOD)
         await asyncio.sleep(20)
         reports = []
         fleet.holder().controller.on_report.append(reports.append)
@@ -380,7 +248,7 @@
         fleet = Fleet(7, seed)
         fleet.fetch_limit = 1 + seed % 3
         rng = random.Random(seed)
-        await fleet.start()
+        await fleet.start(GOOD)
         submitted = []
         for number in range(12):
             await asyncio.sleep(rng.uniform(0.5, 6.0))
