--- a/monsoontack/entry/app.py
+++ b/monsoontack/entry/app.py
@@ -1,7 +1,9 @@
 """HTTP applications of an entry: the callers' API and the operators' one."""
 
 import json
+import math
 import uuid
+from dataclasses import replace
 from http import HTTPStatus
 
 import falcon
@@ -60,10 +62,13 @@
     def answer(self, req, resp, error: RequestError) -> None:
         """Set the response to a typed error."""
         self.context.counters.add(f"errors.{error.code}")
+        # A refused reconnect says nothing about the work that it asks for.
+        if error.run_state is RunState.NOT_RUN and req.get_header("Last-Event-ID"):
+            error = replace(error, run_state=RunState.UNKNOWN)
         resp.status = error.status
         resp.sse = None
         if error.retry_after_s is not None:
-            resp.set_header("Retry-After", str(max(round(error.retry_after_s), 0)))
+            resp.set_header("Retry-After", str(math.ceil(error.retry_after_s)))
         resp.text = json.dumps(error_document(error, req.context.request_id))
         resp.content_type = falcon.MEDIA_JSON
 
--- a/monsoontack/entry/dump.py
+++ b/monsoontack/entry/dump.py
@@ -3,6 +3,7 @@
 from monsoontack.entry.context import EntryContext
 from monsoontack.entry.links import Link
 from monsoontack.entry.session import Session
+from monsoontack.ledger.service import Ledger
 
 
 def state_dump(context: EntryContext) -> dict:
@@ -10,6 +11,7 @@
     now = context.now()
     view = context.view()
     settings = context.settings
+    calls = context.calls
     return {
         "entry": settings.name,
         "failure_domain": settings.failure_domain,
@@ -19,10 +21,13 @@
         "control": context.control.dump() if context.control else None,
         "draining": context.draining,
         "requests_in_progress": context.requests_in_progress,
+        "routing": context.routing.dump(now) if context.routing else None,
+        "members": context.pool.members.dump() if context.pool.members else None,
         "links": [_link(link, now) for link in context.pool.links.values()],
         "generations": [
             _session(session, now) for session in context.generations.sessions.values()
         ],
+        "calls": calls.describe() if isinstance(calls, Ledger) else None,
         "counters": dict(sorted(context.counters.totals.items())),
     }
 
