Find peers on the own side of a partition

Neighbours that do not answer are now left out for a while, four are of the own failure domain, and a process without contact for 3 s asks all of its neighbours.

--- a/monsoontack/config/spread.py
+++ b/monsoontack/config/spread.py
@@ -59,6 +59,9 @@
 PULL_S = 1.0
 PUSH_PEERS = 4
 NEIGHBOURS = 12
+LOCAL_NEIGHBOURS = 4
+LOST_S = 5.0
+LONELY_S = 3.0  # leaves 6 s to find a peer before new work stops
 ROTATE_S = 10.0
 WATCH_S = 4.0
 STORE_RETRY_S = 1.0
@@ -90,9 +93,9 @@
 def _on_other(state: SpreadState, event: Event, now: float, rng) -> Step:
     match event:
         case Members(members):
-            return _on_members(state, members, rng), []
+            return _on_members(state, members, now, rng), []
         case PeerLost(address):
-            return _drop_neighbour(state, address, rng), []
+            return _on_lost(state, address, now, rng), []
         case StoreFailed():
             retry_at = now + STORE_RETRY_S * rng.uniform(0.5, 1.5)
             state = replace(state, store_busy=False, store_retry_at=retry_at)
@@ -109,17 +112,27 @@
     actions: list[Action] = []
     if now >= state.rotate_at:
         state = _rotate(state, now, rng)
+    if len(state.neighbours) < min(NEIGHBOURS, len(state.members)):
+        state = _fill(state, now, rng)
     if not state.store_busy and now >= state.store_retry_at:
         if read := _store_read(state, now, rng):
             state = replace(state, store_busy=True)
             actions.append(read)
     if now >= state.pull_at and state.neighbours:
-        address = rng.choice(state.neighbours)
-        actions.append(Pull(address, digest(state, now, state.head.revision)))
+        told = digest(state, now, state.head.revision)
+        actions += [Pull(address, told) for address in _pull_peers(state, now, rng)]
         state = replace(state, pull_at=now + PULL_S * rng.uniform(0.8, 1.2))
     return state, actions
 
 
+def _pull_peers(state: SpreadState, now: float, rng) -> tuple[str, ...]:
+    """Return one neighbour, or all of them while nobody has answered for long."""
+    contact_at = state.contact_at
+    if contact_at is not None and now - contact_at > LONELY_S:
+        return state.neighbours
+    return (rng.choice(state.neighbours),)
+
+
 def _store_read(state: SpreadState, now: float, rng) -> ReadHead | None:
     if state.start_revision is None and not state.started:
         return ReadHead(0, 0.0)
@@ -128,32 +141,50 @@
     return None
 
 
-def _on_members(state: SpreadState, members, rng: random.Random) -> SpreadState:
+def _on_members(state: SpreadState, members, now: float, rng) -> SpreadState:
     others = tuple(m for m in members if m.address != state.me.address)
     known = {m.address for m in others}
     kept = tuple(a for a in state.neighbours if a in known)
-    return _fill(replace(state, members=others, neighbours=kept), rng)
+    lost = {a: t for a, t in state.lost.items() if a in known}
+    state = replace(state, members=others, neighbours=kept, lost=lost)
+    return _fill(state, now, rng)
 
 
-def _fill(state: SpreadState, rng: random.Random, avoid: str = "") -> SpreadState:
-    free = [m.address for m in state.members if m.address not in state.neighbours]
-    if len(free) > 1:
-        free = [address for address in free if address != avoid]
-    wanted = min(NEIGHBOURS - len(state.neighbours), len(free))
-    chosen = rng.sample(free, max(wanted, 0))
-    return replace(state, neighbours=(*state.neighbours, *chosen))
+def _fill(state: SpreadState, now: float, rng: random.Random) -> SpreadState:
+    """Add neighbours, some of them from the own failure domain.
 
-
-def _drop_neighbour(state: SpreadState, address: str, rng) -> SpreadState:
+    A partition often runs between failure domains, and a process that then only
+    pulled from the other side would count as cut off.
+    """
+    free = [
+        m
+        for m in state.members
+        if m.address not in state.neighbours and state.lost.get(m.address, now) <= now
+    ]
+    rng.shuffle(free)
+    domain = state.me.place.failure_domain
+    near = {m.address for m in state.members if m.place.failure_domain == domain}
+    needed = LOCAL_NEIGHBOURS - len(near.intersection(state.neighbours))
+    first = [m.address for m in free if m.address in near][: max(needed, 0)]
+    rest = [m.address for m in free if m.address not in first]
+    chosen = (*state.neighbours, *first, *rest)
+    return replace(state, neighbours=chosen[:NEIGHBOURS])
+
+
+def _on_lost(state: SpreadState, address: str, now: float, rng) -> SpreadState:
     kept = tuple(a for a in state.neighbours if a != address)
-    return _fill(replace(state, neighbours=kept), rng, avoid=address)
+    lost = {**state.lost, address: now + LOST_S}
+    state = replace(state, neighbours=kept, lost=lost)
+    return _fill(state, now, rng)
 
 
 def _rotate(state: SpreadState, now: float, rng: random.Random) -> SpreadState:
     state = replace(state, rotate_at=now + ROTATE_S * rng.uniform(0.8, 1.2))
-    if len(state.members) <= NEIGHBOURS or not state.neighbours:
-        return _fill(state, rng)
-    return _drop_neighbour(state, rng.choice(state.neighbours), rng)
+    if len(state.neighbours) == NEIGHBOURS < len(state.members):
+        dropped = rng.choice(state.neighbours)
+        kept = tuple(a for a in state.neighbours if a != dropped)
+        state = replace(state, neighbours=kept)
+    return state
 
 
 def digest(state: SpreadState, now: float, receiver_revision: int) -> PeerDigest:
@@ -182,7 +213,8 @@
 
 def _on_digest(state: SpreadState, event: Received, now: float, rng) -> Step:
     peer = event.digest
-    state = replace(state, contact_at=now)
+    lost = {a: t for a, t in state.lost.items() if a != peer.address}
+    state = replace(state, contact_at=now, lost=lost)
     if not state.started:
         state = replace(state, heard={**state.heard, peer.address: peer.revision})
     if peer.store_contact_age_s is not None:
--- a/monsoontack/config/spread_state.py
+++ b/monsoontack/config/spread_state.py
@@ -193,7 +193,8 @@
     """What one process knows. Times are None before the first such event.
 
     `heard` maps peers to the revision they reported while this process starts;
-    `history` holds the newest heads before the current one, newest last.
+    `history` holds the newest heads before the current one, newest last; `lost`
+    maps peers that did not answer to when they may be neighbours again.
     """
 
     me: VmRecord
@@ -211,6 +212,7 @@
     start_revision: int | None = None
     store_failed: bool = False
     heard: Mapping[str, int] = field(default_factory=dict)
+    lost: Mapping[str, float] = field(default_factory=dict)
     contact_at: float | None = None
     store_contact_at: float | None = None
     head_version: int = 0
--- a/monsoontack/controller/fleet_test.py
+++ b/monsoontack/controller/fleet_test.py
@@ -145,6 +145,21 @@
             node.store.cut = False
         self.assertLess(await fleet.until_spread(9.0), 9.0)
 
+    @running
+    async def test_few_processes_without_the_rest_stay_ready(self):
+        """Guards against processes that count as cut off because they only pull
+        from peers on the other side of a partition."""
+        for seed in range(5):
+            fleet = Fleet(40, seed)
+            await fleet.start(GOOD)
+            few = [fleet.nodes[name] for name in ("n0", "n3", "n6")]
+            for node in few:
+                fleet.islands[node.record.vm] = "few"
+                node.store.cut = True
+            for _ in range(120):
+                await asyncio.sleep(0.5)
+                self.assertTrue(all(node.ready() for node in few), f"seed {seed}")
+
     @running
     async def test_spread_with_dead_peers_and_dead_controller(self):
         """Guards against a change that a third of dead peers, the watchers or the
