--- a/monsoontack/rollout/judge.py
+++ b/monsoontack/rollout/judge.py
@@ -32,7 +32,7 @@
 # Versions up to 20% worse lose evidence under each of these, so the test needs
 # no further tolerance; one of 1.1 cost a quarter of the evidence per request.
 FAILURE_RATIOS = (1.5, 2.0, 4.0, 15.0, 60.0)
-FAILURE_DRIFT = 1.2  # further tolerance against a reference of another time
+FAILURE_DRIFT = 1.1  # further tolerance against a reference of another time
 FAILURE_CAP = 0.2  # a lost engine fails many requests of one window together
 SHIFTS = (0.05, 0.12, 0.25)
 SHIFT_TOLERANCE = 0.06  # share of slow requests; 5% slower is within it
