--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -20,6 +20,7 @@
     Picker,
 )
 from monsoontack.entry.requests import RequestRefusedError
+from monsoontack.entry.routed import RoutedPicker
 from monsoontack.settings.models import EntrySettings
 
 NOT_READY_RETRY_S = 1.0
@@ -39,8 +40,8 @@
     generations: Generations
     pool: LinkPool
     rng: random.Random
-    prefix_blocks: Callable[[dict], tuple[int, ...]] = lambda document: ()
     control: Control | None = None
+    routing: RoutedPicker | None = None
     draining: bool = False
     requests_in_progress: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
@@ -53,11 +54,6 @@
         """Return the configuration in force."""
         return self.config.view()
 
-    def live_slots(self, service: str) -> int:
-        """Return the slots of all linked backend servers of a service."""
-        servers = self.pool.servers(service)
-        return sum(state.server.slots for state in servers if not state.leaving)
-
     def is_ready(self) -> bool:
         """Whether the entry takes new work."""
         return not self.draining and self.config.is_ready(self.now())
--- a/monsoontack/entry/links.py
+++ b/monsoontack/entry/links.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
@@ -52,6 +53,14 @@
         ...
 
 
+class LinkMembers(LinkListener, Protocol):
+    """Listener that also knows which agents leave, such as by the VM list."""
+
+    def is_leaving(self, address: str) -> bool:
+        """Return whether an agent takes no new work because it leaves."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class LinkIdentity:
     """What the entry says about itself in Hello."""
@@ -73,7 +82,8 @@
         self.revision = 0
         self.info: link_pb2.AgentInfo | None = None
         self.load: LoadReport | None = None
-        self.sent_since_report = 0
+        self.sent_at: deque[float] = deque()
+        self.ended_at: deque[float] = deque()
         now = asyncio.get_running_loop().time()
         self.opened_at = now
         self.used_at = now
@@ -86,6 +96,14 @@
         """Queue a message; it is lost if the link ends first."""
         self.outbox.put_nowait(message)
 
+    def note_sent(self, now: float) -> None:
+        """Count a request sent, until a load report includes it."""
+        self.sent_at.append(now)
+
+    def note_ended(self, now: float) -> None:
+        """Count a request ended, until a load report includes it."""
+        self.ended_at.append(now)
+
     def close(self) -> None:
         """End the link without telling the listener."""
         self.is_closed = True
@@ -127,9 +145,9 @@
     def _take_load(self, load: link_pb2.Load, now: float) -> None:
         self.progress.saw_load(load, now)
         reported_at = now - load.age_s
-        # Reports are a few ms apart in `age_s` noise; only a later one resets.
-        if self.load is None or reported_at > self.load.reported_at + 0.01:
-            self.sent_since_report = 0
+        for times in (self.sent_at, self.ended_at):
+            while times and times[0] <= reported_at:
+                times.popleft()
         self.load = LoadReport(load.running, load.queued, load.slots, reported_at)
 
     def _end(self) -> None:
@@ -163,7 +181,11 @@
 
 
 class LinkPool:
-    """All links of an entry, by agent address."""
+    """All links of an entry, by agent address.
+
+    `members` hears of frames and lost links before the listener, so that what
+    the listener does next rests on the newest state.
+    """
 
     def __init__(
         self,
@@ -178,6 +200,7 @@
         self.rng = rng
         self.silence_s = silence_s
         self.open_link = open_link
+        self.members: LinkMembers | None = None
         self.links: dict[str, Link] = {}
         self.wanted: dict[str, VmRecord] = {}
         self.backoffs: dict[str, Backoff] = {}
@@ -237,6 +260,8 @@
         if link.is_first_frame:
             self.backoffs.pop(link.address, None)
             log.info("link up", address=link.address)
+        if self.members is not None:
+            self.members.on_frame(link, frame)
         self.listener.on_frame(link, frame)
 
     def on_link_lost(self, link: Link, was_up: bool) -> None:
@@ -249,6 +274,8 @@
             backoff.failed(now, self.rng)
         if was_up:
             log.info("link down", address=link.address)
+        if self.members is not None:
+            self.members.on_link_lost(link, was_up)
         self.listener.on_link_lost(link, was_up)
 
     def servers(self, service: str) -> list[ServerState]:
@@ -263,10 +290,14 @@
             _backend_server(link),
             load=link.load,
             in_flight=self.in_flight(link.address),
-            sent_since_report=link.sent_since_report,
-            leaving=link.leaving,
+            sent_since_report=len(link.sent_at),
+            ended_since_report=len(link.ended_at),
+            leaving=link.leaving or self._is_leaving(link.address),
         )
 
+    def _is_leaving(self, address: str) -> bool:
+        return self.members is not None and self.members.is_leaving(address)
+
     def close(self) -> None:
         """End all links."""
         for link in list(self.links.values()):
--- a/monsoontack/entry/rollouts.py
+++ b/monsoontack/entry/rollouts.py
@@ -11,14 +11,17 @@
 from monsoontack.entry.generations import Generations
 from monsoontack.entry.gossip import Gossip
 from monsoontack.entry.rolloutguard import EntryGuard, GuardedPicker
-from monsoontack.entry.simple import CountingOutcomes, LeastLoadedPicker
+from monsoontack.entry.simple import CountingOutcomes
 
 
 def guard_parts(parts, gossip: Gossip) -> EntryGuard:
-    """Put the guard between the entry and the decisions in `parts`."""
+    """Put the guard between the entry and the decisions in `parts`.
+
+    `parts.picker` must be set.
+    """
     guard = EntryGuard(gossip, parts.outcomes or CountingOutcomes())
     parts.outcomes = guard
-    parts.picker = GuardedPicker(parts.picker or LeastLoadedPicker(), guard)
+    parts.picker = GuardedPicker(parts.picker, guard)
     return guard
 
 
