--- a/monsoontack/agent/core.py
+++ b/monsoontack/agent/core.py
@@ -18,6 +18,7 @@
     CallOutcome,
     CallRequest,
     Engine,
+    EngineTokens,
     OrderOutcome,
     OrderRequest,
     PlainService,
@@ -26,7 +27,6 @@
 from monsoontack.agent.fencing import CallFences, OrderFence
 from monsoontack.agent.links import AgentIdentity, Link, build_frame
 from monsoontack.agent.load import EngineView, TokenProgress
-from monsoontack.agent.metrics import Counters
 from monsoontack.agent.records import (
     Action,
     AttachRequest,
@@ -39,10 +39,12 @@
 )
 from monsoontack.agent.schedule import FrameSchedule
 from monsoontack.agent.streamlog import StreamLog, describe
+from monsoontack.core.counters import Counters
 from monsoontack.proto import link_pb2
 from monsoontack.settings.models import AgentSettings
 
 MAX_RUNNING_CALLS = 1024
+METRICS_PREFIX = "monsoontack.agent"
 
 log = structlog.get_logger("agent")
 
@@ -75,7 +77,7 @@
         self.call_fences = CallFences()
         self.order_fence = OrderFence()
         self.drain = DrainState(settings.drain_deadline_s)
-        self.counters = Counters()
+        self.counters = Counters.from_address(settings.statsd_address, METRICS_PREFIX)
         self.links: dict[int, Link] = {}
         self.link_numbers = itertools.count(1)
         self.runs: dict[int, asyncio.Task] = {}
@@ -229,31 +231,12 @@
         ended = False
         try:
             async for item in self.engine.generate(request_id, start):
-                now = self.now()
-                if isinstance(item, BackendFailure):
-                    ended = True
-                    self.counters.add(f"engine.{item.code}")
-                    actions = self.streams.fail(
-                        run, item.code, item.message, item.started, now
-                    )
-                else:
-                    ended = bool(item.finish)
-                    self.view.progress.record(run, now)
-                    actions = self.streams.append(
-                        run,
-                        item.first_position,
-                        item.tokens,
-                        item.texts,
-                        item.finish,
-                        now,
-                    )
-                self.perform(actions)
+                ended = self._take_item(run, item)
         except Exception as error:
             # Without an end the entry would wait until it finds a stall.
             log.exception("engine request failed", request=request_id)
             text = f"{type(error).__name__}: {error}"
-            failed = self.streams.fail(run, "backend_failed", text, True, self.now())
-            self.perform(failed)
+            self._take_item(run, BackendFailure("backend_failed", text, True))
         finally:
             self.runs.pop(run, None)
             self.view.progress.forget(run)
@@ -261,6 +244,23 @@
                 self.counters.add("engine.cancelled")
                 self.spawn(self.engine.cancel(request_id))
 
+    def _take_item(self, run: int, item: EngineTokens | BackendFailure) -> bool:
+        """Put engine output into the log; return whether it is the last."""
+        now = self.now()
+        if isinstance(item, BackendFailure):
+            self.counters.add(f"engine.{item.code}")
+            self.perform(
+                self.streams.fail(run, item.code, item.message, item.started, now)
+            )
+            return True
+        self.view.progress.record(run, now)
+        self.perform(
+            self.streams.append(
+                run, item.first_position, item.tokens, item.texts, item.finish, now
+            )
+        )
+        return bool(item.finish)
+
     def _call(self, link: Link, message: link_pb2.Call) -> None:
         call = CallRequest(
             message.call_id,
--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from monsoontack.config.view import ConfigView
+from monsoontack.core.counters import Counters
 from monsoontack.core.errors import RequestError
 from monsoontack.entry.control import Control
-from monsoontack.entry.counters import Counters
 from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkPool
 from monsoontack.entry.ports import (
@@ -20,6 +20,7 @@
     Picker,
 )
 from monsoontack.entry.requests import RequestRefusedError
+from monsoontack.entry.routed import RoutedPicker
 from monsoontack.settings.models import EntrySettings
 
 NOT_READY_RETRY_S = 1.0
@@ -39,11 +40,12 @@
     generations: Generations
     pool: LinkPool
     rng: random.Random
-    prefix_blocks: Callable[[dict], tuple[int, ...]] = lambda document: ()
     control: Control | None = None
+    routing: RoutedPicker | None = None
     draining: bool = False
     requests_in_progress: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
+    drain_over: asyncio.Event = field(default_factory=asyncio.Event)
 
     def now(self) -> float:
         """Return the loop's time in seconds."""
@@ -53,11 +55,6 @@
         """Return the configuration in force."""
         return self.config.view()
 
-    def live_slots(self, service: str) -> int:
-        """Return the slots of all linked backend servers of a service."""
-        servers = self.pool.servers(service)
-        return sum(state.server.slots for state in servers if not state.leaving)
-
     def is_ready(self) -> bool:
         """Whether the entry takes new work."""
         return not self.draining and self.config.is_ready(self.now())
@@ -72,6 +69,10 @@
                 retry_after_s=0.0,
             )
             raise RequestRefusedError(error)
+        self.check_configured()
+
+    def check_configured(self) -> None:
+        """Refuse a request that needs the configuration while there is none."""
         if not self.config.is_ready(self.now()):
             error = RequestError(
                 503,
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -10,12 +10,13 @@
 import structlog
 import uvicorn
 
+from monsoontack.admission.admit import Admission as FairAdmission
+from monsoontack.core.counters import Counters
 from monsoontack.core.records import Place
 from monsoontack.entry.agents import AgentFinder
 from monsoontack.entry.app import caller_app, operator_app
 from monsoontack.entry.context import EntryContext
 from monsoontack.entry.control import Control
-from monsoontack.entry.counters import FLUSH_S, Counters
 from monsoontack.entry.dispatch import LinkDispatcher
 from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import LinkIdentity, LinkPool
@@ -26,10 +27,10 @@
     OutcomeSink,
     Picker,
 )
+from monsoontack.entry.rollouts import guard_parts, rollout_work
+from monsoontack.entry.routed import RoutedPicker
 from monsoontack.entry.simple import (
-    ConcurrencyAdmission,
     CountingOutcomes,
-    LeastLoadedPicker,
     RefusingCalls,
 )
 from monsoontack.generation.progress import MONITOR_TICK_S, OwnPause
@@ -44,6 +45,9 @@
 # Left of the drain deadline for closing connections.
 CLOSE_S = 1.0
 DRAIN_CHECK_S = 0.05
+METRICS_PREFIX = "monsoontack.entry"
+# Between two sends to statsd, and two looks at the size of the fleet.
+FLUSH_S = 1.0
 
 
 @dataclass(slots=True)
@@ -56,6 +60,7 @@
     calls: CallRunner | None = None
     store: ObjectStore | None = None
     outcomes: OutcomeSink | None = None
+    routing: RoutedPicker | None = None
 
 
 class QuietServer(uvicorn.Server):
@@ -67,16 +72,27 @@
         yield
 
 
+def add_routing(parts: EntryParts, place: Place) -> RoutedPicker:
+    """Make the routing decisions of an entry at `place` its picker."""
+    parts.routing = RoutedPicker(place, random.Random())
+    parts.picker = parts.routing
+    return parts.routing
+
+
 def build_context(
     settings: EntrySettings, parts: EntryParts, config: ConfigSource
 ) -> EntryContext:
     """Return the entry's parts, wired together."""
     rng = random.Random()
-    counters = Counters.from_address(settings.statsd_address)
-    picker = parts.picker or LeastLoadedPicker()
+    counters = Counters.from_address(settings.statsd_address, METRICS_PREFIX)
+    place = Place(settings.failure_domain, settings.region)
+    picker = parts.picker or add_routing(parts, place)
     outcomes = parts.outcomes or CountingOutcomes()
     generations = Generations(picker, outcomes, counters, rng)
-    place = Place(settings.failure_domain, settings.region)
+    if parts.routing is not None:
+        generations.link_up = parts.routing.link_up
+        generations.cache_events = parts.routing.cache_events
+        generations.answered = parts.routing.answered
     identity = LinkIdentity(settings.name, place)
     pool = LinkPool(identity, generations, rng, settings.frame_silence_s)
     generations.pool = pool
@@ -93,13 +109,14 @@
         settings=settings,
         config=config,
         picker=picker,
-        admission=parts.admission or ConcurrencyAdmission(),
+        admission=parts.admission or FairAdmission(),
         calls=calls or RefusingCalls(),
         outcomes=outcomes,
         counters=counters,
         generations=generations,
         pool=pool,
         rng=rng,
+        routing=parts.routing,
     )
 
 
@@ -115,16 +132,21 @@
         if parts.config is None:
             control = Control.from_settings(settings, random.Random())
             parts.store = parts.store or control.store
+            if parts.picker is None:
+                add_routing(parts, Place(settings.failure_domain, settings.region))
+            guard = guard_parts(parts, control.gossip)
         context = build_context(settings, parts, parts.config or control.gossip)
         finder = AgentFinder(settings, http, context.pool)
         context.generations.is_known = finder.is_known
         work = [finder.run(), _monitor(context), _flush(context)]
+        work.append(_follow_fleet(context, finder, parts.routing))
         if isinstance(context.calls, Ledger):
             work.append(_share_write_budget(context.calls, finder))
         if control is not None:
             context.control = control
             finder.listeners.append(control.set_vms)
             work.append(control.run())
+            work += rollout_work(guard, control, context, finder)
         tasks = [asyncio.ensure_future(item) for item in work]
         servers = [
             _server(caller_app(context), settings.http_address),
@@ -135,6 +157,8 @@
         watch = asyncio.ensure_future(stopping.wait())
         await asyncio.wait([watch, *serving, *tasks], return_when="FIRST_COMPLETED")
         _log_failures(tasks)
+        # Set before the lease is given up, which waits for the store.
+        context.draining = True
         if control is not None:
             await control.release()
         await _drain(context)
@@ -188,6 +212,22 @@
         await asyncio.sleep(FLUSH_S)
 
 
+async def _follow_fleet(
+    context: EntryContext, finder: AgentFinder, routing: RoutedPicker | None
+) -> None:
+    """Pass accounts and the size of the fleet on to admission and routing."""
+    while True:
+        entries = [r for r in finder.records if r.role == "entry" and r.state == "live"]
+        live = max(len(entries), 1)
+        region = context.settings.region
+        in_region = max(sum(r.place.region == region for r in entries), 1)
+        context.admission.configure(context.view().accounts, live)
+        if routing is not None:
+            known = {r.address for r in finder.records} | set(context.pool.links)
+            routing.keep(known, in_region, context.now())
+        await asyncio.sleep(FLUSH_S)
+
+
 async def _flush(context: EntryContext) -> None:
     while True:
         await asyncio.sleep(FLUSH_S)
@@ -198,10 +238,9 @@
 async def _drain(context: EntryContext) -> None:
     """Refuse new work, let requests end, hand long streams over.
 
-    Whole answers that are still computed at the deadline get a typed error
+    Whole answers and calls that still run at the deadline get a typed error
     with the state of the request, since their callers cannot follow a stream.
     """
-    context.draining = True
     started = context.now()
     deadline = started + max(context.settings.drain_deadline_s - CLOSE_S, 0.0)
     handover_at = min(started + HANDOVER_AFTER_S, deadline)
@@ -211,6 +250,7 @@
             context.generations.hand_over_streams()
         await asyncio.sleep(DRAIN_CHECK_S)
     context.generations.end_rest("shutting_down", "this entry is leaving")
+    context.drain_over.set()
     await asyncio.sleep(DRAIN_CHECK_S)
     if isinstance(context.calls, Ledger):
         left_s = max(deadline - context.now(), 0.0)
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import replace
 
 import structlog
 
+from monsoontack.core.counters import Counters
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import Outcome
-from monsoontack.entry.counters import Counters
 from monsoontack.entry.links import Link, LinkPool
 from monsoontack.entry.ports import OutcomeSink, Picker
 from monsoontack.entry.session import Session
@@ -61,10 +62,14 @@
         self.rng = rng
         self.pool: LinkPool | None = None
         self.sessions: dict[str, Session] = {}
+        self.held: Counter[str] = Counter()
         self.abandoned: dict[str, tuple[float, str, int]] = {}
         self.is_known = lambda address: True
         self.call_results = lambda result, link: None
         self.calls_lost = lambda link: None
+        self.link_up = lambda address, service, now: None
+        self.cache_events = lambda address, events: None
+        self.answered = lambda address, latency_s, now: None
         self.order_results = lambda result, link: None
 
     def now(self) -> float:
@@ -86,7 +91,9 @@
         former = self.sessions.get(session.generation)
         if former is not None:
             self._supersede(former, session)
+            self.held[former.state.address] -= 1
         self.sessions[session.generation] = session
+        self.held[session.state.address] += 1
 
     def _supersede(self, former: Session, session: Session) -> None:
         state = former.state
@@ -101,6 +108,10 @@
         if self.sessions.get(session.generation) is not session:
             return
         del self.sessions[session.generation]
+        self.held[session.state.address] -= 1
+        link = self.pool.links.get(session.state.address)
+        if link is not None:
+            link.note_ended(self.now())
         if session.is_ended or session.handover:
             return
         state = session.state
@@ -125,7 +136,7 @@
 
     def in_flight(self, address: str) -> int:
         """Return how many sessions run on an agent's backend server."""
-        return sum(s.state.address == address for s in self.sessions.values())
+        return self.held[address]
 
     # Events from links.
 
@@ -134,6 +145,10 @@
         now = self.now()
         if link.is_first_frame:
             self._tell(link, Answered())
+            if link.info is not None:
+                self.link_up(link.address, link.info.service, now)
+        if frame.cache_events:
+            self.cache_events(link.address, frame.cache_events)
         for chunk in frame.chunks:
             session = self.sessions.get(chunk.generation)
             if session is None:
@@ -143,7 +158,8 @@
         for end in frame.ends:
             session = self.sessions.get(end.generation)
             if session is not None:
-                self.apply(session, AttemptEnded(end.attempt, end.code, end.started))
+                ended = AttemptEnded(end.attempt, end.code, end.started, end.message)
+                self.apply(session, ended)
         for result in frame.results:
             self.call_results(result, link)
         for result in frame.order_results:
@@ -186,6 +202,7 @@
         """Advance a session by one event and execute what follows from it."""
         if session.is_ended:
             return
+        address = session.state.address
         events = [event]
         while events:
             current = events.pop(0)
@@ -193,6 +210,9 @@
                 follow_up = self._execute(session, action, current)
                 if follow_up is not None:
                     events.append(follow_up)
+        if self.sessions.get(session.generation) is session:
+            self.held[address] -= 1
+            self.held[session.state.address] += 1
 
     def _execute(self, session: Session, action, cause: Event) -> Event | None:
         match action:
@@ -238,7 +258,7 @@
         if server is None:
             return NoServer()
         link = self.pool.ensure(server.address)
-        link.sent_since_report += 1
+        link.note_sent(self.now())
         start = link_pb2.Start(
             generation=session.generation,
             attempt=attempt,
@@ -280,6 +300,8 @@
         """Give the outcome of a finished session to the evidence."""
         produced = session.log.end_position - session.first_position
         first = session.first_token_at
+        # The first token of a resumed answer came from another entry.
+        resumed = bool(session.resumed_address)
         gap = None
         if first is not None and produced > 1:
             gap = (session.last_token_at - first) / (produced - 1)
@@ -289,9 +311,13 @@
             session.log.version,
             session.request.kind,
             failed,
-            None if first is None else first - session.started_at,
+            None if first is None or resumed else first - session.started_at,
             gap,
         )
         self.outcomes.record(outcome)
-        if not failed and session.state.address:
-            self.picker.record(session.state.address, False, self.now())
+        address = session.state.address
+        if not failed and address:
+            self.picker.record(address, False, self.now())
+        is_first_try = not resumed and len(session.state.recoveries) == 1
+        if not failed and first is not None and is_first_try:
+            self.answered(address, first - session.started_at, self.now())
--- a/monsoontack/entry/generations_test.py
+++ b/monsoontack/entry/generations_test.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 import unittest
+from collections import Counter
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -14,9 +15,9 @@
 from monsoontack.agent.backend import BackendFailure, EngineTokens
 from monsoontack.agent.core import Agent
 from monsoontack.agent.server import LinkServicer
+from monsoontack.core.counters import Counters
 from monsoontack.core.pausedloop import run_paused
 from monsoontack.core.records import Place, RouteRequest
-from monsoontack.entry.counters import Counters
 from monsoontack.entry.generations import Generations
 from monsoontack.entry.links import Link, LinkIdentity, LinkPool
 from monsoontack.entry.session import GenerationRequest, Session
@@ -238,7 +239,11 @@
     def close(self):
         for entry in self.entries:
             entry.monitor.cancel()
+            sessions = entry.generations.sessions.values()
+            held = Counter(session.state.address for session in sessions)
+            assert held == +entry.generations.held
             entry.generations.sessions.clear()
+            entry.generations.held.clear()
             entry.pool.close()
 
     def strike(self, kind, entry, session):
--- a/monsoontack/ledger/service.py
+++ b/monsoontack/ledger/service.py
@@ -46,7 +46,13 @@
     ServiceCall,
     record_key,
 )
-from monsoontack.store.api import NotFound, ObjectStore, StoredObject, Unavailable
+from monsoontack.store.api import (
+    Ambiguous,
+    NotFound,
+    ObjectStore,
+    StoredObject,
+    Unavailable,
+)
 
 log = structlog.get_logger("ledger.service")
 
@@ -181,7 +187,8 @@
     def _note_health(self, result: Result) -> None:
         error = None if isinstance(result, Success) else result.failure()
         over_rate = isinstance(error, Unavailable) and error.retry_after_s is not None
-        answered = not isinstance(error, Unavailable) or over_rate
+        # A store that accepts writes but never answers is down as well.
+        answered = not isinstance(error, Unavailable | Ambiguous) or over_rate
         self.health.record(answered, self.clock.now())
 
     async def find(self, account: str, key: str) -> dict | RequestError:
@@ -205,6 +212,16 @@
             return RequestError(500, "malformed_record", str(error), RunState.UNKNOWN)
         return describe_record(key, record)
 
+    def describe(self) -> dict:
+        """Return the fields of the state dump."""
+        return {
+            "unsettled": len(self.unsettled),
+            "store_down": self.health.is_down,
+            "live_entries": self.budget.live_entries,
+            "writes_per_s": round(self.budget.rate, 3),
+            "counts": dict(sorted(self.counts.items())),
+        }
+
     async def settle(self, timeout_s: float) -> int:
         """Wait until all records are settled; return how many are not in time."""
         if self.unsettled:
