--- a/bench/capacityroles.py
+++ b/bench/capacityroles.py
@@ -236,7 +236,7 @@
             "",
             cores,
             memory,
-            "renewal every 2 s, list of proposals every second, sources of accounts",
+            "renewal every 2 s, lists every second; memory and CPU above another entry",
         ),
         Part(
             "evidence reports",
--- a/bench/capacityscale.py
+++ b/bench/capacityscale.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import replace
 
+from bench import capacitytables
 from bench.capacityroles import ROLES, total
 from bench.capacityslopes import TARGET, Measured, Target
 from bench.capacitytables import (
@@ -61,6 +62,13 @@
                 f" {quantity(LONGER_TICK_S, 's')} would need"
                 f" {quantity(later, 'core')}"
             )
+        doubts = {
+            f"`{name}`{capacitytables.doubt(line)}"
+            for name, line in measured.fits.items()
+            if name in (f"{role}.token.cpu", f"{role}.frame.cpu")
+            and capacitytables.doubt(line)
+        }
+        answer = "; ".join([answer, *sorted(doubts)])
         rows.append((f"peak per {role}", load, answer, change))
     return rows
 
@@ -149,14 +157,14 @@
     account = measured.slope("entry.account.other_memory")
     over = max(sums[1] - target.control_bytes, 0.0) / target.accounts
     return {
-        "cpu": f"{number(max(spare, 0) / rest)} links per entry instead of {links}, or"
+        "cpu": f"{max(int(spare / rest), 0)} links per entry instead of {links}, or"
         f" a heartbeat every {quantity(HEARTBEAT_S * links * rest / spare, 's')}"
         if spare > 0
         else "no number of links suffices",
-        "memory": f"{number(max(free, 0) / memory)} links, or"
+        "memory": f"{max(int(free / memory), 0)} links, or"
         f" {quantity(max(account - over, 0), 'B')} instead of"
         f" {quantity(account, 'B')} per account",
-        "bytes": f"{number(left / per_link)} links, or a heartbeat every"
+        "bytes": f"{max(int(left / per_link), 0)} links, or a heartbeat every"
         f" {quantity(HEARTBEAT_S * links * per_link / left, 's')} on links without"
         " running generations",
     }
@@ -179,6 +187,35 @@
     return rows
 
 
+def other_control_rows(measured: Measured, target: Target) -> list[Row]:
+    """Return the rows on the control bytes of the agent and the lease holder."""
+    sums = control_sums(measured, target)
+    limit = target.control_bytes_per_s
+    text = f"{quantity(limit, 'B/s')} per daemon"
+    agent = sums["agent"][2]
+    holder = sums["entry that holds the lease"][2]
+    empty = measured.fits["controller.report_route.bytes"].intercept
+    calm = quantity(target.reports_per_s * empty, "B/s")
+    running = quantity(holder - sums["entry"][2], "B/s")
+    interval = quantity(HEARTBEAT_S * agent / limit, "s")
+    return [
+        (
+            "control bytes (agent)",
+            text,
+            verdict(agent, limit, "B/s"),
+            "-" if agent <= limit else f"would meet it: a heartbeat every {interval}",
+        ),
+        (
+            "control bytes (lease holder)",
+            text,
+            verdict(holder, limit, "B/s"),
+            f"reports take {running} of it while one rollout runs and {calm} without"
+            " rollouts; summing reports on the way to the holder would reduce it, not"
+            " measured",
+        ),
+    ]
+
+
 def store_reads_per_s(target: Target = TARGET) -> float:
     """Return reads of the store a second at rest, from the constants in the code.
 
@@ -235,6 +272,7 @@
         *latency_rows(measured, target),
         *configuration_rows(measured, spread, target),
         *control_rows(measured, target),
+        *other_control_rows(measured, target),
         *store_rows(measured, target),
     ]
     header = ("figure", "target", "answer", "mechanism, or change that would meet it")
--- a/bench/capacitytables.py
+++ b/bench/capacitytables.py
@@ -4,12 +4,12 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from bench.capacityroles import ROLES, Part, total
-from bench.capacityslopes import TARGET, Measured, Target
+from bench.capacityslopes import TARGET, Fit, Measured, Target
 
-UNIT_NAMES = {"B": "B", "core": "core", "s": "s", "1/s": "/s", "1": ""}
 # TCP and IP headers of a segment and of its acknowledgement.
 HEADER_BYTES = 2 * 52
 HEARTBEAT_S = 0.5
+SURE_CORRELATION = 0.95
 MARKED = re.compile(r"(<!-- table (\S+) -->\n).*?(<!-- end -->)", re.DOTALL)
 
 
@@ -32,7 +32,8 @@
         "core": ((0.01, "% of a core"),),
     }.get(unit)
     if scales is None:
-        return f"{number(value)} {unit}".strip()
+        name = {"1": "", "1/s": "/s"}.get(unit, unit)
+        return f"{number(value)} {name}".strip()
     for scale, name in scales:
         if abs(value) >= scale:
             return f"{number(value / scale)} {name}"
@@ -79,7 +80,8 @@
         "report_route": "route",
         "vm_list": "record",
         "request": "request",
-        "rest": "entry",
+        "fleet": "entry",
+        "rest": "account",
     }
     parts = name.split(".")
     item = next((items[part] for part in parts if part in items), "change")
@@ -87,6 +89,11 @@
     return ("s" if per_second else unit), item
 
 
+def doubt(line: Fit) -> str:
+    """Return a remark if the series is not straight enough for its slope."""
+    return "" if line.correlation >= SURE_CORRELATION else ", uncertain"
+
+
 def slopes_table(measured: Measured) -> str:
     """Return all slopes with their sizes and the quality of the fit."""
     rows = []
@@ -98,7 +105,7 @@
                 ", ".join(number(size, 4) for size in line.sizes),
                 f"{quantity(line.slope, unit)} per {item}",
                 quantity(line.intercept, line.unit),
-                f"{line.correlation:.3f}",
+                f"{line.correlation:.3f}{doubt(line)}",
             )
         )
     header = ("series", "sizes", "slope", "value at size 0", "correlation")
@@ -110,7 +117,7 @@
     rows = [
         (
             part.name,
-            f"{number(part.amount)} {part.unit}".strip() if part.amount else "-",
+            quantity(part.amount, part.unit) if part.amount else "-",
             "-" if part.cores is None else quantity(part.cores, "core"),
             "-" if part.memory is None else quantity(part.memory, "B"),
             "yes" if part.is_control else "no",
@@ -223,7 +230,7 @@
             (
                 kind,
                 "none" if rest is None else f"{number(rest.at(rest.sizes[-1]))} /s",
-                "none" if rest is None else f"{number(rest.slope)} /s",
+                "none" if rest is None else f"{number(round(rest.slope, 3))} /s",
                 "none" if change is None else number(change.slope),
             )
         )
