--- a/bench/capacityagent.py
+++ b/bench/capacityagent.py
@@ -11,10 +11,11 @@
 from standins.processes import ManagedProcess
 
 AGENT_LINKS = (8, 32, 64)
-AGENT_STREAMS = (8, 24, 48)
-SPREAD_STREAMS = 24
-SPREAD_LINKS = (1, 6, 24)
-AGENT_SLOTS = 64
+# The last size is about the load of an engine at the target scale.
+AGENT_STREAMS = (32, 64, 116)
+SPREAD_STREAMS = 48
+SPREAD_LINKS = (1, 12, 48)
+AGENT_SLOTS = 128
 TOKEN_GAP_S = 0.055
 FAST_TOKEN_GAP_S = 0.002
 WINDOW_S = 4.0
--- a/bench/capacityscale.py
+++ b/bench/capacityscale.py
@@ -183,7 +183,11 @@
     for value, (name, key, limit, unit) in zip(sums, limits, strict=True):
         need = "-" if value <= limit else f"would meet it: {changes[key]}"
         limit_text = f"{quantity(limit, unit)} per daemon"
-        rows.append((f"{name} (entry)", limit_text, verdict(value, limit, unit), need))
+        answer = verdict(value, limit, unit)
+        if key == "bytes":
+            headers = target.entry_links * link_bytes(measured)[1]
+            answer += f"; TCP and IP headers add up to {quantity(headers, unit)}"
+        rows.append((f"{name} (entry)", limit_text, answer, need))
     return rows
 
 
