--- a/bench/spread.py
+++ b/bench/spread.py
@@ -163,7 +163,7 @@
         for entry in self.entries:
             known = -1
             while known != len(self.entries) - 1:
-                state = await self.cluster.agent_state(entry)
+                state = await self.cluster.state_of(entry)
                 known = state["control"]["members"]
                 await asyncio.sleep(0.1)
 
--- a/monsoontack/controller/rollouts_test.py
+++ b/monsoontack/controller/rollouts_test.py
@@ -127,13 +127,13 @@
 
     async def holder(self):
         for entry in self.entries:
-            state = await self.cluster.agent_state(entry)
+            state = await self.cluster.state_of(entry)
             if state["control"]["lease_epoch"]:
                 return entry
         return None
 
     async def stopped_everywhere(self):
-        states = [await self.cluster.agent_state(e) for e in self.entries]
+        states = [await self.cluster.state_of(e) for e in self.entries]
         return all(state["control"]["stop_marks"] for state in states)
 
     async def test_good_version_finishes_though_the_holder_is_killed(self):
