--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import replace
 
 import structlog
 
+from monsoontack.core.counters import Counters
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import Outcome
-from monsoontack.entry.counters import Counters
 from monsoontack.entry.links import Link, LinkPool
 from monsoontack.entry.ports import OutcomeSink, Picker
 from monsoontack.entry.session import Session
@@ -61,6 +62,7 @@
         self.rng = rng
         self.pool: LinkPool | None = None
         self.sessions: dict[str, Session] = {}
+        self.held: Counter[str] = Counter()
         self.abandoned: dict[str, tuple[float, str, int]] = {}
         self.is_known = lambda address: True
         self.call_results = lambda result, link: None
@@ -89,7 +91,9 @@
         former = self.sessions.get(session.generation)
         if former is not None:
             self._supersede(former, session)
+            self.held[former.state.address] -= 1
         self.sessions[session.generation] = session
+        self.held[session.state.address] += 1
 
     def _supersede(self, former: Session, session: Session) -> None:
         state = former.state
@@ -104,6 +108,7 @@
         if self.sessions.get(session.generation) is not session:
             return
         del self.sessions[session.generation]
+        self.held[session.state.address] -= 1
         link = self.pool.links.get(session.state.address)
         if link is not None:
             link.note_ended(self.now())
@@ -131,7 +136,7 @@
 
     def in_flight(self, address: str) -> int:
         """Return how many sessions run on an agent's backend server."""
-        return sum(s.state.address == address for s in self.sessions.values())
+        return self.held[address]
 
     # Events from links.
 
@@ -153,7 +158,8 @@
         for end in frame.ends:
             session = self.sessions.get(end.generation)
             if session is not None:
-                self.apply(session, AttemptEnded(end.attempt, end.code, end.started))
+                ended = AttemptEnded(end.attempt, end.code, end.started, end.message)
+                self.apply(session, ended)
         for result in frame.results:
             self.call_results(result, link)
         for result in frame.order_results:
@@ -196,6 +202,7 @@
         """Advance a session by one event and execute what follows from it."""
         if session.is_ended:
             return
+        address = session.state.address
         events = [event]
         while events:
             current = events.pop(0)
@@ -203,6 +210,9 @@
                 follow_up = self._execute(session, action, current)
                 if follow_up is not None:
                     events.append(follow_up)
+        if self.sessions.get(session.generation) is session:
+            self.held[address] -= 1
+            self.held[session.state.address] += 1
 
     def _execute(self, session: Session, action, cause: Event) -> Event | None:
         match action:
@@ -290,6 +300,8 @@
         """Give the outcome of a finished session to the evidence."""
         produced = session.log.end_position - session.first_position
         first = session.first_token_at
+        # The first token of a resumed answer came from another entry.
+        resumed = bool(session.resumed_address)
         gap = None
         if first is not None and produced > 1:
             gap = (session.last_token_at - first) / (produced - 1)
@@ -299,12 +311,13 @@
             session.log.version,
             session.request.kind,
             failed,
-            None if first is None else first - session.started_at,
+            None if first is None or resumed else first - session.started_at,
             gap,
         )
         self.outcomes.record(outcome)
         address = session.state.address
         if not failed and address:
             self.picker.record(address, False, self.now())
-        if not failed and first is not None and len(session.state.recoveries) == 1:
+        is_first_try = not resumed and len(session.state.recoveries) == 1
+        if not failed and first is not None and is_first_try:
             self.answered(address, first - session.started_at, self.now())
