--- a/bench/capacityentry.py
+++ b/bench/capacityentry.py
@@ -8,7 +8,7 @@
 from bench.capacityprobe import CountingRelay, Recorder, Window, read_usage
 from bench.capacityworkers import Worker
 from monsoontack.core.records import VmRecord
-from monsoontack.entry.agents import FLEET_READS_PER_S
+from monsoontack.membership.view import FLEET_READS_PER_S
 from standins.cluster import DEFAULT_PLACE, ROOT, Cluster
 from standins.fleet import KEY, SERVICE, VERSION, publish
 from standins.processes import ManagedProcess
