Send rarer heartbeats on links without running work

Only an entry that waits for a stream or call needs to find a silent connection within 1 s. Change: an agent sends a heartbeat each 0.5 s on links with a running stream or call and each 2 s on others; an entry allows 5 s of silence on links whose work it does not wait for, and 1 s from when it began to wait. Ruled out: fewer links, which would cost balance and prefix hits.

--- a/monsoontack/agent/core.py
+++ b/monsoontack/agent/core.py
@@ -87,7 +87,10 @@
 
     def open_link(self) -> Link:
         """Return the state of a new connection."""
-        schedule = FrameSchedule(self.settings.tick_s, self.settings.heartbeat_s)
+        settings = self.settings
+        schedule = FrameSchedule(
+            settings.tick_s, settings.heartbeat_s, settings.idle_heartbeat_s
+        )
         link = Link(next(self.link_numbers), schedule)
         self.links[link.number] = link
         return link
@@ -114,6 +117,12 @@
         self.counters.add(f"received.{body}")
         if handler is not None:
             handler(link, getattr(message, body))
+            # A link that became busy is due for its next heartbeat earlier.
+            link.wake.set()
+
+    def is_busy(self, link: Link) -> bool:
+        """Return whether a link carries a running stream or call."""
+        return bool(link.calls_running or self.streams.running_on[link.number])
 
     def frame(self, link: Link) -> link_pb2.Frame:
         """Return the next frame of a link, and count its contents as sent."""
@@ -281,6 +290,7 @@
             link.notify()
             return
         self.calls_running += 1
+        link.calls_running += 1
         self.spawn(self._run_call(link, call))
 
     def _refuse_call(
@@ -309,6 +319,7 @@
             outcome = await self.service.call(call)
         finally:
             self.calls_running -= 1
+            link.calls_running -= 1
         self.counters.add(f"calls.{outcome.run_state}")
         # A link that broke in the meantime leaves the result without a receiver;
         # the entry then settles the call record as unknown.
--- a/monsoontack/agent/links.py
+++ b/monsoontack/agent/links.py
@@ -53,6 +53,7 @@
     results: deque[CallOutcome] = field(default_factory=deque)
     order_results: deque[OrderOutcome] = field(default_factory=deque)
     chunks_waiting: bool = False
+    calls_running: int = 0
     urgent: bool = True
     sequence: int = 0
     info_sent: int = 0
--- a/monsoontack/agent/server.py
+++ b/monsoontack/agent/server.py
@@ -54,7 +54,9 @@
         while True:
             link.wake.clear()
             now = loop.time()
-            due = link.schedule.next_at(link.has_pending(), link.urgent, now)
+            due = link.schedule.next_at(
+                link.has_pending(), link.urgent, self.agent.is_busy(link), now
+            )
             if due <= now:
                 return
             try:
--- a/monsoontack/agent/streamlog.py
+++ b/monsoontack/agent/streamlog.py
@@ -11,6 +11,7 @@
 request to the engine, since `Attach` changes the attempt without a new request.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -79,6 +80,7 @@
     ended: dict[str, None] = field(default_factory=dict)
     generation_of_run: dict[int, str] = field(default_factory=dict)
     unsent: dict[int, dict[str, None]] = field(default_factory=dict)
+    running_on: Counter = field(default_factory=Counter)
     token_count: int = 0
     last_run: int = 0
 
@@ -122,6 +124,7 @@
             link,
         )
         self.token_count += len(log.tokens)
+        self.running_on[link] += 1
         self.generation_of_run[self.last_run] = start.generation
         return [*actions, RunEngine(self.last_run, start)]
 
@@ -142,7 +145,7 @@
             return [self._attach_end(link, attach, "not_found", held)]
         actions = self._supersede(stream, link)
         stream.attempt = attach.attempt
-        stream.link = link
+        self._move(stream, link)
         stream.sent = max(attach.from_position, stream.log.base)
         stream.finish_sent = False
         stream.orphaned_at = None
@@ -160,7 +163,7 @@
         self.unsent.pop(link, None)
         for stream in self.streams.values():
             if stream.link == link:
-                stream.link = None
+                self._move(stream, None)
                 stream.orphaned_at = now
         return []
 
@@ -302,7 +305,22 @@
         self.unsent.setdefault(stream.link, {})[stream.generation] = None
         return [WakeLink(stream.link)]
 
+    def _move(self, stream: Stream, link: int | None) -> None:
+        """Give a stream to another link, or to none."""
+        if stream.running:
+            self._count_running(stream.link, -1)
+            self._count_running(link, 1)
+        stream.link = link
+
+    def _count_running(self, link: int | None, change: int) -> None:
+        if link is None:
+            return
+        self.running_on[link] += change
+        if not self.running_on[link]:
+            del self.running_on[link]
+
     def _end(self, stream: Stream, now: float) -> None:
+        self._count_running(stream.link, -1)
         stream.ended_at = now
         self.generation_of_run.pop(stream.run, None)
         self.ended[stream.generation] = None
@@ -324,6 +342,7 @@
         self.token_count -= len(stream.log.tokens)
         if self.generation_of_run.pop(stream.run, None) is None:
             return []
+        self._count_running(stream.link, -1)
         return [CancelEngine(stream.run)]
 
     def _make_room(self) -> bool:
--- a/monsoontack/agent/streamlog_test.py
+++ b/monsoontack/agent/streamlog_test.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections import Counter
 
 from monsoontack.agent.records import (
     AttachRequest,
@@ -42,6 +43,31 @@
             if isinstance(a, SendEnd)
         ]
 
+    def random_event(self, rng, now):
+        generation, link = f"g{rng.randrange(6)}", rng.randrange(1, 4)
+        attempt, run = rng.randrange(1, 400), rng.randrange(1, self.log.last_run + 2)
+        attach = AttachRequest(generation, attempt, 0)
+        events = (
+            lambda: self.log.start(link, start(generation, attempt), now),
+            lambda: self.log.attach(link, attach, now),
+            lambda: self.log.cancel(generation, attempt),
+            lambda: self.log.close_link(link, now),
+            lambda: self.log.fail(run, "backend_failed", "", True, now),
+            lambda: self.append(run, 0, [1], "stop", now),
+            lambda: self.log.expire(now),
+        )
+        rng.choice(events)()
+
+    def test_running_streams_are_counted_by_link(self):
+        """Guards against rare heartbeats on a link that carries a stream, whose
+        entry would take the link for silent."""
+        rng = random.Random(5)
+        for step in range(3000):
+            self.random_event(rng, float(step))
+            running = [s for s in self.log.streams.values() if s.running]
+            expected = Counter(s.link for s in running if s.link is not None)
+            self.assertEqual(expected, self.log.running_on)
+
     def test_tokens_are_collected_once_in_order(self):
         """Guards against tokens that are repeated or missing in frames."""
         run = self.run_of(self.log.start(1, start(), 0.0))
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -19,7 +19,7 @@
 from monsoontack.entry.control import Control
 from monsoontack.entry.dispatch import LinkDispatcher
 from monsoontack.entry.generations import Generations
-from monsoontack.entry.links import LinkIdentity, LinkPool
+from monsoontack.entry.links import LinkIdentity, LinkPool, SilenceLimits
 from monsoontack.entry.ports import (
     Admission,
     CallRunner,
@@ -94,7 +94,7 @@
         generations.cache_events = parts.routing.cache_events
         generations.answered = parts.routing.answered
     identity = LinkIdentity(settings.name, place)
-    pool = LinkPool(identity, generations, rng, settings.frame_silence_s)
+    pool = LinkPool(identity, generations, rng, SilenceLimits.from_settings(settings))
     generations.pool = pool
     dispatcher = LinkDispatcher(pool, picker, outcomes, config.view, rng)
     generations.call_results = dispatcher.on_result
@@ -102,6 +102,7 @@
     pool.in_flight = lambda address: (
         generations.in_flight(address) + dispatcher.in_flight(address)
     )
+    pool.awaited = lambda: generations.awaited() | dispatcher.awaited()
     calls = parts.calls
     if calls is None and parts.store is not None:
         calls = Ledger(parts.store, dispatcher, window_s=settings.dispatch_window_s)
--- a/monsoontack/entry/dispatch.py
+++ b/monsoontack/entry/dispatch.py
@@ -46,6 +46,10 @@
         """Return how many calls wait for the agent's answer."""
         return self.running[address]
 
+    def awaited(self) -> set[str]:
+        """Return the agents from which calls await their results."""
+        return {address for address, count in self.running.items() if count}
+
     async def dispatch(
         self,
         call: ServiceCall,
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -138,6 +138,14 @@
         """Return how many sessions run on an agent's backend server."""
         return self.held[address]
 
+    def awaited(self) -> set[str]:
+        """Return the agents from which unfinished sessions await frames."""
+        return {
+            session.state.address
+            for session in self.sessions.values()
+            if not session.is_ended
+        }
+
     # Events from links.
 
     def on_frame(self, link: Link, frame: link_pb2.Frame) -> None:
--- a/monsoontack/entry/links.py
+++ b/monsoontack/entry/links.py
@@ -24,6 +24,7 @@
 )
 from monsoontack.generation.progress import LinkProgress
 from monsoontack.proto import link_pb2, link_pb2_grpc
+from monsoontack.settings.models import EntrySettings
 
 log = structlog.get_logger("entry.links")
 
@@ -86,6 +87,7 @@
         self.ended_at: deque[float] = deque()
         now = asyncio.get_running_loop().time()
         self.opened_at = now
+        self.busy_since: float | None = None
         self.used_at = now
         self.progress = LinkProgress(last_frame_at=now)
         self.outbox: asyncio.Queue = asyncio.Queue()
@@ -104,6 +106,13 @@
         """Count a request ended, until a load report includes it."""
         self.ended_at.append(now)
 
+    def set_busy(self, is_busy: bool, now: float) -> None:
+        """Note whether this entry waits for work on the link."""
+        if not is_busy:
+            self.busy_since = None
+        elif self.busy_since is None:
+            self.busy_since = now
+
     def close(self) -> None:
         """End the link without telling the listener."""
         self.is_closed = True
@@ -180,6 +189,23 @@
         self.delay_s = min(self.delay_s * 2, BACKOFF_LAST_S)
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceLimits:
+    """Seconds without a frame after which a link counts as silent.
+
+    `busy_s` holds for links whose work this entry waits for, `idle_s` for the
+    others, on which agents send rarer heartbeats.
+    """
+
+    busy_s: float = 1.0
+    idle_s: float = 5.0
+
+    @classmethod
+    def from_settings(cls, settings: EntrySettings) -> "SilenceLimits":
+        """Return the limits that the entry's settings give."""
+        return cls(settings.frame_silence_s, settings.idle_silence_s)
+
+
 class LinkPool:
     """All links of an entry, by agent address.
 
@@ -192,19 +218,20 @@
         identity: LinkIdentity,
         listener: LinkListener,
         rng: random.Random,
-        silence_s: float,
+        silence: SilenceLimits,
         open_link: Callable[..., Link] = Link,
     ):
         self.identity = identity
         self.listener = listener
         self.rng = rng
-        self.silence_s = silence_s
+        self.silence = silence
         self.open_link = open_link
         self.members: LinkMembers | None = None
         self.links: dict[str, Link] = {}
         self.wanted: dict[str, VmRecord] = {}
         self.backoffs: dict[str, Backoff] = {}
         self.in_flight: Callable[[str], int] = lambda address: 0
+        self.awaited: Callable[[], set[str]] = set
 
     def set_wanted(self, records: Iterable[VmRecord]) -> None:
         """Replace the set of agents to keep links to."""
@@ -227,6 +254,9 @@
 
         Returns the links found silent; their listeners are told here.
         """
+        awaited = self.awaited()
+        for link in self.links.values():
+            link.set_busy(link.address in awaited, now)
         silent = [link for link in self.links.values() if self._is_silent(link, now)]
         for link in silent:
             was_up = link.is_up
@@ -242,8 +272,14 @@
         return silent
 
     def _is_silent(self, link: Link, now: float) -> bool:
-        limit = self.silence_s if link.is_up else CONNECT_LIMIT_S
-        return link.progress.is_silent(now, limit)
+        if not link.is_up:
+            return link.progress.is_silent(now, CONNECT_LIMIT_S)
+        if link.busy_since is None:
+            return link.progress.is_silent(now, self.silence.idle_s)
+        # The agent's quick heartbeats begin when it gets the work.
+        if now - link.busy_since <= self.silence.busy_s:
+            return False
+        return link.progress.is_silent(now, self.silence.busy_s)
 
     def _is_idle(self, link: Link, now: float) -> bool:
         if link.address in self.wanted or self.in_flight(link.address):
