--- a/bench/capacitytables.py
+++ b/bench/capacitytables.py
@@ -5,10 +5,11 @@
 
 from bench.capacityroles import ROLES, Part, total
 from bench.capacityslopes import TARGET, Fit, Measured, Target
+from monsoontack.settings.models import AgentSettings
 
 # TCP and IP headers of a segment and of its acknowledgement.
 HEADER_BYTES = 2 * 52
-HEARTBEAT_S = 0.5
+HEARTBEAT_S = AgentSettings.model_fields["idle_heartbeat_s"].default
 SURE_CORRELATION = 0.95
 MARKED = re.compile(r"(<!-- table (\S+) -->\n).*?(<!-- end -->)", re.DOTALL)
 
--- a/bench/capacityworkers.py
+++ b/bench/capacityworkers.py
@@ -21,10 +21,12 @@
 
 from monsoontack.client.client import Client, Progress
 from monsoontack.proto import link_pb2, link_pb2_grpc
+from monsoontack.settings.models import AgentSettings
 
 ROOT = Path(__file__).resolve().parent.parent
 TICK_S = 0.025
-HEARTBEAT_S = 0.5
+HEARTBEAT_S = AgentSettings.model_fields["heartbeat_s"].default
+IDLE_HEARTBEAT_S = AgentSettings.model_fields["idle_heartbeat_s"].default
 TOKEN_GAP_S = 0.055
 SLOTS = 1000
 ENDLESS_TOKENS = 100_000
@@ -71,7 +73,9 @@
                     )
                     if due:
                         frame.load.CopyFrom(load(len(streams)))
-                        heartbeat_at = now() + HEARTBEAT_S
+                        heartbeat_at = now() + (
+                            HEARTBEAT_S if streams else IDLE_HEARTBEAT_S
+                        )
                     if first:
                         frame.info.CopyFrom(self.info())
                         first = False
