Judge the age of evidence by the fleet's report interval

Change: a report counts for three intervals of the fleet's size; the interval stands beside the evidence, where entries and controller both take it from.

--- a/bench/capacityslopes.py
+++ b/bench/capacityslopes.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from monsoontack.entry.gossip import report_interval_s
+from monsoontack.rollout.evidence import report_interval_s
 
 MIB = 1_000_000  # the design page's MB
 
--- a/monsoontack/entry/gossip.py
+++ b/monsoontack/entry/gossip.py
@@ -50,15 +50,12 @@
 from monsoontack.core.records import Place, StopMark, VmRecord
 from monsoontack.entry.peers import PeerTransport, PeerUnreachableError
 from monsoontack.proto import peer_pb2
+from monsoontack.rollout.evidence import report_interval_s
 from monsoontack.settings.models import EntrySettings
 from monsoontack.store.api import NotFound, ObjectStore
 
 log = structlog.get_logger("entry.gossip")
 
-REPORT_S = 5.0
-# Reports a second that the lease holder takes from the whole fleet. Reports of
-# 390 entries each 5 s would cost it 2.4% of a core and 50 KB/s.
-FLEET_REPORTS_PER_S = 10.0
 # A report without evidence only repeats what the lease holder knows. Reports of 64
 # entries every 5 s took the holder about 1.9% of a core.
 IDLE_REPORT_S = 30.0
@@ -278,11 +275,6 @@
             self.reported, self.reported_at = known, self.clock.now()
 
 
-def report_interval_s(entries: int) -> float:
-    """Return the seconds between two evidence reports of one of `entries`."""
-    return max(REPORT_S, entries / FLEET_REPORTS_PER_S)
-
-
 def _head_event(result: Result) -> HeadRead | StoreFailed:
     if isinstance(result, Failure):
         missing = isinstance(result.failure(), NotFound)
--- a/monsoontack/rollout/controller.py
+++ b/monsoontack/rollout/controller.py
@@ -11,7 +11,7 @@
 
 from monsoontack.config.view import RolloutConfig
 from monsoontack.core.records import StopMark
-from monsoontack.rollout.evidence import EvidenceSum
+from monsoontack.rollout.evidence import EvidenceSum, report_interval_s
 from monsoontack.rollout.judge import threshold_for
 from monsoontack.rollout.plan import MIN_STEP_S, LoadBucket
 from monsoontack.rollout.state import (
@@ -36,7 +36,7 @@
 
 CONTROLLER_ALPHA = 0.001  # chance that the controller stops a good version
 WINDOW_S = 5.0
-REPORT_AGE_S = 15.0  # three report intervals
+REPORT_AGE_INTERVALS = 3.0
 
 
 class RolloutController:
@@ -174,7 +174,8 @@
 
     def _tick(self, now: float) -> list[Action]:
         actions = self._judge(now)
-        reporting = self.evidence.fresh_entries(now, REPORT_AGE_S)
+        age_s = REPORT_AGE_INTERVALS * report_interval_s(self.fleet.entries)
+        reporting = self.evidence.fresh_entries(now, age_s)
         for watch in self.watches.values():
             size = self.weights.get((watch.state.service, watch.state.to_version), 0)
             actions += watch.next_loads(self.fleet, self.bucket, size, self.epoch, now)
--- a/monsoontack/rollout/controller_test.py
+++ b/monsoontack/rollout/controller_test.py
@@ -7,7 +7,12 @@
 from monsoontack.config.view import RolloutConfig
 from monsoontack.core.records import StopMark
 from monsoontack.rollout.controller import RolloutController
-from monsoontack.rollout.evidence import Counts, EvidenceKey, EvidenceReport
+from monsoontack.rollout.evidence import (
+    Counts,
+    EvidenceKey,
+    EvidenceReport,
+    report_interval_s,
+)
 from monsoontack.rollout.plan import BURST_S, STEPS, LoadBucket
 from monsoontack.rollout.state import (
     Fleet,
@@ -135,6 +140,22 @@
         self.assertEqual([0.0, 1.0, 0.0], [share for share, _ in harness.published])
         self.assertIn("0 of 1 entries report evidence", harness.state.reason)
 
+    def test_large_fleet_steps_on_rare_reports(self):
+        """Guards against a rollout that waits for reports more frequent than
+        those of a large fleet, and then misses its deadline."""
+        harness = Harness()
+        harness.send(Fleet({"s": harness.engines}, 390))
+        for _ in range(30):
+            for entry in range(390):
+                counts = {
+                    EvidenceKey("s", v, "chat"): Counts(10 + int(harness.now))
+                    for v in ("v1", "v2")
+                }
+                report = EvidenceReport(f"e{entry}", 1, 1, "", counts)
+                harness.send(ReportReceived(report))
+            harness.run(report_interval_s(390) + 1, evidence=False)
+        self.assertEqual(Phase.COMPLETE, harness.state.phase, harness.state.reason)
+
     def test_too_late_start_is_refused(self):
         """Guards against a rollout that could only end after its deadline."""
         late = RolloutConfig("u1", "r", "s", "v1", "v2", 100.0)
--- a/monsoontack/rollout/evidence.py
+++ b/monsoontack/rollout/evidence.py
@@ -22,6 +22,15 @@
 OTHER_ROUTE = "other"
 OVERALL = ""
 _LOG_RATIO = math.log(BUCKET_RATIO)
+REPORT_S = 5.0
+# Reports a second that the lease holder takes from the whole fleet. Reports of
+# 390 entries each 5 s would cost it 2.4% of a core and 50 KB/s.
+FLEET_REPORTS_PER_S = 10.0
+
+
+def report_interval_s(entries: int) -> float:
+    """Return the seconds between two evidence reports of one of `entries`."""
+    return max(REPORT_S, entries / FLEET_REPORTS_PER_S)
 
 
 class EvidenceKey(NamedTuple):
