--- a/monsoontack/agent/polls.py
+++ b/monsoontack/agent/polls.py
@@ -8,11 +8,11 @@
 
 from monsoontack.agent.core import Agent
 from monsoontack.core.records import LoadReport
+from monsoontack.membership.view import FLEET_READS_PER_S
 
 CACHE_INTERVAL_S = 1.0
 VERSIONS_INTERVAL_S = 2.0
 VM_LIST_TIMEOUT_S = 5.0
-VM_LIST_READS_PER_S = 50
 VM_LIST_MIN_INTERVAL_S = 1.0
 
 log = structlog.get_logger("agent")
@@ -67,7 +67,7 @@
 
 def vm_list_interval_s(fleet_size: int) -> float:
     """Return the poll interval that keeps the fleet below 50 reads a second."""
-    return max(VM_LIST_MIN_INTERVAL_S, fleet_size / VM_LIST_READS_PER_S)
+    return max(VM_LIST_MIN_INTERVAL_S, fleet_size / FLEET_READS_PER_S)
 
 
 async def read_vm_list(session: aiohttp.ClientSession, url: str) -> list[dict]:
--- a/monsoontack/config/operator_test.py
+++ b/monsoontack/config/operator_test.py
@@ -79,7 +79,7 @@
         removal = {"kind": "Version", "name": "desk.v1", "version": 4, "delete": True}
         path = self.write("a.json", [account("c", "3") | {"version": 7}, removal])
         sources, _ = read_files([path])
-        made = make_proposal(sources, "bat", random.Random(1), 1.5).unwrap()
+        made = make_proposal(sources, "operator", random.Random(1), 1.5).unwrap()
         bases = [(c["op"], c["base_version"]) for c in made["changes"]]
         self.assertEqual([("put", 7), ("delete", 4)], bases)
         self.assertTrue(made["uid"].startswith("00000000001500-"))
@@ -93,7 +93,7 @@
         async def scenario():
             store, clock = MemoryStore(), LoopClock()
             store.faults.lose_answers = 1
-            document = {"uid": "1", "author": "bat", "changes": []}
+            document = {"uid": "1", "author": "operator", "changes": []}
             result = await submit(store, document, clock, 5.0)
             self.assertIsNone(result.unwrap())
             store.faults.outage = True
@@ -119,7 +119,7 @@
             self.assertEqual([], (await get_objects(store, "Service", "x")).unwrap())
             for uid, revision in (("1", 1), ("2", 2)):
                 status = {"phase": "Published", "revision": revision}
-                value = {"uid": uid, "author": "bat", "status": status}
+                value = {"uid": uid, "author": "operator", "status": status}
                 await store.create(f"proposals/{uid}", json.dumps(value).encode())
             await store.create(
                 "status/config", b'{"in_force":1,"phase":"Spreading","unconfirmed":[]}'
--- a/monsoontack/config/proposal.py
+++ b/monsoontack/config/proposal.py
@@ -6,7 +6,7 @@
 
 Example::
 
-    {"uid": "0001764819300123-5b1f", "author": "bat", "changes": [
+    {"uid": "0001764819300123-5b1f", "author": "operator", "changes": [
        {"op": "put", "base_version": 4, "object": {"kind": "Service", ...}},
        {"op": "delete", "base_version": 2, "kind": "Version", "name": "desk.v1"}]}
 """
--- a/monsoontack/controller/fleet_test.py
+++ b/monsoontack/controller/fleet_test.py
@@ -15,11 +15,11 @@
 from monsoontack.config.check_test import GOOD, account, rollout
 from monsoontack.config.operator import wait_outcome
 from monsoontack.config.proposal import proposal_key
-from monsoontack.config.publisher_test import delete, proposal, put
 from monsoontack.core.pausedloop import run_paused
 from monsoontack.core.records import StopMark
 from monsoontack.store.faulty import FaultRates
 from standins.localfleet import Fleet
+from standins.publisherworld import delete, proposal, put
 
 SEEDS = int(os.environ.get("FLEET_SEEDS", "200"))
 
--- a/monsoontack/entry/control_test.py
+++ b/monsoontack/entry/control_test.py
@@ -5,11 +5,11 @@
 
 from monsoontack.config.check_test import GOOD, account
 from monsoontack.config.operator import submit, wait_outcome
-from monsoontack.config.publisher_test import proposal, put
 from monsoontack.config.revision import seed_store
 from monsoontack.core.clock import LoopClock
 from monsoontack.store.http import HttpStore
 from standins.cluster import Cluster
+from standins.publisherworld import proposal, put
 
 # A rollout would publish revisions of its own.
 OBJECTS = [item for item in GOOD if item["kind"] != "Rollout"]
--- a/monsoontack/rollout/judge.py
+++ b/monsoontack/rollout/judge.py
@@ -12,7 +12,7 @@
   version depends only on the ratio of the two failure rates, not on the rates.
 * Latencies: the share of requests above the old version's median, which is
   taken from earlier windows, is compared by Hoeffding's bound.
-* With no old traffic left, the old version's last 15 to 30 minutes are the
+* With no old traffic left, the old version's last one to two hours are the
   reference, with a wider tolerance because the two times differ.
 """
 
