--- a/bench/capacityroles.py
+++ b/bench/capacityroles.py
@@ -32,9 +32,7 @@
 def entry_parts(measured: Measured, target: Target = TARGET) -> list[Part]:
     """Return the account of an entry that does not hold the controller lease."""
     slope = measured.slope
-    links, tokens = target.entry_links, target.entry_tokens_per_s
-    frames = frames_per_s(tokens, links, target.tick_s)
-    requests, running = target.entry_requests_per_s, target.running / target.entries
+    links = target.entry_links
     # At rest, the entry next to the holder exchanges one pull a second each way,
     # which stand in lines of their own.
     pulls = slope("entry.pull.sent_cpu") + slope("entry.pull.served_cpu")
@@ -107,6 +105,17 @@
             None,
             "push, fetch of changed chunks, new view",
         ),
+        *entry_work_parts(measured, target),
+    ]
+
+
+def entry_work_parts(measured: Measured, target: Target) -> list[Part]:
+    """Return the account of an entry's generations, which is not control."""
+    slope = measured.slope
+    tokens = target.entry_tokens_per_s
+    frames = frames_per_s(tokens, target.entry_links, target.tick_s)
+    requests, running = target.entry_requests_per_s, target.running / target.entries
+    return [
         Part(
             "frames with tokens",
             frames,
