Refuse to continue an answer that is not streamed; count the drain from SIGTERM

Cause: a request with Last-Event-ID and stream false got 200 with only the rest of the answer, while usage counted all tokens: silently short. The drain deadline began after the lease was given up, so a slow store made a shutdown up to 1 s late. Ruled out: sending the whole text, as the entry does not know the texts of tokens that the caller sends back. The golden case of resume_state_lost is now streamed, with the same code and run state; its former request is kept and shows the refusal.

--- a/monsoontack/entry/completions.py
+++ b/monsoontack/entry/completions.py
@@ -97,6 +97,10 @@
                 f" Last-Event-ID stands at position {event_id.position}"
             )
             refuse(400, "invalid_request", message)
+        if event_id and event_id.position and not body.stream:
+            # Only the rest is sent from there, which would pass for the whole.
+            message = "an answer is continued with Last-Event-ID only if stream is true"
+            refuse(400, "invalid_request", message)
         return Ask(account, self.kind, body, document, event_id, priority)
 
     def _open(self, ask: Ask) -> Session:
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -160,9 +160,10 @@
         _log_failures(tasks)
         # Set before the lease is given up, which waits for the store.
         context.draining = True
+        started = context.now()
         if control is not None:
             await control.release()
-        await _drain(context)
+        await _drain(context, started)
         await _stop(servers, serving, [watch, *tasks], context)
     log.info("entry stopped", name=settings.name)
 
@@ -236,13 +237,13 @@
         context.counters.flush()
 
 
-async def _drain(context: EntryContext) -> None:
+async def _drain(context: EntryContext, started: float) -> None:
     """Refuse new work, let requests end, hand long streams over.
 
     Whole answers and calls that still run at the deadline get a typed error
-    with the state of the request, since their callers cannot follow a stream.
+    with the state of the request, since their callers cannot follow a stream. The
+    deadline counts from `started`, when new work was first refused.
     """
-    started = context.now()
     deadline = started + max(context.settings.drain_deadline_s - CLOSE_S, 0.0)
     handover_at = min(started + HANDOVER_AFTER_S, deadline)
     log.info("draining", requests=context.requests_in_progress)
--- a/tests/border_test.py
+++ b/tests/border_test.py
@@ -64,6 +64,19 @@
         self.assertEqual([], state["generations"])
         self.assertEqual(0, state["requests_in_progress"])
 
+    async def test_rest_of_an_answer_does_not_pass_for_the_whole(self):
+        """Guards against a whole answer without the tokens that were received."""
+        await self.start(engines=1)
+        body = self.fleet.body("x", 20)
+        event_id = f"{'0' * 32}-v1.1.{self.fleet.backends[0].address}.3"
+        received = self.fleet.expected(body)[0][:3]
+        body |= {"monsoontack": {"received": received}, "stream": False}
+        headers = HEADERS | {"Last-Event-ID": event_id}
+        async with self.http.post(self.url, json=body, headers=headers) as response:
+            error = (await response.json())["error"]
+        self.assertEqual((400, "invalid_request"), (response.status, error["code"]))
+        self.assertIn("stream", error["message"])
+
     async def test_draining_entry(self):
         """Guards against new work during a shutdown, and against a cut answer."""
         await self.start(engines=1, token_gap_s=0.1)
--- a/tests/golden_test.py
+++ b/tests/golden_test.py
@@ -126,6 +126,7 @@
             ("POST", path, good, {"X-Priority": "high"}, KEY),
             ("POST", path, good, {"Last-Event-ID": "nonsense"}, KEY),
             ("POST", path, good, {"Last-Event-ID": event_id}, KEY),
+            ("POST", path, good | {"stream": True}, {"Last-Event-ID": event_id}, KEY),
             (
                 "POST",
                 path,
