--- a/monsoontack/core/clock.py
+++ b/monsoontack/core/clock.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from typing import Protocol
 
 
@@ -31,3 +32,12 @@
     async def sleep(self, delay_s: float) -> None:
         """Wait `delay_s` seconds of the loop's time."""
         await asyncio.sleep(delay_s)
+
+
+def boot_time() -> float:
+    """Return seconds since boot, which go on while the VM is suspended.
+
+    The age of what a process knows is measured with it: after a suspension the
+    loop's clock would show old knowledge as fresh.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/monsoontack/core/records.py
+++ b/monsoontack/core/records.py
@@ -61,7 +61,9 @@
     """A backend server as an entry knows it.
 
     `address` is the `ip:port` of the agent beside it and identifies it;
-    `kind` is `engine` or `service`; `versions` are those it can run now.
+    `kind` is `engine` or `service`; `versions` are those it can run now. For a
+    server that entries speak to directly, `address` is its own, and
+    `incarnation` names one start of it (empty behind an agent).
     """
 
     address: str
@@ -72,6 +74,7 @@
     place: Place
     slots: int = 1
     checks_fencing: bool = False
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/monsoontack/gateway/daemon.py
@@ -0,0 +1,316 @@
+"""The gateway daemon: builds its parts, runs them, and drains on SIGTERM."""
+
+import asyncio
+import json
+import random
+import signal
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+
+import structlog
+
+from monsoontack.admission.hedge import Hedging
+from monsoontack.core.boundedlog import LineWriter
+from monsoontack.core.records import Place
+from monsoontack.gateway.budgets import RetryBudgets
+from monsoontack.gateway.calls import CallForwarder
+from monsoontack.gateway.fleet import DirectFleet, Member
+from monsoontack.gateway.handler import Gateway
+from monsoontack.gateway.inbound import BodyBudget, InboundServer, Responder
+from monsoontack.gateway.knowledge import ConfigKnowledge
+from monsoontack.gateway.metrics import GatewayMetrics
+from monsoontack.gateway.pool import ConnectionPool
+from monsoontack.gateway.ports import WireFormat
+from monsoontack.gateway.records import CallerLimits, GatewayConfig, RawRequest
+from monsoontack.gateway.sender import Sender
+from monsoontack.gateway.streams import StreamForwarder
+from monsoontack.routing.linkbudget import LocalShare
+from monsoontack.routing.picker import Picker
+from monsoontack.store.api import KindStore
+from monsoontack.store.feed import KindFeed, Listener
+
+log = structlog.get_logger("gateway.daemon")
+
+# Part of a process's memory that request bodies may take.
+BODY_MEMORY_SHARE = 0.2
+# The platform asks every second and stops sending new connections after two
+# misses; until then connections are accepted while draining.
+UNREADY_SPREAD_S = 3.0
+DRAIN_CHECK_S = 0.05
+# Left of the grace period for cutting what still runs.
+CUT_MARGIN_S = 0.4
+TICK_S = 0.25
+# How often the settings file is looked at for a change without a signal.
+SETTINGS_CHECK_S = 1.0
+BACKLOG = 512
+OK = 200
+UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """What a gateway needs to know of its VM and of the bounds that hold.
+
+    Addresses are `ip:port`. `entries` is a number that the entries of the
+    deployment will hardly exceed.
+    """
+
+    name: str
+    place: Place
+    front_address: str
+    ready_address: str
+    operator_address: str
+    store_address: str
+    memory_bytes: int
+    revoke_s: float
+    grace_s: float
+    retry_ratio: float
+    retry_extra: float
+    retry_window_s: float
+    entries: int = 8
+
+
+@dataclass(slots=True)
+class GatewayDaemon:
+    """All parts of a running gateway."""
+
+    settings: GatewaySettings
+    knowledge: ConfigKnowledge
+    fleet: DirectFleet
+    pool: ConnectionPool
+    gateway: Gateway
+    metrics: GatewayMetrics
+    log_writer: LineWriter | None = None
+    feeds: list[KindFeed] = field(default_factory=list)
+    reload: Callable[[], None] = lambda: None
+    draining: bool = False
+    listeners: list[asyncio.Server] = field(default_factory=list)
+    front: InboundServer | None = None
+    extra_work: list[Callable[[], Awaitable[None]]] = field(default_factory=list)
+    stopping: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: GatewaySettings,
+        wire: WireFormat,
+        keep_alive_s: Callable,
+        rng: random.Random,
+    ) -> "GatewayDaemon":
+        """Return a gateway whose parts are wired together."""
+        knowledge = ConfigKnowledge(settings.revoke_s)
+        fleet = DirectFleet()
+        pool = ConnectionPool(wire.answer_id, keep_alive_s)
+        fleet.on_gone = lambda member: pool.forget(*member.key)
+        sender = Sender(pool, wire, fleet)
+        budgets = RetryBudgets(
+            settings.retry_ratio,
+            settings.retry_extra,
+            settings.retry_window_s,
+            settings.entries,
+        )
+        link = LocalShare.for_entries(settings.entries, 0.0)
+        picker = Picker(settings.place, link, ejection=fleet.ejection)
+        calls = CallForwarder(fleet, sender, picker, budgets, Hedging(), rng)
+        streams = StreamForwarder(settings.place, fleet, sender, budgets, rng)
+        metrics = GatewayMetrics.create()
+        gateway = Gateway(wire, knowledge, calls, streams, metrics, rng)
+        daemon = cls(settings, knowledge, fleet, pool, gateway, metrics)
+        knowledge.listeners.append(daemon.config_changed)
+        return daemon
+
+    def config_changed(self, config: GatewayConfig) -> None:
+        """Pass the traits of the services on."""
+        self.gateway.streams.traits = dict(config.services)
+
+    def follow(
+        self, store: KindStore, kind: str, listener: Listener, wait_s: float
+    ) -> None:
+        """Add a feed of a kind of objects."""
+        feed = KindFeed(store, kind, listener, wait_s)
+        feed.on_dependency = self._dependency_changed
+        self.feeds.append(feed)
+
+    def _dependency_changed(self, kind: str, is_up: bool, reason: str) -> None:
+        self.metrics.dependency_up.labels(kind).set(is_up)
+        if is_up:
+            log.info("store answers again", feed=kind)
+            self.fleet.store_returned(self.gateway.now())
+        else:
+            log.warning("store lost", feed=kind, reason=reason)
+
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Take over changed bounds; changed addresses need a restart."""
+        self.settings = settings
+        self.knowledge.revoke_s = settings.revoke_s
+        log.info("settings reloaded", revoke_s=settings.revoke_s)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the entry should get new connections."""
+        loaded = self.knowledge.config is not None and all(
+            feed.loaded for feed in self.feeds
+        )
+        return not self.draining and loaded and self.knowledge.may_trust_keys()
+
+    def is_closing(self) -> bool:
+        """Whether answers should end their connections."""
+        config = self.knowledge.config
+        if self.draining:
+            return True
+        return config is not None and not self.knowledge.may_trust_keys()
+
+    async def run(self) -> None:
+        """Run until SIGTERM, drain, and return."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._hang_up)
+        await self._listen()
+        work = [feed.run() for feed in self.feeds]
+        work += [make() for make in self.extra_work]
+        work += [self._tick(), self._watch_settings()]
+        tasks = [asyncio.ensure_future(item) for item in work]
+        log.info(
+            "gateway started",
+            name=self.settings.name,
+            address=self.settings.front_address,
+            failure_domain=self.settings.place.failure_domain,
+        )
+        stop = asyncio.ensure_future(self.stopping.wait())
+        await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        self._log_failures(tasks)
+        await self._drain()
+        for task in [stop, *tasks]:
+            task.cancel()
+        await asyncio.gather(stop, *tasks, return_exceptions=True)
+        log.info("gateway stopped", name=self.settings.name)
+
+    def _log_failures(self, tasks: Sequence[asyncio.Future]) -> None:
+        for task in tasks:
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                log.error("a part of the gateway failed", exc_info=task.exception())
+
+    def _hang_up(self) -> None:
+        log.info("reloading settings after SIGHUP")
+        self.reload()
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            self.reload()
+
+    async def _listen(self) -> None:
+        budget = BodyBudget(int(self.settings.memory_bytes * BODY_MEMORY_SHARE))
+        self.front = InboundServer(
+            self.gateway.handle,
+            self.knowledge.limits,
+            budget,
+            closing=self.is_closing,
+            on_bad_request=self._bad_request,
+        )
+        limits = CallerLimits()
+        ready = InboundServer(self._answer_ready, lambda: limits, budget)
+        operator = InboundServer(self._answer_operator, lambda: limits, budget)
+        for server, address in (
+            (self.front, self.settings.front_address),
+            (ready, self.settings.ready_address),
+            (operator, self.settings.operator_address),
+        ):
+            self.listeners.append(await _listen_on(server, address))
+
+    def _bad_request(self, status: int, detail: str) -> None:
+        self.metrics.bad_requests.labels(str(status)).inc()
+        log.info("request not accepted", status=status, detail=detail)
+
+    async def _answer_ready(self, raw: RawRequest, responder: Responder) -> None:
+        status = OK if self.is_ready else UNAVAILABLE
+        responder.send(status, ())
+
+    async def _answer_operator(self, raw: RawRequest, responder: Responder) -> None:
+        path = raw.target.split(b"?")[0]
+        if path == b"/metrics":
+            text = ((b"content-type", b"text/plain; version=0.0.4"),)
+            responder.send(OK, text, self.metrics.render())
+        elif path == b"/state":
+            body = json.dumps(self.state()).encode()
+            responder.send(OK, ((b"content-type", b"application/json"),), body)
+        else:
+            responder.send(404, ())
+
+    def state(self) -> dict:
+        """Return the state dump for operators."""
+        config, now = self.knowledge.config, self.gateway.now()
+        return {
+            "name": self.settings.name,
+            "ready": self.is_ready,
+            "draining": self.draining,
+            "config_version": config.version if config else None,
+            "config_age_s": round(self.knowledge.age_s(), 3) if config else None,
+            "requests_in_progress": self.gateway.in_progress,
+            "feeds": {f.kind: [f.revision, f.failures] for f in self.feeds},
+            "connections": {"opened": self.pool.opened, "reused": self.pool.reused},
+            "servers": [self._server_state(m, now) for m in self._members()],
+        }
+
+    def _members(self) -> list[Member]:
+        return list(self.fleet.members.values())
+
+    def _server_state(self, member: Member, now: float) -> dict:
+        server = member.server
+        return {
+            "server": server.incarnation,
+            "address": server.address,
+            "service": server.service,
+            "versions": list(server.versions),
+            "in_flight": member.in_flight,
+            "waiting_tokens": member.waiting_tokens,
+            "held_tokens": member.held_tokens,
+            "avoided": now < member.avoid_until,
+            "share": round(self.fleet.ejection.share(server.address, now), 3),
+        }
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.fleet.tick(self.gateway.now())
+            self._update_gauges()
+
+    def _update_gauges(self) -> None:
+        metrics, config = self.metrics, self.knowledge.config
+        metrics.in_progress.set(self.gateway.in_progress)
+        if config is not None:
+            metrics.config_version.set(config.version)
+            metrics.config_age_s.set(self.knowledge.age_s())
+        for service, members in self.fleet.by_service.items():
+            metrics.servers.labels(service).set(len(members))
+        if self.log_writer is not None:
+            metrics.log_lines_dropped.set(self.log_writer.dropped)
+
+    async def _drain(self) -> None:
+        """Let requests end, then close; cut what outlasts the grace period."""
+        self.draining = True
+        started = self.gateway.now()
+        deadline = started + self.settings.grace_s - CUT_MARGIN_S
+        log.info("draining", requests=self.gateway.in_progress)
+        while self.gateway.now() < deadline:
+            spread = self.gateway.now() >= started + UNREADY_SPREAD_S
+            if spread:
+                self.front.close_idle()
+            if spread and not self.gateway.in_progress and not self.front.tasks:
+                break
+            await asyncio.sleep(DRAIN_CHECK_S)
+        for listener in self.listeners:
+            listener.close()
+        left = self.gateway.in_progress
+        self.front.abort_all()
+        self.pool.close()
+        log.info("drained", cut=left, took_s=round(self.gateway.now() - started, 2))
+
+
+async def _listen_on(server: InboundServer, address: str) -> asyncio.Server:
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        server.make_connection, host, int(port), backlog=BACKLOG, reuse_address=True
+    )
--- /dev/null
+++ b/monsoontack/gateway/fleet.py
@@ -0,0 +1,153 @@
+"""Backend servers that this entry knows, with what it has in flight at each.
+
+A server's entry comes from the store's list. A server that leaves gets no new
+request from the moment its entry says so or is removed; the mark stays for the
+incarnation, whatever arrives later.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import structlog
+
+from monsoontack.core.records import BackendServer
+from monsoontack.routing.ejection import Ejection
+
+log = structlog.get_logger("gateway.fleet")
+
+# After a failed connection a server is avoided this long; the time doubles with
+# each further failure in a row. An engine that crashed is back after about 1 s.
+AVOID_S = 0.4
+MAX_AVOID_S = 3.0
+# Entries that lapsed during an outage of the store are written again within about
+# this time of its return, if their server lives.
+REAPPEAR_S = 2.2
+
+
+@dataclass(slots=True)
+class Member:
+    """One incarnation of a backend server.
+
+    `waiting_tokens` are prompt tokens of this entry's runs that wait for their
+    first event, `held_tokens` the KV memory that its runs and copies may take.
+    `seen_at` is when the server last sent a byte.
+    """
+
+    server: BackendServer
+    in_flight: int = 0
+    waiting_tokens: int = 0
+    held_tokens: int = 0
+    seen_at: float = 0.0
+    avoid_until: float = 0.0
+    failures_in_row: int = 0
+    runs: set = field(default_factory=set)
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Return what identifies the incarnation's connections."""
+        return self.server.address, self.server.incarnation
+
+
+@dataclass(slots=True)
+class DirectFleet:
+    """All backend servers by service. `on_gone` hears each one that leaves."""
+
+    ejection: Ejection = field(default_factory=Ejection)
+    members: dict[str, Member] = field(default_factory=dict)
+    by_service: dict[str, dict[str, Member]] = field(default_factory=dict)
+    left: set[str] = field(default_factory=set)
+    missing: dict[str, float] = field(default_factory=dict)
+    grace_until: float = 0.0
+    on_gone: Callable[[Member], None] = lambda member: None
+
+    def store_returned(self, now: float) -> None:
+        """Keep servers whose entries lapsed until they can be written again."""
+        self.grace_until = now + REAPPEAR_S
+
+    def replace_all(
+        self, servers: Iterable[BackendServer], leaving: set[str], now: float
+    ) -> None:
+        """Take over a complete list; `leaving` names incarnations that drain."""
+        listed = {server.incarnation: server for server in servers}
+        for incarnation in set(self.members) - set(listed):
+            self.entry_removed(incarnation, now)
+        for server in listed.values():
+            self.put(server, server.incarnation in leaving)
+
+    def entry_removed(self, incarnation: str, now: float) -> None:
+        """Take over that the entry of a server is gone."""
+        if now < self.grace_until and incarnation in self.members:
+            self.missing.setdefault(incarnation, self.grace_until)
+            return
+        self.remove(incarnation)
+
+    def tick(self, now: float) -> None:
+        """Remove the servers whose entries did not come back in time."""
+        for incarnation, until in list(self.missing.items()):
+            if now >= until:
+                self.remove(incarnation)
+
+    def put(self, server: BackendServer, leaving: bool) -> None:
+        """Add a server, or take over what its entry says now."""
+        incarnation = server.incarnation
+        self.missing.pop(incarnation, None)
+        if leaving:
+            self.remove(incarnation)
+            self.left.add(incarnation)
+            return
+        if incarnation in self.left:
+            return
+        member = self.members.get(incarnation)
+        if member is not None:
+            if member.server.service != server.service:
+                self.remove(incarnation)
+            else:
+                member.server = server
+                return
+        member = Member(server)
+        self.members[incarnation] = member
+        self.by_service.setdefault(server.service, {})[incarnation] = member
+        log.info(
+            "backend server added",
+            server=incarnation,
+            address=server.address,
+            service=server.service,
+            version=server.versions[0] if server.versions else "",
+        )
+
+    def remove(self, incarnation: str) -> None:
+        """Give a server no new requests; those in flight go on."""
+        self.missing.pop(incarnation, None)
+        member = self.members.pop(incarnation, None)
+        if member is None:
+            return
+        self.by_service[member.server.service].pop(incarnation, None)
+        self.ejection.remove(incarnation)
+        log.info(
+            "backend server left",
+            server=incarnation,
+            address=member.server.address,
+            service=member.server.service,
+        )
+        self.on_gone(member)
+
+    def of_service(self, service: str) -> list[Member]:
+        """Return the servers of a service that take new requests."""
+        return list(self.by_service.get(service, {}).values())
+
+    def is_current(self, member: Member) -> bool:
+        """Whether the incarnation still takes new requests."""
+        return self.members.get(member.server.incarnation) is member
+
+    def note_unreachable(self, member: Member, now: float) -> None:
+        """Avoid a server whose connections fail."""
+        member.failures_in_row += 1
+        span = min(AVOID_S * 2 ** (member.failures_in_row - 1), MAX_AVOID_S)
+        member.avoid_until = max(member.avoid_until, now + span)
+
+    def note_alive(self, member: Member, now: float) -> None:
+        """Note bytes from a server."""
+        member.seen_at = now
+        member.failures_in_row = 0
+        if member.avoid_until > now:
+            member.avoid_until = now
--- /dev/null
+++ b/monsoontack/gateway/handler.py
@@ -0,0 +1,153 @@
+"""Takes callers' requests in: decoding, authorization, forwarding, one log line."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+import structlog
+
+from monsoontack.core.errors import RequestError, RunState
+from monsoontack.gateway.answers import error_answer
+from monsoontack.gateway.calls import CallForwarder
+from monsoontack.gateway.inbound import Responder
+from monsoontack.gateway.job import Job
+from monsoontack.gateway.knowledge import ConfigKnowledge
+from monsoontack.gateway.metrics import GatewayMetrics
+from monsoontack.gateway.ports import WireFormat
+from monsoontack.gateway.records import CallerRequest, RawRequest, RequestKind
+from monsoontack.gateway.routes import authorize, choose_target
+from monsoontack.gateway.streams import StreamForwarder
+
+log = structlog.get_logger("gateway.requests")
+
+# Answers at the deadline leave this much earlier, so that the caller has them in
+# time. The way to a caller takes a few ms.
+ANSWER_MARGIN_S = 0.02
+
+
+@dataclass(slots=True)
+class Gateway:
+    """Serves the requests of one entry."""
+
+    wire: WireFormat
+    knowledge: ConfigKnowledge
+    calls: CallForwarder
+    streams: StreamForwarder
+    metrics: GatewayMetrics
+    rng: random.Random
+    in_progress: int = 0
+    jobs: set[int] = field(default_factory=set)
+
+    def now(self) -> float:
+        """Return the loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    async def handle(self, raw: RawRequest, responder: Responder) -> None:
+        """Serve one request."""
+        request = self.wire.read_request(raw)
+        if isinstance(request, RequestError):
+            self._refuse(request, responder, "", "invalid")
+            return
+        allowed = authorize(self.knowledge, request)
+        if isinstance(allowed, RequestError):
+            self._refuse(allowed, responder, request.request_id, allowed.code)
+            return
+        route, account = allowed
+        job = self._job(request, route, account, responder)
+        self.in_progress += 1
+        try:
+            await self._serve(job)
+        except Exception:
+            log.exception("request failed", request=request.request_id)
+            job.outcome = "internal_error"
+            self._answer_fault(job)
+        finally:
+            self.in_progress -= 1
+            self._finished(job)
+
+    def _job(self, request: CallerRequest, route, account, responder) -> Job:
+        wait_s = route.timeout_s
+        if request.deadline_s is not None:
+            wait_s = min(wait_s, request.deadline_s)
+        received_at = request.raw.received_at
+        return Job(
+            request=request,
+            route=route,
+            account=account,
+            service=choose_target(route.targets, self.rng),
+            responder=responder,
+            started_at=received_at,
+            deadline_at=received_at + max(wait_s - ANSWER_MARGIN_S, 0.0),
+            config_version=self.knowledge.config.version,
+            config_age_s=self.knowledge.age_s(),
+        )
+
+    async def _serve(self, job: Job) -> None:
+        if job.route.kind is RequestKind.STREAM:
+            await self.streams.serve(job)
+        else:
+            await self.calls.serve(job)
+
+    def _answer_fault(self, job: Job) -> None:
+        error = RequestError(
+            500, "internal_error", "the entry failed", RunState.UNKNOWN
+        )
+        if job.responder.began:
+            job.responder.cut()
+            return
+        job.status = error.status
+        job.responder.send(*error_answer(error, job.request.request_id))
+
+    def _refuse(
+        self, error: RequestError, responder: Responder, request_id: str, why: str
+    ) -> None:
+        responder.send(*error_answer(error, request_id))
+        self.metrics.requests.labels("refused", why).inc()
+        version = self.knowledge.config.version if self.knowledge.config else None
+        log.info(
+            "request refused",
+            request=request_id,
+            status=error.status,
+            code=error.code,
+            message=error.message,
+            retry_after_s=error.retry_after_s,
+            config_version=version,
+            config_age_s=round(self.knowledge.age_s(), 2) if version else None,
+        )
+
+    def _finished(self, job: Job) -> None:
+        took_s = self.now() - job.started_at
+        kind = str(job.route.kind)
+        self.metrics.requests.labels(kind, job.outcome).inc()
+        self.metrics.answer_s.labels(kind).observe(took_s)
+        for item in job.tries:
+            self.metrics.sends.labels(job.service, item.result.split(" ")[0]).inc()
+        first_s = None
+        if job.first_event_at is not None:
+            first_s = job.first_event_at - job.started_at
+            self.metrics.first_event_s.observe(first_s)
+            self.metrics.worst_gap_s.observe(job.worst_gap_s)
+        log.info(
+            "request ended",
+            request=job.request.request_id,
+            route=job.route.name,
+            kind=kind,
+            account=job.account.name if job.account else None,
+            service=job.service,
+            outcome=job.outcome,
+            status=job.status,
+            took_s=round(took_s, 3),
+            first_event_s=None if first_s is None else round(first_s, 3),
+            worst_gap_s=round(job.worst_gap_s, 3),
+            tries=[
+                [
+                    item.server,
+                    round(item.sent_at - job.started_at, 3),
+                    round(item.ended_at - job.started_at, 3),
+                    item.result,
+                ]
+                for item in job.tries
+            ],
+            config_version=job.config_version,
+            config_age_s=round(job.config_age_s, 2),
+        )
--- /dev/null
+++ b/monsoontack/gateway/knowledge.py
@@ -0,0 +1,82 @@
+"""The configuration in force, and how old the knowledge of it is.
+
+A configuration never goes back within a process. Keys that were taken away must
+stop everywhere within a bound, also at an entry that no longer reaches the
+store, so requests with a key are served only while the knowledge is recent.
+Ages are taken from the boot clock, which goes on while the VM is suspended.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from monsoontack.core.clock import boot_time
+from monsoontack.gateway.records import CallerLimits, GatewayConfig
+
+log = structlog.get_logger("gateway.knowledge")
+
+# Share of the revocation bound for which unconfirmed keys are still accepted. The
+# rest covers a watch that misses changes for a second and the request's own way.
+KEY_TRUST_SHARE = 0.6
+# A denial (unknown key, unknown route) needs fresher knowledge than service: an
+# unchanged configuration is confirmed about once a second.
+DENIAL_TRUST_S = 2.0
+
+
+@dataclass(slots=True)
+class ConfigKnowledge:
+    """Newest configuration of this process.
+
+    `revoke_s` is the bound within which a removed key must stop working;
+    `confirmed_at` when the store last showed the configuration to be current.
+    """
+
+    revoke_s: float
+    boot: Callable[[], float] = boot_time
+    config: GatewayConfig | None = None
+    confirmed_at: float = float("-inf")
+    refused_older: int = 0
+    listeners: list[Callable[[GatewayConfig], None]] = field(default_factory=list)
+
+    def apply(self, config: GatewayConfig) -> bool:
+        """Take over a configuration unless it is older than the one in force."""
+        if self.config is not None and config.version <= self.config.version:
+            if config.version < self.config.version:
+                self.refused_older += 1
+                log.warning(
+                    "older configuration ignored",
+                    version=config.version,
+                    in_force=self.config.version,
+                )
+            return False
+        self.config = config
+        log.info(
+            "configuration in force",
+            version=config.version,
+            routes=len(config.routes),
+            keys=None if config.accounts is None else len(config.accounts),
+        )
+        for listener in self.listeners:
+            listener(config)
+        return True
+
+    def confirm(self, at: float) -> None:
+        """Note that the configuration was current at `at` (boot clock)."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def age_s(self) -> float:
+        """Return how long ago the configuration was known to be current."""
+        return self.boot() - self.confirmed_at
+
+    def may_trust_keys(self) -> bool:
+        """Whether keys of the configuration may still be accepted."""
+        return self.age_s() <= KEY_TRUST_SHARE * self.revoke_s
+
+    def may_deny(self) -> bool:
+        """Whether an unknown key or route may be told to be unknown."""
+        return self.age_s() <= DENIAL_TRUST_S
+
+    def limits(self) -> CallerLimits:
+        """Return the bounds on callers, the defaults before any configuration."""
+        return CallerLimits() if self.config is None else self.config.limits
--- /dev/null
+++ b/monsoontack/gateway/metrics.py
@@ -0,0 +1,103 @@
+"""Counters and latency histograms of a gateway, in the Prometheus text format.
+
+Label sets are bounded: kinds, outcomes and services come from the configuration,
+never from a caller.
+"""
+
+from dataclasses import dataclass, field
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+ANSWER_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 25.0)
+GAP_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 2.0, 5.0)
+
+
+@dataclass(slots=True)
+class GatewayMetrics:
+    """All metrics of one process."""
+
+    registry: CollectorRegistry = field(default_factory=CollectorRegistry)
+    requests: Counter = None
+    sends: Counter = None
+    bad_requests: Counter = None
+    answer_s: Histogram = None
+    first_event_s: Histogram = None
+    worst_gap_s: Histogram = None
+    in_progress: Gauge = None
+    config_version: Gauge = None
+    config_age_s: Gauge = None
+    servers: Gauge = None
+    dependency_up: Gauge = None
+    log_lines_dropped: Gauge = None
+
+    @classmethod
+    def create(cls) -> "GatewayMetrics":
+        """Return metrics in a registry of their own."""
+        made = cls()
+        registry = made.registry
+        made.requests = Counter(
+            "monsoontack_requests",
+            "Requests by kind and outcome",
+            ("kind", "outcome"),
+            registry=registry,
+        )
+        made.sends = Counter(
+            "monsoontack_sends",
+            "Sends to backend servers by service and result",
+            ("service", "result"),
+            registry=registry,
+        )
+        made.bad_requests = Counter(
+            "monsoontack_bad_requests",
+            "Requests that could not be parsed, by status",
+            ("status",),
+            registry=registry,
+        )
+        made.answer_s = Histogram(
+            "monsoontack_answer_seconds",
+            "Time from a request to the end of its answer",
+            ("kind",),
+            buckets=ANSWER_BUCKETS_S,
+            registry=registry,
+        )
+        made.first_event_s = Histogram(
+            "monsoontack_first_event_seconds",
+            "Time from a request to its first event",
+            buckets=ANSWER_BUCKETS_S,
+            registry=registry,
+        )
+        made.worst_gap_s = Histogram(
+            "monsoontack_worst_gap_seconds",
+            "Longest pause between two events of a stream",
+            buckets=GAP_BUCKETS_S,
+            registry=registry,
+        )
+        made._add_gauges()
+        return made
+
+    def _add_gauges(self) -> None:
+        def gauge(name: str, text: str, labels: tuple[str, ...] = ()) -> Gauge:
+            return Gauge(f"monsoontack_{name}", text, labels, registry=self.registry)
+
+        self.in_progress = gauge("requests_in_progress", "Requests under way")
+        self.config_version = gauge("config_version", "Configuration in force")
+        self.config_age_s = gauge(
+            "config_age_seconds", "Time since the configuration was confirmed"
+        )
+        self.servers = gauge("servers", "Backend servers in use", ("service",))
+        self.dependency_up = gauge(
+            "store_feed_up", "Whether the store answers a feed", ("feed",)
+        )
+        self.log_lines_dropped = gauge(
+            "log_lines_dropped", "Log lines dropped since nobody read them"
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/monsoontack/gateway/routes.py
@@ -0,0 +1,76 @@
+"""Route and account of a request, by the configuration in force."""
+
+import random
+from collections.abc import Sequence
+
+from monsoontack.core.errors import RequestError
+from monsoontack.gateway.knowledge import ConfigKnowledge
+from monsoontack.gateway.records import (
+    CallerRequest,
+    GatewayAccount,
+    GatewayConfig,
+    Route,
+    Target,
+)
+
+# Other entries usually have newer knowledge, and a retry reaches another one.
+STALE_RETRY_S = 0.05
+# Start and first list take about this long after a loss of all entries.
+UNCONFIGURED_RETRY_S = 0.5
+
+
+def find_route(config: GatewayConfig, host: str, path: str) -> Route | None:
+    """Return the route with the longest prefix of `path` among those of `host`."""
+    best = None
+    for route in config.routes:
+        if route.host != host or not path.startswith(route.path_prefix):
+            continue
+        if best is None or len(route.path_prefix) > len(best.path_prefix):
+            best = route
+    return best
+
+
+def choose_target(targets: Sequence[Target], rng: random.Random) -> str:
+    """Return the service of a request, by the weights of the route."""
+    if len(targets) == 1:
+        return targets[0].service
+    weights = [max(target.weight, 0.0) for target in targets]
+    if not any(weights):
+        return targets[0].service
+    return rng.choices(targets, weights)[0].service
+
+
+def authorize(
+    knowledge: ConfigKnowledge, request: CallerRequest
+) -> tuple[Route, GatewayAccount | None] | RequestError:
+    """Return route and account of a request, or the refusal.
+
+    A request is denied only by knowledge that is recent; otherwise it is refused
+    as not run, since a newer configuration may allow it.
+    """
+    config = knowledge.config
+    if config is None:
+        message = "this entry has no configuration yet"
+        return RequestError(
+            503, "not_ready", message, retry_after_s=UNCONFIGURED_RETRY_S
+        )
+    route = find_route(config, request.host, request.path)
+    if route is None:
+        if knowledge.may_deny():
+            return RequestError(404, "unknown_route", "no route matches")
+        return _stale(knowledge)
+    if config.accounts is None or route.anonymous:
+        return route, None
+    if not knowledge.may_trust_keys():
+        return _stale(knowledge)
+    account = config.accounts.get(request.key or "")
+    if account is not None:
+        return route, account
+    if knowledge.may_deny():
+        return RequestError(401, "unknown_key", "the key belongs to no account")
+    return _stale(knowledge)
+
+
+def _stale(knowledge: ConfigKnowledge) -> RequestError:
+    message = f"configuration unconfirmed for {knowledge.age_s():.1f} s"
+    return RequestError(503, "stale_config", message, retry_after_s=STALE_RETRY_S)
--- /dev/null
+++ b/monsoontack/gateway/streams.py
@@ -0,0 +1,505 @@
+"""Streams of generations: placement, events as they come, and going on elsewhere.
+
+Each run keeps a copy of its memory at an engine of another failure domain. When
+the run's engine breaks off, refuses or falls silent, the stream goes on at the
+copy after the last whole event, within the same answer. The former connection is
+reset first, so that no two engines work on one run.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+import structlog
+
+from monsoontack.core.errors import RequestError, RunState
+from monsoontack.core.records import Place
+from monsoontack.gateway.answers import error_answer
+from monsoontack.gateway.budgets import RetryBudgets
+from monsoontack.gateway.events import EventSplitter, EventTooLongError
+from monsoontack.gateway.fleet import DirectFleet, Member
+from monsoontack.gateway.inbound import CallerGoneError
+from monsoontack.gateway.job import Job, Try
+from monsoontack.gateway.outbound import Exchange, ExchangeFailure, FailureKind
+from monsoontack.gateway.records import (
+    AnswerHead,
+    Attempt,
+    EngineTraits,
+    MemoryCopy,
+    ServiceTraits,
+)
+from monsoontack.gateway.sender import Sender
+from monsoontack.generation.failover import LossState, NextStep, next_step
+from monsoontack.generation.pace import Pace
+from monsoontack.routing.placement import EngineLoad, choose_backup, choose_engine
+
+log = structlog.get_logger("gateway.streams")
+
+# How often a run that waits for its first event looks whether its engine still
+# gives signs of life to others.
+LOOK_S = 0.1
+# An engine that is silent to a running stream is doubted by the waiting ones.
+DOUBT_S = 3.0
+FULL_RETRY_S = 0.5
+NO_SERVER_RETRY_S = 0.7
+# Connections that fail cost no attempt, but they end at some point.
+MAX_SENDS = 12
+# Bytes of an error answer that are kept to be passed on.
+MAX_ERROR_BYTES = 65_536
+
+
+@dataclass(slots=True)
+class StreamForwarder:
+    """Serves streams. `service_traits` gives the traits of a service by name."""
+
+    place: Place
+    fleet: DirectFleet
+    sender: Sender
+    budgets: RetryBudgets
+    rng: random.Random
+    traits: dict[str, ServiceTraits] = field(default_factory=dict)
+    paces: dict[str, Pace] = field(default_factory=dict)
+
+    async def serve(self, job: Job) -> None:
+        """Serve one stream."""
+        await _StreamRun(self, job).serve()
+
+    def pace(self, service: str) -> Pace:
+        """Return the pace of a service's engines."""
+        return self.paces.setdefault(service, Pace())
+
+    def engine_traits(self, service: str) -> EngineTraits:
+        """Return the traits of a service's engines."""
+        traits = self.traits.get(service)
+        if traits is None or traits.engine is None:
+            return EngineTraits(slots=1, memory_tokens=0)
+        return traits.engine
+
+    def loads(self, job: Job, excluded: set[str]) -> dict[str, EngineLoad]:
+        """Return the engines that may run a stream, by incarnation."""
+        now = self.sender.now()
+        traits = self.engine_traits(job.service)
+        loads = {}
+        for member in self.fleet.of_service(job.service):
+            server = member.server
+            if server.incarnation in excluded:
+                continue
+            loads[server.incarnation] = EngineLoad(
+                key=server.incarnation,
+                place=server.place,
+                in_flight=member.in_flight,
+                slots=server.slots or traits.slots,
+                waiting_tokens=member.waiting_tokens,
+                held_tokens=member.held_tokens,
+                memory_tokens=traits.memory_tokens or 10**9,
+                avoided=now < member.avoid_until,
+                share=self.fleet.ejection.share(server.address, now),
+            )
+        return loads
+
+
+@dataclass(slots=True)
+class _Loss:
+    """Why an attempt of a stream ended without the end of the stream.
+
+    `answer` and `body` hold an error answer of the engine, if it gave one.
+    """
+
+    reason: str
+    not_run: bool = False
+    unsent: bool = False
+    answer: AnswerHead | None = None
+    body: bytes = b""
+
+
+class _StreamRun:
+    """State of one stream while it is served."""
+
+    def __init__(self, forwarder: StreamForwarder, job: Job) -> None:
+        self.forwarder = forwarder
+        self.job = job
+        self.pace = forwarder.pace(job.service)
+        self.traits = forwarder.engine_traits(job.service)
+        self.last_id = job.request.last_event_id
+        self.events = 0
+        self.last_event_at = 0.0
+        self.excluded: set[str] = set()
+        self.copy_at: Member | None = None
+        self.sends = 0
+        self.all_sends = 0
+        self.error: _Loss | None = None
+        request = job.request
+        output = request.output_hint or request.output_tokens
+        self.need = request.prompt_tokens + output
+
+    def now(self) -> float:
+        """Return the loop's time in seconds."""
+        return self.forwarder.sender.now()
+
+    async def serve(self) -> None:
+        """Run attempts until the stream is complete or cannot go on."""
+        job = self.job
+        self.forwarder.budgets.note_request(job.service)
+        try:
+            ended = await self._attempts()
+        except CallerGoneError:
+            job.outcome = "caller_gone"
+            return
+        if ended is None:
+            job.outcome, job.status = "streamed", 200
+            job.responder.finish()
+            return
+        self._give_up(ended)
+
+    async def _attempts(self) -> _Loss | None:
+        """Return None once the stream is complete, else the last loss."""
+        step = NextStep.RESTART
+        while True:
+            placed = self._place(step)
+            if placed is None:
+                return _Loss("no engine can be reached", not_run=True, unsent=True)
+            member, copy, backup = placed
+            loss = await self._attempt(member, copy, backup)
+            if loss is None:
+                return None
+            if loss.answer is not None and not loss.not_run:
+                self.error = loss
+                if loss.answer.status < 500:
+                    return loss
+            step = self._after(loss, member, backup, copy is not None)
+            if step is NextStep.END:
+                return loss
+
+    def _after(
+        self, loss: _Loss, member: Member, backup: Member | None, used_copy: bool
+    ) -> NextStep:
+        """Return how the stream goes on after a loss."""
+        job, now = self.job, self.now()
+        if loss.unsent or (loss.not_run and used_copy):
+            # A copy that is not there says nothing about the engine.
+            if not used_copy or loss.unsent:
+                self.excluded.add(member.server.incarnation)
+            self.copy_at = None if used_copy else self.copy_at
+        else:
+            self.excluded = {member.server.incarnation}
+            self.copy_at = backup
+        if loss.not_run:
+            self.sends -= 1
+        copy_at = self.copy_at
+        has_copy = copy_at is not None and self.forwarder.fleet.is_current(copy_at)
+        state = LossState(
+            has_copy=has_copy,
+            resumable=job.route.is_repeatable,
+            surely_not_run=not job.may_have_run,
+            attempts_left=min(
+                job.route.attempts - self.sends, MAX_SENDS - self.all_sends
+            ),
+            left_s=job.left_s(now),
+        )
+        step = next_step(state)
+        if step is not NextStep.END and not loss.unsent:
+            if not self.forwarder.budgets.take(job.service, now):
+                step = NextStep.END
+        log.info(
+            "stream lost its engine",
+            request=job.request.request_id,
+            server=member.server.incarnation,
+            reason=loss.reason,
+            events=self.events,
+            last_id=self.last_id,
+            copy=copy_at.server.incarnation if has_copy else None,
+            next=str(step),
+            left_s=round(state.left_s, 2),
+        )
+        return step
+
+    def _place(
+        self, step: NextStep
+    ) -> tuple[Member, MemoryCopy | None, Member | None] | None:
+        """Return engine, copy to go on from, and engine for the next copy."""
+        forwarder, job = self.forwarder, self.job
+        loads = forwarder.loads(job, set())
+        members = forwarder.fleet.members
+        copy = None
+        if step is NextStep.RESUME_COPY:
+            member = self.copy_at
+            copy = MemoryCopy(member.server.address, job.request.request_id)
+            chosen = loads.get(member.server.incarnation)
+        else:
+            usable = [e for k, e in loads.items() if k not in self.excluded]
+            chosen = choose_engine(
+                usable or list(loads.values()),
+                forwarder.place,
+                self.need,
+                forwarder.rng,
+            )
+            if chosen is None:
+                return None
+            member = members[chosen.key]
+        backup = None
+        if self.traits.keeps_backups and chosen is not None:
+            others = [e for k, e in loads.items() if k not in self.excluded]
+            kept = choose_backup(others, chosen, self.need, forwarder.rng)
+            backup = members[kept.key] if kept is not None else None
+        return member, copy, backup
+
+    async def _attempt(
+        self, member: Member, copy: MemoryCopy | None, backup: Member | None
+    ) -> _Loss | None:
+        """Send the stream to an engine and relay it; None once it is complete."""
+        job, now = self.job, self.now()
+        record = Try(member.server.incarnation, now)
+        job.tries.append(record)
+        attempt = Attempt(
+            server=member.server,
+            left_s=max(job.left_s(now), 0.001),
+            account=job.account.name if job.account else None,
+            priority=job.priority,
+            backup=backup.server.address if backup else None,
+            copy=copy,
+            last_event_id=self.last_id,
+        )
+        waiting = 0 if copy is not None else job.request.prompt_tokens
+        ahead = member.waiting_tokens
+        self._hold(member, backup, waiting, 1)
+        try:
+            self.sends += 1
+            self.all_sends += 1
+            sent = await self.forwarder.sender.send(member, job.request, attempt)
+            if isinstance(sent, ExchangeFailure):
+                self.sends -= 1
+                record.result = str(sent.kind)
+                return _Loss(sent.detail, not_run=True, unsent=True)
+            reading = _Reading(self, member, sent, ahead + waiting, copy is not None)
+            loss = await reading.relay()
+            record.result = "complete" if loss is None else loss.reason
+            job.may_have_run |= loss is None or not loss.not_run
+            self._note(member, loss)
+            return loss
+        finally:
+            record.ended_at = self.now()
+            self._hold(member, backup, waiting, -1)
+
+    def _hold(
+        self, member: Member, backup: Member | None, waiting: int, sign: int
+    ) -> None:
+        """Count what the attempt takes at its engine and at that of the copy."""
+        member.in_flight += sign
+        member.held_tokens += sign * self.need
+        if sign > 0:
+            member.waiting_tokens += waiting
+            self.waiting_at = (member, waiting)
+        else:
+            self.stop_waiting()
+        if backup is not None:
+            backup.held_tokens += sign * self.need
+
+    def stop_waiting(self) -> None:
+        """Note that the prompt has been read."""
+        member, waiting = self.waiting_at
+        member.waiting_tokens -= waiting
+        self.waiting_at = (member, 0)
+
+    def _note(self, member: Member, loss: _Loss | None) -> None:
+        fleet, now = self.forwarder.fleet, self.now()
+        address, service = member.server.address, member.server.service
+        rng = self.forwarder.rng
+        if loss is None:
+            fleet.ejection.record_success(address, service, 0.0, now, rng)
+            return
+        if loss.answer is not None and loss.answer.status == 421:
+            fleet.remove(member.server.incarnation)
+        elif not loss.not_run:
+            fleet.ejection.record_failure(address, service, now, rng)
+            fleet.note_unreachable(member, now)
+
+    def _give_up(self, loss: _Loss) -> None:
+        """End a stream that cannot go on."""
+        job = self.job
+        responder = job.responder
+        if responder.began:
+            job.outcome = "stream_cut"
+            responder.cut()
+            return
+        error = self.error
+        if error is not None and error.answer is not None:
+            job.outcome, job.status = "engine_error", error.answer.status
+            responder.send(error.answer.status, error.answer.forwarded, error.body)
+            return
+        refusal = self._refusal(loss)
+        job.outcome, job.status = refusal.code, refusal.status
+        responder.send(*error_answer(refusal, job.request.request_id))
+
+    def _refusal(self, loss: _Loss) -> RequestError:
+        job = self.job
+        if job.left_s(self.now()) <= 0:
+            return job.timed_out()
+        if job.may_have_run:
+            message = f"every engine broke off: {loss.reason}"
+            return RequestError(502, "backend_failed", message, RunState.UNKNOWN)
+        if loss.unsent:
+            message = f"no engine of {job.service!r} can be reached"
+            return RequestError(
+                503, "no_backend_server", message, retry_after_s=NO_SERVER_RETRY_S
+            )
+        message = f"the engines of {job.service!r} are full"
+        return RequestError(503, "full", message, retry_after_s=FULL_RETRY_S)
+
+
+class _Reading:
+    """Relays one attempt's answer."""
+
+    def __init__(
+        self,
+        run: _StreamRun,
+        member: Member,
+        exchange: Exchange,
+        tokens: int,
+        resumed: bool,
+    ) -> None:
+        self.run = run
+        self.job = run.job
+        self.member = member
+        self.exchange = exchange
+        self.sent_at = run.now()
+        self.resumed = resumed
+        self.splitter = EventSplitter()
+        self.tokens = tokens
+        self.first_limit_s = run.pace.first_event_limit_s(tokens)
+        self.answer: AnswerHead | None = None
+
+    async def relay(self) -> _Loss | None:
+        """Relay events until the stream ends; return the loss, if it is one."""
+        try:
+            return await self._relay()
+        except CallerGoneError:
+            self.exchange.abort()
+            raise
+        except asyncio.CancelledError:
+            self.exchange.abort()
+            raise
+        except EventTooLongError as error:
+            self.exchange.abort()
+            return _Loss(str(error))
+
+    async def _relay(self) -> _Loss | None:
+        exchange, job = self.exchange, self.job
+        while True:
+            await exchange.wait(self._wait_s())
+            if job.responder.is_gone:
+                raise CallerGoneError
+            if self.answer is None and exchange.has_head:
+                loss = await self._take_head()
+                if loss is not None:
+                    return loss
+            if self.answer is not None and exchange.parts:
+                await self._pass_on(exchange.take())
+            if exchange.over:
+                return self._end()
+            if job.left_s(self.run.now()) <= 0:
+                exchange.abort()
+                return _Loss("deadline")
+            if self._is_silent():
+                self._doubt_engine()
+                exchange.abort()
+                return _Loss(str(FailureKind.SILENT))
+
+    def _wait_s(self) -> float:
+        now = self.run.now()
+        left_s = self.job.left_s(now)
+        return max(min(LOOK_S, left_s), 0.001)
+
+    async def _take_head(self) -> _Loss | None:
+        """Interpret the head; begin the caller's answer if it is a success."""
+        exchange, job = self.exchange, self.job
+        wire = self.run.forwarder.sender.wire
+        answer = wire.read_answer(exchange.status, exchange.headers)
+        if answer.not_run:
+            await self._drain_error()
+            return _Loss(f"not_run {answer.status}", not_run=True, answer=answer)
+        job.may_have_run = True
+        if answer.status >= 300:
+            body = await self._drain_error()
+            if exchange.failure is not None:
+                return _Loss(str(exchange.failure.kind))
+            return _Loss(str(answer.status), answer=answer, body=body)
+        if answer.encoded or not answer.signed:
+            exchange.abort()
+            return _Loss(str(FailureKind.MALFORMED))
+        self.answer = answer
+        return None
+
+    async def _drain_error(self) -> bytes:
+        """Return the body of an error answer."""
+        exchange, parts, size = self.exchange, [], 0
+        until = min(self.run.now() + 1.0, self.job.deadline_at)
+        while not exchange.over or exchange.parts:
+            await exchange.wait(until - self.run.now())
+            parts.append(exchange.take())
+            size += len(parts[-1])
+            if self.run.now() >= until or size > MAX_ERROR_BYTES:
+                exchange.abort()
+        return b"".join(parts)
+
+    async def _pass_on(self, data: bytes) -> None:
+        """Send whole events on."""
+        whole = self.splitter.feed(data)
+        run, now = self.run, self.run.now()
+        self.member.seen_at = now
+        if not whole:
+            return
+        if run.events == 0 or self.splitter.count and run.last_event_at == 0.0:
+            self._first_event(now)
+        else:
+            gap_s = now - run.last_event_at
+            self.job.worst_gap_s = max(self.job.worst_gap_s, gap_s)
+            if self.splitter.count > 1:
+                run.pace.saw_gap(gap_s)
+        run.last_event_at = now
+        run.events += 1
+        run.stop_waiting()
+        if self.splitter.last_id is not None:
+            run.last_id = self.splitter.last_id
+        responder = self.job.responder
+        if not responder.began:
+            responder.begin(self.answer.status, self.answer.forwarded)
+        await responder.write(whole)
+
+    def _first_event(self, now: float) -> None:
+        if self.job.first_event_at is None:
+            self.job.first_event_at = now
+        if not self.resumed:
+            self.run.pace.saw_first_event(self.tokens, now - self.sent_at)
+        self.run.forwarder.fleet.note_alive(self.member, now)
+
+    def _is_silent(self) -> bool:
+        """Whether the engine has been silent for longer than it should be."""
+        run, now = self.run, self.run.now()
+        limit_s = run.pace.silence_limit_s(self.job.route.max_gap_s)
+        if self.splitter.count:
+            return now - max(run.last_event_at, self.sent_at) > limit_s
+        if not self.job.route.is_repeatable:
+            return False
+        if self.resumed and now - self.sent_at > 2 * limit_s:
+            return True
+        waited = now - self.sent_at
+        if waited > limit_s and self.member.avoid_until > now > self.member.seen_at:
+            return self.member.seen_at < now - limit_s
+        return waited > self.first_limit_s
+
+    def _doubt_engine(self) -> None:
+        now = self.run.now()
+        self.run.forwarder.fleet.note_unreachable(self.member, now)
+
+    def _end(self) -> _Loss | None:
+        """Return None if the stream is complete, else why it is not."""
+        exchange = self.exchange
+        if exchange.failure is not None:
+            return _Loss(str(exchange.failure.kind))
+        if self.answer is None:
+            return _Loss(str(FailureKind.CLOSED))
+        if self.splitter.rest:
+            return _Loss("stopped inside an event")
+        if not self.job.responder.began:
+            self.job.responder.begin(self.answer.status, self.answer.forwarded)
+        return None
--- /dev/null
+++ b/monsoontack/generation/pace.py
@@ -0,0 +1,63 @@
+"""How long an engine may be silent before its streams go on elsewhere.
+
+Engines produce an event every few steps; while they read other prompts the steps
+take longer. The limit follows the gaps seen lately at the engine and in the
+service, between a floor that spares running streams and a ceiling that leaves
+time to go on within the pause that callers accept.
+"""
+
+from dataclasses import dataclass
+
+GAP_FACTOR = 2.5
+# Resent packets arrive about 0.2 s late; a limit below would take loss for death.
+SILENCE_FLOOR_S = 0.3
+# Part of the accepted pause after which a stream must move: connection, admission
+# and the first event at the other engine take the rest.
+SILENCE_SHARE = 0.6
+GAP_DECAY = 0.02
+# Before any gap was seen.
+INITIAL_GAP_S = 0.2
+# Prompt tokens that an engine reads in a second, before any was measured.
+INITIAL_READ_RATE = 6000.0
+READ_RATE_WEIGHT = 0.1
+# The first event may take this much longer than predicted.
+FIRST_EVENT_FACTOR = 1.8
+FIRST_EVENT_MARGIN_S = 0.7
+
+
+@dataclass(slots=True)
+class Pace:
+    """Gaps between events and speed of reading prompts of one service.
+
+    `gap_s` is a slowly falling maximum of the gaps of healthy streams,
+    `read_rate` the prompt tokens read in a second.
+    """
+
+    gap_s: float = INITIAL_GAP_S
+    read_rate: float = INITIAL_READ_RATE
+
+    def saw_gap(self, gap_s: float) -> None:
+        """Take in a gap between two events."""
+        self.gap_s = max(gap_s, self.gap_s * (1 - GAP_DECAY))
+
+    def saw_first_event(self, tokens: int, took_s: float) -> None:
+        """Take in the time from the send to the first event of a run."""
+        if took_s <= 0 or tokens <= 0:
+            return
+        rate = tokens / took_s
+        self.read_rate += READ_RATE_WEIGHT * (rate - self.read_rate)
+
+    def silence_limit_s(self, max_gap_s: float) -> float:
+        """Return the silence after which a running stream moves.
+
+        `max_gap_s` is the pause that the caller accepts.
+        """
+        ceiling = max(SILENCE_SHARE * max_gap_s, SILENCE_FLOOR_S)
+        return min(max(GAP_FACTOR * self.gap_s, SILENCE_FLOOR_S), ceiling)
+
+    def first_event_limit_s(self, tokens: int) -> float:
+        """Return the wait for a first event after which a run moves.
+
+        `tokens` are the prompt tokens to read, those ahead in the queue included.
+        """
+        return FIRST_EVENT_FACTOR * tokens / self.read_rate + FIRST_EVENT_MARGIN_S
--- /dev/null
+++ b/monsoontack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the gateway; decides nothing."""
--- /dev/null
+++ b/monsoontack/platform/settings.py
@@ -0,0 +1,84 @@
+"""The platform's settings file of a process (TOML), checked and translated."""
+
+import os
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from monsoontack.core.errors import FieldError, FieldErrors
+from monsoontack.core.records import Place
+from monsoontack.gateway.daemon import GatewaySettings
+
+PATH_VARIABLE = "MONSOONTACK_BOOT"
+DEFAULT_PATH = "/etc/monsoontack/node.toml"
+MEGABYTE = 1_000_000
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+
+
+class _Limits(msgspec.Struct):
+    memory_mb: float
+
+
+class _Bounds(msgspec.Struct):
+    """Bounds of the rules; `retry_*` hold for all entries together."""
+
+    grace_s: float = 8.0
+    revoke_ms: float = 5000.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_extra: float = 10.0
+
+
+class _Platform(msgspec.Struct):
+    """The platform's store: its address and the rates for all processes."""
+
+    address: str
+    writes_per_s: float = 100.0
+    reads_per_s: float = 500.0
+
+
+class _File(msgspec.Struct):
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    port_range: tuple[int, int]
+    listen: _Listen
+    limits: _Limits
+    platform: _Platform
+    zones: dict[str, str]
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def settings_path() -> Path:
+    """Return where the platform puts the settings file."""
+    return Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def read_settings(path: Path) -> Result[tuple[GatewaySettings, dict], FieldErrors]:
+    """Return the settings and the region of each failure domain, or the errors."""
+    try:
+        file = msgspec.toml.decode(path.read_bytes(), type=_File)
+    except (OSError, msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure(FieldErrors((FieldError(str(path), "", str(error)),)))
+    bounds = file.bounds
+    settings = GatewaySettings(
+        name=file.node_name,
+        place=Place(file.zone, file.region),
+        front_address=file.listen.front,
+        ready_address=file.listen.ready,
+        operator_address=f"{file.ip}:{file.port_range[0]}",
+        store_address=file.platform.address,
+        memory_bytes=int(file.limits.memory_mb * MEGABYTE),
+        revoke_s=bounds.revoke_ms / 1000,
+        grace_s=bounds.grace_s,
+        retry_ratio=bounds.retry_ratio,
+        retry_extra=bounds.retry_extra,
+        retry_window_s=bounds.retry_window_s,
+    )
+    return Success((settings, file.zones))
--- /dev/null
+++ b/monsoontack/platform/store.py
@@ -0,0 +1,302 @@
+"""Client of the platform's store: objects by kind and name, lists and watches.
+
+It serves the product's `KindStore` and `ObjectStore`. A key such as
+`leases/controller` is the object `controller` of the kind `leases`. A call on a
+reused connection that breaks without an answer is repeated once if it reads;
+a write is never repeated here, since it may have been done.
+"""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from monsoontack.gateway.outbound import Exchange, ExchangeFailure
+from monsoontack.gateway.pool import ConnectionPool
+from monsoontack.platform.wire import keep_alive_s
+from monsoontack.store.api import (
+    Ambiguous,
+    Conflict,
+    HistoryGone,
+    KindChange,
+    KindChanges,
+    KindList,
+    KindObject,
+    NotFound,
+    StoredObject,
+    StoreError,
+    Unavailable,
+)
+
+ROOT = "/api/objects"
+# An answer takes 4 ms, and up to 60 times as long when the store is slow.
+CALL_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.6
+# A watch that is over this late has lost its connection.
+WATCH_SLACK_S = 0.7
+MAX_PAGES = 1000
+MAX_ANSWER_BYTES = 64_000_000
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: Any = None
+    status: Any = None
+
+
+class _Page(msgspec.Struct):
+    """A page of a list; `more_pages` says that names after the last one exist."""
+
+    entries: list[Any]
+    store_revision: int
+    more_pages: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    removed: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Event]
+    store_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+    retry_after_s: float | None
+
+
+@dataclass(slots=True)
+class PlatformStore:
+    """Calls to the store at `address` (`ip:port`). `calls` counts them."""
+
+    address: str
+    pool: ConnectionPool = field(
+        default_factory=lambda: ConnectionPool(lambda headers: None, keep_alive_s)
+    )
+    calls: int = 0
+
+    async def list_kind(self, kind: str) -> Result[KindList, StoreError]:
+        """Read all objects of a kind, page by page.
+
+        The revision is that of the first page, so that a watch from it misses
+        nothing that changed while the others were read.
+        """
+        objects: list[KindObject] = []
+        revision, after = None, None
+        for _ in range(MAX_PAGES):
+            query = "" if after is None else f"?after={quote(after, safe='')}"
+            result = await self._read(f"{ROOT}/{kind}{query}", kind, CALL_TIMEOUT_S)
+            page = result.bind(lambda answer: _decode(kind, answer, _Page))
+            if not isinstance(page, Success):
+                return page
+            content = page.unwrap()
+            objects += [_lenient_object(entry) for entry in content.entries]
+            revision = content.store_revision if revision is None else revision
+            if not content.more_pages or not objects:
+                break
+            after = objects[-1].name
+        return Success(KindList(tuple(objects), revision))
+
+    async def watch_kind(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[KindChanges, StoreError]:
+        """Wait for changes of a kind after a revision."""
+        path = f"{ROOT}/{kind}?watch={revision}&wait_ms={int(wait_s * 1000)}"
+        result = await self._read(path, kind, wait_s + WATCH_SLACK_S)
+        events = result.bind(lambda answer: _decode(kind, answer, _Events))
+        return events.map(_changes)
+
+    async def get(self, key: str) -> Result[StoredObject, StoreError]:
+        """Read one object."""
+        result = await self._read(_path(key), key, CALL_TIMEOUT_S)
+        return result.bind(lambda answer: _decode(key, answer, _Object)).map(
+            lambda item: _stored(key, item)
+        )
+
+    async def create(self, key: str, value: bytes) -> Result[StoredObject, StoreError]:
+        """Write an object that must not exist yet."""
+        kind, _, name = key.partition("/")
+        body = _body(name, value, None)
+        return await self._write("POST", f"{ROOT}/{quote(kind, safe='')}", key, body)
+
+    async def update(
+        self, key: str, value: bytes, version: int
+    ) -> Result[StoredObject, StoreError]:
+        """Replace an object whose version must still be `version`."""
+        body = _body(key.partition("/")[2], value, version)
+        return await self._write("PUT", _path(key), key, body)
+
+    async def delete(self, key: str, version: int) -> Result[None, StoreError]:
+        """Remove an object whose version must still be `version`."""
+        path = f"{_path(key)}?revision={version}"
+        result = await self._write("DELETE", path, key, b"")
+        return result.map(lambda stored: None)
+
+    async def put_status(
+        self, key: str, status: Any, version: int
+    ) -> Result[StoredObject, StoreError]:
+        """Replace the status of an object whose version must be `version`."""
+        name = key.partition("/")[2]
+        document = {"metadata": {"name": name, "revision": version}, "status": status}
+        body = json.dumps(document).encode()
+        return await self._write("PUT", f"{_path(key)}/status", key, body)
+
+    async def _read(
+        self, path: str, key: str, timeout_s: float
+    ) -> Result[_Answer, StoreError]:
+        answer = await self._call("GET", path, b"", timeout_s)
+        if isinstance(answer, ExchangeFailure) and answer.detail == STALE_CONNECTION:
+            answer = await self._call("GET", path, b"", timeout_s)
+        if isinstance(answer, ExchangeFailure):
+            return Failure(Unavailable(key, f"{answer.kind}: {answer.detail}"))
+        return Success(answer)
+
+    async def _write(
+        self, method: str, path: str, key: str, body: bytes
+    ) -> Result[StoredObject, StoreError]:
+        answer = await self._call(method, path, body, CALL_TIMEOUT_S)
+        if isinstance(answer, ExchangeFailure):
+            detail = f"{answer.kind}: {answer.detail}"
+            error = Ambiguous if answer.sent else Unavailable
+            return Failure(error(key, detail))
+        if answer.status == 409:
+            return Failure(_conflict(key, answer))
+        if answer.status >= 500 and answer.status != 503:
+            return Failure(Ambiguous(key, f"status {answer.status}"))
+        if method == "DELETE" and answer.status < 300:
+            return Success(StoredObject(key, b"", 0))
+        decoded = _decode(key, answer, _Object)
+        return decoded.map(lambda item: _stored(key, item))
+
+    async def _call(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> _Answer | ExchangeFailure:
+        """Make one call; a failure tells whether it was sent."""
+        self.calls += 1
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout_s
+        connection = self.pool.take_idle(self.address, "")
+        reused = connection is not None
+        if connection is None:
+            connect_s = min(CONNECT_TIMEOUT_S, timeout_s)
+            connection = await self.pool.connect(self.address, "", connect_s)
+        if isinstance(connection, ExchangeFailure):
+            return connection
+        exchange = Exchange(None)
+        head = (
+            f"{method} {path} HTTP/1.1\r\nhost: {self.address}\r\n"
+            f"content-type: application/json\r\ncontent-length: {len(body)}\r\n\r\n"
+        )
+        connection.start(exchange, head.encode() + body)
+        try:
+            return await _whole_answer(exchange, until, reused)
+        finally:
+            exchange.abort()
+
+
+STALE_CONNECTION = "stale connection"
+
+
+async def _whole_answer(
+    exchange: Exchange, until: float, reused: bool
+) -> _Answer | ExchangeFailure:
+    loop = asyncio.get_running_loop()
+    parts, size = [], 0
+    while not exchange.over or exchange.parts:
+        left_s = until - loop.time()
+        if left_s <= 0 or size > MAX_ANSWER_BYTES:
+            exchange.abort()
+            break
+        await exchange.wait(left_s)
+        parts.append(exchange.take())
+        size += len(parts[-1])
+    failure = exchange.failure
+    if failure is not None:
+        if reused and not exchange.bytes_in and loop.time() < until:
+            return ExchangeFailure(failure.kind, True, STALE_CONNECTION)
+        return failure
+    retry_after = dict(exchange.headers).get(b"retry-after")
+    return _Answer(exchange.status, b"".join(parts), _number(retry_after))
+
+
+def _number(value: bytes | None) -> float | None:
+    try:
+        return None if value is None else float(value)
+    except ValueError:
+        return None
+
+
+def _path(key: str) -> str:
+    kind, _, name = key.partition("/")
+    return f"{ROOT}/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _body(name: str, value: bytes, revision: int | None) -> bytes:
+    metadata: dict[str, Any] = {"name": name, "finalizers": []}
+    if revision is not None:
+        metadata["revision"] = revision
+    return json.dumps({"metadata": metadata, "spec": json.loads(value)}).encode()
+
+
+def _stored(key: str, item: _Object) -> StoredObject:
+    return StoredObject(key, json.dumps(item.spec).encode(), item.metadata.revision)
+
+
+def _decode(key: str, answer: _Answer, model: type) -> Result[Any, StoreError]:
+    """Return the decoded body of a good answer, else the error."""
+    if answer.status == 404:
+        return Failure(NotFound(key))
+    if answer.status == 410:
+        return Failure(HistoryGone(key))
+    if not 200 <= answer.status < 300:
+        reason = f"status {answer.status}"
+        return Failure(Unavailable(key, reason, answer.retry_after_s))
+    try:
+        return Success(msgspec.json.decode(answer.body, type=model))
+    except msgspec.DecodeError as error:
+        return Failure(Unavailable(key, f"malformed answer: {error}"))
+
+
+def _conflict(key: str, answer: _Answer) -> Conflict:
+    try:
+        current = msgspec.json.decode(answer.body, type=_Object)
+    except msgspec.DecodeError:
+        # The answer to a conflict without the object still is a conflict.
+        return Conflict(key, None)
+    return Conflict(key, _stored(key, current))
+
+
+def _kind_object(item: _Object) -> KindObject:
+    return KindObject(
+        item.metadata.name, item.metadata.revision, item.spec, item.status
+    )
+
+
+def _lenient_object(entry: Any) -> KindObject:
+    """Return an object of a list, without content if another writer spoiled it."""
+    try:
+        return _kind_object(msgspec.convert(entry, _Object))
+    except msgspec.ValidationError:
+        metadata = entry.get("metadata") if isinstance(entry, dict) else None
+        name = metadata.get("name") if isinstance(metadata, dict) else None
+        return KindObject(name if isinstance(name, str) else "", 0, None, None)
+
+
+def _changes(events: _Events) -> KindChanges:
+    changes = tuple(
+        KindChange(_kind_object(e.object), e.removed) for e in events.events
+    )
+    return KindChanges(changes, events.store_revision)
--- /dev/null
+++ b/monsoontack/platform/wire.py
@@ -0,0 +1,269 @@
+"""Headers of callers' requests and of backend servers' answers.
+
+Each header name of the platform stands here once. What a caller may not set
+itself is dropped before anything goes on to a backend server.
+"""
+
+from monsoontack.core.errors import RequestError
+from monsoontack.gateway.records import (
+    AnswerHead,
+    Attempt,
+    CallerRequest,
+    Headers,
+    PromptPart,
+    RawRequest,
+)
+
+REQUEST_ID = b"x-monsoontack-request-id"
+DEADLINE_MS = b"x-monsoontack-deadline-ms"
+# Tokens of the prompt and most tokens of the answer, with a comma.
+TOKEN_USAGE = b"x-monsoontack-token-usage"
+LENGTH_HINT = b"x-monsoontack-length-hint"
+# Leading parts of the prompt as ID:TOKENS, with commas.
+PROMPT_PARTS = b"x-monsoontack-prefix-hash"
+MODEL = b"x-monsoontack-model"
+LAST_EVENT_ID = b"last-event-id"
+AUTHORIZATION = b"authorization"
+KEY_SCHEME = "token "
+# Signature of the server that made an answer.
+SIGNATURE = b"x-monsoontack-origin-stamp"
+ACCOUNT = b"x-monsoontack-tenant"
+EXPECT_INSTANCE = b"x-monsoontack-expect-instance"
+EXPECT_VERSION = b"x-monsoontack-expect-version"
+NOT_RUN = b"x-monsoontack-not-executed"
+PRIORITY = b"x-monsoontack-request-priority"
+# Address of the engine that gets a copy of a run's memory while it grows.
+MEMORY_BACKUP = b"x-monsoontack-kv-backup"
+# ADDRESS/HANDLE of the copy that a run goes on from.
+MEMORY_FROM = b"kv-from"
+MEMORY_FETCH = b"kv-fetch"
+RESERVATION = b"x-monsoontack-retain"
+PIN_MS = b"x-monsoontack-pin-ms"
+
+# Headers of one connection.
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+# Headers that only the system sets.
+SYSTEM_HEADERS = frozenset(
+    (
+        ACCOUNT,
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        NOT_RUN,
+        PRIORITY,
+        MEMORY_BACKUP,
+        MEMORY_FROM,
+        MEMORY_FETCH,
+        RESERVATION,
+        PIN_MS,
+        DEADLINE_MS,
+        LAST_EVENT_ID,
+        AUTHORIZATION,
+    )
+)
+# Callers' headers that a `Connection` header cannot remove.
+PROTECTED = frozenset((b"host", REQUEST_ID, MODEL, TOKEN_USAGE, PROMPT_PARTS))
+# Headers that have one meaning only if they stand once.
+SINGLE = (
+    REQUEST_ID,
+    DEADLINE_MS,
+    TOKEN_USAGE,
+    LENGTH_HINT,
+    PROMPT_PARTS,
+    MODEL,
+    LAST_EVENT_ID,
+    AUTHORIZATION,
+)
+MISDIRECTED = 421
+ANSWER_HOP_HEADERS = HOP_HEADERS - {b"expect"}
+# Statuses by which a server says that it has not run a request, if it also says
+# so in the header above.
+MAX_DEADLINE_MS = 86_400_000
+
+
+class PlatformWire:
+    """The platform's `WireFormat`."""
+
+    def read_request(self, raw: RawRequest) -> CallerRequest | RequestError:
+        """Decode a caller's request."""
+        found, repeated = _single_headers(raw.headers)
+        if repeated:
+            return _bad(f"repeated header {repeated}")
+        if not raw.target.startswith(b"/"):
+            return _bad("the target has to be a path")
+        request_id = found.get(REQUEST_ID, "")
+        if not request_id:
+            return _bad("request without an id")
+        try:
+            deadline_s = _deadline_s(found.get(DEADLINE_MS))
+            prompt, output = _token_usage(found.get(TOKEN_USAGE))
+            parts = _prompt_parts(found.get(PROMPT_PARTS))
+            hint = int(found.get(LENGTH_HINT) or 0)
+        except ValueError as error:
+            return _bad(f"malformed header: {error}")
+        target = raw.target.decode("latin-1")
+        return CallerRequest(
+            raw=raw,
+            request_id=request_id,
+            host=_host(raw.headers),
+            path=target.split("?", 1)[0],
+            forwarded=_forwarded(raw.headers),
+            deadline_s=deadline_s,
+            key=_key(found.get(AUTHORIZATION)),
+            prompt_tokens=prompt,
+            output_tokens=output,
+            output_hint=hint,
+            parts=parts,
+            last_event_id=found.get(LAST_EVENT_ID),
+        )
+
+    def write_attempt(self, request: CallerRequest, attempt: Attempt) -> bytes:
+        """Return the head of the request for a backend server."""
+        raw = request.raw
+        lines = [raw.method + b" " + raw.target + b" HTTP/1.1"]
+        lines += [name + b": " + value for name, value in request.forwarded]
+        left_ms = max(int(attempt.left_s * 1000), 1)
+        lines.append(DEADLINE_MS + b": %d" % left_ms)
+        if attempt.server.incarnation:
+            lines.append(EXPECT_INSTANCE + b": " + attempt.server.incarnation.encode())
+        lines += _optional(attempt)
+        if raw.body or raw.method not in (b"GET", b"HEAD"):
+            lines.append(b"content-length: %d" % len(raw.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def answer_id(self, headers: Headers) -> str | None:
+        """Return the id of the request that an answer belongs to."""
+        return _find(headers, REQUEST_ID)
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerHead:
+        """Decode the head of an answer."""
+        not_run = status == MISDIRECTED or _find(headers, NOT_RUN) is not None
+        encoding = _find(headers, b"content-encoding")
+        return AnswerHead(
+            status=status,
+            request_id=_find(headers, REQUEST_ID),
+            not_run=not_run,
+            signed=_find(headers, SIGNATURE) is not None,
+            encoded=encoding is not None and encoding.lower() != "identity",
+            forwarded=tuple(
+                (name, value)
+                for name, value in headers
+                if name not in ANSWER_HOP_HEADERS and name != NOT_RUN
+            ),
+            keep_alive_s=keep_alive_s(headers),
+        )
+
+
+def keep_alive_s(headers: Headers) -> float | None:
+    """Return how long the server keeps the connection idle, if it says so."""
+    value = _find(headers, b"keep-alive")
+    for item in (value or "").split(","):
+        name, _, number = item.strip().partition("=")
+        if name.strip().lower() == "timeout":
+            try:
+                return float(number)
+            except ValueError:
+                return None
+    return None
+
+
+def _optional(attempt: Attempt) -> list[bytes]:
+    """Return the header lines that not every attempt has."""
+    lines = []
+    if attempt.account is not None:
+        lines.append(ACCOUNT + b": " + attempt.account.encode())
+    if attempt.priority is not None:
+        lines.append(PRIORITY + b": %d" % max(0, min(attempt.priority, 9)))
+    if attempt.backup is not None:
+        lines.append(MEMORY_BACKUP + b": " + attempt.backup.encode())
+    if attempt.copy is not None:
+        source = f"{attempt.copy.address}/{attempt.copy.handle}"
+        lines.append(MEMORY_FROM + b": " + source.encode())
+    if attempt.last_event_id is not None:
+        lines.append(LAST_EVENT_ID + b": " + attempt.last_event_id.encode("latin-1"))
+    return lines
+
+
+def _bad(message: str) -> RequestError:
+    return RequestError(400, "invalid_request", message)
+
+
+def _single_headers(headers: Headers) -> tuple[dict[bytes, str], str]:
+    """Return the headers that may stand once, and one that is repeated."""
+    found: dict[bytes, str] = {}
+    for name, value in headers:
+        if name not in SINGLE:
+            continue
+        if name in found:
+            return found, name.decode("latin-1")
+        found[name] = value.decode("latin-1")
+    return found, ""
+
+
+def _find(headers: Headers, name: bytes) -> str | None:
+    for found, value in headers:
+        if found == name:
+            return value.decode("latin-1")
+    return None
+
+
+def _host(headers: Headers) -> str:
+    host = (_find(headers, b"host") or "").strip().lower()
+    return host.rsplit(":", 1)[0] if host.rpartition(":")[2].isdigit() else host
+
+
+def _deadline_s(value: str | None) -> float | None:
+    if value is None:
+        return None
+    number = float(value)
+    if not 0 <= number <= MAX_DEADLINE_MS:
+        raise ValueError(f"deadline {value!r}")
+    return number / 1000
+
+
+def _token_usage(value: str | None) -> tuple[int, int]:
+    if value is None:
+        return 0, 0
+    prompt, _, output = value.partition(",")
+    numbers = int(prompt), int(output or 0)
+    if min(numbers) < 0:
+        raise ValueError(f"token usage {value!r}")
+    return numbers
+
+
+def _prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in (value or "").split(","):
+        if item.strip():
+            part, _, tokens = item.strip().partition(":")
+            parts.append(PromptPart(part, int(tokens)))
+    return tuple(parts)
+
+
+def _key(value: str | None) -> str | None:
+    if value is None or not value.lower().startswith(KEY_SCHEME):
+        return None
+    return value[len(KEY_SCHEME) :].strip()
+
+
+def _forwarded(headers: Headers) -> Headers:
+    """Return the caller's headers that go on to a backend server."""
+    named = set()
+    for name, value in headers:
+        if name == b"connection":
+            named |= {item.strip().lower() for item in value.split(b",")}
+    dropped = HOP_HEADERS | SYSTEM_HEADERS | (named - PROTECTED)
+    return tuple((name, value) for name, value in headers if name not in dropped)
--- /dev/null
+++ b/monsoontack/routing/placement.py
@@ -0,0 +1,94 @@
+"""Choice of the engine for a generation that entries place themselves.
+
+What delays a generation is the prompt text that an engine has still to read
+before it and the memory that runs hold, so both are counted in tokens. Distance
+counts as tokens too: bytes between failure domains and regions are paid. The
+copy of a run's memory goes to another failure domain, since engines of one
+domain fall together.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from monsoontack.core.records import Place
+
+# Prompt tokens that one would rather wait for than leave the failure domain or
+# the region. An engine reads 8 tokens per ms: 25 ms and 190 ms.
+DOMAIN_TOKENS = 200
+REGION_TOKENS = 1500
+# Held memory slows every step slightly; tokens waiting are the larger part.
+HELD_WEIGHT = 0.02
+# Spreads entries that see the same picture; a tenth of a usual prompt.
+JITTER_TOKENS = 800
+# An engine whose memory would be filled above this share may preempt runs.
+MEMORY_SHARE = 0.92
+# A run beyond the slots waits for one to end, which takes seconds.
+FULL_TOKENS = 100_000
+# A server after a failure is used only if nothing else is left.
+AVOID_TOKENS = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """What an entry knows of one engine; `share` is 0 while it is ejected."""
+
+    key: str
+    place: Place
+    in_flight: int
+    slots: int
+    waiting_tokens: int
+    held_tokens: int
+    memory_tokens: int
+    avoided: bool = False
+    share: float = 1.0
+
+
+def cost_tokens(engine: EngineLoad, place: Place, need: int) -> float:
+    """Return what a run of `need` tokens at an engine costs, in prompt tokens."""
+    cost = engine.waiting_tokens + HELD_WEIGHT * engine.held_tokens
+    if engine.place.region != place.region:
+        cost += REGION_TOKENS
+    elif engine.place != place:
+        cost += DOMAIN_TOKENS
+    if engine.in_flight >= engine.slots:
+        cost += FULL_TOKENS
+    if engine.held_tokens + need > MEMORY_SHARE * engine.memory_tokens:
+        cost += FULL_TOKENS
+    if engine.avoided or engine.share <= 0.0:
+        cost += AVOID_TOKENS
+    return cost
+
+
+def choose_engine(
+    engines: Sequence[EngineLoad], place: Place, need: int, rng: random.Random
+) -> EngineLoad | None:
+    """Return the engine for a run of `need` tokens, None if there is none."""
+    if not engines:
+        return None
+    return min(
+        engines,
+        key=lambda engine: (
+            cost_tokens(engine, place, need) + rng.random() * JITTER_TOKENS
+        ),
+    )
+
+
+def choose_backup(
+    engines: Sequence[EngineLoad],
+    runs_at: EngineLoad,
+    need: int,
+    rng: random.Random,
+) -> EngineLoad | None:
+    """Return the engine that keeps a copy of a run's memory.
+
+    It stands in another failure domain than the run, or, without any such engine
+    in use, at least on another VM.
+    """
+    others = [
+        engine
+        for engine in engines
+        if engine.key != runs_at.key and not engine.avoided and engine.share > 0.0
+    ]
+    apart = [engine for engine in others if engine.place != runs_at.place]
+    return choose_engine(apart or others, runs_at.place, need, rng)
--- a/monsoontack/store/api.py
+++ b/monsoontack/store/api.py
@@ -6,7 +6,7 @@
 """
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from returns.result import Result
 
@@ -59,7 +59,65 @@
     reason: str
 
 
-StoreError = NotFound | Conflict | Unavailable | Ambiguous
+@dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The changes since the revision of a watch are no longer kept."""
+
+    key: str
+
+
+StoreError = NotFound | Conflict | Unavailable | Ambiguous | HistoryGone
+
+
+@dataclass(frozen=True, slots=True)
+class KindObject:
+    """One object of a kind, as a list or a watch shows it.
+
+    `spec` and `status` are decoded but unchecked values.
+    """
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any
+
+
+@dataclass(frozen=True, slots=True)
+class KindList:
+    """All objects of a kind at `revision`, the revision of the whole store."""
+
+    objects: tuple[KindObject, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class KindChange:
+    """An object that was written, or removed if `removed`."""
+
+    object: KindObject
+    removed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class KindChanges:
+    """Changes of a kind up to `revision`, in order."""
+
+    changes: tuple[KindChange, ...]
+    revision: int
+
+
+class KindStore(Protocol):
+    """Lists and watches of whole kinds of objects."""
+
+    async def list_kind(self, kind: str) -> Result[KindList, StoreError]:
+        """Read all objects of a kind, linearizable."""
+        ...
+
+    async def watch_kind(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[KindChanges, StoreError]:
+        """Wait up to `wait_s` seconds for changes after `revision`."""
+        ...
 
 
 class ObjectStore(Protocol):
--- /dev/null
+++ b/monsoontack/store/feed.py
@@ -0,0 +1,134 @@
+"""Follows all objects of one kind: a list, then watches from its revision.
+
+The feed survives an outage of the store, a history that was dropped and a
+connection that went silent. Between a failure and the next try the last known
+objects stay in force; `Listener.confirmed` tells how fresh they are.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import structlog
+from returns.result import Success
+
+from monsoontack.core.clock import Clock, LoopClock, boot_time
+from monsoontack.store.api import HistoryGone, KindObject, KindStore, StoreError
+
+log = structlog.get_logger("store.feed")
+
+# Between tries while the store fails. Short against the seconds within which a
+# change has to be in force, long against the store's answer time of 4 ms.
+RETRY_S = 0.2
+MAX_RETRY_S = 0.8
+# A watch without a change returns after its wait; the remainder is delay.
+WATCH_SLACK_S = 0.05
+
+
+class Listener(Protocol):
+    """Takes in the objects of a feed."""
+
+    def replace_all(self, objects: tuple[KindObject, ...], revision: int) -> None:
+        """Take over a complete list."""
+        ...
+
+    def changed(self, item: KindObject) -> None:
+        """Take over a new or changed object."""
+        ...
+
+    def removed(self, name: str, revision: int) -> None:
+        """Forget an object."""
+        ...
+
+    def confirmed(self, at: float) -> None:
+        """Note that the objects were current at `at` (seconds since boot)."""
+        ...
+
+
+@dataclass(slots=True)
+class KindFeed:
+    """Feed of one kind into a listener.
+
+    `wait_s` bounds one watch; it is also how often an unchanged kind is
+    confirmed. `on_dependency` hears whether the store answers this feed.
+    """
+
+    store: KindStore
+    kind: str
+    listener: Listener
+    wait_s: float
+    clock: Clock = field(default_factory=LoopClock)
+    rng: random.Random = field(default_factory=random.Random)
+    boot: Callable[[], float] = boot_time
+    on_dependency: Callable[[str, bool, str], None] = lambda kind, up, reason: None
+    revision: int | None = None
+    failures: int = 0
+    loaded: bool = False
+
+    async def run(self) -> None:
+        """Follow the kind until cancelled."""
+        while True:
+            error = await (self._list() if self.revision is None else self._watch())
+            if error is None:
+                self._answered()
+                continue
+            if isinstance(error, HistoryGone):
+                log.info("history of a kind is gone", kind=self.kind)
+                self.revision = None
+                continue
+            self._failed(error)
+            await self.clock.sleep(self._retry_delay())
+
+    def _answered(self) -> None:
+        if self.failures:
+            self.on_dependency(self.kind, True, "")
+        self.failures = 0
+
+    def _failed(self, error: StoreError) -> None:
+        self.failures += 1
+        if self.failures == 1:
+            self.on_dependency(self.kind, False, getattr(error, "reason", str(error)))
+
+    def _retry_delay(self) -> float:
+        longest = min(RETRY_S * 2 ** (self.failures - 1), MAX_RETRY_S)
+        return longest * self.rng.uniform(0.5, 1.0)
+
+    async def _list(self) -> StoreError | None:
+        sent_at = self.boot()
+        result = await self.store.list_kind(self.kind)
+        if not isinstance(result, Success):
+            return result.failure()
+        listed = result.unwrap()
+        self.listener.replace_all(listed.objects, listed.revision)
+        self.revision = listed.revision
+        self.loaded = True
+        self.listener.confirmed(sent_at)
+        return None
+
+    async def _watch(self) -> StoreError | None:
+        sent_at = self.boot()
+        revision = self.revision
+        result = await self.store.watch_kind(self.kind, revision, self.wait_s)
+        if not isinstance(result, Success):
+            return result.failure()
+        answer = result.unwrap()
+        for change in answer.changes:
+            if change.removed:
+                self.listener.removed(change.object.name, change.object.revision)
+            else:
+                self.listener.changed(change.object)
+        self.revision = max(answer.revision, revision)
+        self.listener.confirmed(self._known_at(sent_at, bool(answer.changes)))
+        return None
+
+    def _known_at(self, sent_at: float, has_changes: bool) -> float:
+        """Return the latest time at which the answer was surely current.
+
+        The store held an empty answer back for the whole wait, so it was true at
+        the end of the wait however long its delivery took.
+        """
+        if has_changes:
+            return sent_at
+        waited = self.boot() - sent_at
+        return sent_at + max(min(waited, self.wait_s) - WATCH_SLACK_S, 0.0)
