Sliding retry budget, prompt affinity, liveness checks; no send after the answer

Cause of lost streams: the token bucket denied repeats when a failure domain fell; copies were asked for before they existed; copies were sought under the id of an engine that had restarted.

--- a/monsoontack/admission/retrybudget.py
+++ b/monsoontack/admission/retrybudget.py
@@ -14,28 +14,21 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Retries that one entry may still make. `taken` and `denied` count.
-
-    `per_request` is what a first attempt earns, `floor_per_s` the trickle and
-    `max_saved` the bound on what is kept.
-    """
+    """Retries that one entry may still make. `taken` and `denied` count."""
 
     saved: float = 2.0
-    per_request: float = RETRIES_PER_REQUEST
-    floor_per_s: float = FLOOR_PER_S
-    max_saved: float = MAX_SAVED
     updated_at: float = 0.0
     taken: int = 0
     denied: int = 0
 
     def note_request(self) -> None:
         """Earn part of a retry for a first attempt."""
-        self.saved = min(self.saved + self.per_request, self.max_saved)
+        self.saved = min(self.saved + RETRIES_PER_REQUEST, MAX_SAVED)
 
     def take(self, now: float) -> bool:
         """Take one retry; return False if the budget is used up."""
         elapsed = max(now - self.updated_at, 0.0)
-        self.saved = min(self.saved + self.floor_per_s * elapsed, self.max_saved)
+        self.saved = min(self.saved + FLOOR_PER_S * elapsed, MAX_SAVED)
         self.updated_at = now
         if self.saved < 1:
             self.denied += 1
--- a/monsoontack/gateway/budgets.py
+++ b/monsoontack/gateway/budgets.py
@@ -1,19 +1,16 @@
 """Retry budgets by service, each entry's part of the bound for all entries.
 
-Every entry earns retries by its own requests, so the sum over the entries keeps
-the bound whatever their number is; the fixed part is divided by a number of
-entries that is set high enough.
+Every entry earns repeats by its own requests, so the sum over the entries keeps
+the bound; the fixed part is divided by the number of entries.
 """
 
 from dataclasses import dataclass, field
 
-from monsoontack.admission.retrybudget import RetryBudget
+from monsoontack.admission.windowbudget import WindowBudget
 
-# Part of the permitted ratio that is used; the window slides and its edges see
-# repeats whose first sends were counted before.
-RATIO_SHARE = 0.6
-# Part of the permitted extra repeats that all entries together may use.
-EXTRA_SHARE = 0.6
+# Part of the permitted repeats that is used. Requests and repeats reach a server
+# later than they are counted here, so the windows differ a little.
+USED_SHARE = 0.8
 
 
 @dataclass(slots=True)
@@ -28,25 +25,30 @@
     extra: float
     window_s: float
     entries: int = 1
-    budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    budgets: dict[str, WindowBudget] = field(default_factory=dict)
 
-    def _budget(self, service: str) -> RetryBudget:
+    def resize(self, entries: int) -> None:
+        """Follow a change in the number of entries."""
+        self.entries = max(entries, 1)
+        for budget in self.budgets.values():
+            budget.extra = self._extra()
+
+    def _extra(self) -> float:
+        return USED_SHARE * self.extra / max(self.entries, 1)
+
+    def of(self, service: str) -> WindowBudget:
+        """Return the budget of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            part = EXTRA_SHARE * self.extra / max(self.entries, 1)
-            budget = RetryBudget(
-                saved=part / 2,
-                per_request=RATIO_SHARE * self.ratio,
-                floor_per_s=part / 2 / self.window_s,
-                max_saved=part / 2,
-            )
+            ratio = USED_SHARE * self.ratio
+            budget = WindowBudget(ratio, self._extra(), self.window_s)
             self.budgets[service] = budget
         return budget
 
-    def note_request(self, service: str) -> None:
-        """Earn part of a repeat for a request."""
-        self._budget(service).note_request()
+    def note_request(self, service: str, now: float) -> None:
+        """Count a request, which earns part of a repeat."""
+        self.of(service).note_request(now)
 
     def take(self, service: str, now: float) -> bool:
         """Take one repeat, False if none is left."""
-        return self._budget(service).take(now)
+        return self.of(service).take(now)
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -192,7 +192,7 @@
     async def run(self) -> CallResult | RequestError:
         """Return the answer for the caller, or the error that it gets."""
         forwarder, job = self.forwarder, self.job
-        forwarder.budgets.note_request(job.service)
+        forwarder.budgets.note_request(job.service, self.now())
         delay_s = forwarder.hedging.delay_s(job.service, self.repeatable)
         if self.repeatable:
             delay_s = delay_s or LATE_SHARE * job.route.objective_s
@@ -293,12 +293,13 @@
         )
         member.in_flight += 1
         try:
-            sent = await sender.send(member, job.request, attempt)
+            sent = await sender.send(member, job.request, attempt, job.is_wanted)
             if isinstance(sent, ExchangeFailure):
                 result.failure = sent
             else:
                 job.may_have_run = True
                 self.exchanges.append(sent)
+                self.tasks[asyncio.current_task()] = sent
                 await self._collect(sent, result)
         finally:
             member.in_flight -= 1
@@ -359,7 +360,14 @@
         )
 
     def abort_rest(self) -> None:
-        """End the sends whose answers are no longer needed."""
+        """End the sends whose answers are no longer needed.
+
+        A send that has not begun must not begin any more: the caller may be told
+        that the call has not run.
+        """
+        for task, exchange in self.tasks.items():
+            if exchange is None:
+                task.cancel()
         for exchange in self.exchanges:
             if not exchange.over and not self._is_relayed(exchange):
                 exchange.abort()
@@ -374,8 +382,11 @@
                 task.cancel()
             self.abort_rest()
             return
-        self.forwarder.background.update(self.tasks)
-        for task in self.tasks:
+        for task, exchange in self.tasks.items():
+            if exchange is None:
+                task.cancel()
+                continue
+            self.forwarder.background.add(task)
             task.add_done_callback(self.forwarder.background.discard)
 
 
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -14,6 +14,7 @@
 from monsoontack.core.records import Place
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.calls import CallForwarder
+from monsoontack.gateway.census import ENTRIES_KIND, Census, register
 from monsoontack.gateway.fleet import DirectFleet, Member
 from monsoontack.gateway.handler import Gateway
 from monsoontack.gateway.inbound import BodyBudget, InboundServer, Responder
@@ -26,7 +27,7 @@
 from monsoontack.gateway.streams import StreamForwarder
 from monsoontack.routing.linkbudget import LocalShare
 from monsoontack.routing.picker import Picker
-from monsoontack.store.api import KindStore
+from monsoontack.store.api import KindStore, ObjectStore
 from monsoontack.store.feed import KindFeed, Listener
 
 log = structlog.get_logger("gateway.daemon")
@@ -42,6 +43,10 @@
 TICK_S = 0.25
 # How often the settings file is looked at for a change without a signal.
 SETTINGS_CHECK_S = 1.0
+# The number of entries changes rarely; a watch costs a call each time it returns.
+CENSUS_WATCH_S = 20.0
+# Entries that start together do not see each other at once.
+MIN_ENTRIES = 4
 BACKLOG = 512
 OK = 200
 UNAVAILABLE = 503
@@ -124,13 +129,29 @@
         self.gateway.streams.traits = dict(config.services)
 
     def follow(
-        self, store: KindStore, kind: str, listener: Listener, wait_s: float
+        self,
+        store: KindStore,
+        kind: str,
+        listener: Listener,
+        wait_s: float,
+        is_required: bool = True,
     ) -> None:
-        """Add a feed of a kind of objects."""
-        feed = KindFeed(store, kind, listener, wait_s)
+        """Add a feed of a kind of objects; without a required one no readiness."""
+        feed = KindFeed(store, kind, listener, wait_s, is_required=is_required)
         feed.on_dependency = self._dependency_changed
         self.feeds.append(feed)
 
+    def join(self, store: ObjectStore, kinds: KindStore) -> None:
+        """Register this entry and follow how many there are."""
+        census = Census(self._entries_changed)
+        self.follow(kinds, ENTRIES_KIND, census, CENSUS_WATCH_S, is_required=False)
+        name, domain = self.settings.name, self.settings.place.failure_domain
+        self.extra_work.append(lambda: register(store, name, domain))
+
+    def _entries_changed(self, entries: int) -> None:
+        log.info("number of entries changed", entries=entries)
+        self.gateway.calls.budgets.resize(max(entries, MIN_ENTRIES))
+
     def _dependency_changed(self, kind: str, is_up: bool, reason: str) -> None:
         self.metrics.dependency_up.labels(kind).set(is_up)
         if is_up:
@@ -149,7 +170,7 @@
     def is_ready(self) -> bool:
         """Whether the entry should get new connections."""
         loaded = self.knowledge.config is not None and all(
-            feed.loaded for feed in self.feeds
+            feed.loaded for feed in self.feeds if feed.is_required
         )
         return not self.draining and loaded and self.knowledge.may_trust_keys()
 
@@ -292,6 +313,7 @@
         self.draining = True
         started = self.gateway.now()
         deadline = started + self.settings.grace_s - CUT_MARGIN_S
+        self.gateway.leaves_at = deadline
         log.info("draining", requests=self.gateway.in_progress)
         while self.gateway.now() < deadline:
             spread = self.gateway.now() >= started + UNREADY_SPREAD_S
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -19,6 +19,13 @@
 # each further failure in a row. An engine that crashed is back after about 1 s.
 AVOID_S = 0.4
 MAX_AVOID_S = 3.0
+# Without a further failure a server is trusted again after this time; an entry of a
+# server that died is gone by then.
+DOUBT_S = 6.0
+# This many servers of one failure domain that fail within the span make the
+# others of the domain doubtful as well.
+DOMAIN_FAILURES = 2
+DOMAIN_SPAN_S = 1.0
 # Entries that lapsed during an outage of the store are written again within about
 # this time of its return, if their server lives.
 REAPPEAR_S = 2.2
@@ -30,7 +37,8 @@
 
     `waiting_tokens` are prompt tokens of this entry's runs that wait for their
     first event, `held_tokens` the KV memory that its runs and copies may take.
-    `seen_at` is when the server last sent a byte.
+    `seen_at` is when the server last sent a byte, `doubted_at` when one of its
+    running streams fell silent.
     """
 
     server: BackendServer
@@ -38,9 +46,14 @@
     waiting_tokens: int = 0
     held_tokens: int = 0
     seen_at: float = 0.0
+    doubted_at: float = float("-inf")
     avoid_until: float = 0.0
     failures_in_row: int = 0
-    runs: set = field(default_factory=set)
+    failed_at: float = float("-inf")
+
+    def is_doubtful(self, now: float) -> bool:
+        """Whether the server failed lately and has not answered since."""
+        return self.failed_at > self.seen_at and now < self.failed_at + DOUBT_S
 
     @property
     def key(self) -> tuple[str, str]:
@@ -139,11 +152,32 @@
         """Whether the incarnation still takes new requests."""
         return self.members.get(member.server.incarnation) is member
 
+    def at_address(self, address: str) -> Member | None:
+        """Return the incarnation that takes requests at an address now."""
+        for member in self.members.values():
+            if member.server.address == address:
+                return member
+        return None
+
     def note_unreachable(self, member: Member, now: float) -> None:
-        """Avoid a server whose connections fail."""
+        """Avoid a server whose connections fail, and doubt a domain that fell."""
         member.failures_in_row += 1
         span = min(AVOID_S * 2 ** (member.failures_in_row - 1), MAX_AVOID_S)
         member.avoid_until = max(member.avoid_until, now + span)
+        member.failed_at = now
+        place = member.server.place
+        peers = [
+            m
+            for m in self.by_service.get(member.server.service, {}).values()
+            if m.server.place == place
+        ]
+        fallen = sum(now - m.failed_at <= DOMAIN_SPAN_S for m in peers)
+        if fallen < DOMAIN_FAILURES or 2 * fallen < min(len(peers), 4):
+            return
+        for peer in peers:
+            if peer.seen_at < now - DOMAIN_SPAN_S and not peer.is_doubtful(now):
+                peer.failed_at = now
+                peer.doubted_at = now
 
     def note_alive(self, member: Member, now: float) -> None:
         """Note bytes from a server."""
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import structlog
 
@@ -23,11 +23,16 @@
 # Answers at the deadline leave this much earlier, so that the caller has them in
 # time. The way to a caller takes a few ms.
 ANSWER_MARGIN_S = 0.02
+# Streams vary in length; one that is this much longer than usual is rare.
+STREAM_TIME_FACTOR = 1.3
 
 
 @dataclass(slots=True)
 class Gateway:
-    """Serves the requests of one entry."""
+    """Serves the requests of one entry.
+
+    `leaves_at` is when a draining entry cuts what still runs.
+    """
 
     wire: WireFormat
     knowledge: ConfigKnowledge
@@ -36,7 +41,7 @@
     metrics: GatewayMetrics
     rng: random.Random
     in_progress: int = 0
-    jobs: set[int] = field(default_factory=set)
+    leaves_at: float | None = None
 
     def now(self) -> float:
         """Return the loop's time in seconds."""
@@ -53,6 +58,9 @@
             self._refuse(allowed, responder, request.request_id, allowed.code)
             return
         route, account = allowed
+        if route.kind is RequestKind.STREAM and self._ends_too_late(route.timeout_s):
+            self._refuse(self._leaving(), responder, request.request_id, "draining")
+            return
         job = self._job(request, route, account, responder)
         self.in_progress += 1
         try:
@@ -82,6 +90,17 @@
             config_age_s=self.knowledge.age_s(),
         )
 
+    def _ends_too_late(self, timeout_s: float) -> bool:
+        """Whether a new stream would probably be cut by the end of the drain."""
+        if self.leaves_at is None:
+            return False
+        expected_s = min(self.streams.usual_s * STREAM_TIME_FACTOR, timeout_s)
+        return self.now() + expected_s > self.leaves_at
+
+    def _leaving(self) -> RequestError:
+        message = "this entry is leaving; another one serves"
+        return RequestError(503, "draining", message, retry_after_s=0.0)
+
     async def _serve(self, job: Job) -> None:
         if job.route.kind is RequestKind.STREAM:
             await self.streams.serve(job)
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -1,5 +1,6 @@
 """One request on its way through the gateway."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from monsoontack.core.errors import RequestError, RunState
@@ -45,6 +46,11 @@
         """Return the seconds until the deadline."""
         return self.deadline_at - now
 
+    def is_wanted(self) -> bool:
+        """Whether the request may still be sent: its caller waits for an answer."""
+        now = asyncio.get_running_loop().time()
+        return not self.responder.is_gone and self.left_s(now) > 0
+
     @property
     def priority(self) -> int:
         """Return the rank of the request; the account's goes first."""
--- a/monsoontack/gateway/knowledge.py
+++ b/monsoontack/gateway/knowledge.py
@@ -20,8 +20,8 @@
 # rest covers a watch that misses changes for a second and the request's own way.
 KEY_TRUST_SHARE = 0.6
 # A denial (unknown key, unknown route) needs fresher knowledge than service: an
-# unchanged configuration is confirmed about once a second.
-DENIAL_TRUST_S = 2.0
+# unchanged configuration is confirmed every 1.4 s.
+DENIAL_TRUST_S = 2.4
 
 
 @dataclass(slots=True)
--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -37,6 +37,7 @@
     MALFORMED = "malformed"
     FOREIGN = "foreign"
     SILENT = "silent"
+    UNWANTED = "unwanted"
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoontack/gateway/pool.py
+++ b/monsoontack/gateway/pool.py
@@ -56,7 +56,7 @@
         key = (address, incarnation)
 
         def offer(connection: Connection) -> None:
-            self._offer(key, connection)
+            self.keep(key, connection)
 
         def make() -> Connection:
             return Connection(self.answer_id, offer)
@@ -79,7 +79,8 @@
             return connection
         return await self.connect(address, incarnation, timeout_s)
 
-    def _offer(self, key: tuple[str, str], connection: Connection) -> None:
+    def keep(self, key: tuple[str, str], connection: Connection) -> None:
+        """Keep a free connection for the next request."""
         stack = self.idle.setdefault(key, [])
         if len(stack) >= MAX_IDLE_PER_SERVER:
             connection.transport.close()
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from monsoontack.gateway.fleet import DirectFleet, Member
-from monsoontack.gateway.outbound import Exchange, ExchangeFailure
+from monsoontack.gateway.outbound import Exchange, ExchangeFailure, FailureKind
 from monsoontack.gateway.pool import CONNECT_TIMEOUT_S, ConnectionPool
 from monsoontack.gateway.ports import WireFormat
 from monsoontack.gateway.records import Attempt, CallerRequest
@@ -25,18 +25,21 @@
         member: Member,
         request: CallerRequest,
         attempt: Attempt,
-        prefer_new: bool = False,
+        is_wanted: Callable[[], bool],
     ) -> Exchange | ExchangeFailure:
         """Send a request; a failure here means that it was not sent.
 
-        `prefer_new` opens a connection even if one is idle.
+        `is_wanted` is asked again once there is a connection, since the caller
+        may have left meanwhile.
         """
         timeout_s = min(CONNECT_TIMEOUT_S, attempt.left_s)
-        open_new = self.pool.connect if prefer_new else self.pool.acquire
-        connection = await open_new(*member.key, timeout_s)
+        connection = await self.pool.acquire(*member.key, timeout_s)
         if isinstance(connection, ExchangeFailure):
             self.fleet.note_unreachable(member, self.now())
             return connection
+        if not is_wanted():
+            self.pool.keep(member.key, connection)
+            return ExchangeFailure(FailureKind.UNWANTED, False, "no longer wanted")
         exchange = Exchange(request.request_id)
         head = self.wire.write_attempt(request, attempt)
         is_head = request.raw.method == b"HEAD"
@@ -44,6 +47,15 @@
         self.on_sent(member.server.service)
         return exchange
 
+    async def takes_connections(self, member: Member, timeout_s: float) -> bool:
+        """Return whether a server accepts a connection, which is kept for later."""
+        connection = await self.pool.connect(*member.key, timeout_s)
+        if isinstance(connection, ExchangeFailure):
+            self.fleet.note_unreachable(member, self.now())
+            return False
+        self.pool.keep(member.key, connection)
+        return True
+
     def now(self) -> float:
         """Return the loop's time in seconds."""
         return asyncio.get_running_loop().time()
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -31,26 +31,47 @@
 from monsoontack.gateway.sender import Sender
 from monsoontack.generation.failover import LossState, NextStep, next_step
 from monsoontack.generation.pace import Pace
-from monsoontack.routing.placement import EngineLoad, choose_backup, choose_engine
+from monsoontack.routing.placement import (
+    NO_AFFINITY,
+    EngineLoad,
+    PromptAffinity,
+    choose_backup,
+    choose_engine,
+)
 
 log = structlog.get_logger("gateway.streams")
 
-# How often a run that waits for its first event looks whether its engine still
-# gives signs of life to others.
+# How often a run looks whether its engine is silent.
 LOOK_S = 0.1
-# An engine that is silent to a running stream is doubted by the waiting ones.
-DOUBT_S = 3.0
+# Time of a whole stream before one was seen.
+INITIAL_STREAM_S = 6.0
+STREAM_TIME_WEIGHT = 0.1
+# A run that waits for its first event checks that its engine takes connections
+# when it is later than predicted, and again after this time.
+CHECK_EVERY_S = 0.5
+CHECK_TIMEOUT_S = 0.25
+# The copy of a run's memory starts when the run does and takes about this many
+# events; before, an engine that is asked to go on from it has none.
+COPY_EVENTS = 3
+# A run that goes on from a copy has to be admitted first.
+RESUME_FACTOR = 1.5
 FULL_RETRY_S = 0.5
 NO_SERVER_RETRY_S = 0.7
 # Connections that fail cost no attempt, but they end at some point.
 MAX_SENDS = 12
+# Prompts whose engine is remembered; engines forget them within seconds of load.
+MAX_REMEMBERED = 2000
 # Bytes of an error answer that are kept to be passed on.
 MAX_ERROR_BYTES = 65_536
 
 
 @dataclass(slots=True)
 class StreamForwarder:
-    """Serves streams. `service_traits` gives the traits of a service by name."""
+    """Serves streams.
+
+    `traits` are those of the services by name, `usual_s` is the smoothed time of
+    a whole stream.
+    """
 
     place: Place
     fleet: DirectFleet
@@ -59,10 +80,15 @@
     rng: random.Random
     traits: dict[str, ServiceTraits] = field(default_factory=dict)
     paces: dict[str, Pace] = field(default_factory=dict)
+    usual_s: float = INITIAL_STREAM_S
+    sent_to: dict[str, str] = field(default_factory=dict)
 
     async def serve(self, job: Job) -> None:
         """Serve one stream."""
         await _StreamRun(self, job).serve()
+        if job.outcome == "streamed":
+            took_s = self.sender.now() - job.started_at
+            self.usual_s += STREAM_TIME_WEIGHT * (took_s - self.usual_s)
 
     def pace(self, service: str) -> Pace:
         """Return the pace of a service's engines."""
@@ -75,6 +101,15 @@
             return EngineTraits(slots=1, memory_tokens=0)
         return traits.engine
 
+    def remember(self, part: str, incarnation: str) -> None:
+        """Note which engine a prompt was sent to; the oldest notes are dropped."""
+        if not part:
+            return
+        self.sent_to.pop(part, None)
+        self.sent_to[part] = incarnation
+        if len(self.sent_to) > MAX_REMEMBERED:
+            del self.sent_to[next(iter(self.sent_to))]
+
     def loads(self, job: Job, excluded: set[str]) -> dict[str, EngineLoad]:
         """Return the engines that may run a stream, by incarnation."""
         now = self.sender.now()
@@ -93,6 +128,7 @@
                 held_tokens=member.held_tokens,
                 memory_tokens=traits.memory_tokens or 10**9,
                 avoided=now < member.avoid_until,
+                doubtful=member.is_doubtful(now),
                 share=self.fleet.ejection.share(server.address, now),
             )
         return loads
@@ -102,7 +138,8 @@
 class _Loss:
     """Why an attempt of a stream ended without the end of the stream.
 
-    `answer` and `body` hold an error answer of the engine, if it gave one.
+    `answer` and `body` hold an error answer of the engine, if it gave one;
+    `events` counts those that the attempt delivered.
     """
 
     reason: str
@@ -110,6 +147,7 @@
     unsent: bool = False
     answer: AnswerHead | None = None
     body: bytes = b""
+    events: int = 0
 
 
 class _StreamRun:
@@ -124,11 +162,12 @@
         self.events = 0
         self.last_event_at = 0.0
         self.excluded: set[str] = set()
-        self.copy_at: Member | None = None
+        self.copy_at: str | None = None
         self.sends = 0
         self.all_sends = 0
         self.error: _Loss | None = None
         request = job.request
+        self.part = request.parts[-1].part if request.parts else ""
         output = request.output_hint or request.output_tokens
         self.need = request.prompt_tokens + output
 
@@ -139,7 +178,7 @@
     async def serve(self) -> None:
         """Run attempts until the stream is complete or cannot go on."""
         job = self.job
-        self.forwarder.budgets.note_request(job.service)
+        self.forwarder.budgets.note_request(job.service, self.now())
         try:
             ended = await self._attempts()
         except CallerGoneError:
@@ -166,27 +205,23 @@
                 self.error = loss
                 if loss.answer.status < 500:
                     return loss
-            step = self._after(loss, member, backup, copy is not None)
+            step = self._after(loss, member, backup)
             if step is NextStep.END:
                 return loss
 
-    def _after(
-        self, loss: _Loss, member: Member, backup: Member | None, used_copy: bool
-    ) -> NextStep:
+    def _after(self, loss: _Loss, member: Member, backup: Member | None) -> NextStep:
         """Return how the stream goes on after a loss."""
         job, now = self.job, self.now()
-        if loss.unsent or (loss.not_run and used_copy):
-            # A copy that is not there says nothing about the engine.
-            if not used_copy or loss.unsent:
-                self.excluded.add(member.server.incarnation)
-            self.copy_at = None if used_copy else self.copy_at
+        if loss.unsent:
+            self.excluded.add(member.server.incarnation)
         else:
             self.excluded = {member.server.incarnation}
-            self.copy_at = backup
         if loss.not_run:
             self.sends -= 1
-        copy_at = self.copy_at
-        has_copy = copy_at is not None and self.forwarder.fleet.is_current(copy_at)
+        # A copy can be used once, and there is one only of a run that made events.
+        has_events = backup is not None and loss.events >= COPY_EVENTS
+        self.copy_at = backup.server.address if has_events else None
+        has_copy = has_events and self._copy_member() is not None
         state = LossState(
             has_copy=has_copy,
             resumable=job.route.is_repeatable,
@@ -207,12 +242,23 @@
             reason=loss.reason,
             events=self.events,
             last_id=self.last_id,
-            copy=copy_at.server.incarnation if has_copy else None,
+            copy=self.copy_at,
+            copy_usable=has_copy,
             next=str(step),
             left_s=round(state.left_s, 2),
+            budget_left=round(self.forwarder.budgets.of(job.service).left(now), 1),
         )
         return step
 
+    def _copy_member(self) -> Member | None:
+        """Return the engine at the address of the copy, if it can be asked."""
+        if self.copy_at is None:
+            return None
+        member = self.forwarder.fleet.at_address(self.copy_at)
+        if member is None or self.now() < member.avoid_until:
+            return None
+        return member
+
     def _place(
         self, step: NextStep
     ) -> tuple[Member, MemoryCopy | None, Member | None] | None:
@@ -222,7 +268,7 @@
         members = forwarder.fleet.members
         copy = None
         if step is NextStep.RESUME_COPY:
-            member = self.copy_at
+            member = self._copy_member()
             copy = MemoryCopy(member.server.address, job.request.request_id)
             chosen = loads.get(member.server.incarnation)
         else:
@@ -232,10 +278,12 @@
                 forwarder.place,
                 self.need,
                 forwarder.rng,
+                self._affinity(),
             )
             if chosen is None:
                 return None
             member = members[chosen.key]
+            forwarder.remember(self.part, chosen.key)
         backup = None
         if self.traits.keeps_backups and chosen is not None:
             others = [e for k, e in loads.items() if k not in self.excluded]
@@ -243,6 +291,15 @@
             backup = members[kept.key] if kept is not None else None
         return member, copy, backup
 
+    def _affinity(self) -> PromptAffinity:
+        if not self.part:
+            return NO_AFFINITY
+        return PromptAffinity(
+            self.part,
+            self.job.request.prompt_tokens,
+            self.forwarder.sent_to.get(self.part),
+        )
+
     async def _attempt(
         self, member: Member, copy: MemoryCopy | None, backup: Member | None
     ) -> _Loss | None:
@@ -265,13 +322,19 @@
         try:
             self.sends += 1
             self.all_sends += 1
-            sent = await self.forwarder.sender.send(member, job.request, attempt)
+            sent = await self.forwarder.sender.send(
+                member, job.request, attempt, job.is_wanted
+            )
             if isinstance(sent, ExchangeFailure):
+                if job.responder.is_gone:
+                    raise CallerGoneError
                 self.sends -= 1
                 record.result = str(sent.kind)
                 return _Loss(sent.detail, not_run=True, unsent=True)
             reading = _Reading(self, member, sent, ahead + waiting, copy is not None)
             loss = await reading.relay()
+            if loss is not None:
+                loss.events = reading.splitter.count
             record.result = "complete" if loss is None else loss.reason
             job.may_have_run |= loss is None or not loss.not_run
             self._note(member, loss)
@@ -366,6 +429,7 @@
         self.splitter = EventSplitter()
         self.tokens = tokens
         self.first_limit_s = run.pace.first_event_limit_s(tokens)
+        self.check_at_s = run.pace.check_after_s(tokens)
         self.answer: AnswerHead | None = None
 
     async def relay(self) -> _Loss | None:
@@ -383,7 +447,7 @@
             return _Loss(str(error))
 
     async def _relay(self) -> _Loss | None:
-        exchange, job = self.exchange, self.job
+        exchange, job, run = self.exchange, self.job, self.run
         while True:
             await exchange.wait(self._wait_s())
             if job.responder.is_gone:
@@ -399,8 +463,8 @@
             if job.left_s(self.run.now()) <= 0:
                 exchange.abort()
                 return _Loss("deadline")
-            if self._is_silent():
-                self._doubt_engine()
+            if await self._is_silent():
+                run.forwarder.fleet.note_unreachable(self.member, run.now())
                 exchange.abort()
                 return _Loss(str(FailureKind.SILENT))
 
@@ -472,24 +536,27 @@
             self.run.pace.saw_first_event(self.tokens, now - self.sent_at)
         self.run.forwarder.fleet.note_alive(self.member, now)
 
-    def _is_silent(self) -> bool:
+    async def _is_silent(self) -> bool:
         """Whether the engine has been silent for longer than it should be."""
-        run, now = self.run, self.run.now()
+        run, now, member = self.run, self.run.now(), self.member
         limit_s = run.pace.silence_limit_s(self.job.route.max_gap_s)
         if self.splitter.count:
-            return now - max(run.last_event_at, self.sent_at) > limit_s
+            if now - run.last_event_at <= limit_s:
+                return False
+            member.doubted_at = now
+            return True
         if not self.job.route.is_repeatable:
             return False
-        if self.resumed and now - self.sent_at > 2 * limit_s:
+        waited_s = now - self.sent_at
+        if self.resumed:
+            return waited_s > RESUME_FACTOR * limit_s
+        if waited_s > self.first_limit_s:
             return True
-        waited = now - self.sent_at
-        if waited > limit_s and self.member.avoid_until > now > self.member.seen_at:
-            return self.member.seen_at < now - limit_s
-        return waited > self.first_limit_s
-
-    def _doubt_engine(self) -> None:
-        now = self.run.now()
-        self.run.forwarder.fleet.note_unreachable(self.member, now)
+        is_doubted = member.doubted_at > max(self.sent_at, member.seen_at)
+        if not is_doubted and waited_s <= self.check_at_s:
+            return False
+        self.check_at_s = waited_s + CHECK_EVERY_S
+        return not await run.forwarder.sender.takes_connections(member, CHECK_TIMEOUT_S)
 
     def _end(self) -> _Loss | None:
         """Return None if the stream is complete, else why it is not."""
--- a/monsoontack/generation/pace.py
+++ b/monsoontack/generation/pace.py
@@ -21,8 +21,10 @@
 INITIAL_READ_RATE = 6000.0
 READ_RATE_WEIGHT = 0.1
 # The first event may take this much longer than predicted.
-FIRST_EVENT_FACTOR = 1.8
-FIRST_EVENT_MARGIN_S = 0.7
+FIRST_EVENT_FACTOR = 2.0
+FIRST_EVENT_MARGIN_S = 1.0
+# After this share of the predicted time the engine is checked to be alive.
+CHECK_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -61,3 +63,7 @@
         `tokens` are the prompt tokens to read, those ahead in the queue included.
         """
         return FIRST_EVENT_FACTOR * tokens / self.read_rate + FIRST_EVENT_MARGIN_S
+
+    def check_after_s(self, tokens: int) -> float:
+        """Return the wait for a first event after which the engine is checked."""
+        return max(CHECK_SHARE * tokens / self.read_rate, SILENCE_FLOOR_S)
--- a/monsoontack/platform/app.py
+++ b/monsoontack/platform/app.py
@@ -29,10 +29,10 @@
 log = structlog.get_logger("platform.app")
 
 # An unchanged configuration is confirmed this often; keys are trusted for 3 s.
-CONFIG_WATCH_S = 1.0
-# A leaving server has to be noticed within 2.5 s also if a watch lost its
-# connection without notice.
-SERVERS_WATCH_S = 1.5
+CONFIG_WATCH_S = 1.4
+# Changes arrive at once; the wait bounds how long a watch that lost its
+# connection without notice goes unnoticed by anything but the keep-alive probes.
+SERVERS_WATCH_S = 4.0
 
 
 class ConfigListener:
@@ -143,6 +143,7 @@
     config = ConfigListener(daemon.knowledge)
     daemon.follow(store, CONFIG_KIND, config, CONFIG_WATCH_S)
     daemon.follow(store, SERVERS_KIND, servers, SERVERS_WATCH_S)
+    daemon.join(store, store)
     file = SettingsFile(path)
     daemon.reload = lambda: file.reload(daemon)
     await daemon.run()
--- a/monsoontack/routing/placement.py
+++ b/monsoontack/routing/placement.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from monsoontack.core.records import Place
+from monsoontack.core.rendezvous import score, stable_hash
 
 # Prompt tokens that one would rather wait for than leave the failure domain or
 # the region. An engine reads 8 tokens per ms: 25 ms and 190 ms.
@@ -21,6 +22,13 @@
 HELD_WEIGHT = 0.02
 # Spreads entries that see the same picture; a tenth of a usual prompt.
 JITTER_TOKENS = 800
+# The engine that all entries prefer for a prompt by its hash: a caller that comes
+# back through another entry finds what has been read of its prompt.
+PREFERRED_TOKENS = 2500
+# Part of a prompt that an engine known to have read it saves.
+KNOWN_SHARE = 0.8
+# A server that failed lately, and whose domain fell, is used when others are busy.
+DOUBT_TOKENS = 20_000
 # An engine whose memory would be filled above this share may preempt runs.
 MEMORY_SHARE = 0.92
 # A run beyond the slots waits for one to end, which takes seconds.
@@ -31,7 +39,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
-    """What an entry knows of one engine; `share` is 0 while it is ejected."""
+    """What an entry knows of one engine; `share` is 0 while it is ejected.
+
+    `doubtful` engines failed lately and have not answered since.
+    """
 
     key: str
     place: Place
@@ -41,6 +52,7 @@
     held_tokens: int
     memory_tokens: int
     avoided: bool = False
+    doubtful: bool = False
     share: float = 1.0
 
 
@@ -55,23 +67,55 @@
         cost += FULL_TOKENS
     if engine.held_tokens + need > MEMORY_SHARE * engine.memory_tokens:
         cost += FULL_TOKENS
+    if engine.doubtful:
+        cost += DOUBT_TOKENS
     if engine.avoided or engine.share <= 0.0:
         cost += AVOID_TOKENS
     return cost
 
 
+@dataclass(frozen=True, slots=True)
+class PromptAffinity:
+    """Where a prompt may have been read already.
+
+    `part` names the prompt's own part, `tokens` is its length. `known` is the
+    engine that this entry last sent it to.
+    """
+
+    part: str = ""
+    tokens: int = 0
+    known: str | None = None
+
+    def preferred(self, engines: Sequence[EngineLoad]) -> str | None:
+        """Return the engine that every entry prefers for the prompt."""
+        if not self.part or not engines:
+            return None
+        return max(engines, key=lambda e: score(stable_hash(self.part), e.key)).key
+
+
+NO_AFFINITY = PromptAffinity()
+
+
 def choose_engine(
-    engines: Sequence[EngineLoad], place: Place, need: int, rng: random.Random
+    engines: Sequence[EngineLoad],
+    place: Place,
+    need: int,
+    rng: random.Random,
+    affinity: PromptAffinity = NO_AFFINITY,
 ) -> EngineLoad | None:
     """Return the engine for a run of `need` tokens, None if there is none."""
     if not engines:
         return None
-    return min(
-        engines,
-        key=lambda engine: (
-            cost_tokens(engine, place, need) + rng.random() * JITTER_TOKENS
-        ),
-    )
+    sound = [e for e in engines if not e.avoided and not e.doubtful and e.share > 0]
+    preferred = affinity.preferred(sound)
+
+    def cost(engine: EngineLoad) -> float:
+        tokens = cost_tokens(engine, place, need) + rng.random() * JITTER_TOKENS
+        if engine.key == affinity.known:
+            return tokens - KNOWN_SHARE * affinity.tokens
+        return tokens - PREFERRED_TOKENS if engine.key == preferred else tokens
+
+    return min(engines, key=cost)
 
 
 def choose_backup(
@@ -88,7 +132,9 @@
     others = [
         engine
         for engine in engines
-        if engine.key != runs_at.key and not engine.avoided and engine.share > 0.0
+        if engine.key != runs_at.key
+        and not (engine.avoided or engine.doubtful)
+        and engine.share > 0.0
     ]
     apart = [engine for engine in others if engine.place != runs_at.place]
     return choose_engine(apart or others, runs_at.place, need, rng)
--- a/monsoontack/store/feed.py
+++ b/monsoontack/store/feed.py
@@ -21,9 +21,12 @@
 # Between tries while the store fails. Short against the seconds within which a
 # change has to be in force, long against the store's answer time of 4 ms.
 RETRY_S = 0.2
-MAX_RETRY_S = 0.8
+MAX_RETRY_S = 0.4
 # A watch without a change returns after its wait; the remainder is delay.
 WATCH_SLACK_S = 0.05
+# After a change, others usually follow (servers of a domain, versions in quick
+# succession); waiting this long reads them with one call.
+SETTLE_S = 0.3
 
 
 class Listener(Protocol):
@@ -51,7 +54,8 @@
     """Feed of one kind into a listener.
 
     `wait_s` bounds one watch; it is also how often an unchanged kind is
-    confirmed. `on_dependency` hears whether the store answers this feed.
+    confirmed. `is_required` feeds have to be loaded before the process is ready.
+    `on_dependency` hears whether the store answers this feed.
     """
 
     store: KindStore
@@ -61,6 +65,7 @@
     clock: Clock = field(default_factory=LoopClock)
     rng: random.Random = field(default_factory=random.Random)
     boot: Callable[[], float] = boot_time
+    is_required: bool = True
     on_dependency: Callable[[str, bool, str], None] = lambda kind, up, reason: None
     revision: int | None = None
     failures: int = 0
@@ -69,9 +74,12 @@
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
-            error = await (self._list() if self.revision is None else self._watch())
+            seen = self.revision
+            error = await (self._list() if seen is None else self._watch())
             if error is None:
                 self._answered()
+                if self.revision != seen:
+                    await self.clock.sleep(SETTLE_S)
                 continue
             if isinstance(error, HistoryGone):
                 log.info("history of a kind is gone", kind=self.kind)
