--- /dev/null
+++ b/monsoontack/gateway/calls_test.py
@@ -0,0 +1,198 @@
+"""Tests of calls to plain services, with scripted servers and a paused clock."""
+
+import asyncio
+import json
+import unittest
+
+from monsoontack.admission.hedge import Hedging
+from monsoontack.core.pausedloop import run_paused
+from monsoontack.gateway.budgets import RetryBudgets
+from monsoontack.gateway.calls import CallForwarder
+from monsoontack.gateway.outbound import ExchangeFailure, FailureKind
+from monsoontack.gateway.records import RequestKind
+from monsoontack.routing.linkbudget import LocalShare
+from monsoontack.routing.picker import Picker
+from standins.gatewayparts import (
+    HOME,
+    NEAR,
+    ScriptedSender,
+    make_fleet,
+    make_job,
+    make_rng,
+    make_route,
+)
+
+REFUSED = ExchangeFailure(FailureKind.CONNECT, False, "refused")
+
+
+def answer(status=200, body=b"ok", after_s=0.05, headers=()):
+    async def play(exchange, attempt):
+        await asyncio.sleep(after_s)
+        exchange.answer(status, headers)
+        exchange.part(body)
+        exchange.end()
+
+    return play
+
+
+def reset(after_s=0.02):
+    async def play(exchange, attempt):
+        await asyncio.sleep(after_s)
+        exchange.fail(FailureKind.RESET, True, "reset")
+
+    return play
+
+
+async def hang(exchange, attempt):
+    await asyncio.sleep(100)
+
+
+def make(scripts, connect_s=0.0, extra=20.0):
+    places = dict(zip(scripts, (HOME, NEAR, NEAR), strict=False))
+    fleet = make_fleet(places)
+    sender = ScriptedSender(fleet, scripts, connect_s)
+    link = LocalShare.for_entries(1, 0.0)
+    picker = Picker(HOME, link, ejection=fleet.ejection)
+    budgets = RetryBudgets(0.8, extra, 10.0)
+    return CallForwarder(fleet, sender, picker, budgets, Hedging(), make_rng())
+
+
+class OnceTest(unittest.TestCase):
+    """Calls that must not run twice."""
+
+    def serve(self, scripts, attempts=1, **options):
+        async def scenario():
+            forwarder = make(scripts, **options)
+            job = make_job(make_route(RequestKind.ONCE, attempts=attempts))
+            await forwarder.serve(job)
+            await asyncio.sleep(5)
+            return forwarder, job
+
+        return run_paused(scenario())
+
+    def test_reset_after_send_is_unknown_and_never_repeated(self):
+        """Guards against a booking that runs twice after a lost answer."""
+        scripts = {"s1": reset(), "s2": answer(), "s3": answer()}
+        forwarder, job = self.serve(scripts, attempts=3)
+        self.assertEqual(502, job.responder.status)
+        self.assertEqual(1, len(forwarder.sender.sent))
+        document = json.loads(job.responder.body)
+        self.assertEqual("unknown", document["error"]["run_state"])
+
+    def test_refused_connection_moves_to_another_server(self):
+        """Guards against a refusal while another server could run the call."""
+        scripts = {"s1": REFUSED, "s2": answer(), "s3": answer()}
+        forwarder, job = self.serve(scripts)
+        self.assertEqual(200, job.responder.status)
+        self.assertEqual(1, len(forwarder.sender.sent))
+
+    def test_shed_call_is_refused_as_not_run_with_a_retry_time(self):
+        """Guards against more sends than the route allows, and a silent refusal."""
+        full = answer(503, headers=((b"not-run", b"1"),))
+        forwarder, job = self.serve({"s1": full, "s2": full, "s3": full})
+        self.assertEqual(1, len(forwarder.sender.sent))
+        self.assertEqual(503, job.responder.status)
+        self.assertIn(b"retry-after", dict(job.responder.headers))
+
+    def test_deadline_while_connecting_ends_the_send(self):
+        """Guards against "not run" for a call that is sent after the answer.
+
+        Seen on a day whose calls had a few milliseconds left: the connection was
+        ready just after the caller had been told that the call did not run.
+        """
+        scripts = {"s1": answer(), "s2": answer(), "s3": answer()}
+        forwarder, job = self.serve(scripts, connect_s=1.5)
+        self.assertEqual(503, job.responder.status)
+        self.assertEqual([], forwarder.sender.sent)
+
+    def test_silent_server_gives_unknown_at_the_deadline(self):
+        """Guards against an answer after the deadline or a false "not run"."""
+        _, job = self.serve({"s1": hang, "s2": answer(), "s3": answer()})
+        self.assertEqual(504, job.responder.status)
+        self.assertLessEqual(job.responder.answered_at, 1.01)
+
+    def test_caller_that_leaves_does_not_break_the_call_off(self):
+        """Guards against engines that stop a booking halfway."""
+
+        async def scenario():
+            forwarder = make({"s1": answer(after_s=0.3), "s2": hang, "s3": hang})
+            job = make_job(make_route(RequestKind.ONCE))
+            task = asyncio.ensure_future(forwarder.serve(job))
+            await asyncio.sleep(0.1)
+            job.responder.leave()
+            await task
+            await asyncio.sleep(1)
+            return forwarder, job
+
+        forwarder, job = run_paused(scenario())
+        self.assertEqual("caller_gone", job.outcome)
+        self.assertIsNone(forwarder.sender.exchanges[0].aborted_at)
+
+    def test_unsigned_success_is_not_passed_on(self):
+        """Guards against a success that no server vouches for."""
+        broken = answer(200, headers=((b"unsigned", b"1"),))
+        _, job = self.serve({"s1": broken, "s2": broken, "s3": broken})
+        self.assertEqual(502, job.responder.status)
+
+
+class IdempotentTest(unittest.TestCase):
+    """Calls that may run more than once."""
+
+    def serve(self, scripts, leave_at=None, **options):
+        async def scenario():
+            forwarder = make(scripts, **options)
+            job = make_job(make_route(RequestKind.IDEMPOTENT))
+            task = asyncio.ensure_future(forwarder.serve(job))
+            if leave_at is not None:
+                await asyncio.sleep(leave_at)
+                job.responder.leave()
+            await task
+            await asyncio.sleep(3)
+            return forwarder, job
+
+        return run_paused(scenario())
+
+    def test_failure_is_repeated_elsewhere(self):
+        """Guards against a caller that sees one server's error."""
+        scripts = {"s1": answer(500), "s2": answer(), "s3": answer()}
+        _, job = self.serve(scripts)
+        self.assertEqual(200, job.responder.status)
+
+    def test_second_failure_is_the_servers_own(self):
+        """Guards against a failure that carries a mark but another status."""
+        scripts = {"s1": answer(500, b"e"), "s2": answer(500, b"e")}
+        forwarder, job = self.serve(scripts | {"s3": answer(500, b"e")})
+        self.assertEqual((500, b"e"), (job.responder.status, job.responder.body))
+        self.assertEqual(2, len(forwarder.sender.sent))
+
+    def test_late_call_is_hedged_and_the_loser_aborted(self):
+        """Guards against a server that hangs, and against work nobody awaits."""
+        scripts = {"s1": hang, "s2": answer(), "s3": answer()}
+        forwarder, job = self.serve(scripts)
+        self.assertEqual(200, job.responder.status)
+        self.assertLess(job.responder.answered_at, 0.4)
+        self.assertIsNotNone(forwarder.sender.exchanges[0].aborted_at)
+
+    def test_budget_bounds_repeats(self):
+        """Guards against retries that multiply the load of a failing service."""
+        scripts = {"s1": answer(500), "s2": answer(500), "s3": answer(500)}
+
+        async def scenario():
+            forwarder = make(scripts, extra=5.0)
+            for _ in range(100):
+                job = make_job(make_route(RequestKind.IDEMPOTENT))
+                await forwarder.serve(job)
+            return forwarder
+
+        forwarder = run_paused(scenario())
+        repeats = len(forwarder.sender.sent) - 100
+        self.assertLessEqual(repeats, 0.8 * 100 + 5)
+
+    def test_caller_that_leaves_ends_the_work(self):
+        """Guards against servers that work for callers who left."""
+        forwarder, _ = self.serve({"s1": hang, "s2": hang, "s3": hang}, 0.1)
+        self.assertAlmostEqual(0.1, forwarder.sender.exchanges[0].aborted_at, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/monsoontack/store/feed.py
+++ b/monsoontack/store/feed.py
@@ -70,15 +70,16 @@
     revision: int | None = None
     failures: int = 0
     loaded: bool = False
+    has_changed: bool = False
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
-            seen = self.revision
-            error = await (self._list() if seen is None else self._watch())
+            self.has_changed = False
+            error = await (self._list() if self.revision is None else self._watch())
             if error is None:
                 self._answered()
-                if self.revision != seen:
+                if self.has_changed:
                     await self.clock.sleep(SETTLE_S)
                 continue
             if isinstance(error, HistoryGone):
@@ -126,6 +127,7 @@
                 self.listener.removed(change.object.name, change.object.revision)
             else:
                 self.listener.changed(change.object)
+        self.has_changed = bool(answer.changes)
         self.revision = max(answer.revision, revision)
         self.listener.confirmed(self._known_at(sent_at, bool(answer.changes)))
         return None
--- /dev/null
+++ b/standins/gatewayparts.py
@@ -0,0 +1,270 @@
+"""Parts of a gateway for tests without a network: transports, senders, jobs."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from monsoontack.core.records import BackendServer, Place
+from monsoontack.gateway.fleet import DirectFleet, Member
+from monsoontack.gateway.inbound import CallerGoneError
+from monsoontack.gateway.job import Job
+from monsoontack.gateway.outbound import Exchange, ExchangeFailure
+from monsoontack.gateway.records import (
+    AnswerHead,
+    Attempt,
+    CallerRequest,
+    Headers,
+    PromptPart,
+    RawRequest,
+    RequestKind,
+    Route,
+    Target,
+)
+
+HOME = Place("domain-a", "north")
+NEAR = Place("domain-b", "north")
+FAR = Place("domain-c", "south")
+SERVICE = "planner"
+
+
+class FakeTransport(asyncio.Transport):
+    """Transport that keeps what is written and never sends it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = bytearray()
+        self.closed = False
+        self.aborted = False
+        self.reading = True
+
+    def write(self, data: bytes) -> None:
+        """Keep bytes."""
+        self.written += data
+
+    def is_closing(self) -> bool:
+        """Whether it was closed or aborted."""
+        return self.closed
+
+    def close(self) -> None:
+        """Close."""
+        self.closed = True
+
+    def abort(self) -> None:
+        """Reset."""
+        self.closed = self.aborted = True
+
+    def pause_reading(self) -> None:
+        """Note that nothing is read."""
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        """Note that bytes are read again."""
+        self.reading = True
+
+    def set_write_buffer_limits(self, high=None, low=None) -> None:
+        """Take any limits."""
+
+    def get_extra_info(self, name, default=None):
+        """Return nothing: there is no socket."""
+        return default
+
+
+class FakeResponder:
+    """Keeps the answer of one request."""
+
+    def __init__(self) -> None:
+        self.gone: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.status = 0
+        self.headers: Headers = ()
+        self.body = b""
+        self.began = self.finished = self.was_cut = False
+        self.answered_at: float | None = None
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the caller has left."""
+        return self.gone.done()
+
+    def leave(self) -> None:
+        """Let the caller leave."""
+        if not self.gone.done():
+            self.gone.set_result(None)
+
+    def send(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Keep a whole answer."""
+        self.began = self.finished = True
+        self.status, self.headers, self.body = status, headers, body
+        self.answered_at = asyncio.get_running_loop().time()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Keep the head of a streamed answer."""
+        self.began = True
+        self.status, self.headers = status, headers
+
+    async def write(self, data: bytes) -> None:
+        """Keep a part of the body."""
+        if self.is_gone:
+            raise CallerGoneError
+        self.body += data
+
+    def finish(self) -> None:
+        """Note that the answer is complete."""
+        self.finished = True
+
+    def cut(self) -> None:
+        """Note that the answer was cut."""
+        self.was_cut = True
+
+
+class ScriptedExchange(Exchange):
+    """Exchange whose answer comes from a script; `aborted_at` tells of an abort."""
+
+    def __init__(self, request_id: str) -> None:
+        super().__init__(request_id)
+        self.aborted_at: float | None = None
+
+    def abort(self) -> None:
+        """Note the abort."""
+        if not self.over:
+            self.aborted_at = asyncio.get_running_loop().time()
+            self.fail("closed", True, "given up")
+
+    def answer(self, status: int, headers: Headers = ()) -> None:
+        """Give the head of the answer."""
+        self.status, self.headers, self.has_head = status, headers, True
+        self.wake()
+
+    def part(self, data: bytes) -> None:
+        """Give a part of the body."""
+        if not self.over:
+            self.parts.append(data)
+            self.wake()
+
+    def end(self) -> None:
+        """End the answer."""
+        if not self.over:
+            self.ended = True
+            self.wake()
+
+
+class ScriptedWire:
+    """Wire format of scripted answers: status 299 stands for an unsigned 200."""
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerHead:
+        """Decode the head of a scripted answer."""
+        names = {name for name, _ in headers}
+        return AnswerHead(
+            status=status,
+            request_id=None,
+            not_run=b"not-run" in names,
+            signed=b"unsigned" not in names,
+            encoded=False,
+            forwarded=headers,
+        )
+
+
+Script = Callable[[ScriptedExchange, Attempt], object]
+
+
+@dataclass(slots=True)
+class ScriptedSender:
+    """Sender whose servers answer by script.
+
+    `scripts` maps the incarnation of a server to a coroutine function that plays
+    its answer, or to a failure to connect. `connect_s` is how long connecting
+    takes. `sent` lists the attempts that reached a server.
+    """
+
+    fleet: DirectFleet
+    scripts: dict[str, object]
+    connect_s: float = 0.0
+    wire: ScriptedWire = field(default_factory=ScriptedWire)
+    sent: list[Attempt] = field(default_factory=list)
+    exchanges: list[ScriptedExchange] = field(default_factory=list)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+    checks: int = 0
+
+    def now(self) -> float:
+        """Return the loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    async def send(self, member: Member, request, attempt: Attempt, is_wanted):
+        """Play the script of a server."""
+        await asyncio.sleep(self.connect_s)
+        script = self.scripts[member.server.incarnation]
+        if isinstance(script, ExchangeFailure):
+            self.fleet.note_unreachable(member, self.now())
+            return script
+        if not is_wanted():
+            return ExchangeFailure("unwanted", False)
+        exchange = ScriptedExchange(request.request_id)
+        self.sent.append(attempt)
+        self.exchanges.append(exchange)
+        self.tasks.append(asyncio.ensure_future(script(exchange, attempt)))
+        return exchange
+
+    async def takes_connections(self, member: Member, timeout_s: float) -> bool:
+        """Return whether the server's script is not a failure to connect."""
+        self.checks += 1
+        script = self.scripts[member.server.incarnation]
+        return not isinstance(script, ExchangeFailure)
+
+
+def make_server(name: str, place: Place = HOME, slots: int = 8) -> BackendServer:
+    """Return a server whose address and incarnation follow from its name."""
+    return BackendServer(
+        address=f"10.0.0.1:{name}",
+        vm=name,
+        kind="engine",
+        service=SERVICE,
+        versions=("v1",),
+        place=place,
+        slots=slots,
+        incarnation=name,
+    )
+
+
+def make_fleet(places: dict[str, Place]) -> DirectFleet:
+    """Return a fleet of servers by name."""
+    fleet = DirectFleet()
+    for name, place in places.items():
+        fleet.put(make_server(name, place), False)
+    return fleet
+
+
+def make_route(kind: RequestKind, **changes) -> Route:
+    """Return a route to the test service."""
+    fields = {
+        "name": "r",
+        "host": "h",
+        "path_prefix": "/p/",
+        "kind": kind,
+        "targets": (Target(SERVICE, 1.0),),
+        "timeout_s": 1.0,
+        "objective_s": 0.4,
+        "attempts": 2,
+    }
+    return Route(**(fields | changes))
+
+
+def make_job(route: Route, request_id: str = "id-1", deadline_s: float = 1.0) -> Job:
+    """Return a job of a request that has just come in."""
+    now = asyncio.get_running_loop().time()
+    raw = RawRequest(b"POST", b"/p/x", (), b"body", True, now)
+    request = CallerRequest(
+        raw=raw,
+        request_id=request_id,
+        host="h",
+        path="/p/x",
+        forwarded=(),
+        prompt_tokens=8000,
+        output_tokens=800,
+        parts=(PromptPart("part-1", 8000),),
+    )
+    return Job(request, route, None, SERVICE, FakeResponder(), now, now + deadline_s)
+
+
+def make_rng() -> random.Random:
+    """Return a generator with a fixed seed."""
+    return random.Random(7)
