Read the store through other entries of the region

Entries now ask peers that come first by rendezvous hash, with the age of what they hold; entries that the store turns away go on through peers.

--- a/monsoontack/gateway/census.py
+++ b/monsoontack/gateway/census.py
@@ -13,6 +13,7 @@
 import structlog
 from returns.result import Success
 
+from monsoontack.gateway.relay import PeerEntry
 from monsoontack.store.api import Conflict, KindObject, ObjectStore
 
 log = structlog.get_logger("gateway.census")
@@ -23,37 +24,55 @@
 
 @dataclass(slots=True)
 class Census:
-    """Names of all entries; `on_change` hears their number."""
+    """All entries by name; `on_change` hears of each change."""
 
-    on_change: Callable[[int], None]
-    names: set[str] = field(default_factory=set)
+    on_change: Callable[[dict[str, PeerEntry]], None]
+    entries: dict[str, PeerEntry] = field(default_factory=dict)
 
     def replace_all(self, objects: tuple[KindObject, ...], revision: int) -> None:
         """Take over a list."""
-        self.names = {item.name for item in objects}
-        self.on_change(len(self.names))
+        self.entries = {item.name: _entry(item) for item in objects}
+        self.on_change(self.entries)
 
     def changed(self, item: KindObject) -> None:
         """Take over a new entry."""
-        self.names.add(item.name)
-        self.on_change(len(self.names))
+        self.entries[item.name] = _entry(item)
+        self.on_change(self.entries)
 
     def removed(self, name: str, revision: int) -> None:
         """Forget an entry."""
-        self.names.discard(name)
-        self.on_change(len(self.names))
+        self.entries.pop(name, None)
+        self.on_change(self.entries)
 
     def confirmed(self, at: float) -> None:
-        """The number of entries may be old."""
+        """The list of entries may be old."""
 
 
-async def register(store: ObjectStore, name: str, failure_domain: str) -> None:
-    """Write the object of this entry, unless it exists; then wait for ever."""
-    value = json.dumps({"failure_domain": failure_domain}).encode()
+def _entry(item: KindObject) -> PeerEntry:
+    """Return an entry; one that cannot be read counts, but is no peer."""
+    spec = item.spec if isinstance(item.spec, dict) else {}
+    region, address = spec.get("region"), spec.get("peer")
+    if not isinstance(region, str) or not isinstance(address, str):
+        return PeerEntry(item.name, "", "")
+    return PeerEntry(item.name, region, address)
+
+
+async def register(store: ObjectStore, own: PeerEntry) -> None:
+    """Write the object of this entry, unless it is there; then wait for ever."""
+    value = json.dumps({"region": own.region, "peer": own.address}).encode()
+    key = f"{ENTRIES_KIND}/{own.name}"
     while True:
-        result = await store.create(f"{ENTRIES_KIND}/{name}", value)
-        if isinstance(result, Success) or isinstance(result.failure(), Conflict):
+        result = await store.create(key, value)
+        if isinstance(result, Success):
             break
+        error = result.failure()
+        current = error.current if isinstance(error, Conflict) else None
+        if current is not None:
+            if json.loads(current.value) == json.loads(value):
+                break
+            # A VM that was replaced has another address under the same name.
+            if isinstance(await store.update(key, value, current.version), Success):
+                break
         await asyncio.sleep(RETRY_S)
-    log.info("entry is registered", name=name)
+    log.info("entry is registered", name=own.name, peer=own.address)
     await asyncio.Event().wait()
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -22,12 +22,14 @@
 from monsoontack.gateway.metrics import GatewayMetrics
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.ports import WireFormat
-from monsoontack.gateway.records import CallerLimits, GatewayConfig, RawRequest
+from monsoontack.gateway.records import CallerLimits, GatewayConfig, Headers, RawRequest
+from monsoontack.gateway.relay import PeerEntry, RelayedStore, RelayServer
 from monsoontack.gateway.sender import Sender
 from monsoontack.gateway.streams import StreamForwarder
 from monsoontack.routing.linkbudget import LocalShare
 from monsoontack.routing.picker import Picker
 from monsoontack.store.api import KindStore, ObjectStore
+from monsoontack.store.cache import KindCache
 from monsoontack.store.feed import KindFeed, Listener
 
 log = structlog.get_logger("gateway.daemon")
@@ -45,6 +47,10 @@
 SETTINGS_CHECK_S = 1.0
 # The number of entries changes rarely; a watch costs a call each time it returns.
 CENSUS_WATCH_S = 20.0
+CENSUS_SETTLE_S = 2.0
+# One watch of the store; also how often an unchanged kind is confirmed. A server
+# that leaves must be known within 2.5 s, also if a watch lost its connection.
+DIRECT_WATCH_S = 1.0
 # Entries that start together do not see each other at once.
 MIN_ENTRIES = 4
 BACKLOG = 512
@@ -65,6 +71,7 @@
     front_address: str
     ready_address: str
     operator_address: str
+    peer_address: str
     store_address: str
     memory_bytes: int
     revoke_s: float
@@ -87,6 +94,11 @@
     metrics: GatewayMetrics
     log_writer: LineWriter | None = None
     feeds: list[KindFeed] = field(default_factory=list)
+    relay: RelayServer = field(default_factory=RelayServer)
+    relayed: list[RelayedStore] = field(default_factory=list)
+    peer_pool: ConnectionPool = field(
+        default_factory=lambda: ConnectionPool(no_answer_id, no_keep_alive)
+    )
     reload: Callable[[], None] = lambda: None
     draining: bool = False
     listeners: list[asyncio.Server] = field(default_factory=list)
@@ -128,29 +140,38 @@
         """Pass the traits of the services on."""
         self.gateway.streams.traits = dict(config.services)
 
-    def follow(
-        self,
-        store: KindStore,
-        kind: str,
-        listener: Listener,
-        wait_s: float,
-        is_required: bool = True,
-    ) -> None:
-        """Add a feed of a kind of objects; without a required one no readiness."""
-        feed = KindFeed(store, kind, listener, wait_s, is_required=is_required)
+    def follow(self, store: KindStore, kind: str, listener: Listener) -> None:
+        """Follow a kind of objects, without which the entry is not ready.
+
+        It is read through other entries where they are fresh enough.
+        """
+        settings = self.settings
+        relayed = RelayedStore(
+            settings.name, settings.place.region, store, DIRECT_WATCH_S, self.peer_pool
+        )
+        cache = KindCache(listener)
+        self.relay.caches[kind] = cache
+        self.relayed.append(relayed)
+        feed = KindFeed(relayed, kind, cache, DIRECT_WATCH_S)
         feed.on_dependency = self._dependency_changed
         self.feeds.append(feed)
 
     def join(self, store: ObjectStore, kinds: KindStore) -> None:
-        """Register this entry and follow how many there are."""
+        """Register this entry and follow the others."""
         census = Census(self._entries_changed)
-        self.follow(kinds, ENTRIES_KIND, census, CENSUS_WATCH_S, is_required=False)
-        name, domain = self.settings.name, self.settings.place.failure_domain
-        self.extra_work.append(lambda: register(store, name, domain))
+        feed = KindFeed(kinds, ENTRIES_KIND, census, CENSUS_WATCH_S, is_required=False)
+        feed.settle_s = CENSUS_SETTLE_S
+        feed.on_dependency = self._dependency_changed
+        self.feeds.append(feed)
+        settings = self.settings
+        own = PeerEntry(settings.name, settings.place.region, settings.peer_address)
+        self.extra_work.append(lambda: register(store, own))
 
-    def _entries_changed(self, entries: int) -> None:
-        log.info("number of entries changed", entries=entries)
-        self.gateway.calls.budgets.resize(max(entries, MIN_ENTRIES))
+    def _entries_changed(self, entries: dict[str, PeerEntry]) -> None:
+        log.info("entries changed", entries=len(entries))
+        self.gateway.calls.budgets.resize(max(len(entries), MIN_ENTRIES))
+        for relayed in self.relayed:
+            relayed.peers = {n: p for n, p in entries.items() if p.address}
 
     def _dependency_changed(self, kind: str, is_up: bool, reason: str) -> None:
         self.metrics.dependency_up.labels(kind).set(is_up)
@@ -233,10 +254,12 @@
         limits = CallerLimits()
         ready = InboundServer(self._answer_ready, lambda: limits, budget)
         operator = InboundServer(self._answer_operator, lambda: limits, budget)
+        peers = InboundServer(self.relay.handle, lambda: limits, budget)
         for server, address in (
             (self.front, self.settings.front_address),
             (ready, self.settings.ready_address),
             (operator, self.settings.operator_address),
+            (peers, self.settings.peer_address),
         ):
             self.listeners.append(await _listen_on(server, address))
 
@@ -270,6 +293,8 @@
             "config_age_s": round(self.knowledge.age_s(), 3) if config else None,
             "requests_in_progress": self.gateway.in_progress,
             "feeds": {f.kind: [f.revision, f.failures] for f in self.feeds},
+            "feeds_by_peer": sum(r.by_peer for r in self.relayed),
+            "feeds_by_store": sum(r.by_store for r in self.relayed),
             "connections": {"opened": self.pool.opened, "reused": self.pool.reused},
             "servers": [self._server_state(m, now) for m in self._members()],
         }
@@ -330,6 +355,14 @@
         log.info("drained", cut=left, took_s=round(self.gateway.now() - started, 2))
 
 
+def no_answer_id(headers: Headers) -> None:
+    """Peers answer one request at a time and name none."""
+
+
+def no_keep_alive(headers: Headers) -> None:
+    """Peers state no idle timeout."""
+
+
 async def _listen_on(server: InboundServer, address: str) -> asyncio.Server:
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
--- a/monsoontack/platform/app.py
+++ b/monsoontack/platform/app.py
@@ -28,12 +28,6 @@
 
 log = structlog.get_logger("platform.app")
 
-# An unchanged configuration is confirmed this often; keys are trusted for 3 s.
-CONFIG_WATCH_S = 1.4
-# Changes arrive at once; the wait bounds how long a watch that lost its
-# connection without notice goes unnoticed by anything but the keep-alive probes.
-SERVERS_WATCH_S = 4.0
-
 
 class ConfigListener:
     """Passes configurations on to the gateway's knowledge."""
@@ -141,8 +135,8 @@
     store = PlatformStore(settings.store_address)
     servers = ServersListener(daemon.fleet, regions)
     config = ConfigListener(daemon.knowledge)
-    daemon.follow(store, CONFIG_KIND, config, CONFIG_WATCH_S)
-    daemon.follow(store, SERVERS_KIND, servers, SERVERS_WATCH_S)
+    daemon.follow(store, CONFIG_KIND, config)
+    daemon.follow(store, SERVERS_KIND, servers)
     daemon.join(store, store)
     file = SettingsFile(path)
     daemon.reload = lambda: file.reload(daemon)
--- a/monsoontack/platform/settings.py
+++ b/monsoontack/platform/settings.py
@@ -73,6 +73,7 @@
         front_address=file.listen.front,
         ready_address=file.listen.ready,
         operator_address=f"{file.ip}:{file.port_range[0]}",
+        peer_address=f"{file.ip}:{file.port_range[0] + 1}",
         store_address=file.platform.address,
         memory_bytes=int(file.limits.memory_mb * MEGABYTE),
         revoke_s=bounds.revoke_ms / 1000,
--- a/monsoontack/platform/store.py
+++ b/monsoontack/platform/store.py
@@ -38,6 +38,9 @@
 CONNECT_TIMEOUT_S = 0.6
 # A watch that is over this late has lost its connection.
 WATCH_SLACK_S = 0.7
+# An empty answer to a watch was held back for the whole wait, so it was true at the
+# end of it however long its delivery took; this covers rounding and clocks.
+DELIVERY_S = 0.05
 MAX_PAGES = 1000
 MAX_ANSWER_BYTES = 64_000_000
 
@@ -115,9 +118,12 @@
     ) -> Result[KindChanges, StoreError]:
         """Wait for changes of a kind after a revision."""
         path = f"{ROOT}/{kind}?watch={revision}&wait_ms={int(wait_s * 1000)}"
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
         result = await self._read(path, kind, wait_s + WATCH_SLACK_S)
+        waited_s = min(loop.time() - sent_at, wait_s) - DELIVERY_S
         events = result.bind(lambda answer: _decode(kind, answer, _Events))
-        return events.map(_changes)
+        return events.map(lambda found: _changes(found, max(waited_s, 0.0)))
 
     async def get(self, key: str) -> Result[StoredObject, StoreError]:
         """Read one object."""
@@ -295,8 +301,9 @@
         return KindObject(name if isinstance(name, str) else "", 0, None, None)
 
 
-def _changes(events: _Events) -> KindChanges:
+def _changes(events: _Events, waited_s: float) -> KindChanges:
     changes = tuple(
-        KindChange(_kind_object(e.object), e.removed) for e in events.events
+        KindChange(_kind_object(event.object), event.removed) for event in events.events
     )
-    return KindChanges(changes, events.store_revision)
+    confirmed_after_s = 0.0 if changes else waited_s
+    return KindChanges(changes, events.store_revision, confirmed_after_s)
--- a/monsoontack/store/api.py
+++ b/monsoontack/store/api.py
@@ -84,10 +84,15 @@
 
 @dataclass(frozen=True, slots=True)
 class KindList:
-    """All objects of a kind at `revision`, the revision of the whole store."""
+    """All objects of a kind at `revision`, the revision of the whole store.
+
+    They were current `confirmed_after_s` seconds after the call was made, or
+    later; the figure is negative if they were known to be older.
+    """
 
     objects: tuple[KindObject, ...]
     revision: int
+    confirmed_after_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,10 +105,14 @@
 
 @dataclass(frozen=True, slots=True)
 class KindChanges:
-    """Changes of a kind up to `revision`, in order."""
+    """Changes of a kind up to `revision`, in order.
+
+    `confirmed_after_s` has the meaning that it has in `KindList`.
+    """
 
     changes: tuple[KindChange, ...]
     revision: int
+    confirmed_after_s: float = 0.0
 
 
 class KindStore(Protocol):
--- a/monsoontack/store/feed.py
+++ b/monsoontack/store/feed.py
@@ -22,8 +22,6 @@
 # change has to be in force, long against the store's answer time of 4 ms.
 RETRY_S = 0.2
 MAX_RETRY_S = 0.4
-# A watch without a change returns after its wait; the remainder is delay.
-WATCH_SLACK_S = 0.05
 # After a change, others usually follow (servers of a domain, versions in quick
 # succession); waiting this long reads them with one call.
 SETTLE_S = 0.3
@@ -67,6 +65,7 @@
     boot: Callable[[], float] = boot_time
     is_required: bool = True
     on_dependency: Callable[[str, bool, str], None] = lambda kind, up, reason: None
+    settle_s: float = SETTLE_S
     revision: int | None = None
     failures: int = 0
     loaded: bool = False
@@ -80,7 +79,7 @@
             if error is None:
                 self._answered()
                 if self.has_changed:
-                    await self.clock.sleep(SETTLE_S)
+                    await self.clock.sleep(self.settle_s)
                 continue
             if isinstance(error, HistoryGone):
                 log.info("history of a kind is gone", kind=self.kind)
@@ -112,7 +111,7 @@
         self.listener.replace_all(listed.objects, listed.revision)
         self.revision = listed.revision
         self.loaded = True
-        self.listener.confirmed(sent_at)
+        self.listener.confirmed(sent_at + listed.confirmed_after_s)
         return None
 
     async def _watch(self) -> StoreError | None:
@@ -129,16 +128,5 @@
                 self.listener.changed(change.object)
         self.has_changed = bool(answer.changes)
         self.revision = max(answer.revision, revision)
-        self.listener.confirmed(self._known_at(sent_at, bool(answer.changes)))
+        self.listener.confirmed(sent_at + answer.confirmed_after_s)
         return None
-
-    def _known_at(self, sent_at: float, has_changes: bool) -> float:
-        """Return the latest time at which the answer was surely current.
-
-        The store held an empty answer back for the whole wait, so it was true at
-        the end of the wait however long its delivery took.
-        """
-        if has_changes:
-            return sent_at
-        waited = self.boot() - sent_at
-        return sent_at + max(min(waited, self.wait_s) - WATCH_SLACK_S, 0.0)
