Judge and carry out rollouts of a few seconds

Each entry gates its own requests to the new version, reports counts to the store, and the holder of a lease judges all of them.

--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -20,6 +20,7 @@
 from monsoontack.gateway.job import Job, Try
 from monsoontack.gateway.outbound import Exchange, ExchangeFailure, FailureKind
 from monsoontack.gateway.records import AnswerHead, Attempt
+from monsoontack.gateway.rollouts import RolloutDesk
 from monsoontack.gateway.sender import Sender
 from monsoontack.routing.picker import Picker
 
@@ -58,6 +59,11 @@
             return not self.failure.sent
         return self.answer is not None and self.answer.not_run
 
+    @property
+    def is_fault(self) -> bool:
+        """Whether the send speaks against the version of its server."""
+        return not self.is_good and not self.is_not_run
+
     @property
     def is_good(self) -> bool:
         """Whether the answer should go to the caller without a further try."""
@@ -77,6 +83,7 @@
     budgets: RetryBudgets
     hedging: Hedging
     rng: random.Random
+    desk: RolloutDesk | None = None
     background: set[asyncio.Task] = field(default_factory=set)
 
     async def serve(self, job: Job) -> None:
@@ -128,7 +135,10 @@
     def pick(self, job: Job, excluded: set[str]) -> Member | None:
         """Return the server for the next send of a call."""
         now = self.sender.now()
-        members = {m.server.address: m for m in self.fleet.of_service(job.service)}
+        found = self.fleet.of_service(job.service)
+        if self.desk is not None:
+            found = self.desk.usable(job.service, found)
+        members = {member.server.address: member for member in found}
         avoided = {a for a, m in members.items() if now < m.avoid_until}
         if len(avoided | excluded) < len(members):
             excluded = excluded | avoided
@@ -193,6 +203,8 @@
         """Return the answer for the caller, or the error that it gets."""
         forwarder, job = self.forwarder, self.job
         forwarder.budgets.note_request(job.service, self.now())
+        if forwarder.desk is not None:
+            forwarder.desk.note_request(job.service)
         delay_s = forwarder.hedging.delay_s(job.service, self.repeatable)
         if self.repeatable:
             delay_s = delay_s or LATE_SHARE * job.route.objective_s
@@ -292,6 +304,9 @@
             account=job.account.name if job.account else None,
         )
         member.in_flight += 1
+        desk = self.forwarder.desk
+        if desk is not None:
+            desk.sent(member)
         try:
             sent = await sender.send(member, job.request, attempt, job.is_wanted)
             if isinstance(sent, ExchangeFailure):
@@ -304,6 +319,9 @@
         finally:
             member.in_flight -= 1
             record.ended_at = self.now()
+            if desk is not None:
+                took_s = record.ended_at - started_at
+                desk.ended(member, job.route.name, result.is_fault, took_s)
         record.result = describe(result)
         self.forwarder.note(result, started_at)
         if self.repeatable:
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -24,6 +24,7 @@
 from monsoontack.gateway.ports import WireFormat
 from monsoontack.gateway.records import CallerLimits, GatewayConfig, Headers, RawRequest
 from monsoontack.gateway.relay import PeerEntry, RelayedStore, RelayServer
+from monsoontack.gateway.rollouts import RolloutDesk, StatusStore
 from monsoontack.gateway.sender import Sender
 from monsoontack.gateway.streams import StreamForwarder
 from monsoontack.routing.linkbudget import LocalShare
@@ -79,6 +80,8 @@
     retry_ratio: float
     retry_extra: float
     retry_window_s: float
+    canary_share: float
+    canary_tolerance: float
     entries: int = 8
 
 
@@ -100,6 +103,7 @@
         default_factory=lambda: ConnectionPool(no_answer_id, no_keep_alive)
     )
     reload: Callable[[], None] = lambda: None
+    desk: RolloutDesk | None = None
     draining: bool = False
     listeners: list[asyncio.Server] = field(default_factory=list)
     front: InboundServer | None = None
@@ -167,9 +171,21 @@
         own = PeerEntry(settings.name, settings.place.region, settings.peer_address)
         self.extra_work.append(lambda: register(store, own))
 
+    def follow_rollouts(
+        self, store: StatusStore, kinds: KindStore, kind: str, desk: RolloutDesk
+    ) -> None:
+        """Follow operators' orders, and judge them while this entry has the lease."""
+        self.desk = desk
+        self.gateway.calls.desk = self.gateway.streams.desk = desk
+        self.follow(kinds, kind, desk)
+        self.extra_work.append(lambda: desk.report(store))
+        self.extra_work.append(lambda: desk.control(store, kinds))
+
     def _entries_changed(self, entries: dict[str, PeerEntry]) -> None:
         log.info("entries changed", entries=len(entries))
         self.gateway.calls.budgets.resize(max(len(entries), MIN_ENTRIES))
+        if self.desk is not None:
+            self.desk.entries = max(len(entries), MIN_ENTRIES)
         for relayed in self.relayed:
             relayed.peers = {n: p for n, p in entries.items() if p.address}
 
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -16,6 +16,8 @@
     sent_at: float
     result: str = "open"
     ended_at: float = 0.0
+    first_event_at: float | None = None
+    worst_gap_s: float = 0.0
 
 
 @dataclass(slots=True)
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -28,6 +28,7 @@
     MemoryCopy,
     ServiceTraits,
 )
+from monsoontack.gateway.rollouts import RolloutDesk
 from monsoontack.gateway.sender import Sender
 from monsoontack.generation.failover import LossState, NextStep, next_step
 from monsoontack.generation.pace import Pace
@@ -81,6 +82,7 @@
     traits: dict[str, ServiceTraits] = field(default_factory=dict)
     paces: dict[str, Pace] = field(default_factory=dict)
     usual_s: float = INITIAL_STREAM_S
+    desk: RolloutDesk | None = None
     sent_to: dict[str, str] = field(default_factory=dict)
 
     async def serve(self, job: Job) -> None:
@@ -115,7 +117,10 @@
         now = self.sender.now()
         traits = self.engine_traits(job.service)
         loads = {}
-        for member in self.fleet.of_service(job.service):
+        members = self.fleet.of_service(job.service)
+        if self.desk is not None:
+            members = self.desk.usable(job.service, members)
+        for member in members:
             server = member.server
             if server.incarnation in excluded:
                 continue
@@ -179,6 +184,8 @@
         """Run attempts until the stream is complete or cannot go on."""
         job = self.job
         self.forwarder.budgets.note_request(job.service, self.now())
+        if self.forwarder.desk is not None:
+            self.forwarder.desk.note_request(job.service)
         try:
             ended = await self._attempts()
         except CallerGoneError:
@@ -319,6 +326,10 @@
         waiting = 0 if copy is not None else job.request.prompt_tokens
         ahead = member.waiting_tokens
         self._hold(member, backup, waiting, 1)
+        desk = self.forwarder.desk
+        if desk is not None:
+            desk.sent(member)
+        loss: _Loss | None = _Loss("unsent", not_run=True)
         try:
             self.sends += 1
             self.all_sends += 1
@@ -342,6 +353,19 @@
         finally:
             record.ended_at = self.now()
             self._hold(member, backup, waiting, -1)
+            if desk is not None:
+                self._note_version(desk, member, record, loss)
+
+    def _note_version(
+        self, desk: RolloutDesk, member: Member, record: Try, loss: _Loss | None
+    ) -> None:
+        """Take the attempt in as evidence about the version of its engine."""
+        failed = loss is not None and not loss.not_run and loss.reason != "deadline"
+        first_s = gap_s = None
+        if record.first_event_at is not None:
+            first_s = record.first_event_at - record.sent_at
+            gap_s = record.worst_gap_s
+        desk.ended(member, self.job.route.name, failed, first_s, gap_s)
 
     def _hold(
         self, member: Member, backup: Member | None, waiting: int, sign: int
@@ -517,6 +541,9 @@
         else:
             gap_s = now - run.last_event_at
             self.job.worst_gap_s = max(self.job.worst_gap_s, gap_s)
+            if self.splitter.count > 1:
+                record = self.job.tries[-1]
+                record.worst_gap_s = max(record.worst_gap_s, gap_s)
             if self.splitter.count > 1:
                 run.pace.saw_gap(gap_s)
         run.last_event_at = now
@@ -532,6 +559,8 @@
     def _first_event(self, now: float) -> None:
         if self.job.first_event_at is None:
             self.job.first_event_at = now
+        if self.job.tries[-1].first_event_at is None:
+            self.job.tries[-1].first_event_at = now
         if not self.resumed:
             self.run.pace.saw_first_event(self.tokens, now - self.sent_at)
         self.run.forwarder.fleet.note_alive(self.member, now)
--- a/monsoontack/platform/app.py
+++ b/monsoontack/platform/app.py
@@ -14,12 +14,16 @@
 from monsoontack.gateway.daemon import GatewayDaemon
 from monsoontack.gateway.fleet import DirectFleet
 from monsoontack.gateway.knowledge import ConfigKnowledge
+from monsoontack.gateway.rollouts import RolloutDesk
 from monsoontack.platform.objects import (
     CONFIG_KIND,
     CONFIG_NAME,
+    ROLLOUTS_KIND,
     SERVERS_KIND,
     decode_config,
+    decode_order,
     decode_server,
+    encode_status,
 )
 from monsoontack.platform.settings import read_settings, settings_path
 from monsoontack.platform.store import PlatformStore
@@ -137,6 +141,15 @@
     config = ConfigListener(daemon.knowledge)
     daemon.follow(store, CONFIG_KIND, config)
     daemon.follow(store, SERVERS_KIND, servers)
+    desk = RolloutDesk(
+        settings.name,
+        f"{random.getrandbits(32):08x}",
+        settings.canary_share,
+        settings.canary_tolerance,
+        decode_order,
+        encode_status,
+    )
+    daemon.follow_rollouts(store, store, ROLLOUTS_KIND, desk)
     daemon.join(store, store)
     file = SettingsFile(path)
     daemon.reload = lambda: file.reload(daemon)
--- a/monsoontack/platform/objects.py
+++ b/monsoontack/platform/objects.py
@@ -20,6 +20,9 @@
     ServiceTraits,
     Target,
 )
+from monsoontack.gateway.rollouts import OrderObject
+from monsoontack.rollout.order import MoveOrder, Phase
+from monsoontack.store.api import KindObject
 
 log = structlog.get_logger("platform.objects")
 
@@ -211,6 +214,44 @@
     return record, server.state == DRAINING
 
 
+class _Rollout(msgspec.Struct):
+    """An order: `over_s` seconds to move a service to the version `target`."""
+
+    service: str
+    target: str
+    over_s: float
+
+
+# The platform's words for the states of an order. A move is `running` both while
+# the new version gets a small share and while it takes over.
+RUNNING = "running"
+ENDED_STATES = {"complete": Phase.COMPLETE, "reverted": Phase.REVERTED}
+STATE_WORDS = {Phase.COMPLETE: "complete", Phase.REVERTED: "reverted"}
+
+
+def decode_order(item: KindObject) -> OrderObject | None:
+    """Return an operator's order with its phase, None if it cannot be read."""
+    try:
+        order = msgspec.convert(item.spec, _Rollout)
+    except msgspec.ValidationError as error:
+        log.error("rollout cannot be read", name=item.name, error=str(error))
+        return None
+    status = item.status if isinstance(item.status, dict) else {}
+    phase = Phase.CANARY
+    if status.get("target") == order.target:
+        phase = ENDED_STATES.get(status.get("state"), Phase.CANARY)
+        if status.get("state") == RUNNING and status.get("phase") == Phase.MOVING:
+            phase = Phase.MOVING
+    found = MoveOrder(order.service, order.target, order.over_s, phase)
+    return OrderObject(f"{ROLLOUTS_KIND}/{item.name}", item.revision, found)
+
+
+def encode_status(order: MoveOrder, phase: str) -> dict[str, str]:
+    """Return the status of an order for operators."""
+    state = STATE_WORDS.get(Phase(phase), RUNNING)
+    return {"state": state, "target": order.target, "phase": phase}
+
+
 def _check_address(address: str) -> None:
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65_536:
--- a/monsoontack/platform/settings.py
+++ b/monsoontack/platform/settings.py
@@ -32,6 +32,8 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_extra: float = 10.0
+    canary_share: float = 0.05
+    canary_tolerance: float = 10.0
 
 
 class _Platform(msgspec.Struct):
@@ -81,5 +83,7 @@
         retry_ratio=bounds.retry_ratio,
         retry_extra=bounds.retry_extra,
         retry_window_s=bounds.retry_window_s,
+        canary_share=bounds.canary_share,
+        canary_tolerance=bounds.canary_tolerance,
     )
     return Success((settings, file.zones))
