Test connections, fleet, knowledge, placement and rollouts; judge medians

The test of a slow version failed: identical latencies lie in one bucket, where the share above the median says nothing. Medians several buckets apart now stop a version as well.

--- /dev/null
+++ b/monsoontack/gateway/inbound_test.py
@@ -0,0 +1,238 @@
+"""Tests of callers' connections, without a network and on a paused clock."""
+
+import asyncio
+import unittest
+
+from monsoontack.core.pausedloop import run_paused
+from monsoontack.gateway.inbound import BodyBudget, CallerGoneError, InboundServer
+from monsoontack.gateway.records import CallerLimits
+from standins.gatewayparts import FakeTransport
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n"
+POST = b"POST /a HTTP/1.1\r\nHost: h\r\n"
+LIMITS = CallerLimits(1000, 5000, 3.0, 15.0)
+
+
+class Harness:
+    """A server with one connection; `seen` lists the requests handed over."""
+
+    def __init__(self, handler=None, budget=10**6, closing=False):
+        self.seen = []
+        self.handler = handler
+        self.is_closing = closing
+        self.server = InboundServer(
+            self.handle,
+            lambda: LIMITS,
+            BodyBudget(budget),
+            closing=lambda: self.is_closing,
+        )
+        self.connection = self.connect()
+
+    def connect(self):
+        connection = self.server.make_connection()
+        connection.connection_made(FakeTransport())
+        return connection
+
+    async def handle(self, raw, responder):
+        self.seen.append(raw)
+        if self.handler is not None:
+            await self.handler(raw, responder)
+        else:
+            responder.send(200, (), b"ok")
+
+    def written(self):
+        return bytes(self.connection.transport.written)
+
+
+def feed(*parts, wait_s=1.0, **options):
+    async def scenario():
+        harness = Harness(**options)
+        for part in parts:
+            harness.connection.data_received(part)
+        await asyncio.sleep(wait_s)
+        return harness
+
+    return run_paused(scenario())
+
+
+class RequestTest(unittest.TestCase):
+    def test_requests_with_two_readings_are_refused(self):
+        """Guards against a request smuggled inside another one."""
+        bad = {
+            "length and chunks": POST
+            + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "two lengths": POST + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            "folded header": GET + b"X: a\r\n b\r\n\r\n",
+            "space before the colon": GET + b"X : a\r\n\r\n",
+            "bare line feed": GET + b"X: a\n\r\n",
+            "control character": GET + b"X: a\x00b\r\n\r\n",
+            "two hosts": GET + b"Host: other\r\n\r\n",
+            "no host": b"GET /a HTTP/1.1\r\n\r\n",
+            "other coding": POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            "signed length": POST + b"Content-Length: +3\r\n\r\nabc",
+        }
+        for name, data in bad.items():
+            with self.subTest(name):
+                harness = feed(data)
+                self.assertEqual([], harness.seen)
+                self.assertTrue(harness.written().startswith(b"HTTP/1.1 400"))
+                self.assertTrue(harness.connection.transport.closed)
+
+    def test_chunked_and_split_requests_arrive_whole(self):
+        """Guards against bodies that lose bytes at the borders of reads."""
+        data = (
+            POST + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        harness = feed(*(data[i : i + 1] for i in range(len(data))))
+        self.assertEqual([b"abcde"], [raw.body for raw in harness.seen])
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        """Guards against answers that swap on one connection."""
+
+        async def slow_first(raw, responder):
+            await asyncio.sleep(0.5 if raw.target == b"/1" else 0)
+            responder.send(200, (), raw.target)
+
+        requests = b"".join(
+            b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % n for n in (1, 2, 3)
+        )
+        text = feed(requests, handler=slow_first).written()
+        self.assertLess(text.index(b"/1"), text.index(b"/2"))
+        self.assertLess(text.index(b"/2"), text.index(b"/3"))
+
+    def test_limits_on_heads_and_bodies(self):
+        """Guards against callers that fill the memory."""
+        long_head = GET + b"X: " + b"a" * 2000 + b"\r\n\r\n"
+        self.assertIn(b" 431 ", feed(long_head).written())
+        endless = GET + b"X: " + b"a" * 2000
+        self.assertIn(b" 431 ", feed(endless).written())
+        declared = POST + b"Content-Length: 6000\r\n\r\n"
+        self.assertIn(b" 413 ", feed(declared).written())
+        chunk = b"1000\r\n" + b"a" * 4096 + b"\r\n"
+        chunked = POST + b"Transfer-Encoding: chunked\r\n\r\n" + 2 * chunk
+        self.assertIn(b" 413 ", feed(chunked).written())
+
+    def test_slow_head_is_refused_and_idle_connections_are_closed(self):
+        """Guards against connections held for ever, and closes while in use."""
+        self.assertIn(b" 408 ", feed(GET, wait_s=5.0).written())
+        harness = feed(GET + b"\r\n", wait_s=13.0)
+        self.assertFalse(harness.connection.transport.closed)
+        harness = feed(GET + b"\r\n", wait_s=20.0)
+        self.assertTrue(harness.connection.transport.closed)
+
+    def test_bodies_of_all_connections_share_a_budget(self):
+        """Guards against many large bodies that exhaust the process's memory."""
+
+        async def scenario():
+            harness = Harness(budget=3000)
+            head = POST + b"Content-Length: 4000\r\n\r\n"
+            first, second = harness.connection, harness.connect()
+            first.data_received(head + b"a" * 2000)
+            second.data_received(head + b"a" * 2000)
+            paused = (first.transport.reading, second.transport.reading)
+            first.connection_lost(None)
+            await asyncio.sleep(0)
+            return paused, second.transport.reading
+
+        paused, after = run_paused(scenario())
+        self.assertEqual((True, False), paused)
+        self.assertTrue(after)
+
+
+class ResponseTest(unittest.TestCase):
+    def test_caller_that_leaves_is_noticed_by_the_handler(self):
+        """Guards against engines that work for callers who left."""
+        outcome = []
+
+        async def stream(raw, responder):
+            responder.begin(200, ())
+            try:
+                while True:
+                    await responder.write(b"x")
+                    await asyncio.sleep(0.1)
+            except CallerGoneError:
+                outcome.append(asyncio.get_running_loop().time())
+
+        async def scenario():
+            harness = Harness(handler=stream)
+            harness.connection.data_received(GET + b"\r\n")
+            await asyncio.sleep(1.0)
+            harness.connection.connection_lost(None)
+            await asyncio.sleep(1.0)
+
+        run_paused(scenario())
+        self.assertLess(outcome[0], 1.2)
+
+    def test_slow_reader_pauses_its_stream(self):
+        """Guards against memory that grows with a caller that does not read."""
+        sent = []
+
+        async def stream(raw, responder):
+            responder.begin(200, ())
+            for number in range(5):
+                await responder.write(b"x")
+                sent.append(number)
+            responder.finish()
+
+        async def scenario():
+            harness = Harness(handler=stream)
+            harness.connection.pause_writing()
+            harness.connection.data_received(GET + b"\r\n")
+            await asyncio.sleep(1.0)
+            before = len(sent)
+            harness.connection.resume_writing()
+            await asyncio.sleep(1.0)
+            return before
+
+        self.assertEqual(0, run_paused(scenario()))
+        self.assertEqual(5, len(sent))
+
+    def test_cut_stream_has_no_end(self):
+        """Guards against an answer that ends early but looks complete."""
+
+        async def stream(raw, responder):
+            responder.begin(200, ())
+            await responder.write(b"x")
+            responder.cut()
+
+        harness = feed(GET + b"\r\n", handler=stream)
+        self.assertNotIn(b"0\r\n\r\n", harness.written())
+        self.assertTrue(harness.connection.transport.aborted)
+
+    def test_handler_that_fails_closes_the_connection(self):
+        """Guards against a caller that waits for an answer nobody writes."""
+
+        async def broken(raw, responder):
+            raise RuntimeError("fault of the test")
+
+        async def scenario():
+            asyncio.get_running_loop().set_exception_handler(lambda loop, c: None)
+            harness = Harness(handler=broken)
+            harness.connection.data_received(GET + b"\r\n")
+            await asyncio.sleep(0.1)
+            return harness
+
+        self.assertTrue(run_paused(scenario()).connection.transport.closed)
+
+    def test_draining_entry_answers_and_closes(self):
+        """Guards against callers that stay on an entry that leaves."""
+        harness = feed(GET + b"\r\n", closing=True)
+        self.assertIn(b"200 OK", harness.written())
+        self.assertIn(b"connection: close", harness.written())
+        self.assertTrue(harness.connection.transport.closed)
+
+    def test_old_protocol_gets_no_chunks(self):
+        """Guards against HTTP/1.0 callers that read chunk sizes as text."""
+
+        async def stream(raw, responder):
+            responder.begin(200, ())
+            await responder.write(b"hello")
+            responder.finish()
+
+        data = b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n"
+        text = feed(data, handler=stream).written()
+        self.assertTrue(text.endswith(b"\r\n\r\nhello"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/monsoontack/gateway/knowledge_test.py
@@ -0,0 +1,98 @@
+"""Tests of the configuration in force and of trust in old knowledge."""
+
+import unittest
+
+from monsoontack.core.errors import RequestError
+from monsoontack.gateway.knowledge import ConfigKnowledge
+from monsoontack.gateway.records import (
+    CallerRequest,
+    GatewayAccount,
+    GatewayConfig,
+    RawRequest,
+    RequestKind,
+)
+from monsoontack.gateway.routes import authorize, find_route
+from standins.gatewayparts import make_route
+
+
+def route(prefix, **changes):
+    return make_route(RequestKind.IDEMPOTENT, path_prefix=prefix, **changes)
+
+
+def config(version=1, routes=(), accounts=None):
+    return GatewayConfig(version, routes or (route("/p/"),), accounts=accounts)
+
+
+KEYED = {"key-1": GatewayAccount("shop")}
+
+
+def request(path="/p/x", key="key-1"):
+    raw = RawRequest(b"GET", path.encode(), (), b"", True, 0.0)
+    return CallerRequest(raw, "id", "h", path, (), key=key)
+
+
+class KnowledgeTest(unittest.TestCase):
+    def setUp(self):
+        self.time = 100.0
+        self.knowledge = ConfigKnowledge(5.0, boot=lambda: self.time)
+
+    def load(self, **options):
+        self.knowledge.apply(config(**options))
+        self.knowledge.confirm(self.time)
+
+    def ask(self, **options):
+        return authorize(self.knowledge, request(**options))
+
+    def test_configuration_never_goes_back(self):
+        """Guards against a late answer of the store that brings an older version."""
+        self.assertTrue(self.knowledge.apply(config(7)))
+        self.assertFalse(self.knowledge.apply(config(5)))
+        self.assertEqual(7, self.knowledge.config.version)
+
+    def test_keys_are_not_trusted_without_news(self):
+        """Guards against revoked keys at an entry that is cut off from the store."""
+        self.load(accounts=KEYED)
+        self.assertNotIsInstance(self.ask(), RequestError)
+        self.time += 3.1
+        refusal = self.ask()
+        self.assertEqual((503, "stale_config"), (refusal.status, refusal.code))
+        self.assertIsNotNone(refusal.retry_after_s)
+
+    def test_suspension_makes_knowledge_old(self):
+        """Guards against keys accepted after the VM was suspended.
+
+        The boot clock goes on during a suspension, the loop's clock does not.
+        """
+        self.load(accounts=KEYED)
+        self.time += 60
+        self.assertFalse(self.knowledge.may_trust_keys())
+
+    def test_requests_without_keys_are_served_by_old_knowledge(self):
+        """Guards against an outage of the store that stops routes without keys."""
+        self.load(routes=(route("/p/", anonymous=True),), accounts=KEYED)
+        self.time += 60
+        self.assertNotIsInstance(self.ask(key=None), RequestError)
+
+    def test_old_knowledge_denies_nothing(self):
+        """Guards against 401 and 404 for keys and routes that were added since."""
+        self.load(accounts=KEYED)
+        self.assertEqual(401, self.ask(key="other").status)
+        self.assertEqual(404, self.ask(path="/q/").status)
+        self.time += 2.6
+        self.assertEqual(503, self.ask(key="other").status)
+        self.assertEqual(503, self.ask(path="/q/").status)
+
+    def test_no_configuration_is_no_denial(self):
+        """Guards against 404 from an entry that has just started."""
+        self.assertEqual(503, self.ask().status)
+
+    def test_longest_prefix_wins(self):
+        """Guards against a general route that hides a special one."""
+        routes = (route("/a/", name="wide"), route("/a/b/", name="narrow"))
+        found = find_route(config(routes=routes), "h", "/a/b/c")
+        self.assertEqual("narrow", found.name)
+        self.assertIsNone(find_route(config(routes=routes), "other", "/a/b/c"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/monsoontack/rollout/order.py
+++ b/monsoontack/rollout/order.py
@@ -29,6 +29,10 @@
 CLEAR_FAILURES = 5
 CLEAR_RATIO = 3.0
 CLEAR_RATE = 0.15
+# Medians this many latency buckets apart (each 1.5 times the one before) differ at
+# least by a factor of 2.25; a bad version is several times slower.
+SLOW_BUCKETS = 3
+MIN_SLOW_ANSWERS = 8
 # Part of the time to the deadline after which a version without fault may take over.
 DECIDE_SHARE = 0.5
 # Answers of the new version needed for that, and on each busy route.
@@ -177,6 +181,9 @@
         if new.failures >= CLEAR_FAILURES and clear:
             where = f"route {route}" if route else "all routes"
             return f"{where}: {new.failures} of {new.requests} answers failed"
+        for name in ("first_token", "token_gap"):
+            if is_much_slower(getattr(old, name), getattr(new, name)):
+                return f"{route or 'all routes'}: {name} is several times slower"
     judge = Judge(OLD, target, look_threshold_for(LOOK_ALPHA))
     # The first pass takes the old version's medians, against which the second
     # compares the latencies.
@@ -186,6 +193,22 @@
     return finding.text if finding is not None else ""
 
 
+def is_much_slower(old: list[int], new: list[int]) -> bool:
+    """Whether the median of one latency histogram is far above that of another."""
+    if min(sum(old), sum(new)) < MIN_SLOW_ANSWERS:
+        return False
+    return _median_bucket(new) - _median_bucket(old) >= SLOW_BUCKETS
+
+
+def _median_bucket(histogram: list[int]) -> int:
+    half, below = sum(histogram) / 2, 0
+    for index, count in enumerate(histogram):
+        below += count
+        if below >= half:
+            return index
+    return len(histogram) - 1
+
+
 def has_enough(window: Window) -> bool:
     """Return whether the new version was seen on every busy route."""
     old_all, new_all = window[OVERALL]
--- /dev/null
+++ b/monsoontack/routing/placement_test.py
@@ -0,0 +1,95 @@
+"""Tests of where generations and the copies of their memory go."""
+
+import random
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from monsoontack.core.records import Place
+from monsoontack.routing.placement import (
+    EngineLoad,
+    PromptAffinity,
+    choose_backup,
+    choose_engine,
+)
+
+A, B, C = Place("a", "north"), Place("b", "north"), Place("c", "south")
+PLACES = (A, B, C)
+NEED = 9000
+
+
+def engines(count=9, **changes):
+    base = [
+        EngineLoad(f"e{n}", PLACES[n % 3], 0, 48, 0, 0, 88_000) for n in range(count)
+    ]
+    return [replace(engine, **changes) for engine in base]
+
+
+class PlacementTest(unittest.TestCase):
+    def choose(self, loads, seed=1, **options):
+        return choose_engine(loads, A, NEED, random.Random(seed), **options)
+
+    def test_prompts_that_wait_count(self):
+        """Pattern: long prompts queue up at an engine that has few requests."""
+        loads = engines(3)
+        loads[0] = replace(loads[0], waiting_tokens=16_000)
+        self.assertNotEqual("e0", self.choose(loads).key)
+
+    def test_full_memory_is_avoided(self):
+        """Pattern: long answers fill the memory, and runs are preempted."""
+        loads = engines(3)
+        loads[0] = replace(loads[0], held_tokens=80_000)
+        loads[1] = replace(loads[1], held_tokens=80_000)
+        self.assertEqual("e2", self.choose(loads).key)
+
+    def test_fallen_domain_is_used_last(self):
+        """Pattern: a failure domain falls while its engines are still listed."""
+        loads = [replace(e, doubtful=e.place == A) for e in engines()]
+        chosen = {self.choose(loads, seed).place for seed in range(30)}
+        self.assertNotIn(A, chosen)
+
+    def test_burst_spreads_over_engines(self):
+        """Pattern: a burst of prompts within one second, from one entry."""
+        loads = {e.key: e for e in engines(9)}
+        counts = Counter()
+        rng = random.Random(3)
+        for number in range(45):
+            affinity = PromptAffinity(f"p{number}", 8000)
+            chosen = choose_engine(list(loads.values()), A, NEED, rng, affinity)
+            counts[chosen.key] += 1
+            waiting = chosen.waiting_tokens + 8000
+            loads[chosen.key] = replace(chosen, waiting_tokens=waiting)
+        self.assertEqual(9, len(counts))
+        self.assertLessEqual(max(counts.values()), 7)
+
+    def test_entries_agree_on_the_engine_of_a_prompt(self):
+        """Pattern: callers come back through another entry after a loss."""
+        affinity = PromptAffinity("part-9", 8000)
+        loads = [replace(e, place=A) for e in engines()]
+        chosen = {self.choose(loads, seed, affinity=affinity).key for seed in range(30)}
+        self.assertEqual(1, len(chosen))
+
+    def test_hot_key_stays_where_it_was_read_until_that_engine_is_busy(self):
+        """Pattern: one key gets much of the traffic."""
+        affinity = PromptAffinity("hot", 8000, known="e4")
+        loads = engines()
+        self.assertEqual("e4", self.choose(loads, affinity=affinity).key)
+        loads[4] = replace(loads[4], waiting_tokens=30_000)
+        self.assertNotEqual("e4", self.choose(loads, affinity=affinity).key)
+
+    def test_copy_leaves_the_failure_domain_and_avoids_the_fallen(self):
+        """Guards against a copy that falls with its run, or goes to a dead engine."""
+        loads = [replace(e, doubtful=e.place == B) for e in engines()]
+        for seed in range(20):
+            kept = choose_backup(loads, loads[0], NEED, random.Random(seed))
+            self.assertEqual(C, kept.place)
+
+    def test_copy_within_the_domain_if_there_is_no_other(self):
+        """Guards against runs without a copy while one domain is left."""
+        loads = [e for e in engines() if e.place == A]
+        kept = choose_backup(loads, loads[0], NEED, random.Random(1))
+        self.assertNotEqual(loads[0].key, kept.key)
+
+
+if __name__ == "__main__":
+    unittest.main()
