--- /dev/null
+++ b/monsoontack/gateway/relay_test.py
@@ -0,0 +1,140 @@
+"""Tests of reading the store through peers, over loopback sockets."""
+
+import asyncio
+import time
+import unittest
+
+from returns.result import Failure, Success
+
+from monsoontack.gateway.daemon import no_answer_id, no_keep_alive
+from monsoontack.gateway.inbound import BodyBudget, InboundServer
+from monsoontack.gateway.pool import ConnectionPool
+from monsoontack.gateway.records import CallerLimits
+from monsoontack.gateway.relay import PeerEntry, RelayedStore, RelayServer
+from monsoontack.store.api import (
+    HistoryGone,
+    KindChanges,
+    KindList,
+    KindObject,
+    Unavailable,
+)
+from monsoontack.store.cache import KindCache
+from monsoontack.store.feed_test import Recorder
+
+DOWN = Failure(Unavailable("k", "down"))
+
+
+class CountingStore:
+    """Kind store that counts its calls and gives a fixed answer."""
+
+    def __init__(self, listed=DOWN, watched=DOWN):
+        self.listed, self.watched, self.calls = listed, watched, 0
+
+    async def list_kind(self, kind):
+        self.calls += 1
+        return self.listed
+
+    async def watch_kind(self, kind, revision, wait_s):
+        self.calls += 1
+        return self.watched
+
+
+LISTED = Success(KindList((), 5))
+WATCHED = Success(KindChanges((), 5, 0.5))
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """`first` and `last` are the names by rank of the entries of a region."""
+
+    async def asyncSetUp(self):
+        self.cache = KindCache(Recorder())
+        relay = RelayServer({"k": self.cache})
+        limits = CallerLimits()
+        server = InboundServer(relay.handle, lambda: limits, BodyBudget(10**6))
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(server.make_connection, "127.0.0.1", 0)
+        port = self.listener.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self.pool = ConnectionPool(no_answer_id, no_keep_alive)
+
+    async def asyncTearDown(self):
+        self.listener.close()
+        self.pool.close()
+
+    def relayed(self, store, own_first=False):
+        """Return the store of an entry that ranks after its peer, or before it."""
+        for number in range(1000):
+            name, peer = f"own-{number}", f"peer-{number}"
+            found = RelayedStore(name, "north", store, 1.0, self.pool)
+            found.peers = {peer: PeerEntry(peer, "north", self.address)}
+            if bool(found._peers(True)) is not own_first:
+                return found
+        raise AssertionError("no such names")
+
+    def load(self, age_s=0.1):
+        self.cache.replace_all((KindObject("a", 5, {"x": 1}, None),), 5)
+        self.cache.confirmed(time.clock_gettime(time.CLOCK_BOOTTIME) - age_s)
+
+    async def test_fresh_peer_spares_the_store(self):
+        """Guards against each entry paying for the same reads."""
+        self.load()
+        store = CountingStore()
+        result = await self.relayed(store).list_kind("k")
+        self.assertEqual("a", result.unwrap().objects[0].name)
+        self.assertLess(result.unwrap().confirmed_after_s, -0.09)
+        self.assertEqual(0, store.calls)
+
+    async def test_peer_with_old_knowledge_is_not_believed(self):
+        """Guards against keys kept alive by a peer that lost the store."""
+        self.load(age_s=4.0)
+        store = CountingStore(LISTED, WATCHED)
+        relayed = self.relayed(store)
+        self.assertEqual(5, (await relayed.list_kind("k")).unwrap().revision)
+        self.assertEqual(1, store.calls)
+        await relayed.watch_kind("k", 5, 1.0)
+        self.assertEqual(2, store.calls)
+
+    async def test_first_entry_reads_the_store_itself(self):
+        """Guards against entries that all wait for each other."""
+        self.load()
+        store = CountingStore(LISTED)
+        await self.relayed(store, own_first=True).list_kind("k")
+        self.assertEqual(1, store.calls)
+
+    async def test_entry_that_the_store_turns_away_asks_later_peers(self):
+        """Guards against an entry without news although a peer has them."""
+        self.load()
+        store = CountingStore()
+        relayed = self.relayed(store, own_first=True)
+        result = await relayed.list_kind("k")
+        self.assertEqual(1, len(result.unwrap().objects))
+
+    async def test_silent_peer_and_store_end_in_an_error(self):
+        """Guards against a wait without end."""
+        store = CountingStore()
+        relayed = self.relayed(store)
+        self.listener.close()
+        await self.listener.wait_closed()
+        result = await relayed.list_kind("k")
+        self.assertIsInstance(result.failure(), Unavailable)
+
+    async def test_change_reaches_a_waiting_reader(self):
+        """Guards against news that wait for the next poll."""
+        self.load()
+        relayed = self.relayed(CountingStore())
+        task = asyncio.ensure_future(relayed.watch_kind("k", 5, 1.0))
+        await asyncio.sleep(0.05)
+        self.cache.changed(KindObject("b", 8, {"x": 2}, None))
+        changes = (await task).unwrap()
+        self.assertEqual(["b"], [c.object.name for c in changes.changes])
+        self.assertEqual(8, changes.revision)
+
+    async def test_reader_behind_the_history_lists_anew(self):
+        """Guards against a reader that never learns of dropped changes."""
+        self.load()
+        result = await self.relayed(CountingStore()).watch_kind("k", 2, 1.0)
+        self.assertIsInstance(result.failure(), HistoryGone)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/monsoontack/platform/objects_test.py
@@ -0,0 +1,151 @@
+"""Tests of objects that operators, servers and others write."""
+
+import unittest
+
+from monsoontack.gateway.records import RequestKind
+from monsoontack.platform.objects import (
+    decode_config,
+    decode_order,
+    decode_server,
+    encode_status,
+)
+from monsoontack.rollout.order import Phase
+from monsoontack.store.api import KindObject
+
+REGIONS = {"a": "north"}
+SERVER = {
+    "service": "s",
+    "address": "10.0.0.9:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seqno": 4,
+}
+ROUTE = {
+    "name": "r",
+    "hostname": "H.Example",
+    "path_prefix": "/p/",
+    "kind": "stream",
+    "timeout_ms": 25000,
+    "slo_ms": 4500,
+    "priority": 1,
+    "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+    "attempts": 5,
+    "anonymous": False,
+    "resumable": True,
+    "itl_target_ms": 700,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {
+            "name": "s",
+            "health_path": "/h",
+            "max_conns": 300,
+            "backend": {"slots": 48, "kv_capacity": 88000, "backups": True},
+        },
+        {"name": "t", "max_conns": 110},
+    ],
+    "limits": {"max_header_bytes": 100, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "shop", "api_keys": ["k1", "k2"], "priority": 0}],
+}
+
+
+class ConfigTest(unittest.TestCase):
+    def test_whole_configuration(self):
+        """Guards against units and names that change their meaning on the way."""
+        config = decode_config(CONFIG)
+        route = config.routes[0]
+        self.assertEqual((25.0, 4.5, 0.7), times(route))
+        self.assertEqual(RequestKind.STREAM, route.kind)
+        self.assertTrue(route.is_repeatable)
+        self.assertEqual("h.example", route.host)
+        self.assertEqual([("s", 90.0), ("t", 10.0)], targets(route))
+        self.assertEqual(88000, config.services["s"].engine.memory_tokens)
+        self.assertIsNone(config.services["t"].engine)
+        self.assertEqual("shop", config.accounts["k2"].name)
+        self.assertEqual(100, config.limits.header_bytes)
+
+    def test_configuration_without_accounts_needs_no_key(self):
+        """Guards against keys that are asked for where there are none."""
+        spec = {k: v for k, v in CONFIG.items() if k != "tenants"}
+        self.assertIsNone(decode_config(spec).accounts)
+
+    def test_unreadable_configuration_changes_nothing(self):
+        """Guards against a configuration in force that lost a part."""
+        for change in ({"routes": None}, {"version": "x"}, {"services": [1]}):
+            with self.subTest(change):
+                self.assertIsNone(decode_config(CONFIG | change))
+        self.assertIsNone(decode_config(None))
+        kindless = CONFIG | {"routes": [ROUTE | {"kind": "other"}]}
+        self.assertIsNone(decode_config(kindless))
+
+
+def times(route):
+    return route.timeout_s, route.objective_s, route.max_gap_s
+
+
+def targets(route):
+    return [(target.service, target.weight) for target in route.targets]
+
+
+class ServerTest(unittest.TestCase):
+    def test_ready_and_draining(self):
+        """Guards against leaving servers that are taken for ready ones."""
+        server, leaves = decode_server("i-1", SERVER, REGIONS)
+        self.assertEqual(("10.0.0.9:80", "i-1", "north"), identity(server))
+        self.assertFalse(leaves)
+        self.assertTrue(
+            decode_server("i-1", SERVER | {"state": "draining"}, REGIONS)[1]
+        )
+
+    def test_entries_of_other_writers_name_no_server(self):
+        """Guards against a crash, or requests to nowhere, by a spoiled entry."""
+        spoiled = (
+            None,
+            "text",
+            [],
+            {},
+            SERVER | {"slots": "4"},
+            SERVER | {"state": "sleeping"},
+            SERVER | {"zone": "elsewhere"},
+            SERVER | {"address": "nowhere"},
+            SERVER | {"address": "10.0.0.1:99999"},
+            {k: v for k, v in SERVER.items() if k != "service"},
+        )
+        for spec in spoiled:
+            with self.subTest(spec):
+                self.assertIsNone(decode_server("i-1", spec, REGIONS))
+
+
+def identity(server):
+    return server.address, server.incarnation, server.place.region
+
+
+class OrderTest(unittest.TestCase):
+    def order(self, status):
+        spec = {"service": "s", "target": "v2", "over_s": 12}
+        return decode_order(KindObject("s", 9, spec, status)).order
+
+    def test_phase_survives_in_the_status(self):
+        """Guards against a move that starts over when its holder dies."""
+        for phase in Phase:
+            with self.subTest(phase):
+                order = self.order(encode_status(self.order(None), phase))
+                self.assertEqual(phase, order.phase)
+
+    def test_status_of_another_target_is_old(self):
+        """Guards against a new order that inherits the end of the last one."""
+        old = {"state": "reverted", "target": "v1", "phase": "reverted"}
+        self.assertEqual(Phase.CANARY, self.order(old).phase)
+
+    def test_unreadable_order(self):
+        """Guards against a crash by an order that lacks a field."""
+        self.assertIsNone(decode_order(KindObject("s", 9, {"target": 1}, None)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/monsoontack/platform/wire_test.py
@@ -0,0 +1,153 @@
+"""Tests of the headers between callers, gateway and backend servers."""
+
+import unittest
+
+from monsoontack.core.errors import RequestError
+from monsoontack.gateway.records import Attempt, MemoryCopy, RawRequest
+from monsoontack.platform.wire import PlatformWire, keep_alive_s
+from standins.gatewayparts import make_server
+
+ID = (b"x-monsoontack-request-id", b"r1")
+HOST = (b"host", b"H.example:8080")
+WIRE = PlatformWire()
+
+
+def read(*headers, target=b"/a/b?c=1", method=b"POST", body=b"xy"):
+    raw = RawRequest(method, target, (HOST, ID, *headers), body, True, 0.0)
+    return WIRE.read_request(raw)
+
+
+def sent(request, **options):
+    """Return the lines of the request for a server, without the first."""
+    attempt = Attempt(make_server("i-1"), left_s=1.2345, **options)
+    head = WIRE.write_attempt(request, attempt)
+    assert head.endswith(b"\r\n\r\n")
+    return head[:-4].split(b"\r\n")
+
+
+class RequestTest(unittest.TestCase):
+    def test_fields_of_a_generation(self):
+        """Guards against figures that are read from the wrong header."""
+        found = read(
+            (b"x-monsoontack-token-usage", b"1460,80"),
+            (b"x-monsoontack-prefix-hash", b"5c1e07a2:800,91bd:410"),
+            (b"x-monsoontack-deadline-ms", b"25000"),
+            (b"x-monsoontack-length-hint", b"70"),
+            (b"authorization", b"Token key-1"),
+            (b"last-event-id", b"12"),
+        )
+        self.assertEqual((1460, 80, 70), found_tokens(found))
+        self.assertEqual(("91bd", 410), (found.parts[1].part, found.parts[1].tokens))
+        self.assertEqual((25.0, "key-1", "12"), found_rest(found))
+        self.assertEqual(("h.example", "/a/b"), (found.host, found.path))
+
+    def test_callers_cannot_set_what_is_the_systems(self):
+        """Guards against callers that name their account or reserve memory."""
+        names = (
+            b"x-monsoontack-tenant",
+            b"x-monsoontack-expect-instance",
+            b"x-monsoontack-expect-version",
+            b"x-monsoontack-request-priority",
+            b"x-monsoontack-kv-backup",
+            b"x-monsoontack-retain",
+            b"x-monsoontack-pin-ms",
+            b"kv-from",
+            b"kv-fetch",
+            b"authorization",
+            b"transfer-encoding",
+            b"keep-alive",
+        )
+        lines = sent(read(*((name, b"evil") for name in names)))
+        self.assertFalse([line for line in lines if b"evil" in line])
+
+    def test_connection_header_cannot_remove_what_identifies_a_request(self):
+        """Guards against a request that reaches the server without its figures."""
+        usage = (b"x-monsoontack-token-usage", b"10,2")
+        named = b"X-Monsoontack-Token-Usage, X-Monsoontack-Request-Id, X-Own"
+        own = (b"x-own", b"1")
+        lines = sent(read(usage, own, (b"connection", named)))
+        self.assertIn(b"x-monsoontack-token-usage: 10,2", lines)
+        self.assertIn(b"x-monsoontack-request-id: r1", lines)
+        self.assertNotIn(b"x-own: 1", lines)
+
+    def test_malformed_requests(self):
+        """Guards against requests that two readers understand differently."""
+        bad = {
+            "id twice": (ID,),
+            "deadline twice": ((b"x-monsoontack-deadline-ms", b"5"),) * 2,
+            "deadline not a number": ((b"x-monsoontack-deadline-ms", b"nan"),),
+            "usage not numbers": ((b"x-monsoontack-token-usage", b"a,b"),),
+            "negative usage": ((b"x-monsoontack-token-usage", b"-1,2"),),
+            "part without tokens": ((b"x-monsoontack-prefix-hash", b"ab"),),
+        }
+        for name, headers in bad.items():
+            with self.subTest(name):
+                found = read(*headers)
+                self.assertIsInstance(found, RequestError)
+                self.assertEqual(400, found.status)
+        self.assertIsInstance(read(target=b"http://h/a"), RequestError)
+
+    def test_attempt_says_what_is_left_and_where(self):
+        """Guards against engines that work past the caller's deadline."""
+        request = read((b"x-monsoontack-deadline-ms", b"9000"), (b"x-a", b"b"))
+        copy = MemoryCopy("10.0.0.2:80", "r1")
+        lines = sent(
+            request,
+            account="shop",
+            priority=17,
+            backup="10.0.0.3:80",
+            copy=copy,
+            last_event_id="4",
+        )
+        self.assertEqual(b"POST /a/b?c=1 HTTP/1.1", lines[0])
+        for line in (
+            b"x-monsoontack-deadline-ms: 1234",
+            b"x-monsoontack-expect-instance: i-1",
+            b"x-monsoontack-tenant: shop",
+            b"x-monsoontack-request-priority: 9",
+            b"x-monsoontack-kv-backup: 10.0.0.3:80",
+            b"kv-from: 10.0.0.2:80/r1",
+            b"last-event-id: 4",
+            b"content-length: 2",
+            b"x-a: b",
+        ):
+            self.assertIn(line, lines)
+        self.assertEqual(1, sum(b"deadline" in line for line in lines))
+
+
+def found_tokens(found):
+    return found.prompt_tokens, found.output_tokens, found.output_hint
+
+
+def found_rest(found):
+    return found.deadline_s, found.key, found.last_event_id
+
+
+class AnswerTest(unittest.TestCase):
+    def test_only_the_servers_word_means_not_run(self):
+        """Guards against a repeat of a call that a server's 503 may have run."""
+        mark = (b"x-monsoontack-not-executed", b"1")
+        self.assertTrue(WIRE.read_answer(503, (mark,)).not_run)
+        self.assertTrue(WIRE.read_answer(421, ()).not_run)
+        self.assertFalse(WIRE.read_answer(503, ()).not_run)
+
+    def test_answer_goes_on_without_the_headers_of_its_connection(self):
+        """Guards against two framings of one answer, and a lost signature."""
+        stamp = (b"x-monsoontack-origin-stamp", b"s")
+        headers = (stamp, (b"content-length", b"5"), (b"connection", b"close"))
+        found = WIRE.read_answer(200, headers)
+        self.assertEqual((stamp,), found.forwarded)
+        self.assertTrue(found.signed)
+        coded = ((b"content-encoding", b"gzip"),)
+        self.assertTrue(WIRE.read_answer(200, coded).encoded)
+
+    def test_keep_alive(self):
+        """Guards against connections used after the server closed them."""
+        found = keep_alive_s(((b"keep-alive", b"timeout=5, max=100"),))
+        self.assertEqual(5.0, found)
+        self.assertIsNone(keep_alive_s(()))
+        self.assertIsNone(keep_alive_s(((b"keep-alive", b"timeout=x"),)))
+
+
+if __name__ == "__main__":
+    unittest.main()
