--- a/monsoontack/cli/main.py
+++ b/monsoontack/cli/main.py
@@ -5,8 +5,10 @@
 from monsoontack.cli.agent import AgentCommand
 from monsoontack.cli.apply import ApplyCommand
 from monsoontack.cli.check import CheckCommand
+from monsoontack.cli.checkplatform import CheckPlatformCommand
 from monsoontack.cli.dump import DumpCommand
 from monsoontack.cli.entry import EntryCommand
+from monsoontack.cli.explain import ExplainCommand
 from monsoontack.cli.generate import GenerateCommand
 from monsoontack.cli.get import GetCommand
 from monsoontack.cli.status import StatusCommand
@@ -15,8 +17,10 @@
     AgentCommand,
     ApplyCommand,
     CheckCommand,
+    CheckPlatformCommand,
     DumpCommand,
     EntryCommand,
+    ExplainCommand,
     GenerateCommand,
     GetCommand,
     StatusCommand,
--- /dev/null
+++ b/monsoontack/gateway/explain_test.py
@@ -0,0 +1,110 @@
+"""Tests of explaining a request from logs."""
+
+import json
+import unittest
+
+from monsoontack.gateway.explain import explain, parse_lines
+
+
+def line(second, event, process="edge-1", prefix="", **fields):
+    at = f"2026-12-04T05:00:{second:06.3f}Z"
+    document = {"event": event, "process": process, "timestamp": at, **fields}
+    return prefix + json.dumps(document)
+
+
+def ended(request, outcome, tries, **fields):
+    base = {
+        "request": request,
+        "route": "r",
+        "kind": "stream",
+        "account": "shop",
+        "service": "s",
+        "outcome": outcome,
+        "status": 0,
+        "took_s": 3.0,
+        "first_event_s": None,
+        "worst_gap_s": 0.0,
+        "tries": tries,
+        "config_version": 7,
+        "config_age_s": 0.4,
+    }
+    return base | fields
+
+
+class ExplainTest(unittest.TestCase):
+    def explain(self, request, *texts):
+        return explain(request, parse_lines(texts))
+
+    def test_refusal_names_the_lost_store(self):
+        """Guards against a refusal whose cause stands in another line."""
+        found = self.explain(
+            "r1",
+            line(1, "store lost", feed="config", reason="connect: timeout"),
+            line(2, "store lost", process="edge-2", feed="config", reason="other"),
+            line(
+                5,
+                "request refused",
+                request="r1",
+                status=503,
+                code="stale_config",
+                message="m",
+                retry_after_s=0.05,
+                config_version=7,
+                config_age_s=3.2,
+            ),
+        )
+        self.assertIn("connect: timeout", found.cause)
+        self.assertIn("confirmed 3.2 s before", "\n".join(found.lines()))
+
+    def test_cut_stream_tells_of_its_losses(self):
+        """Guards against a cut without the engines that broke off."""
+        lost = {
+            "server": "i-1",
+            "reason": "reset",
+            "events": 9,
+            "copy": None,
+            "next": "end",
+            "left_s": 4.0,
+            "budget_left": 0.4,
+        }
+        tries = [["i-1", 0.0, 3.0, "reset"]]
+        found = self.explain(
+            "r1",
+            line(4, "request ended", **ended("r1", "stream_cut", tries)),
+            line(3, "stream lost its engine", request="r1", **lost),
+        )
+        self.assertIn("i-1", found.cause)
+        self.assertIn("retry budget was used up", found.cause)
+
+    def test_servers_own_error_is_told_from_ours(self):
+        """Guards against blaming the entry for a server's 500."""
+        tries = [["i-1", 0.0, 0.1, "500"], ["i-2", 0.1, 0.2, "500"]]
+        fields = ended("r1", "answered", tries, status=500)
+        found = self.explain("r1", line(4, "request ended", **fields))
+        self.assertIn("itself answered 500", found.cause)
+
+    def test_request_of_an_entry_that_died(self):
+        """Guards against silence about a request without a last line."""
+        lost = {
+            "server": "i-1",
+            "reason": "silent",
+            "events": 1,
+            "next": "restart",
+            "left_s": 9.0,
+        }
+        text = line(3, "stream lost its engine", request="r1", **lost)
+        self.assertIn("entry ended", self.explain("r1", text).cause)
+
+    def test_other_text_and_unknown_ids(self):
+        """Guards against a crash by lines of other programs."""
+        texts = ("", "{broken", "[1]", '{"event": 1}', "-1.5 edge-1 plain text")
+        found = self.explain("r1", *texts)
+        self.assertFalse(found.found)
+        tries = [["i-1", 0.0, 1.0, "complete"]]
+        fields = ended("r2", "streamed", tries, status=200)
+        good = line(4, "request ended", prefix="  4.0 edge-1 ", **fields)
+        self.assertEqual("the stream was whole", self.explain("r2", good).cause)
+
+
+if __name__ == "__main__":
+    unittest.main()
