--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -23,7 +23,12 @@
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.ports import WireFormat
 from monsoontack.gateway.records import CallerLimits, GatewayConfig, Headers, RawRequest
-from monsoontack.gateway.relay import PeerEntry, RelayedStore, RelayServer
+from monsoontack.gateway.relay import (
+    PeerEntry,
+    RelayedStore,
+    RelayServer,
+    StorePause,
+)
 from monsoontack.gateway.rollouts import RolloutDesk, StatusStore
 from monsoontack.gateway.sender import Sender
 from monsoontack.gateway.streams import StreamForwarder
@@ -99,6 +104,7 @@
     feeds: list[KindFeed] = field(default_factory=list)
     relay: RelayServer = field(default_factory=RelayServer)
     relayed: list[RelayedStore] = field(default_factory=list)
+    store_pause: StorePause = field(default_factory=StorePause)
     peer_pool: ConnectionPool = field(
         default_factory=lambda: ConnectionPool(no_answer_id, no_keep_alive)
     )
@@ -153,6 +159,7 @@
         relayed = RelayedStore(
             settings.name, settings.place.region, store, DIRECT_WATCH_S, self.peer_pool
         )
+        relayed.pause = self.store_pause
         cache = KindCache(listener)
         self.relay.caches[kind] = cache
         self.relayed.append(relayed)
--- a/monsoontack/gateway/relay.py
+++ b/monsoontack/gateway/relay.py
@@ -47,8 +47,9 @@
 # A peer that failed is not asked again for this time.
 PEER_PAUSE_S = 4.0
 MAX_ANSWER_BYTES = 64_000_000
-# An entry that the store fails reads through its peers for this time.
-STORE_PAUSE_S = 1.5
+# An entry that the store fails reads through its peers for this time; it holds for
+# all its feeds, so that an outage costs few calls and its end is noticed soon.
+STORE_PAUSE_S = 0.5
 GONE = 410
 PATH = b"/feeds/"
 
@@ -117,11 +118,19 @@
     return [item.name, item.revision, item.spec, item.status]
 
 
+@dataclass(slots=True)
+class StorePause:
+    """Until when an entry does not ask the store itself (loop's time)."""
+
+    until: float = 0.0
+
+
 @dataclass(slots=True)
 class RelayedStore:
     """`KindStore` that asks peers first and the store itself otherwise.
 
-    `direct_wait_s` bounds a watch of the store. `by_peer` and `by_store` count
+    `direct_wait_s` bounds a watch of the store, `pause` is shared by the feeds of
+    one entry. `by_peer` and `by_store` count
     the calls that were answered by each.
     """
 
@@ -133,7 +142,7 @@
     peers: dict[str, PeerEntry] = field(default_factory=dict)
     paused_until: dict[str, float] = field(default_factory=dict)
     now: Callable[[], float] = lambda: asyncio.get_running_loop().time()
-    store_paused_until: float = 0.0
+    pause: StorePause = field(default_factory=StorePause)
     by_peer: int = 0
     by_store: int = 0
 
@@ -172,14 +181,15 @@
         """Ask earlier peers, then the store, then later peers."""
         found = await self._ask_all(self._peers(True), kind, query, timeout_s)
         result = Failure(Unavailable(kind, "the store failed a moment ago"))
-        if found is None and self.now() >= self.store_paused_until:
+        if found is None and self.now() >= self.pause.until:
             self.by_store += 1
             result = await read_store()
             if isinstance(result, Success):
+                self.pause.until = 0.0
                 return result
             if isinstance(result.failure(), HistoryGone):
                 return result
-            self.store_paused_until = self.now() + STORE_PAUSE_S
+            self.pause.until = self.now() + STORE_PAUSE_S
         if found is None:
             found = await self._ask_all(self._peers(False), kind, query, timeout_s)
         if found is None:
--- a/monsoontack/platform/store.py
+++ b/monsoontack/platform/store.py
@@ -15,7 +15,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from monsoontack.gateway.outbound import Exchange, ExchangeFailure
+from monsoontack.gateway.outbound import Exchange, ExchangeFailure, FailureKind
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.platform.wire import keep_alive_s
 from monsoontack.store.api import (
@@ -224,8 +224,8 @@
     while not exchange.over or exchange.parts:
         left_s = until - loop.time()
         if left_s <= 0 or size > MAX_ANSWER_BYTES:
-            exchange.abort()
-            break
+            detail = "no whole answer in time"
+            return ExchangeFailure(FailureKind.SILENT, True, detail)
         await exchange.wait(left_s)
         parts.append(exchange.take())
         size += len(parts[-1])
