--- a/monsoontack/gateway/knowledge.py
+++ b/monsoontack/gateway/knowledge.py
@@ -17,8 +17,9 @@
 log = structlog.get_logger("gateway.knowledge")
 
 # Share of the revocation bound for which unconfirmed keys are still accepted. The
-# rest covers a watch that misses changes for a second and the request's own way.
-KEY_TRUST_SHARE = 0.6
+# rest, 1.5 s of 5 s, covers a watch that misses changes for a second. At 0.6,
+# requests were refused up to a second before an outage had to be noticed.
+KEY_TRUST_SHARE = 0.7
 # A denial (unknown key, unknown route) needs fresher knowledge than service: an
 # unchanged configuration is confirmed every 1.4 s.
 DENIAL_TRUST_S = 2.4
