--- a/tests/docs_test.py
+++ b/tests/docs_test.py
@@ -9,10 +9,13 @@
 from functools import cache
 from pathlib import Path
 
+from prometheus_client import Counter
+
 from monsoontack.agent.core import METRICS_PREFIX as AGENT_PREFIX
 from monsoontack.config import objects
 from monsoontack.config.operator import check_files
 from monsoontack.entry.daemon import METRICS_PREFIX as ENTRY_PREFIX
+from monsoontack.gateway.metrics import GatewayMetrics
 from monsoontack.ledger.answers import FOUND, NOT_RUN_MESSAGES
 from monsoontack.settings import models
 
@@ -107,6 +110,28 @@
     }
 
 
+def metrics_pages() -> tuple[str, str]:
+    """Return the page's parts on statsd and on gateways."""
+    page = (ROOT / "docs" / "metrics.md").read_text()
+    statsd, _, gateway = page.partition("## Gateway")
+    return statsd, gateway
+
+
+def gateway_metrics() -> set[str]:
+    """Return the names and labels of all metrics that a gateway registers."""
+    created = GatewayMetrics.create()
+    names = set()
+    for name in GatewayMetrics.__dataclass_fields__:
+        metric = getattr(created, name)
+        if name == "registry":
+            continue
+        found = next(iter(metric.describe())).name
+        suffix = "_total" if isinstance(metric, Counter) else ""
+        labels = ",".join(metric._labelnames)
+        names.add(found + suffix + (f"{{{labels}}}" if labels else ""))
+    return names
+
+
 def json_blocks(page: str) -> list[str]:
     return re.findall(r"```json\n(.*?)```", (PAGES / page).read_text(), re.DOTALL)
 
@@ -133,13 +158,21 @@
 
     def test_every_metric_is_listed(self):
         """Guards against a statsd name that the page lacks."""
-        page = (ROOT / "docs" / "metrics.md").read_text()
+        page, _ = metrics_pages()
         used = sorted(metrics_in_code())
         self.assertEqual([], [p for p in used if not re.search(p, page)])
         listed = re.findall(r"^\| (`[^`]+`) \|", page, re.MULTILINE)
         old = [n for n in listed if not any(re.fullmatch(p, n) for p in used)]
         self.assertEqual([], old)
 
+    def test_every_metric_of_a_gateway_is_listed(self):
+        """Guards against a Prometheus name, or label, that the page lacks."""
+        _, page = metrics_pages()
+        listed = set(
+            re.findall(r"^\| `([a-z_]+(?:\{[a-z,]+\})?)` \|", page, re.MULTILINE)
+        )
+        self.assertEqual(gateway_metrics(), listed)
+
     def test_object_examples_are_accepted(self):
         """Guards against examples that `check` refuses."""
         blocks = json_blocks("objects.md")
