--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: setup test demo lint format proto bench capacity binary golden
+.PHONY: setup test demo lint format proto bench capacity binary golden soak
 
 setup: $(STAMP)
 
@@ -38,6 +38,9 @@
 capacity: setup
 	$(PY) -m bench.capacity
 
+soak: setup
+	$(PY) -m soak.main $(SOAK)
+
 binary: setup
 	$(PY) -m tools.build_binary
 	$(PY) -m tools.check_binary
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of gateways as real processes."""
--- /dev/null
+++ b/soak/main.py
@@ -0,0 +1,36 @@
+"""Soak by hand: `python -m soak.main --seeds 50 --first 1 --seconds 20`."""
+
+import argparse
+import asyncio
+import json
+import sys
+
+from soak.run import run_seed
+
+
+def main() -> int:
+    """Run seeds one after the other; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=5, help="how many seeds")
+    parser.add_argument("--first", type=int, default=1, help="the first seed")
+    parser.add_argument("--seconds", type=float, default=20.0, help="faults, each seed")
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        result = asyncio.run(run_seed(seed, options.seconds))
+        failed += bool(result.broken or result.unserved)
+        row = {
+            "seed": seed,
+            "requests": result.requests,
+            "statuses": dict(sorted(result.statuses.items())),
+            "faults": dict(result.faults),
+            "broken": result.broken,
+            "unserved": result.unserved,
+        }
+        print(json.dumps(row), flush=True)
+    print(f"{options.seeds - failed} of {options.seeds} seeds kept every promise")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -93,7 +93,8 @@
             await self._stream(headers, responder, answer)
         else:
             await asyncio.sleep(self.work_s)
-            responder.send(200, answer, b"done by " + self.name.encode())
+            text = b"done by " + self.name.encode() + b" for " + request_id
+            responder.send(200, answer, text)
 
     async def _stream(self, headers: dict, responder: Responder, answer) -> None:
         start = int(headers.get(b"last-event-id", b"0")) + 1
--- a/standins/gatewayprocess.py
+++ b/standins/gatewayprocess.py
@@ -126,26 +126,41 @@
                 await found.close()
 
     @classmethod
-    def write_settings(cls, store, engines, folder: Path, memory_mb: int):
-        """Write the settings file for free ports."""
+    def write_settings(
+        cls,
+        store: KindStoreStandIn,
+        engines: dict[str, DirectEngine],
+        folder: Path,
+        memory_mb: int,
+        name: str = "gateway-1",
+        store_address: str | None = None,
+    ) -> "GatewayProcess":
+        """Write the settings file of a gateway for free ports."""
         ports = PortBlock()
         front, ready, first, second = (ports.take() for _ in range(4))
         text = SETTINGS.format(
-            name="gateway-1",
+            name=name,
             port=first,
             last=second,
             front=front,
             ready=ready,
             memory_mb=memory_mb,
-            store=store.address,
+            store=store_address or store.address,
         )
-        settings = folder / "node.toml"
+        settings = folder / f"{name}.toml"
         settings.write_text(text)
         addresses = (f"http://127.0.0.1:{port}" for port in (front, ready, first))
         return cls(store, engines, folder, settings, *addresses, ports=ports)
 
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
+        await self.spawn()
+        async with asyncio.timeout(START_S):
+            while not await self.is_ready():
+                await asyncio.sleep(0.05)
+
+    async def spawn(self) -> None:
+        """Start the process."""
         env = dict(os.environ, MONSOONTACK_BOOT=str(self.settings))
         env["PYTHONPATH"] = str(ROOT)
         self.process = await asyncio.create_subprocess_exec(
@@ -160,9 +175,6 @@
         if self.http is None:
             connector = aiohttp.TCPConnector(limit=0)
             self.http = aiohttp.ClientSession(connector=connector)
-        async with asyncio.timeout(START_S):
-            while not await self.is_ready():
-                await asyncio.sleep(0.05)
 
     async def _read_log(self) -> None:
         while line := await self.process.stdout.readline():
@@ -202,8 +214,8 @@
         """Send a signal to the gateway."""
         self.process.send_signal(number)
 
-    async def close(self) -> None:
-        """Stop everything that was started."""
+    async def stop(self) -> None:
+        """End the process and what belongs to it, but no stand-in."""
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal.SIGKILL)
             await self.process.wait()
@@ -211,7 +223,11 @@
             await self.reader
         if self.http is not None:
             await self.http.close()
+        self.ports.close()
+
+    async def close(self) -> None:
+        """Stop everything that was started."""
+        await self.stop()
         for engine in self.engines.values():
             await engine.close()
         await self.store.close()
-        self.ports.close()
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -32,7 +32,7 @@
         status, headers, body = await gateway.call("/once/a", "r1", data=b"x" * 50_000)
         self.assertEqual(200, status)
         name = headers["X-Monsoontack-Origin-Stamp"]
-        self.assertEqual(f"done by {name}".encode(), body)
+        self.assertEqual(f"done by {name} for r1".encode(), body)
         request_id, sent, received = gateway.engines[name].runs[0]
         self.assertEqual(("r1", b"x" * 50_000), (request_id, received))
         self.assertEqual(b"shop", sent[b"x-monsoontack-tenant"])
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -22,6 +22,7 @@
     "bench",
     "demo",
     "examples",
+    "soak",
     "tools",
     "tests",
 )
