Refuse requests that come just before the end of a drain

Calls within the last 1.5 s are refused as not run now, and written answers are flushed before the rest is cut. The test fails without the change.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -46,6 +46,8 @@
 # misses; until then connections are accepted while draining.
 UNREADY_SPREAD_S = 3.0
 DRAIN_CHECK_S = 0.05
+# Between closing connections whose answers were written and cutting the others.
+FLUSH_S = 0.1
 # Left of the grace period for cutting what still runs.
 CUT_MARGIN_S = 0.4
 TICK_S = 0.25
@@ -373,6 +375,8 @@
         for listener in self.listeners:
             listener.close()
         left = self.gateway.in_progress
+        self.front.close_idle()
+        await asyncio.sleep(FLUSH_S)
         self.front.abort_all()
         self.pool.close()
         log.info("drained", cut=left, took_s=round(self.gateway.now() - started, 2))
--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -15,7 +15,7 @@
     "unknown_key": "the key belonged to no account of the configuration in force",
     "unknown_route": "no route of the configuration in force matched",
     "not_ready": "the entry had no configuration yet (it had just started)",
-    "draining": "the entry was leaving and the stream would have been cut",
+    "draining": "the entry was leaving, and its end might have cut the request",
     "invalid": "the request was malformed",
 }
 OUTCOMES = {
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -14,7 +14,7 @@
 from monsoontack.gateway.knowledge import ConfigKnowledge
 from monsoontack.gateway.metrics import GatewayMetrics
 from monsoontack.gateway.ports import WireFormat
-from monsoontack.gateway.records import CallerRequest, RawRequest, RequestKind
+from monsoontack.gateway.records import CallerRequest, RawRequest, RequestKind, Route
 from monsoontack.gateway.routes import authorize, choose_target
 from monsoontack.gateway.streams import StreamForwarder
 
@@ -25,6 +25,9 @@
 ANSWER_MARGIN_S = 0.02
 # Streams vary in length; one that is this much longer than usual is rare.
 STREAM_TIME_FACTOR = 1.3
+# Calls that come this close to the end of a drain are refused. While all entries of
+# a failure domain drain, the balancer goes on sending to them until they end.
+DRAIN_CALL_S = 1.5
 
 
 @dataclass(slots=True)
@@ -58,7 +61,7 @@
             self._refuse(allowed, responder, request.request_id, allowed.code)
             return
         route, account = allowed
-        if route.kind is RequestKind.STREAM and self._ends_too_late(route.timeout_s):
+        if self._ends_too_late(route):
             self._refuse(self._leaving(), responder, request.request_id, "draining")
             return
         job = self._job(request, route, account, responder)
@@ -90,12 +93,14 @@
             config_age_s=self.knowledge.age_s(),
         )
 
-    def _ends_too_late(self, timeout_s: float) -> bool:
-        """Whether a new stream would probably be cut by the end of the drain."""
+    def _ends_too_late(self, route: Route) -> bool:
+        """Whether a new request might be cut by the end of the drain."""
         if self.leaves_at is None:
             return False
-        expected_s = min(self.streams.usual_s * STREAM_TIME_FACTOR, timeout_s)
-        return self.now() + expected_s > self.leaves_at
+        expected_s = DRAIN_CALL_S
+        if route.kind is RequestKind.STREAM:
+            expected_s = self.streams.usual_s * STREAM_TIME_FACTOR
+        return self.now() + min(expected_s, route.timeout_s) > self.leaves_at
 
     def _leaving(self) -> RequestError:
         message = "this entry is leaving; another one serves"
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -135,6 +135,25 @@
         async with asyncio.timeout(WAIT_S):
             self.assertEqual(0, await gateway.process.wait())
 
+    async def test_request_at_the_end_of_a_drain_is_refused_and_not_cut(self):
+        """Guards against requests that are taken just before the process ends.
+
+        Seen on a hunted day of zhol-kopiri (seed 214981837856): while all entries
+        drained, the balancer went on sending to them.
+        """
+        gateway = await self.start()
+        for name in ("desk-1", "desk-2"):
+            gateway.engines[name].plan = "hang"
+        held = asyncio.ensure_future(gateway.call("/once/a", "r1"))
+        await self.until(lambda: self.runs("r1"))
+        gateway.signal(signal.SIGTERM)
+        await asyncio.sleep(2.6)
+        status, headers, _ = await gateway.call("/once/a", "r2")
+        self.assertEqual(503, status)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(0, self.runs("r2"))
+        await asyncio.gather(held, return_exceptions=True)
+
     async def test_hangup_changes_bounds_and_a_broken_file_changes_nothing(self):
         """Guards against a process that dies of SIGHUP or of a bad file."""
         gateway = await self.start()
