--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -19,7 +19,6 @@
 from monsoontack.gateway.rollouts import RolloutDesk
 from monsoontack.generation.failover import LossState, NextStep, next_step
 from monsoontack.routing.placement import (
-    NO_AFFINITY,
     PromptAffinity,
     choose_backup,
     choose_engine,
@@ -185,10 +184,7 @@
             if chosen is None:
                 return None
             member = members[chosen.key]
-            if self.part:
-                forwarder.remember(self.part, chosen.key)
-                if forwarder.news is not None:
-                    forwarder.news.note_prompt(self.part, chosen.key)
+        self._remember(member)
         backup = None
         if self.traits.keeps_backups and chosen is not None:
             others = [e for k, e in loads.items() if k not in self.excluded]
@@ -197,14 +193,17 @@
         ahead = chosen.waiting_tokens if chosen is not None else 0
         return Placement(member, copy, backup, ahead)
 
-    def _affinity(self) -> PromptAffinity:
+    def _remember(self, member: Member) -> None:
+        """Note which engine has the prompt, also for callers of other entries."""
         if not self.part:
-            return NO_AFFINITY
-        return PromptAffinity(
-            self.part,
-            self.job.request.prompt_tokens,
-            self.forwarder.sent_to.get(self.part),
-        )
+            return
+        self.forwarder.remember(self.part, member.server.incarnation)
+        if self.forwarder.news is not None:
+            self.forwarder.news.note_prompt(self.part, member.server.incarnation)
+
+    def _affinity(self) -> PromptAffinity:
+        known = self.forwarder.sent_to.get(self.part)
+        return PromptAffinity(self.part, self.job.request.prompt_tokens, known)
 
     async def _attempt(self, placed: Placement) -> StreamLoss | None:
         """Send the stream to an engine and relay it; None once it is complete."""
--- a/monsoontack/routing/placement.py
+++ b/monsoontack/routing/placement.py
@@ -19,10 +19,11 @@
 # the region. An engine reads 8 tokens per ms: 25 ms and 190 ms.
 DOMAIN_TOKENS = 200
 REGION_TOKENS = 1500
-# What a run at an engine counts: about a prompt. An engine generates at a tenth of
-# its speed while it reads, so that a run alone takes 3.9 s and one beside two
-# prompts 6.9 s (users' bench, 1,100 streams).
-RUN_TOKENS = 8000
+# An engine generates at a tenth of its speed while it reads: a run alone takes 3.9 s,
+# one beside two prompts 6.9 s (users' bench, 1,100 streams). So a run counts as the
+# prompt that would delay it, and as this many tokens for a short prompt, since every
+# run slows the steps a little.
+MIN_RUN_TOKENS = 500
 # Held memory slows every step slightly; tokens waiting are the larger part.
 HELD_WEIGHT = 0.02
 # Spreads entries that see the same picture; a tenth of a usual prompt.
@@ -30,8 +31,8 @@
 # The engine that all entries prefer for a prompt by its hash: a caller that comes
 # back through another entry finds what has been read of its prompt.
 PREFERRED_TOKENS = 2500
-# Part of a prompt that an engine known to have read it saves.
-KNOWN_SHARE = 0.8
+# Part of a prompt that an engine known to have got it has read and still keeps.
+KNOWN_SHARE = 0.9
 # A server that failed lately, and whose domain fell, is used when others are busy.
 DOUBT_TOKENS = 20_000
 # An engine whose memory would be filled above this share may preempt runs.
@@ -61,10 +62,13 @@
     share: float = 1.0
 
 
-def cost_tokens(engine: EngineLoad, place: Place, need: int) -> float:
-    """Return what a run of `need` tokens at an engine costs, in prompt tokens."""
+def cost_tokens(engine: EngineLoad, place: Place, need: int, to_read: float) -> float:
+    """Return what a run of `need` tokens at an engine costs, in prompt tokens.
+
+    `to_read` is the part of its prompt that the engine has to read.
+    """
     cost = engine.waiting_tokens + HELD_WEIGHT * engine.held_tokens
-    cost += RUN_TOKENS * engine.in_flight
+    cost += to_read + engine.in_flight * max(to_read, MIN_RUN_TOKENS)
     if engine.place.region != place.region:
         cost += REGION_TOKENS
     elif engine.place != place:
@@ -84,8 +88,8 @@
 class PromptAffinity:
     """Where a prompt may have been read already.
 
-    `part` names the prompt's own part, `tokens` is its length. `known` is the
-    engine that this entry last sent it to.
+    `part` names the prompt's own part, `tokens` is the prompt's length. `known` is
+    the engine that got it last.
     """
 
     part: str = ""
@@ -116,9 +120,10 @@
     preferred = affinity.preferred(sound)
 
     def cost(engine: EngineLoad) -> float:
-        tokens = cost_tokens(engine, place, need) + rng.random() * JITTER_TOKENS
-        if engine.key == affinity.known:
-            return tokens - KNOWN_SHARE * affinity.tokens
+        is_known = engine.key == affinity.known
+        to_read = affinity.tokens * (1.0 - KNOWN_SHARE if is_known else 1.0)
+        tokens = cost_tokens(engine, place, need, to_read)
+        tokens += rng.random() * JITTER_TOKENS
         return tokens - PREFERRED_TOKENS if engine.key == preferred else tokens
 
     return min(engines, key=cost)
