Test streams over the shared load of engines; mend the stand-in's connection check

Three tests show that a stream leaves engines that others use, goes where its prompt was read, and avoids an engine that failed another entry.

--- a/monsoontack/gateway/streams_test.py
+++ b/monsoontack/gateway/streams_test.py
@@ -5,7 +5,9 @@
 
 from monsoontack.core.pausedloop import run_paused
 from monsoontack.gateway.budgets import RetryBudgets
+from monsoontack.gateway.loadnews import EngineUse, LoadNews, PeerNews
 from monsoontack.gateway.outbound import ExchangeFailure, FailureKind
+from monsoontack.gateway.peers import peer_pool
 from monsoontack.gateway.records import EngineTraits, RequestKind, ServiceTraits
 from monsoontack.gateway.streams import StreamForwarder
 from standins.gatewayparts import (
@@ -248,5 +250,45 @@
         self.assertLess(job.first_event_at, 2.5)
 
 
+class SharedLoadTest(unittest.TestCase):
+    """What other entries told about the engines."""
+
+    def first_engine(self, tell):
+        """Return the engine that gets a stream after `tell` got the forwarder."""
+
+        async def scenario():
+            forwarder = make({f"s{n}": engine() for n in range(3)}, (HOME,) * 3)
+            forwarder.tell_peers(LoadNews("one", peer_pool()))
+            await asyncio.sleep(1.0)
+            tell(forwarder)
+            await forwarder.serve(make_job(stream_route(), deadline_s=25.0))
+            return forwarder.sender.sent[0].server.incarnation
+
+        return run_paused(scenario())
+
+    def test_engines_that_others_use_are_left_to_them(self):
+        """Pattern: many entries, each with few runs, send to the same engines."""
+
+        def tell(forwarder):
+            use = EngineUse(2, 8000, 18_000)
+            uses = {name: use for name in ("s0", "s2")}
+            message = PeerNews("two", True, True, uses, {}, ())
+            forwarder.news.book.take(message, forwarder.sender.now())
+
+        self.assertEqual("s1", self.first_engine(tell))
+
+    def test_prompt_that_another_entry_sent_goes_to_its_engine(self):
+        """Pattern: entries fall, and their callers come back through others."""
+        for name in ("s0", "s1", "s2"):
+            chosen = self.first_engine(lambda f, n=name: f.remember("part-1", n))
+            self.assertEqual(name, chosen)
+
+    def test_engine_that_failed_another_entry_is_left(self):
+        """Pattern: a dead engine has the least to do of all."""
+        for name in ("s0", "s1", "s2"):
+            chosen = self.first_engine(lambda f, n=name: f.heard_failed(n))
+            self.assertNotEqual(name, chosen)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/standins/gatewayparts.py
+++ b/standins/gatewayparts.py
@@ -204,11 +204,13 @@
         self.tasks.append(asyncio.ensure_future(script(exchange, attempt)))
         return exchange
 
-    async def takes_connections(self, member: Member, timeout_s: float) -> bool:
-        """Return whether the server's script is not a failure to connect."""
+    async def check_connection(
+        self, member: Member, timeout_s: float
+    ) -> ExchangeFailure | None:
+        """Return the server's script if it is a failure to connect."""
         self.checks += 1
         script = self.scripts[member.server.incarnation]
-        return not isinstance(script, ExchangeFailure)
+        return script if isinstance(script, ExchangeFailure) else None
 
 
 def make_server(name: str, place: Place = HOME, slots: int = 8) -> BackendServer:
