Tell callers when to come back while all entries have lost the store

Now an entry whose peers know no more takes the outage to last as long again, at most 3 s. Ruled out: a slow return of the entries alone (0.6 to 1.5 s after the store's).

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -162,6 +162,7 @@
             settings.name, settings.place.region, store, DIRECT_WATCH_S, self.peer_pool
         )
         relayed.pause = self.store_pause
+        relayed.on_stale_peer = self.knowledge.note_stale_peer
         cache = KindCache(listener)
         self.relay.caches[kind] = cache
         self.relayed.append(relayed)
--- a/monsoontack/gateway/knowledge.py
+++ b/monsoontack/gateway/knowledge.py
@@ -23,6 +23,15 @@
 # A denial (unknown key, unknown route) needs fresher knowledge than service: an
 # unchanged configuration is confirmed every 1.4 s.
 DENIAL_TRUST_S = 2.4
+# Other entries usually have newer knowledge, and a retry reaches another one.
+ELSEWHERE_RETRY_S = 0.05
+# Start and first list take about this long after a loss of all entries.
+MIN_RETRY_S = 0.5
+# An outage of all entries is taken to last as long again as it has lasted. A stream
+# that comes back after 3 s still starts within the 4.5 s that its caller accepts.
+MAX_RETRY_S = 3.0
+# Peers are asked at least this often during an outage.
+STALE_PEER_S = 5.0
 
 
 @dataclass(slots=True)
@@ -30,7 +39,8 @@
     """Newest configuration of this process.
 
     `revoke_s` is the bound within which a removed key must stop working;
-    `confirmed_at` when the store last showed the configuration to be current.
+    `confirmed_at` when the store last showed the configuration to be current,
+    `stale_peer_at` when another entry was last seen to know no more.
     """
 
     revoke_s: float
@@ -39,6 +49,24 @@
     confirmed_at: float = float("-inf")
     refused_older: int = 0
     listeners: list[Callable[[GatewayConfig], None]] = field(default_factory=list)
+    stale_peer_at: float = float("-inf")
+    started_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Note the start of the process."""
+        self.started_at = self.boot()
+
+    def note_stale_peer(self) -> None:
+        """Note that no other entry knows more than this one."""
+        self.stale_peer_at = self.boot()
+
+    def retry_after_s(self) -> float:
+        """Return when a caller that cannot be served now should come back."""
+        now = self.boot()
+        if now > self.stale_peer_at + STALE_PEER_S:
+            return MIN_RETRY_S if self.config is None else ELSEWHERE_RETRY_S
+        lasted_s = now - max(self.confirmed_at, self.started_at)
+        return min(max(lasted_s, MIN_RETRY_S), MAX_RETRY_S)
 
     def apply(self, config: GatewayConfig) -> bool:
         """Take over a configuration unless it is older than the one in force."""
--- a/monsoontack/gateway/knowledge_test.py
+++ b/monsoontack/gateway/knowledge_test.py
@@ -3,7 +3,7 @@
 import unittest
 
 from monsoontack.core.errors import RequestError
-from monsoontack.gateway.knowledge import ConfigKnowledge
+from monsoontack.gateway.knowledge import MAX_RETRY_S, ConfigKnowledge
 from monsoontack.gateway.records import (
     CallerRequest,
     GatewayAccount,
@@ -95,6 +95,31 @@
         self.assertEqual("narrow", found.name)
         self.assertIsNone(find_route(config(routes=routes), "other", "/a/b/c"))
 
+    def test_caller_of_an_entry_that_lost_the_store_alone_comes_back_at_once(self):
+        """Guards against callers that wait though other entries would serve them."""
+        self.load()
+        self.knowledge.confirm(self.time)
+        self.time += 6.0
+        self.assertLess(self.knowledge.retry_after_s(), 0.1)
+
+    def test_callers_come_back_later_the_longer_all_entries_lost_the_store(self):
+        """Guards against callers that use up their retry while the store is away:
+        on a day with 8 s of silence all were told 0.05 s and refused again."""
+        self.load()
+        self.knowledge.confirm(self.time)
+        told = []
+        for _ in range(8):
+            self.time += 1.0
+            self.knowledge.note_stale_peer()
+            told.append(self.knowledge.retry_after_s())
+        self.assertEqual(sorted(told), told)
+        self.assertGreaterEqual(told[0], 0.5)
+        self.assertEqual(MAX_RETRY_S, told[-1])
+
+    def test_caller_of_an_entry_that_just_started_waits_for_its_first_list(self):
+        """Guards against callers that come back before an entry can be ready."""
+        self.assertGreaterEqual(self.knowledge.retry_after_s(), 0.5)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/monsoontack/gateway/relay.py
+++ b/monsoontack/gateway/relay.py
@@ -124,8 +124,9 @@
     """`KindStore` that asks peers first and the store itself otherwise.
 
     `direct_wait_s` bounds a watch of the store, `pause` is shared by the feeds of
-    one entry. `by_peer` and `by_store` count
-    the calls that were answered by each.
+    one entry. `on_stale_peer` hears when
+    a read failed because no peer knows more than this entry (`saw_stale`). `by_peer`
+    and `by_store` count the calls that were answered by each.
     """
 
     name: str
@@ -137,6 +138,8 @@
     paused_until: dict[str, float] = field(default_factory=dict)
     now: Callable[[], float] = lambda: asyncio.get_running_loop().time()
     pause: StorePause = field(default_factory=StorePause)
+    on_stale_peer: Callable[[], None] = lambda: None
+    saw_stale: bool = False
     by_peer: int = 0
     by_store: int = 0
 
@@ -173,6 +176,7 @@
 
     async def _read(self, kind: str, query: str, timeout_s: float, read_store, decode):
         """Ask earlier peers, then the store, then later peers."""
+        self.saw_stale = not any(p.region == self.region for p in self.peers.values())
         found = await self._ask_all(self._peers(True), kind, query, timeout_s)
         result = Failure(Unavailable(kind, "the store failed a moment ago"))
         if found is None and self.now() >= self.pause.until:
@@ -187,6 +191,8 @@
         if found is None:
             found = await self._ask_all(self._peers(False), kind, query, timeout_s)
         if found is None:
+            if self.saw_stale:
+                self.on_stale_peer()
             return result
         self.by_peer += 1
         return Failure(HistoryGone(kind)) if found == GONE else Success(decode(found))
@@ -218,6 +224,7 @@
             reason = "its knowledge is old"
         else:
             reason = f"answer {answer}"
+        self.saw_stale = self.saw_stale or answer is not None
         self.paused_until[peer.name] = self.now() + PEER_PAUSE_S
         log.info("peer not used for feeds", peer=peer.name, feed=kind, reason=reason)
         return None
--- a/monsoontack/gateway/relay_test.py
+++ b/monsoontack/gateway/relay_test.py
@@ -149,6 +149,22 @@
         result = await self.relayed(CountingStore()).watch_kind("k", 2, 1.0)
         self.assertIsInstance(result.failure(), HistoryGone)
 
+    async def times_stale(self, age_s):
+        self.load(age_s)
+        noted = []
+        relayed = self.relayed(CountingStore())
+        relayed.on_stale_peer = lambda: noted.append(age_s)
+        await relayed.watch_kind("k", 5, 0.1)
+        return len(noted)
+
+    async def test_peer_that_lost_the_store_too_is_noted(self):
+        """Guards against callers sent to other entries while none can serve them."""
+        self.assertEqual(1, await self.times_stale(30.0))
+
+    async def test_peer_that_has_the_store_is_not_taken_for_an_outage(self):
+        """Guards against callers that wait though another entry would serve them."""
+        self.assertEqual(0, await self.times_stale(0.1))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/monsoontack/gateway/routes.py
+++ b/monsoontack/gateway/routes.py
@@ -13,11 +13,6 @@
     Target,
 )
 
-# Other entries usually have newer knowledge, and a retry reaches another one.
-STALE_RETRY_S = 0.05
-# Start and first list take about this long after a loss of all entries.
-UNCONFIGURED_RETRY_S = 0.5
-
 
 def find_route(config: GatewayConfig, host: str, path: str) -> Route | None:
     """Return the route with the longest prefix of `path` among those of `host`."""
@@ -52,7 +47,7 @@
     if config is None:
         message = "this entry has no configuration yet"
         return RequestError(
-            503, "not_ready", message, retry_after_s=UNCONFIGURED_RETRY_S
+            503, "not_ready", message, retry_after_s=knowledge.retry_after_s()
         )
     route = find_route(config, request.host, request.path)
     if route is None:
@@ -73,4 +68,6 @@
 
 def _stale(knowledge: ConfigKnowledge) -> RequestError:
     message = f"configuration unconfirmed for {knowledge.age_s():.1f} s"
-    return RequestError(503, "stale_config", message, retry_after_s=STALE_RETRY_S)
+    return RequestError(
+        503, "stale_config", message, retry_after_s=knowledge.retry_after_s()
+    )
