Take streams early in a drain

Cause: the usual time of a stream times 1.3 is longer than the grace period, so a draining entry refused all streams from its first moment. Ruled out: calls (none of the refused were late ones); the return to another entry (a stream that is cut goes on after 0.16 s where its prompt is kept).

--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -23,8 +23,10 @@
 # Answers at the deadline leave this much earlier, so that the caller has them in
 # time. The way to a caller takes a few ms.
 ANSWER_MARGIN_S = 0.02
-# Streams vary in length; one that is this much longer than usual is rare.
-STREAM_TIME_FACTOR = 1.3
+# A stream that outlasts the drain is cut, and its caller goes on within 0.3 s at the
+# engine that keeps its prompt. Refusing a longer one than usual as well (1.3) made
+# an entry refuse all streams from the first moment of its drain.
+STREAM_TIME_FACTOR = 1.0
 # Calls that come this close to the end of a drain are refused. While all entries of
 # a failure domain drain, the balancer goes on sending to them until they end.
 DRAIN_CALL_S = 1.5
