--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -170,10 +170,15 @@
         self.on_failed(member)
 
     def told_unreachable(self, incarnation: str, now: float) -> None:
-        """Doubt a server that failed another entry, until it sends bytes here."""
+        """Doubt a server that failed another entry, until it sends bytes here.
+
+        One that just did is not doubted: the other entry's link may be the cause.
+        """
         member = self.members.get(incarnation)
         if member is None or member.is_doubtful(now):
             return
+        if member.seen_at > now - DOMAIN_SPAN_S:
+            return
         member.failed_at = member.doubted_at = now
         self._doubt_domain(member, now)
 
--- a/monsoontack/gateway/fleet_test.py
+++ b/monsoontack/gateway/fleet_test.py
@@ -98,6 +98,15 @@
         self.assertTrue(fleet.members["s3"].is_doubtful(10.2))
         self.assertFalse(fleet.members["s9"].is_doubtful(10.2))
 
+    def test_server_that_just_sent_bytes_here_is_not_doubted_by_hearsay(self):
+        """Guards against one entry with a bad link that puts sound servers in doubt
+        everywhere, so that runs get no copies."""
+        fleet = make_fleet({"s1": HOME})
+        member = fleet.members["s1"]
+        fleet.note_alive(member, 9.8)
+        fleet.told_unreachable("s1", 10.0)
+        self.assertFalse(member.is_doubtful(10.1))
+
     def test_news_of_an_unknown_server_is_ignored(self):
         """Guards against a failure over a server that only a peer knows yet."""
         fleet = make_fleet({"s1": HOME})
--- a/monsoontack/gateway/loadnews.py
+++ b/monsoontack/gateway/loadnews.py
@@ -248,7 +248,7 @@
         """Send messages until the peer knows everything, or fails."""
         try:
             while True:
-                is_full, changed = line.needs_all, line.changed
+                is_full = line.needs_all
                 body = self._body(line)
                 line.changed, line.failed, line.prompts = set(), set(), {}
                 answer = await call_peer(
@@ -265,7 +265,9 @@
                 elif status == UNKNOWN_SENDER and not is_full:
                     line.needs_all = True
                 else:
-                    line.changed |= changed
+                    # Everything is told once the peer answers again, so that nothing
+                    # piles up for one that never does.
+                    line.needs_all = True
                     line.paused_until = self.now() + PEER_PAUSE_S
                     self.book.forget(line.peer.name)
                     log.info("peer not told of load", peer=line.peer.name)
--- a/monsoontack/gateway/loadnews_test.py
+++ b/monsoontack/gateway/loadnews_test.py
@@ -181,6 +181,24 @@
         await self.settle()
         self.assertEqual({}, self.seen())
 
+    async def test_peer_that_is_gone_for_good_costs_no_memory(self):
+        """Guards against an entry that keeps every engine that ever ran something
+        because one peer of the census never answers."""
+        await self.connect()
+        self.listeners[1].close()
+        self.pool.close()
+        members = make_fleet({f"x{n}": HOME for n in range(50)}).members
+        for member in members.values():
+            line = next(iter(self.one.lines.values()))
+            line.paused_until = line.next_at = 0.0
+            member.in_flight = 1
+            self.one.note([member], is_start=True)
+            member.in_flight = 0
+            await self.settle()
+        self.one.flush()
+        self.assertLessEqual(len(line.changed), 1)
+        self.assertLessEqual(len(self.one.own), 1)
+
     async def test_message_that_cannot_be_read_changes_nothing(self):
         """Guards against an entry that fails over another version's message."""
         address = self.entries["two"].address
--- a/monsoontack/gateway/relay.py
+++ b/monsoontack/gateway/relay.py
@@ -144,11 +144,18 @@
     by_store: int = 0
 
     def _peers(self, before_own: bool) -> list[PeerEntry]:
-        """Return the peers before or after this entry that may be asked."""
+        """Return the peers before or after this entry that may be asked.
+
+        The only entry of a region asks the others once the store has failed it.
+        """
         own = {n: p for n, p in self.peers.items() if p.region == self.region}
+        is_alone = not own.keys() - {self.name}
+        if is_alone:
+            own = self.peers
         order = ranked(stable_hash(RANK_KEY), {*own, self.name})
-        place = order.index(self.name)
-        names = order[:place] if before_own else order[place + 1 :]
+        place = 0 if is_alone else order.index(self.name)
+        names = order[:place] if before_own else order[place:]
+        names = [name for name in names if name != self.name]
         now = self.now()
         usable = [n for n in names if now >= self.paused_until.get(n, 0.0)]
         return [own[name] for name in usable[:MAX_PEERS]]
@@ -176,7 +183,7 @@
 
     async def _read(self, kind: str, query: str, timeout_s: float, read_store, decode):
         """Ask earlier peers, then the store, then later peers."""
-        self.saw_stale = not any(p.region == self.region for p in self.peers.values())
+        self.saw_stale = False
         found = await self._ask_all(self._peers(True), kind, query, timeout_s)
         result = Failure(Unavailable(kind, "the store failed a moment ago"))
         if found is None and self.now() >= self.pause.until:
--- a/monsoontack/gateway/relay_test.py
+++ b/monsoontack/gateway/relay_test.py
@@ -161,6 +161,29 @@
         """Guards against callers sent to other entries while none can serve them."""
         self.assertEqual(1, await self.times_stale(30.0))
 
+    def alone(self):
+        """Return the store of the only entry of its region."""
+        relayed = self.relayed(CountingStore())
+        relayed.region = "south"
+        return relayed
+
+    async def test_only_entry_of_a_region_reads_through_another_region(self):
+        """Guards against keys refused while entries elsewhere know they are good."""
+        self.load()
+        relayed = self.alone()
+        self.assertIsInstance(await relayed.list_kind("k"), Success)
+        self.assertEqual(1, relayed.store.calls)
+
+    async def test_only_entry_of_a_region_without_news_makes_no_guess(self):
+        """Guards against callers that are told to wait for an outage of all entries
+        when only this one was turned away."""
+        noted = []
+        relayed = self.alone()
+        relayed.peers = {}
+        relayed.on_stale_peer = lambda: noted.append(1)
+        await relayed.list_kind("k")
+        self.assertEqual([], noted)
+
     async def test_peer_that_has_the_store_is_not_taken_for_an_outage(self):
         """Guards against callers that wait though another entry would serve them."""
         self.assertEqual(0, await self.times_stale(0.1))
