Bound what a server in trouble can send; keep streams and the process going

Trailers were kept and read as headers of the next answer, and of a caller's request after its head had been checked. A request that is sent to a server again could get the connection of its first send, where a repeated first answer bears its id. Comments and events without an id counted as progress, so a stalled engine kept its caller. Engines slower than others lately were left at 0.42 s of a permitted pause of 0.7 s, again and again, and streams that cannot move were cut by the same limit. A server that starts anew under its name was the old one (`born`), or never used again after it had left. A list from an entry that is behind could bring a left server back. Feeds told that the store is back after its first news, so lapsed servers were dropped at once. Evidence of other entries was taken unchecked.

Ruled out: a fixed limit of a second for live engines (the test of a silent engine allows 0.7 s in all); closing streams that cannot move (an answer is lost for nothing).

--- a/monsoontack/core/records.py
+++ b/monsoontack/core/records.py
@@ -63,7 +63,8 @@
     `address` is the `ip:port` of the agent beside it and identifies it;
     `kind` is `engine` or `service`; `versions` are those it can run now. For a
     server that entries speak to directly, `address` is its own, and
-    `incarnation` names one start of it (empty behind an agent).
+    `incarnation` names it (empty behind an agent) and `started_unix_ms` tells one
+    start under that name from the next, 0 if the server does not say.
     """
 
     address: str
@@ -75,6 +76,7 @@
     slots: int = 1
     checks_fencing: bool = False
     incarnation: str = ""
+    started_unix_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -19,7 +19,7 @@
 from monsoontack.gateway.fleet import DirectFleet, Member
 from monsoontack.gateway.job import Job, Try
 from monsoontack.gateway.outbound import Exchange, ExchangeFailure, FailureKind
-from monsoontack.gateway.records import Attempt
+from monsoontack.gateway.records import AnswerHead, Attempt
 from monsoontack.gateway.responder import CallerGoneError
 from monsoontack.gateway.rollouts import RolloutDesk
 from monsoontack.gateway.sender import Sender
@@ -295,30 +295,47 @@
 
     async def _collect(self, exchange: Exchange, result: CallResult) -> None:
         """Read the answer until it is whole or too long to hold."""
-        wire = self.forwarder.sender.wire
         parts: list[bytes] = []
-        size = 0
+        size, answer = 0, None
         while not exchange.over or exchange.parts:
             await exchange.wait(max(self.job.left_s(self.now()), 0.0) + 1.0)
+            if answer is None and exchange.has_head:
+                answer = self._read_head(exchange, result)
+                if result.failure is not None:
+                    return
             data = exchange.take()
             parts.append(data)
             size += len(data)
             if size > HELD_ANSWER_BYTES and not exchange.over:
-                result.large = exchange
+                self._take_large(exchange, answer, result)
                 break
             if not data and self.job.left_s(self.now()) < 0 and not exchange.over:
                 exchange.abort()
         result.body = b"".join(parts)
-        if exchange.failure is not None:
-            result.failure = exchange.failure
-            return
+        result.failure = result.failure or exchange.failure
+        if result.failure is None:
+            result.answer = answer
+
+    def _read_head(self, exchange: Exchange, result: CallResult) -> AnswerHead:
+        """Return the head; a success that is not the server's own is a failure."""
+        wire = self.forwarder.sender.wire
         answer = wire.read_answer(exchange.status, exchange.headers)
         if 200 <= answer.status < 300 and (answer.encoded or not answer.signed):
+            exchange.abort()
             detail = "success without the server's mark, or encoded"
-            result.large = None
             result.failure = ExchangeFailure(FailureKind.MALFORMED, True, detail)
+        return answer
+
+    def _take_large(
+        self, exchange: Exchange, answer: AnswerHead, result: CallResult
+    ) -> None:
+        """Relay an answer that is too long to hold; an error is not worth that."""
+        if answer.status < 500:
+            result.large = exchange
             return
-        result.answer = answer
+        exchange.abort()
+        detail = f"error answer above {HELD_ANSWER_BYTES} bytes"
+        result.failure = ExchangeFailure(FailureKind.OVERSIZED, True, detail)
 
     def _final(self, result: CallResult) -> CallResult | RequestError:
         if self.fallback is not None:
--- a/monsoontack/gateway/calls_test.py
+++ b/monsoontack/gateway/calls_test.py
@@ -86,6 +86,38 @@
         self.assertEqual(200, job.responder.status)
         self.assertEqual(1, len(forwarder.sender.sent))
 
+    def test_error_answer_without_end_is_ended_early(self):
+        """Guards against a faulty server that holds a call until its deadline, and
+        against memory that grows with its answer."""
+        exchanges = []
+
+        async def endless(exchange, attempt):
+            exchanges.append(exchange)
+            exchange.answer(500, ((b"mark", b"m"),))
+            while not exchange.over:
+                exchange.part(b"x" * 10_000)
+                await asyncio.sleep(0.001)
+
+        _, job = self.serve({"s1": endless}, attempts=1)
+        self.assertEqual(502, job.responder.status)
+        self.assertLess(job.tries[0].ended_at - job.started_at, 0.5)
+        self.assertEqual("oversized", job.tries[0].result)
+        self.assertIsNotNone(exchanges[0].aborted_at)
+
+    def test_success_that_is_not_the_servers_own_is_ended_at_its_head(self):
+        """Guards against bytes that are no answer and are read until the end."""
+
+        async def foreign(exchange, attempt):
+            exchange.answer(200, ((b"unsigned", b"1"),))
+            while not exchange.over:
+                exchange.part(b"x")
+                await asyncio.sleep(0.01)
+
+        forwarder, job = self.serve({"s1": foreign}, attempts=1)
+        self.assertEqual(502, job.responder.status)
+        self.assertLess(job.tries[0].ended_at - job.started_at, 0.1)
+        self.assertIsNotNone(forwarder.sender.exchanges[0].aborted_at)
+
     def test_shed_call_is_refused_as_not_run_with_a_retry_time(self):
         """Guards against more sends than the route allows, and a silent refusal."""
         full = answer(503, headers=((b"not-run", b"1"),))
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -38,7 +38,9 @@
     `waiting_tokens` are prompt tokens of this entry's runs that wait for their
     first event, `held_tokens` the KV memory that its runs and copies may take.
     `seen_at` is when the server last sent a byte, `doubted_at` when one of its
-    running streams fell silent.
+    running streams fell silent, `gap_s` the longest pause between events seen lately.
+    `restarted` is set once the server has started anew: it knows nothing of the runs
+    that were sent to this start.
     """
 
     server: BackendServer
@@ -50,6 +52,8 @@
     avoid_until: float = 0.0
     failures_in_row: int = 0
     failed_at: float = float("-inf")
+    gap_s: float = 0.0
+    restarted: bool = False
 
     def is_doubtful(self, now: float) -> bool:
         """Whether the server failed lately and has not answered since."""
@@ -57,18 +61,23 @@
 
     @property
     def key(self) -> tuple[str, str]:
-        """Return what identifies the incarnation's connections."""
-        return self.server.address, self.server.incarnation
+        """Return what identifies the connections to this start of the server."""
+        server = self.server
+        return server.address, f"{server.incarnation}@{server.started_unix_ms}"
 
 
 @dataclass(slots=True)
 class DirectFleet:
-    """All backend servers by service. `on_gone` hears each one that leaves."""
+    """All backend servers by service. `on_gone` hears each one that leaves.
+
+    `left` has the time of start of each server that said that it leaves; a later
+    start under the same name is a new server.
+    """
 
     ejection: Ejection = field(default_factory=Ejection)
     members: dict[str, Member] = field(default_factory=dict)
     by_service: dict[str, dict[str, Member]] = field(default_factory=dict)
-    left: set[str] = field(default_factory=set)
+    left: dict[str, int] = field(default_factory=dict)
     missing: dict[str, float] = field(default_factory=dict)
     grace_until: float = 0.0
     on_gone: Callable[[Member], None] = lambda member: None
@@ -105,15 +114,20 @@
         """Add a server, or take over what its entry says now."""
         incarnation = server.incarnation
         self.missing.pop(incarnation, None)
+        member, started = self.members.get(incarnation), server.started_unix_ms
+        if member is not None and started < member.server.started_unix_ms:
+            return
         if leaving:
             self.remove(incarnation)
-            self.left.add(incarnation)
+            self.left[incarnation] = started
             return
-        if incarnation in self.left:
+        if started <= self.left.get(incarnation, -1):
             return
-        member = self.members.get(incarnation)
         if member is not None:
-            if member.server.service != server.service:
+            if member.server.started_unix_ms != started:
+                member.restarted = True
+                self.remove(incarnation)
+            elif member.server.service != server.service:
                 self.remove(incarnation)
             else:
                 member.server = server
--- a/monsoontack/gateway/fleet_test.py
+++ b/monsoontack/gateway/fleet_test.py
@@ -1,6 +1,7 @@
 """Tests of which backend servers take requests."""
 
 import unittest
+from dataclasses import replace
 
 from monsoontack.gateway.fleet import DOUBT_S, REAPPEAR_S, DirectFleet
 from standins.gatewayparts import HOME, NEAR, SERVICE, make_fleet, make_server
@@ -107,6 +108,32 @@
         fleet.told_unreachable("s1", 10.0)
         self.assertFalse(member.is_doubtful(10.1))
 
+    def test_server_that_started_anew_is_another_one(self):
+        """Guards against runs that wait for an engine which lost them, and against a
+        server that is never used again after a restart under its name."""
+        fleet = make_fleet({})
+        server = replace(make_server("s1", HOME), started_unix_ms=1000)
+        fleet.put(server, False)
+        first = fleet.members["s1"]
+        fleet.put(replace(server, started_unix_ms=2000), False)
+        second = fleet.members["s1"]
+        self.assertTrue(first.restarted)
+        self.assertFalse(second.restarted)
+        self.assertNotEqual(first.key, second.key)
+        fleet.put(replace(server, started_unix_ms=2000), True)
+        fleet.put(replace(server, started_unix_ms=2000), False)
+        self.assertNotIn("s1", fleet.members)
+        fleet.put(replace(server, started_unix_ms=3000), False)
+        self.assertIn("s1", fleet.members)
+
+    def test_late_entry_of_a_former_start_changes_nothing(self):
+        """Guards against a server that was replaced in use again."""
+        fleet = make_fleet({})
+        server = replace(make_server("s1", HOME), started_unix_ms=2000)
+        fleet.put(server, False)
+        fleet.put(replace(server, started_unix_ms=1000), True)
+        self.assertIn("s1", fleet.members)
+
     def test_news_of_an_unknown_server_is_ignored(self):
         """Guards against a failure over a server that only a peer knows yet."""
         fleet = make_fleet({"s1": HOME})
--- a/monsoontack/gateway/inbound.py
+++ b/monsoontack/gateway/inbound.py
@@ -24,6 +24,8 @@
 WRITE_HIGH_BYTES = 65_536
 # Header fields that must stand at most once, or a request has two readings.
 SINGLE_HEADERS = frozenset((b"host", b"content-length", b"transfer-encoding"))
+# Bytes without a part of a body: trailers and chunk extensions of one request.
+MAX_FRAMING_BYTES = 65_536
 # Callers that vanished without closing are noticed after this time.
 USER_TIMEOUT_MS = 10_000
 
@@ -73,6 +75,11 @@
         """Return the protocol of a new connection."""
         return InboundConnection(self)
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request is under way or still comes in."""
+        return any(not c.is_idle for c in self.connections)
+
     def close_idle(self) -> None:
         """Close the connections that have no request under way."""
         for connection in list(self.connections):
@@ -97,6 +104,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.header_bytes = 0
         self.in_head = True
+        self.framing_bytes = 0
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.queue: deque[RawRequest] = deque()
@@ -119,8 +127,8 @@
         return self.current is None and not self.queue and self.request_began_at is None
 
     def is_closing_down(self) -> bool:
-        """Whether answers should end their connection."""
-        return self.server.closing()
+        """Whether the answer should end its connection; not with requests behind it."""
+        return self.server.closing() and not self.queue
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout."""
@@ -181,6 +189,8 @@
             self.request_began_at = self.now()
         if self.in_head:
             self.header_bytes += len(data)
+        else:
+            self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -193,6 +203,8 @@
     def _check_head_size(self) -> None:
         if self.in_head and self.header_bytes > self.server.limits().header_bytes:
             self.refuse(431, "request head too large")
+        elif self.framing_bytes > MAX_FRAMING_BYTES:
+            self.refuse(431, "trailers or chunk extensions too large")
 
     def on_message_begin(self) -> None:
         """Start a new request."""
@@ -205,13 +217,14 @@
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        self.headers.append((name.lower(), value))
+        """Collect one header; trailers are dropped, a head has been checked without."""
+        if self.in_head:
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check the head."""
         self.in_head = False
-        self.header_bytes = 0
+        self.header_bytes = self.framing_bytes = 0
         limits = self.server.limits()
         size = len(self.url) + sum(len(n) + len(v) + 4 for n, v in self.headers)
         if size > limits.header_bytes:
@@ -230,6 +243,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
+        self.framing_bytes = 0
         if self.refused:
             return
         self.body.append(data)
--- a/monsoontack/gateway/inbound_test.py
+++ b/monsoontack/gateway/inbound_test.py
@@ -56,6 +56,45 @@
     return run_paused(scenario())
 
 
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+class TrailerTest(unittest.TestCase):
+    def test_trailers_are_no_headers(self):
+        """Guards against a header that is set behind the check of the head."""
+        parts = (CHUNKED + b"2\r\nab\r\n0\r\nX-Account: other\r\n\r\n",)
+        harness = feed(*parts)
+        self.assertEqual(1, len(harness.seen))
+        self.assertNotIn(b"x-account", dict(harness.seen[0].headers))
+
+    def test_trailers_and_chunk_extensions_without_end_are_refused(self):
+        """Guards against memory that grows with bytes of one request."""
+        line = b"X-Filler: " + b"y" * 1000 + b"\r\n"
+        for start, part in ((b"0\r\n", line), (b"2;x=", b"y" * 1000)):
+            harness = feed(CHUNKED + start, *[part] * 200)
+            self.assertEqual([], harness.seen)
+            self.assertIn(b"HTTP/1.1 431", harness.written())
+
+
+class PlannedStopTest(unittest.TestCase):
+    def test_request_behind_the_current_one_is_answered(self):
+        """Guards against a request that was read whole and cut by a planned stop."""
+
+        async def slow(raw, responder):
+            await asyncio.sleep(0.2)
+            responder.send(200, (), b"ok")
+
+        two = (GET + b"\r\n") * 2
+        harness = feed(two, handler=slow, closing=True)
+        self.assertEqual(2, harness.written().count(b"HTTP/1.1 200"))
+        self.assertTrue(harness.connection.transport.closed)
+
+    def test_half_a_request_counts_as_under_way(self):
+        """Guards against a drain that ends while a request still comes in."""
+        harness = feed(POST + b"Content-Length: 4\r\n\r\nab", wait_s=0.1)
+        self.assertTrue(harness.server.is_receiving)
+
+
 class RequestTest(unittest.TestCase):
     def test_requests_with_two_readings_are_refused(self):
         """Guards against a request smuggled inside another one."""
--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -1,9 +1,10 @@
 """Connections to backend servers: one HTTP/1.1 exchange at a time on each.
 
 An answer belongs to the request only if it carries its id. An answer of another
-request is skipped, bytes that belong to no request end the connection. What a
-failure says about the request is kept exact: `sent` is false only while no byte
-of it can have reached the server.
+request is skipped, bytes that belong to no request end the connection. Heads,
+trailers, chunk framing and skipped answers are bounded, since a faulty server may
+send them without end. What a failure says about the request is kept exact: `sent`
+is false only while no byte of it can have reached the server.
 """
 
 import asyncio
@@ -26,6 +27,16 @@
 # Bytes of one answer that may wait for a slow caller before reading pauses.
 HIGH_WATER_BYTES = 65_536
 BODYLESS = frozenset((204, 304))
+# Bytes without a part of a body: a head, trailers or chunk framing. Common servers
+# accept heads of 8 to 64 KiB.
+MAX_FRAMING_BYTES = 65_536
+# Answers to other requests, and interim ones, that one exchange skips, and the bytes
+# of their bodies. A server repeats an answer once or twice.
+MAX_SKIPPED_ANSWERS = 16
+MAX_SKIPPED_BYTES = 262_144
+# Ids that a connection remembers; a request is sent to the same server again within
+# moments, while few others use the connection.
+REMEMBERED_IDS = 16
 
 
 class FailureKind(StrEnum):
@@ -38,6 +49,7 @@
     FOREIGN = "foreign"
     SILENT = "silent"
     UNWANTED = "unwanted"
+    OVERSIZED = "oversized"
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +60,11 @@
     sent: bool
     detail: str = ""
 
+    def __str__(self) -> str:
+        """Return the kind, with the bound that was exceeded if it was one."""
+        is_bound = self.kind is FailureKind.OVERSIZED
+        return f"{self.kind}: {self.detail}" if is_bound else str(self.kind)
+
 
 class Exchange:
     """One request and its answer.
@@ -137,6 +154,11 @@
         self.paused = False
         self.expires_at = 0.0
         self.is_head_request = False
+        self.in_head = True
+        self.framing_bytes = 0
+        self.skipped_answers = 0
+        self.skipped_bytes = 0
+        self.recent_ids: deque[str | None] = deque(maxlen=REMEMBERED_IDS)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the options that find dead peers."""
@@ -149,6 +171,8 @@
         """Send a request; the connection must be free."""
         self.exchange = exchange
         self.is_head_request = is_head
+        self.framing_bytes = self.skipped_answers = self.skipped_bytes = 0
+        self.recent_ids.append(exchange.request_id)
         exchange.connection = self
         self.transport.write(data)
 
@@ -157,6 +181,10 @@
         """Whether another request may be sent."""
         return self.usable and not self.transport.is_closing()
 
+    def has_carried(self, request_id: str | None) -> bool:
+        """Whether a late answer to an earlier send could pass for one to this id."""
+        return request_id is not None and request_id in self.recent_ids
+
     def abort(self) -> None:
         """Reset the connection; a running exchange counts as given up."""
         self.usable = False
@@ -179,29 +207,61 @@
             self.transport.abort()
             return
         self.exchange.bytes_in += len(data)
+        self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self.usable = False
-            self._fail(FailureKind.MALFORMED, str(error))
-            self.transport.abort()
+            self._reject(FailureKind.MALFORMED, str(error))
+        else:
+            self._check_bounds()
+
+    def _check_bounds(self) -> None:
+        """End the connection if the server sends without end what is no answer."""
+        if self.framing_bytes > MAX_FRAMING_BYTES:
+            part = "head" if self.in_head else "trailers or chunk framing"
+            self._reject(
+                FailureKind.OVERSIZED, f"{part} above {MAX_FRAMING_BYTES} bytes"
+            )
+        elif self.skipped_bytes > MAX_SKIPPED_BYTES:
+            detail = f"answers of other requests above {MAX_SKIPPED_BYTES} bytes"
+            self._reject(FailureKind.OVERSIZED, detail)
+        elif self.skipped_answers > MAX_SKIPPED_ANSWERS:
+            detail = f"more than {MAX_SKIPPED_ANSWERS} answers of other requests"
+            self._reject(FailureKind.OVERSIZED, detail)
+
+    def _reject(self, kind: FailureKind, detail: str) -> None:
+        """Fail the exchange and reset the connection."""
+        self.usable = False
+        self._fail(kind, detail)
+        self.transport.abort()
 
     def on_message_begin(self) -> None:
-        """Note bytes that follow an answer without a request."""
+        """Start a head; bytes that follow an answer belong to no request."""
+        self.in_head = True
+        self.collected = []
         if self.exchange is None:
             self.usable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        self.collected.append((name.lower(), value))
+        """Collect one header; trailers are dropped."""
+        if self.in_head:
+            self.collected.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Decide whether the answer belongs to the exchange."""
+        self.in_head = False
         self.headers, self.collected = tuple(self.collected), []
+        self.framing_bytes = 0
+        size = sum(len(name) + len(value) + 4 for name, value in self.headers)
+        if size > MAX_FRAMING_BYTES:
+            # A head that came in one read is not seen by the check between reads.
+            detail = f"head above {MAX_FRAMING_BYTES} bytes"
+            self._reject(FailureKind.OVERSIZED, detail)
         exchange = self.exchange
         status = self.parser.get_status_code()
         if exchange is None or status < 200:
             self.skipping = True
+            self.skipped_answers += 1
             return
         found = self.answer_id(self.headers)
         expected = exchange.request_id
@@ -209,6 +269,7 @@
             # A late or extra answer to an earlier request.
             self.skipping = True
             self.skipped += 1
+            self.skipped_answers += 1
             return
         if expected is not None and found is None and self.served:
             self.usable = False
@@ -232,8 +293,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body on."""
+        self.framing_bytes = 0
         exchange = self.exchange
         if self.skipping or exchange is None:
+            self.skipped_bytes += len(data)
             return
         exchange.parts.append(data)
         exchange.size += len(data)
--- a/monsoontack/gateway/outbound_test.py
+++ b/monsoontack/gateway/outbound_test.py
@@ -120,6 +120,108 @@
         self.assertTrue(connection.transport.aborted)
 
 
+CHUNKED = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+LINES = b"X-Filler: " + b"y" * 1000 + b"\r\n"
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    """Bytes that are no answer and come until the caller closes."""
+
+    def assert_ended(self, *parts, repeated, times=500):
+        """Feed parts, then one part many times; the exchange must fail early."""
+
+        async def scenario():
+            connection = Connection(answer_id, lambda c: None)
+            connection.connection_made(FakeTransport())
+            exchange = Exchange("r1")
+            connection.start(exchange, b"GET / HTTP/1.1\r\n\r\n")
+            for part in parts:
+                connection.data_received(part)
+            fed = 0
+            while not connection.transport.aborted and fed < times:
+                connection.data_received(repeated)
+                fed += 1
+            return connection, exchange, fed
+
+        connection, exchange, fed = run_paused(scenario())
+        self.assertLess(fed, times)
+        self.assertEqual(FailureKind.OVERSIZED, exchange.failure.kind)
+        self.assertIn("above", exchange.failure.detail)
+        self.assertFalse(connection.is_open)
+
+    def test_header_lines_without_end(self):
+        """Guards against memory that grows with a head that never ends."""
+        self.assert_ended(b"HTTP/1.1 200 OK\r\n", repeated=LINES)
+
+    def test_header_line_without_end(self):
+        """Guards against one line that takes the memory of a small VM."""
+        self.assert_ended(b"HTTP/1.1 200 OK\r\nX: ", repeated=b"y" * 1000)
+
+    def test_head_in_one_read_above_the_bound(self):
+        """Guards against a large head that slips through in one read."""
+        head_lines = LINES * 70 + b"Content-Length: 2\r\n\r\nok"
+        self.assert_ended(repeated=b"HTTP/1.1 200 OK\r\nX-Id: r1\r\n" + head_lines)
+
+    def test_trailers_without_end(self):
+        """Guards against trailers that never end behind a whole body."""
+        self.assert_ended(CHUNKED + b"2\r\nok\r\n0\r\n", repeated=LINES)
+
+    def test_chunk_extension_without_end(self):
+        """Guards against a chunk size line that never ends."""
+        self.assert_ended(CHUNKED + b"2;x=", repeated=b"y" * 1000)
+
+    def test_body_of_another_answer_without_end(self):
+        """Guards against a foreign answer that is read until the deadline."""
+        self.assert_ended(head("other", 10**9), repeated=b"y" * 1000)
+
+    def test_interim_answers_without_end(self):
+        """Guards against 100 Continue for ever."""
+
+        async def scenario():
+            connection = Connection(answer_id, lambda c: None)
+            connection.connection_made(FakeTransport())
+            exchange = Exchange("r1")
+            connection.start(exchange, b"GET / HTTP/1.1\r\n\r\n")
+            for _ in range(100):
+                if not connection.transport.aborted:
+                    connection.data_received(b"HTTP/1.1 100 Continue\r\n\r\n")
+            return exchange
+
+        exchange = run_paused(scenario())
+        self.assertEqual(FailureKind.OVERSIZED, exchange.failure.kind)
+
+    def test_long_body_is_no_fault(self):
+        """Guards against bounds that cut sound answers of many chunks."""
+        chunks = [b"1\r\ny\r\n"] * 40_000
+        _, exchange, freed = play(CHUNKED, *chunks, b"0\r\n\r\n")
+        self.assertTrue(exchange.ended)
+        self.assertEqual(40_000, len(exchange.take()))
+        self.assertEqual(1, len(freed))
+
+
+class TrailerTest(unittest.TestCase):
+    def test_trailers_are_no_headers_of_the_next_answer(self):
+        """Guards against an answer that gets the trailers of the one before."""
+
+        async def scenario():
+            connection = Connection(answer_id, lambda c: None)
+            connection.connection_made(FakeTransport())
+            first, second = Exchange("r1"), Exchange("r2")
+            connection.start(first, b"GET / HTTP/1.1\r\n\r\n")
+            trailers = b"2\r\nok\r\n0\r\nX-Id: r9\r\nX-Mark: a\r\n\r\n"
+            connection.data_received(CHUNKED + trailers)
+            await asyncio.sleep(0)
+            connection.start(second, b"GET / HTTP/1.1\r\n\r\n")
+            connection.data_received(head("r2") + b"no")
+            return first, second
+
+        first, second = run_paused(scenario())
+        self.assertEqual(b"ok", first.take())
+        self.assertIsNone(second.failure)
+        self.assertEqual(b"no", second.take())
+        self.assertNotIn(b"x-mark", dict(second.headers))
+
+
 class PoolTest(unittest.TestCase):
     def test_connection_is_dropped_before_the_servers_idle_timeout(self):
         """Guards against a call sent into a connection that the server closes."""
@@ -136,6 +238,25 @@
         self.assertIsNone(found)
         self.assertTrue(connection.transport.closed)
 
+    def test_request_that_is_sent_again_gets_another_connection(self):
+        """Guards against a late copy of the first answer (not run, come back) that
+        is taken for the answer to the second send of the same request."""
+
+        async def scenario():
+            pool = ConnectionPool(answer_id, lambda headers: 5.0)
+            connection = Connection(answer_id, lambda c: pool.keep(("a", "i"), c))
+            connection.connection_made(FakeTransport())
+            connection.start(Exchange("r1"), b"GET / HTTP/1.1\r\n\r\n")
+            connection.data_received(head("r1", status=503) + b"no")
+            await asyncio.sleep(0)
+            same = pool.take_idle("a", "i", "r1")
+            other = pool.take_idle("a", "i", "r2")
+            return connection, same, other
+
+        connection, same, other = run_paused(scenario())
+        self.assertIsNone(same)
+        self.assertIs(connection, other)
+
     def test_incarnations_do_not_share_connections(self):
         """Guards against requests sent to a successor at the same address."""
 
--- a/monsoontack/gateway/peers.py
+++ b/monsoontack/gateway/peers.py
@@ -3,12 +3,19 @@
 import asyncio
 from dataclasses import dataclass
 
-from monsoontack.gateway.outbound import Exchange, ExchangeFailure
+import structlog
+
+from monsoontack.gateway.outbound import Exchange, ExchangeFailure, FailureKind
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.records import Headers
+from monsoontack.gateway.wholeanswer import read_whole
+
+log = structlog.get_logger("gateway.peers")
 
 CONNECT_TIMEOUT_S = 0.25
-MAX_ANSWER_BYTES = 64_000_000
+# The entries of 850 servers, or the largest object of the platform's store (1 MiB)
+# as JSON, take less than half of this.
+MAX_ANSWER_BYTES = 4_194_304
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,10 +29,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerAnswer:
-    """Status and body of a peer's whole answer."""
+    """Status, body and headers of a peer's whole answer."""
 
     status: int
     body: bytes
+    headers: Headers = ()
 
 
 def no_answer_id(headers: Headers) -> None:
@@ -60,17 +68,12 @@
     if body is not None:
         head += f"content-length: {len(body)}\r\n"
     connection.start(exchange, f"{head}\r\n".encode() + (body or b""))
-    parts, size = [], 0
     try:
-        while not exchange.over or exchange.parts:
-            left_s = until - now()
-            if left_s <= 0 or size > MAX_ANSWER_BYTES:
-                return None
-            await exchange.wait(left_s)
-            parts.append(exchange.take())
-            size += len(parts[-1])
+        body = await read_whole(exchange, until, MAX_ANSWER_BYTES)
     finally:
         exchange.abort()
-    if exchange.failure is not None:
+    if isinstance(body, ExchangeFailure):
+        if body.kind is FailureKind.OVERSIZED:
+            log.warning("peer answers without end", address=address, detail=body.detail)
         return None
-    return PeerAnswer(exchange.status, b"".join(parts))
+    return PeerAnswer(exchange.status, body, exchange.headers)
--- a/monsoontack/gateway/pool.py
+++ b/monsoontack/gateway/pool.py
@@ -35,16 +35,24 @@
     opened: int = 0
     reused: int = 0
 
-    def take_idle(self, address: str, incarnation: str) -> Connection | None:
-        """Return an idle connection that is still good, if there is one."""
-        stack = self.idle.get((address, incarnation))
+    def take_idle(
+        self, address: str, incarnation: str, request_id: str | None = None
+    ) -> Connection | None:
+        """Return an idle connection that is still good, if there is one.
+
+        A request that is sent to a server once more does not get the connection of
+        its earlier send: a repeated answer to that one would bear its id.
+        """
+        stack = self.idle.get((address, incarnation), [])
         now = asyncio.get_running_loop().time()
-        while stack:
-            connection = stack.pop()
-            if connection.is_open and now < connection.expires_at:
+        for connection in reversed(stack[:]):
+            if not connection.is_open or now >= connection.expires_at:
+                stack.remove(connection)
+                connection.transport.close()
+            elif not connection.has_carried(request_id):
+                stack.remove(connection)
                 self.reused += 1
                 return connection
-            connection.transport.close()
         return None
 
     async def connect(
@@ -71,10 +79,14 @@
         return connection
 
     async def acquire(
-        self, address: str, incarnation: str, timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        address: str,
+        incarnation: str,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+        request_id: str | None = None,
     ) -> Connection | ExchangeFailure:
-        """Return an idle connection or open one."""
-        connection = self.take_idle(address, incarnation)
+        """Return an idle connection for a request, or open one."""
+        connection = self.take_idle(address, incarnation, request_id)
         if connection is not None:
             return connection
         return await self.connect(address, incarnation, timeout_s)
--- a/monsoontack/gateway/reading.py
+++ b/monsoontack/gateway/reading.py
@@ -11,6 +11,7 @@
     AnswerHead,
 )
 from monsoontack.gateway.responder import CallerGoneError
+from monsoontack.generation.pace import falling_maximum
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
@@ -26,6 +27,8 @@
 DOUBTED_TIMEOUT_S = 0.25
 # A run that goes on from a copy has to be admitted first.
 RESUME_FACTOR = 1.5
+# Part of the silence limit after which a connection shows whether the engine lives.
+ALIVE_CHECK_SHARE = 0.5
 # Bytes of an error answer that are kept to be passed on.
 MAX_ERROR_BYTES = 65_536
 
@@ -68,20 +71,20 @@
         self.first_limit_s = run.pace.first_event_limit_s(tokens)
         self.check_at_s = run.pace.check_after_s(tokens)
         self.answer: AnswerHead | None = None
+        self.alive_check: asyncio.Task | None = None
 
     async def relay(self) -> StreamLoss | None:
         """Relay events until the stream ends; return the loss, if it is one."""
         try:
             return await self._relay()
-        except CallerGoneError:
-            self.exchange.abort()
-            raise
-        except asyncio.CancelledError:
+        except (CallerGoneError, asyncio.CancelledError):
             self.exchange.abort()
             raise
         except EventTooLongError as error:
             self.exchange.abort()
-            return StreamLoss(str(error))
+            return StreamLoss(f"{FailureKind.OVERSIZED}: {error}")
+        finally:
+            self._end_alive_check()
 
     async def _relay(self) -> StreamLoss | None:
         exchange, job, run = self.exchange, self.job, self.run
@@ -100,6 +103,9 @@
             if job.left_s(self.run.now()) <= 0:
                 exchange.abort()
                 return StreamLoss("deadline")
+            if self.member.restarted:
+                exchange.abort()
+                return StreamLoss("its engine started anew")
             silence = await self._silence()
             if silence is not None:
                 run.forwarder.fleet.note_unreachable(self.member, run.now())
@@ -123,7 +129,7 @@
         if answer.status >= 300:
             body = await self._drain_error()
             if exchange.failure is not None:
-                return StreamLoss(str(exchange.failure.kind))
+                return StreamLoss(str(exchange.failure))
             return StreamLoss(str(answer.status), answer=answer, body=body)
         if answer.encoded or not answer.signed:
             exchange.abort()
@@ -145,30 +151,38 @@
 
     async def _pass_on(self, data: bytes) -> None:
         """Send whole events on."""
+        before = self.splitter.count
         whole = self.splitter.feed(data)
         run, now = self.run, self.run.now()
         self.member.seen_at = now
         if not whole:
             return
-        if run.events == 0 or self.splitter.count and run.last_event_at == 0.0:
+        if self.splitter.count > before or self.splitter.count == 0:
+            self._note_progress(now, is_first=before == 0)
+        if self.splitter.last_id is not None:
+            run.last_id = self.splitter.last_id
+        responder = self.job.responder
+        if not responder.began:
+            responder.begin(self.answer.status, self.answer.forwarded)
+        await responder.write(whole)
+
+    def _note_progress(self, now: float, is_first: bool) -> None:
+        """Note events; comments between them keep no stalled stream alive."""
+        run = self.run
+        if run.events == 0 or is_first and run.last_event_at == 0.0:
             self._first_event(now)
         else:
             gap_s = now - run.last_event_at
             self.job.worst_gap_s = max(self.job.worst_gap_s, gap_s)
-            if self.splitter.count > 1:
+            if not is_first:
                 record = self.job.tries[-1]
                 record.worst_gap_s = max(record.worst_gap_s, gap_s)
-            if self.splitter.count > 1:
                 run.pace.saw_gap(gap_s)
+                self.member.gap_s = falling_maximum(self.member.gap_s, gap_s)
         run.last_event_at = now
         run.events += 1
         run.stop_waiting()
-        if self.splitter.last_id is not None:
-            run.last_id = self.splitter.last_id
-        responder = self.job.responder
-        if not responder.began:
-            responder.begin(self.answer.status, self.answer.forwarded)
-        await responder.write(whole)
+        self._end_alive_check()
 
     def _first_event(self, now: float) -> None:
         if self.job.first_event_at is None:
@@ -183,14 +197,15 @@
         """Return what shows that the engine is silent for too long, if it is."""
         run, now, member = self.run, self.run.now(), self.member
         limit_s = run.pace.silence_limit_s(self.job.route.max_gap_s)
+        if not self.job.route.is_repeatable:
+            # It cannot go on elsewhere, so its engine has until the deadline.
+            return None
         if self.splitter.count:
             gap_s = now - run.last_event_at
-            if gap_s <= limit_s:
+            if not self._is_stalled(gap_s, limit_s):
                 return None
             member.doubted_at = now
             return f"no event for {gap_s:.2f} s"
-        if not self.job.route.is_repeatable:
-            return None
         waited_s = now - self.sent_at
         if self.resumed:
             is_late = waited_s > RESUME_FACTOR * limit_s
@@ -205,11 +220,39 @@
         failure = await run.forwarder.sender.check_connection(member, timeout_s)
         return None if failure is None else f"no new connection, {failure.detail}"
 
+    def _is_stalled(self, gap_s: float, limit_s: float) -> bool:
+        """Whether a running stream moves; `limit_s` is the service's usual limit.
+
+        An engine that still takes connections gets a limit of its own: one that was
+        slow lately is not taken for a stalled one.
+        """
+        if gap_s > ALIVE_CHECK_SHARE * limit_s and self.alive_check is None:
+            check = self.run.forwarder.sender.check_connection
+            timeout_s = (1 - ALIVE_CHECK_SHARE) * limit_s
+            self.alive_check = asyncio.ensure_future(check(self.member, timeout_s))
+        if gap_s <= limit_s:
+            return False
+        check, member = self.alive_check, self.member
+        if not check.done() or check.exception() or check.result() is not None:
+            return True
+        live_limit_s = self.run.pace.live_limit_s(
+            self.job.route.max_gap_s, member.gap_s
+        )
+        if gap_s <= live_limit_s:
+            return False
+        member.gap_s = falling_maximum(member.gap_s, gap_s)
+        return True
+
+    def _end_alive_check(self) -> None:
+        if self.alive_check is not None:
+            self.alive_check.cancel()
+            self.alive_check = None
+
     def _end(self) -> StreamLoss | None:
         """Return None if the stream is complete, else why it is not."""
         exchange = self.exchange
         if exchange.failure is not None:
-            return StreamLoss(str(exchange.failure.kind))
+            return StreamLoss(str(exchange.failure))
         if self.answer is None:
             return StreamLoss(str(FailureKind.CLOSED))
         if self.splitter.rest:
--- a/monsoontack/gateway/rollouts.py
+++ b/monsoontack/gateway/rollouts.py
@@ -14,6 +14,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any, Protocol
 
+import msgspec
 import structlog
 from returns.result import Result, Success
 
@@ -301,14 +302,26 @@
     found = {}
     for item in objects:
         try:
-            if item.spec["uid"] != uid:
+            report = msgspec.convert(item.spec, _Report)
+            if report.uid != uid:
                 continue
-            counts = {
-                EvidenceKey(service, version, route): Counts(**fields)
-                for service, version, route, fields in item.spec["counts"]
-            }
-            phase = Phase(item.spec["phase"])
-            found[item.name] = EntryEvidence(counts, item.spec["old_open"], phase)
-        except (KeyError, TypeError, ValueError) as error:
+            found[item.name] = report.evidence()
+        except (msgspec.ValidationError, ValueError) as error:
             log.warning("evidence cannot be read", name=item.name, error=str(error))
     return found
+
+
+class _Report(msgspec.Struct):
+    """An entry's evidence as it stands in the store."""
+
+    uid: str
+    phase: Phase
+    old_open: int
+    counts: list[tuple[str, str, str, Counts]]
+
+    def evidence(self) -> EntryEvidence:
+        """Return the evidence; raises `ValueError` if it can be of no requests."""
+        counts = {EvidenceKey(*key): value for *key, value in self.counts}
+        if not all(value.is_valid() for value in counts.values()):
+            raise ValueError("impossible counts")
+        return EntryEvidence(counts, self.old_open, self.phase)
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -33,7 +33,7 @@
         may have left meanwhile.
         """
         timeout_s = min(CONNECT_TIMEOUT_S, attempt.left_s)
-        connection = await self.pool.acquire(*member.key, timeout_s)
+        connection = await self.pool.acquire(*member.key, timeout_s, request.request_id)
         if isinstance(connection, ExchangeFailure):
             self.fleet.note_unreachable(member, self.now())
             return connection
--- a/monsoontack/generation/pace.py
+++ b/monsoontack/generation/pace.py
@@ -14,6 +14,9 @@
 # Part of the accepted pause after which a stream must move: connection, admission
 # and the first event at the other engine take the rest.
 SILENCE_SHARE = 0.6
+# An engine known to be slow may take this much longer than the pause that callers
+# accept: its event is then late, but a move costs a pause of this length as well.
+STALL_SLACK_S = 0.3
 GAP_DECAY = 0.02
 # Before any gap was seen.
 INITIAL_GAP_S = 0.2
@@ -31,6 +34,11 @@
 CHECK_SHARE = 0.5
 
 
+def falling_maximum(longest_s: float, gap_s: float) -> float:
+    """Return the longest gap seen lately, with one more gap."""
+    return max(gap_s, longest_s * (1 - GAP_DECAY))
+
+
 @dataclass(slots=True)
 class Pace:
     """Gaps between events and speed of reading prompts of one service.
@@ -44,7 +52,7 @@
 
     def saw_gap(self, gap_s: float) -> None:
         """Take in a gap between two events."""
-        self.gap_s = max(gap_s, self.gap_s * (1 - GAP_DECAY))
+        self.gap_s = falling_maximum(self.gap_s, gap_s)
 
     def saw_first_event(self, tokens: int, took_s: float) -> None:
         """Take in the time from the send to the first event of a run."""
@@ -63,6 +71,14 @@
         ceiling = max(SILENCE_SHARE * max_gap_s, SILENCE_FLOOR_S)
         return min(max(GAP_FACTOR * self.gap_s, SILENCE_FLOOR_S), ceiling)
 
+    def live_limit_s(self, max_gap_s: float, engine_gap_s: float) -> float:
+        """Return the silence after which a stream leaves an engine that lives.
+
+        `engine_gap_s` is the longest gap seen lately at that engine.
+        """
+        usual_s = max(SILENCE_SHARE * max_gap_s, GAP_FACTOR * engine_gap_s)
+        return max(min(usual_s, max_gap_s + STALL_SLACK_S), SILENCE_FLOOR_S)
+
     def first_event_limit_s(self, tokens: int) -> float:
         """Return the wait for a first event after which a run moves.
 
--- a/monsoontack/platform/objects.py
+++ b/monsoontack/platform/objects.py
@@ -100,7 +100,11 @@
 
 
 class _Server(msgspec.Struct):
-    """What a server says of itself; `version` is that of its software."""
+    """What a server says of itself; `version` is that of its software.
+
+    `born` is the Unix millisecond of its start: a server may start again under its
+    former name.
+    """
 
     service: str
     address: str
@@ -109,6 +113,7 @@
     version: str
     slots: int
     cold_left_ms: float = 0.0
+    born: int = 0
 
 
 def decode_config(spec: Any) -> GatewayConfig | None:
@@ -188,6 +193,7 @@
     """
     try:
         server = msgspec.convert(spec, _Server)
+        _check_name(name)
         _check_address(server.address)
     except (msgspec.ValidationError, ValueError) as error:
         log.warning("entry of a server cannot be read", server=name, error=str(error))
@@ -210,6 +216,7 @@
         place=place,
         slots=server.slots,
         incarnation=name,
+        started_unix_ms=server.born,
     )
     return record, server.state == DRAINING
 
@@ -252,6 +259,12 @@
     return {"state": state, "target": order.target, "phase": phase}
 
 
+def _check_name(name: str) -> None:
+    """A name goes into a header of each request to its server."""
+    if not name or not name.isascii() or not name.isprintable():
+        raise ValueError(f"name {name!r} is not printable")
+
+
 def _check_address(address: str) -> None:
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65_536:
--- a/monsoontack/platform/store.py
+++ b/monsoontack/platform/store.py
@@ -15,8 +15,9 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from monsoontack.gateway.outbound import Exchange, ExchangeFailure, FailureKind
+from monsoontack.gateway.outbound import Exchange, ExchangeFailure
 from monsoontack.gateway.pool import ConnectionPool
+from monsoontack.gateway.wholeanswer import read_whole
 from monsoontack.platform.wire import keep_alive_s
 from monsoontack.store.api import (
     Ambiguous,
@@ -42,7 +43,10 @@
 # end of it however long its delivery took; this covers rounding and clocks.
 DELIVERY_S = 0.05
 MAX_PAGES = 1000
-MAX_ANSWER_BYTES = 64_000_000
+# A page holds about 1 MB, or one object of at most 1 MiB.
+MAX_ANSWER_BYTES = 4_194_304
+# All pages of a list together; a kind of 850 servers takes 300 KB.
+MAX_LIST_BYTES = 33_554_432
 
 
 class _Metadata(msgspec.Struct):
@@ -103,13 +107,16 @@
         nothing that changed while the others were read.
         """
         objects: list[KindObject] = []
-        revision, after = None, None
+        revision, after, size = None, None, 0
         for _ in range(MAX_PAGES):
             query = "" if after is None else f"?after={quote(after, safe='')}"
             result = await self._read(f"{ROOT}/{kind}{query}", kind, CALL_TIMEOUT_S)
             page = result.bind(lambda answer: _decode(kind, answer, _Page))
             if not isinstance(page, Success):
                 return page
+            size += len(result.unwrap().body)
+            if size > MAX_LIST_BYTES:
+                return Failure(Unavailable(kind, f"list above {MAX_LIST_BYTES} bytes"))
             content = page.unwrap()
             objects += [_lenient_object(entry) for entry in content.entries]
             revision = content.store_revision if revision is None else revision
@@ -227,23 +234,14 @@
 async def _whole_answer(
     exchange: Exchange, until: float, reused: bool
 ) -> _Answer | ExchangeFailure:
-    loop = asyncio.get_running_loop()
-    parts, size = [], 0
-    while not exchange.over or exchange.parts:
-        left_s = until - loop.time()
-        if left_s <= 0 or size > MAX_ANSWER_BYTES:
-            detail = "no whole answer in time"
-            return ExchangeFailure(FailureKind.SILENT, True, detail)
-        await exchange.wait(left_s)
-        parts.append(exchange.take())
-        size += len(parts[-1])
-    failure = exchange.failure
-    if failure is not None:
-        if reused and not exchange.bytes_in and loop.time() < until:
-            return ExchangeFailure(failure.kind, True, STALE_CONNECTION)
-        return failure
+    body = await read_whole(exchange, until, MAX_ANSWER_BYTES)
+    if isinstance(body, ExchangeFailure):
+        is_stale = reused and exchange.failure is not None and not exchange.bytes_in
+        if is_stale and asyncio.get_running_loop().time() < until:
+            return ExchangeFailure(body.kind, True, STALE_CONNECTION)
+        return body
     retry_after = dict(exchange.headers).get(b"retry-after")
-    return _Answer(exchange.status, b"".join(parts), _number(retry_after))
+    return _Answer(exchange.status, body, _number(retry_after))
 
 
 def _number(value: bytes | None) -> float | None:
--- a/monsoontack/store/feed.py
+++ b/monsoontack/store/feed.py
@@ -14,7 +14,14 @@
 from returns.result import Success
 
 from monsoontack.core.clock import Clock, LoopClock, boot_time
-from monsoontack.store.api import HistoryGone, KindObject, KindStore, StoreError
+from monsoontack.store.api import (
+    HistoryGone,
+    KindChange,
+    KindObject,
+    KindStore,
+    StoreError,
+    Unavailable,
+)
 
 log = structlog.get_logger("store.feed")
 
@@ -53,7 +60,8 @@
 
     `wait_s` bounds one watch; it is also how often an unchanged kind is
     confirmed. `is_required` feeds have to be loaded before the process is ready.
-    `on_dependency` hears whether the store answers this feed.
+    `on_dependency` hears whether the store answers this feed. `newest` is the last
+    revision that was taken over: a list from before would bring back what has left.
     """
 
     store: KindStore
@@ -70,6 +78,7 @@
     failures: int = 0
     loaded: bool = False
     has_changed: bool = False
+    newest: int = 0
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
@@ -77,7 +86,6 @@
             self.has_changed = False
             error = await (self._list() if self.revision is None else self._watch())
             if error is None:
-                self._answered()
                 if self.has_changed:
                     await self.clock.sleep(self.settle_s)
                 continue
@@ -108,8 +116,11 @@
         if not isinstance(result, Success):
             return result.failure()
         listed = result.unwrap()
+        if listed.revision < self.newest:
+            return Unavailable(self.kind, f"revision {listed.revision} is too old")
+        self._answered()
         self.listener.replace_all(listed.objects, listed.revision)
-        self.revision = listed.revision
+        self.revision = self.newest = listed.revision
         self.loaded = True
         self.listener.confirmed(sent_at + listed.confirmed_after_s)
         return None
@@ -121,12 +132,22 @@
         if not isinstance(result, Success):
             return result.failure()
         answer = result.unwrap()
+        # Listeners judge what lapsed by whether the store has just returned.
+        self._answered()
         for change in answer.changes:
-            if change.removed:
-                self.listener.removed(change.object.name, change.object.revision)
-            else:
-                self.listener.changed(change.object)
+            self._take(change)
         self.has_changed = bool(answer.changes)
-        self.revision = max(answer.revision, revision)
+        self.revision = self.newest = max(answer.revision, revision)
         self.listener.confirmed(sent_at + answer.confirmed_after_s)
         return None
+
+    def _take(self, change: KindChange) -> None:
+        """Pass one change on; one that cannot be taken over stops no other."""
+        item = change.object
+        try:
+            if change.removed:
+                self.listener.removed(item.name, item.revision)
+            else:
+                self.listener.changed(item)
+        except Exception:
+            log.exception("object not taken over", kind=self.kind, name=item.name)
--- a/monsoontack/store/feed_test.py
+++ b/monsoontack/store/feed_test.py
@@ -82,6 +82,75 @@
     return run_paused(scenario())
 
 
+class OutageTest(unittest.TestCase):
+    def test_return_of_the_store_is_told_before_its_news(self):
+        """Guards against servers that are dropped at once although their entries
+        only lapsed during an outage and are about to come back."""
+        order = []
+
+        class Listening(Recorder):
+            def replace_all(self, objects, revision):
+                order.append("list")
+
+            def removed(self, name, revision):
+                order.append("removed")
+
+        async def scenario(lists, watches):
+            feed = KindFeed(ScriptedStore(lists, watches), "k", Listening(), 1.0)
+            feed.boot = asyncio.get_running_loop().time
+            feed.on_dependency = lambda kind, up, reason: order.append(up)
+            task = asyncio.ensure_future(feed.run())
+            await asyncio.sleep(20.0)
+            task.cancel()
+
+        gone = KindChanges((KindChange(item("a", 7), True),), 7, 0.0)
+        listed = (0.0, Success(KindList((item("a", 5),), 5)))
+        run_paused(scenario([listed], [(0.0, DOWN), (0.0, Success(gone))]))
+        self.assertEqual(["list", False, True, "removed"], order)
+        order.clear()
+        late = (0.0, Success(KindList((), 9)))
+        missed = (0.0, Failure(HistoryGone("k")))
+        run_paused(scenario([listed, (0.0, DOWN), late], [missed]))
+        self.assertEqual(["list", False, True, "list"], order)
+
+    def test_list_from_before_is_not_taken_over(self):
+        """Guards against a server that left, or a key that was withdrawn, in use
+        again after a list from a peer that is behind."""
+        listed = [
+            (0.0, Success(KindList((item("a", 5),), 8))),
+            (0.0, Success(KindList((item("a", 5), item("gone", 4)), 6))),
+            (0.0, Success(KindList((item("a", 5),), 9))),
+        ]
+        missed = [(0.0, Failure(HistoryGone("k")))]
+        _, recorder, _ = follow(listed, missed)
+        self.assertEqual([("list", ["a"]), ("list", ["a"])], recorder.heard)
+
+    def test_change_that_cannot_be_taken_over_stops_no_other(self):
+        """Guards against one odd object that ends the following of its kind."""
+
+        class Failing(Recorder):
+            def changed(self, found):
+                if found.name == "odd":
+                    raise TypeError("odd object")
+                super().changed(found)
+
+        async def scenario():
+            changes = tuple(KindChange(item(n, 6), False) for n in ("odd", "b"))
+            lists = [(0.0, Success(KindList((), 5)))]
+            watches = [(0.0, Success(KindChanges(changes, 6, 0.0)))]
+            recorder = Failing()
+            feed = KindFeed(ScriptedStore(lists, watches), "k", recorder, 1.0)
+            feed.boot = asyncio.get_running_loop().time
+            task = asyncio.ensure_future(feed.run())
+            await asyncio.sleep(5.0)
+            task.cancel()
+            return recorder, feed
+
+        recorder, feed = run_paused(scenario())
+        self.assertIn(("changed", "b"), recorder.heard)
+        self.assertEqual(6, feed.revision)
+
+
 class FeedTest(unittest.TestCase):
     def test_lost_history_leads_to_a_new_list(self):
         """Guards against changes missed when the store drops its history."""
