Read the store through a tree of entries; keep the daemon's parts running

Cause: all entries of a region read three kinds through the first of it, every 0.6 s each, two entries read the store, and during an outage every entry asked it twice a second. An error in any task of the daemon, such as an answer of a peer without a field, ended the process. A drain ended while a request was half read.

Change: entries form a tree by rendezvous hash (six children each, one reader of the store for all, the first of a region reads for it). An unchanged kind is confirmed down the tree as soon as its reader knows it, so ages do not add up. A watch takes a quarter of the bound for news (0.6 to 1.0 s). Three readers a region may ask a store whose reader is refused, the others wait for a peer or ask at a rate bounded for the fleet. Rows are encoded once a revision, long ones compressed. Entries that start together wait 0.6 s for each other's registration. Parts that fail are logged and start again; a drain waits for half-read requests. Answers of peers are validated.

Ruled out: waiting at each level as before (ages add up to 0.6 s a level, above what keys allow); letting all entries ask a store that refuses its reader (68 calls at once).

--- a/monsoontack/core/supervise.py
+++ b/monsoontack/core/supervise.py
@@ -23,6 +23,5 @@
             await work()
             return
         except Exception:
-            name = getattr(work, "__qualname__", repr(work))
-            log.exception("a part of the process failed", part=name)
+            log.exception("a part of the process failed", part=repr(work))
         await asyncio.sleep(RESTART_S)
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -4,18 +4,19 @@
 import json
 import random
 import signal
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import structlog
 
 from monsoontack.admission.hedge import Hedging
 from monsoontack.core.boundedlog import LineWriter
-from monsoontack.core.records import Place
+from monsoontack.core.supervise import keep_running
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.calls import CallForwarder
 from monsoontack.gateway.census import ENTRIES_KIND, Census, register
-from monsoontack.gateway.fleet import DirectFleet, Member
+from monsoontack.gateway.fleet import DirectFleet
 from monsoontack.gateway.handler import Gateway
 from monsoontack.gateway.inbound import BodyBudget, InboundServer
 from monsoontack.gateway.knowledge import ConfigKnowledge
@@ -25,11 +26,14 @@
 from monsoontack.gateway.peers import PeerEntry, peer_pool
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.ports import WireFormat
+from monsoontack.gateway.readtree import OwnReads
 from monsoontack.gateway.records import CallerLimits, GatewayConfig, RawRequest
-from monsoontack.gateway.relay import RelayedStore, RelayServer, StorePause
+from monsoontack.gateway.relay import RelayedStore, RelayServer
 from monsoontack.gateway.responder import Responder
 from monsoontack.gateway.rollouts import RolloutDesk, StatusStore
 from monsoontack.gateway.sender import Sender
+from monsoontack.gateway.settings import GatewaySettings
+from monsoontack.gateway.statedump import dump_state
 from monsoontack.gateway.streams import StreamForwarder
 from monsoontack.routing.linkbudget import LocalShare
 from monsoontack.routing.picker import Picker
@@ -53,11 +57,18 @@
 # How often the settings file is looked at for a change without a signal.
 SETTINGS_CHECK_S = 1.0
 # The number of entries changes rarely; a watch costs a call each time it returns.
-CENSUS_WATCH_S = 20.0
+CENSUS_WATCH_S = 10.0
+CENSUS_MAX_AGE_S = 30.0
 CENSUS_SETTLE_S = 2.0
-# One watch of the store; also how often an unchanged kind is confirmed. A server
-# that leaves must be known within 2.5 s, also if a watch lost its connection.
-DIRECT_WATCH_S = 0.6
+# When all entries start for the first time, each waits until the others have
+# registered; a list that is late for another reason delays no entry further.
+FIRST_START_SPREAD_S = 0.6
+PEERS_WAIT_S = 1.0
+# Knowledge this much older than a watch shows that an entry has lost the store; a
+# slow store takes 0.2 s to answer.
+AGE_SLACK_S = 0.4
+# Servers' entries lapse after 3.6 s of silence; a shorter loss removes none.
+MIN_OUTAGE_S = 1.5
 # Entries that start together do not see each other at once.
 MIN_ENTRIES = 4
 BACKLOG = 512
@@ -65,32 +76,6 @@
 UNAVAILABLE = 503
 
 
-@dataclass(frozen=True, slots=True)
-class GatewaySettings:
-    """What a gateway needs to know of its VM and of the bounds that hold.
-
-    Addresses are `ip:port`. `entries` is a number that the entries of the
-    deployment will hardly exceed.
-    """
-
-    name: str
-    place: Place
-    front_address: str
-    ready_address: str
-    operator_address: str
-    peer_address: str
-    store_address: str
-    memory_bytes: int
-    revoke_s: float
-    grace_s: float
-    retry_ratio: float
-    retry_extra: float
-    retry_window_s: float
-    canary_share: float
-    canary_tolerance: float
-    entries: int = 8
-
-
 @dataclass(slots=True)
 class GatewayDaemon:
     """All parts of a running gateway."""
@@ -105,7 +90,9 @@
     feeds: list[KindFeed] = field(default_factory=list)
     relay: RelayServer = field(default_factory=RelayServer)
     relayed: list[RelayedStore] = field(default_factory=list)
-    store_pause: StorePause = field(default_factory=StorePause)
+    own_reads: OwnReads = field(default_factory=OwnReads)
+    lost_at: dict[str, float] = field(default_factory=dict)
+    peers_known: asyncio.Event | None = None
     peer_pool: ConnectionPool = field(default_factory=peer_pool)
     reload: Callable[[], None] = lambda: None
     desk: RolloutDesk | None = None
@@ -157,26 +144,43 @@
 
         It is read through other entries where they are fresh enough.
         """
+        watch_s = self.settings.watch_s
+        cache = KindCache(listener, max_age_s=watch_s + AGE_SLACK_S)
+        relayed = self._relayed(store, kind, cache, watch_s)
+        relayed.on_stale_peer = self.knowledge.note_stale_peer
+        self._feed(KindFeed(relayed, kind, cache, watch_s))
+
+    def _relayed(
+        self, store: KindStore, kind: str, cache: KindCache, watch_s: float
+    ) -> RelayedStore:
+        """Return the store read through other entries, which may read here too."""
         settings = self.settings
         relayed = RelayedStore(
-            settings.name, settings.place.region, store, DIRECT_WATCH_S, self.peer_pool
+            settings.name,
+            settings.place.region,
+            store,
+            watch_s,
+            cache.max_age_s,
+            self.peer_pool,
         )
-        relayed.pause = self.store_pause
-        relayed.on_stale_peer = self.knowledge.note_stale_peer
-        cache = KindCache(listener)
+        relayed.own_reads = self.own_reads
         self.relay.caches[kind] = cache
         self.relayed.append(relayed)
-        feed = KindFeed(relayed, kind, cache, DIRECT_WATCH_S)
+        return relayed
+
+    def _feed(self, feed: KindFeed) -> None:
         feed.on_dependency = self._dependency_changed
         self.feeds.append(feed)
 
     def join(self, store: ObjectStore, kinds: KindStore) -> None:
         """Register this entry and follow the others."""
-        census = Census(self._entries_changed)
-        feed = KindFeed(kinds, ENTRIES_KIND, census, CENSUS_WATCH_S, is_required=False)
+        cache = KindCache(Census(self._entries_changed), max_age_s=CENSUS_MAX_AGE_S)
+        relayed = self._relayed(kinds, ENTRIES_KIND, cache, CENSUS_WATCH_S)
+        relayed.own_reads = OwnReads()
+        feed = KindFeed(relayed, ENTRIES_KIND, cache, CENSUS_WATCH_S, is_required=False)
         feed.settle_s = CENSUS_SETTLE_S
-        feed.on_dependency = self._dependency_changed
-        self.feeds.append(feed)
+        self._feed(feed)
+        self.peers_known = asyncio.Event()
         settings = self.settings
         own = PeerEntry(settings.name, settings.place.region, settings.peer_address)
         self.extra_work.append(lambda: register(store, own))
@@ -193,19 +197,25 @@
 
     def _entries_changed(self, entries: dict[str, PeerEntry]) -> None:
         log.info("entries changed", entries=len(entries))
+        self.peers_known.set()
         self.gateway.calls.budgets.resize(max(len(entries), MIN_ENTRIES))
         if self.desk is not None:
             self.desk.entries = max(len(entries), MIN_ENTRIES)
+        reachable = {name: peer for name, peer in entries.items() if peer.address}
         for relayed in self.relayed:
-            relayed.peers = {n: p for n, p in entries.items() if p.address}
+            relayed.set_peers(reachable)
         self.gateway.streams.news.set_peers(entries)
 
     def _dependency_changed(self, kind: str, is_up: bool, reason: str) -> None:
         self.metrics.dependency_up.labels(kind).set(is_up)
+        now = self.gateway.now()
         if is_up:
-            log.info("store answers again", feed=kind)
-            self.fleet.store_returned(self.gateway.now())
+            lasted_s = now - self.lost_at.pop(kind, now)
+            log.info("store answers again", feed=kind, lasted_s=round(lasted_s, 2))
+            if lasted_s >= MIN_OUTAGE_S:
+                self.fleet.store_returned(now)
         else:
+            self.lost_at[kind] = now
             log.warning("store lost", feed=kind, reason=reason)
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -236,29 +246,37 @@
         loop.add_signal_handler(signal.SIGINT, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._hang_up)
         await self._listen()
-        work = [feed.run() for feed in self.feeds]
-        work += [make() for make in self.extra_work]
-        work += [self._tick(), self._watch_settings()]
-        tasks = [asyncio.ensure_future(item) for item in work]
+        work = [partial(self._run_feed, feed) for feed in self.feeds]
+        work += [*self.extra_work, self._tick, self._watch_settings]
+        tasks = [asyncio.ensure_future(keep_running(item)) for item in work]
         log.info(
             "gateway started",
             name=self.settings.name,
             address=self.settings.front_address,
             failure_domain=self.settings.place.failure_domain,
         )
-        stop = asyncio.ensure_future(self.stopping.wait())
-        await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
-        self._log_failures(tasks)
+        await self.stopping.wait()
         await self._drain()
-        for task in [stop, *tasks]:
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(stop, *tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         log.info("gateway stopped", name=self.settings.name)
 
-    def _log_failures(self, tasks: Sequence[asyncio.Future]) -> None:
-        for task in tasks:
-            if task.done() and not task.cancelled() and task.exception() is not None:
-                log.error("a part of the gateway failed", exc_info=task.exception())
+    async def _run_feed(self, feed: KindFeed) -> None:
+        """Follow a kind, through other entries if there are any."""
+        if self.peers_known is not None and not self.peers_known.is_set():
+            if feed.is_required:
+                await self._wait_for_peers()
+            elif self.settings.is_first_start:
+                await asyncio.sleep(FIRST_START_SPREAD_S)
+        await feed.run()
+
+    async def _wait_for_peers(self) -> None:
+        try:
+            async with asyncio.timeout(PEERS_WAIT_S):
+                await self.peers_known.wait()
+        except TimeoutError:
+            log.warning("list of entries is late, reading the store without them")
 
     def _hang_up(self) -> None:
         log.info("reloading settings after SIGHUP")
@@ -310,45 +328,11 @@
             text = ((b"content-type", b"text/plain; version=0.0.4"),)
             responder.send(OK, text, self.metrics.render())
         elif path == b"/state":
-            body = json.dumps(self.state()).encode()
+            body = json.dumps(dump_state(self)).encode()
             responder.send(OK, ((b"content-type", b"application/json"),), body)
         else:
             responder.send(404, ())
 
-    def state(self) -> dict:
-        """Return the state dump for operators."""
-        config, now = self.knowledge.config, self.gateway.now()
-        return {
-            "name": self.settings.name,
-            "ready": self.is_ready,
-            "draining": self.draining,
-            "config_version": config.version if config else None,
-            "config_age_s": round(self.knowledge.age_s(), 3) if config else None,
-            "requests_in_progress": self.gateway.in_progress,
-            "feeds": {f.kind: [f.revision, f.failures] for f in self.feeds},
-            "feeds_by_peer": sum(r.by_peer for r in self.relayed),
-            "feeds_by_store": sum(r.by_store for r in self.relayed),
-            "connections": {"opened": self.pool.opened, "reused": self.pool.reused},
-            "servers": [self._server_state(m, now) for m in self._members()],
-        }
-
-    def _members(self) -> list[Member]:
-        return list(self.fleet.members.values())
-
-    def _server_state(self, member: Member, now: float) -> dict:
-        server = member.server
-        return {
-            "server": server.incarnation,
-            "address": server.address,
-            "service": server.service,
-            "versions": list(server.versions),
-            "in_flight": member.in_flight,
-            "waiting_tokens": member.waiting_tokens,
-            "held_tokens": member.held_tokens,
-            "avoided": now < member.avoid_until,
-            "share": round(self.fleet.ejection.share(server.address, now), 3),
-        }
-
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
@@ -377,7 +361,8 @@
             spread = self.gateway.now() >= started + UNREADY_SPREAD_S
             if spread:
                 self.front.close_idle()
-            if spread and not self.gateway.in_progress and not self.front.tasks:
+            busy = self.gateway.in_progress or self.front.tasks
+            if spread and not busy and not self.front.is_receiving:
                 break
             await asyncio.sleep(DRAIN_CHECK_S)
         for listener in self.listeners:
--- a/monsoontack/gateway/relay.py
+++ b/monsoontack/gateway/relay.py
@@ -1,31 +1,41 @@
 """Reading the store through another entry.
 
-The store's rates grow more slowly than the fleet and each call is paid, so the
-entries of a region read it through those that come first by rendezvous hash. An
-answer tells the age of what it holds, so that a reader knows how fresh its keys
-are. Whenever a peer fails or is behind, the entry reads the store itself; an entry
-that the store turns away goes on through its peers.
+The store's rates grow more slowly than the fleet and each call is paid, so entries
+read it through each other (`readtree` tells through whom). An answer tells the age
+of what it holds, so that a reader knows how fresh its keys are. An entry passes on
+that nothing changed as soon as it learns it, so that ages do not add up on the way.
+An entry that the store turns away goes on through its peers.
 """
 
 import asyncio
-import json
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from urllib.parse import parse_qsl
 
 import structlog
 from returns.result import Failure, Result, Success
 
-from monsoontack.core.rendezvous import ranked, stable_hash
-from monsoontack.gateway.peers import CONNECT_TIMEOUT_S, PeerEntry, call_peer
+from monsoontack.gateway.feedcodec import (
+    CodecError,
+    FeedEncoder,
+    read_changes,
+    read_list,
+)
+from monsoontack.gateway.peers import (
+    CONNECT_TIMEOUT_S,
+    PeerAnswer,
+    PeerEntry,
+    call_peer,
+)
 from monsoontack.gateway.pool import ConnectionPool
+from monsoontack.gateway.readtree import OwnReads, ReadPlan, plan_reads
 from monsoontack.gateway.records import RawRequest
 from monsoontack.gateway.responder import Responder
 from monsoontack.store.api import (
     HistoryGone,
-    KindChange,
     KindChanges,
     KindList,
-    KindObject,
     KindStore,
     StoreError,
     Unavailable,
@@ -34,131 +44,130 @@
 
 log = structlog.get_logger("gateway.relay")
 
-RANK_KEY = "store-readers"
-# Peers that are tried before the store; the first of a region reads the store.
-MAX_PEERS = 2
-# A peer holds a request without news this long, well below the 2.5 s within which
-# a leaving server gets no more requests, also if the peer goes dark meanwhile.
-PEER_WAIT_S = 0.6
+# A peer that waits for news answers this much later than the news of an unchanged
+# kind are due from the store.
+NEWS_SLACK_S = 0.2
+# Beyond the wait at the peer; a round trip between regions takes 24 ms.
 PEER_SLACK_S = 0.4
-# A peer whose knowledge is older than this has lost the store itself. With a wait at
-# the peer an entry reads the store at most 1.5 s after its peers lost it; a
-# configuration has to be in force within 2.5 s.
-MAX_PEER_AGE_S = 0.9
-# A peer that failed is not asked again for this time.
+# A peer that cannot be reached, or of which something is wrong, is not asked again
+# for this time.
 PEER_PAUSE_S = 4.0
-# An entry that the store fails reads through its peers for this time; it holds for
-# all its feeds, so that an outage costs few calls and its end is noticed soon.
-STORE_PAUSE_S = 0.5
-GONE = 410
+# A peer without news is asked again after this time.
+STALE_PAUSE_S = 0.4
+# The longest time for which a peer's request is held.
+MAX_HOLD_S = 30.0
+OK, GONE, UNAVAILABLE = 200, 410, 503
 PATH = b"/feeds/"
 
 
+@dataclass(frozen=True, slots=True)
+class FeedRequest:
+    """What a peer asks: changes after a revision, or all objects if it is None.
+
+    The request is held for `wait_s` until there is news; `holds_stale` says that it
+    is also held while this entry has lost the store.
+    """
+
+    kind: str
+    after: int | None = None
+    wait_s: float = 0.0
+    holds_stale: bool = False
+
+    @classmethod
+    def from_target(cls, target: bytes) -> "FeedRequest":
+        """Return the request of a target; raises `ValueError` if it is none."""
+        path, _, query = target.partition(b"?")
+        fields = dict(parse_qsl(query.decode("latin-1")))
+        after = int(fields["after"]) if "after" in fields else None
+        wait_s = int(fields.get("wait_ms", "0")) / 1000
+        kind = path.removeprefix(PATH).decode("latin-1")
+        wait_s = min(max(wait_s, 0.0), MAX_HOLD_S)
+        return cls(kind, after, wait_s, fields.get("hold") == "1")
+
+    def target(self) -> str:
+        """Return the target of the request."""
+        query = f"wait_ms={int(self.wait_s * 1000)}&hold={int(self.holds_stale)}"
+        if self.after is not None:
+            query = f"after={self.after}&{query}"
+        return f"{PATH.decode()}{self.kind}?{query}"
+
+
 @dataclass(slots=True)
 class RelayServer:
     """Answers peers from the caches of this entry's feeds."""
 
     caches: dict[str, KindCache] = field(default_factory=dict)
+    encoder: FeedEncoder = field(default_factory=FeedEncoder)
 
     async def handle(self, raw: RawRequest, responder: Responder) -> None:
-        """Answer `GET /feeds/KIND?after=REVISION&wait_ms=MS`; no query: a list."""
-        path, _, query = raw.target.partition(b"?")
-        cache = self.caches.get(path.removeprefix(PATH).decode("latin-1"))
-        if cache is None or not cache.is_loaded:
-            responder.send(503, ())
-            return
-        started = cache.boot()
-        if cache.age_s() > MAX_PEER_AGE_S:
-            responder.send(503, ())
-            return
+        """Answer `GET /feeds/KIND?after=REVISION&wait_ms=MS&hold=0`."""
         try:
-            fields = dict(item.split("=", 1) for item in query.decode().split("&"))
-            after, wait_s = int(fields["after"]), int(fields["wait_ms"]) / 1000
-        except (ValueError, KeyError):
-            responder.send(200, (), _list_body(cache))
+            request = FeedRequest.from_target(raw.target)
+        except ValueError as error:
+            log.warning("request of a peer cannot be read", detail=str(error))
+            responder.send(400, ())
             return
-        changes = cache.since(after)
-        if changes is not None and not changes:
-            await cache.wait(min(wait_s, PEER_WAIT_S))
-            changes = cache.since(after)
-        if changes is None:
-            responder.send(GONE, ())
+        cache = self.caches.get(request.kind)
+        if cache is None:
+            responder.send(UNAVAILABLE, ())
             return
-        waited_s = cache.boot() - started
-        responder.send(200, (), _changes_body(cache, changes, waited_s))
-
-
-def _list_body(cache: KindCache) -> bytes:
-    document = {
-        "revision": cache.revision,
-        "confirmed_after_s": -cache.age_s(),
-        "objects": [_encode(item) for item in cache.objects.values()],
-    }
-    return json.dumps(document).encode()
-
-
-def _changes_body(
-    cache: KindCache, changes: tuple[KindChange, ...], waited_s: float
-) -> bytes:
-    document = {
-        "revision": cache.revision,
-        "confirmed_after_s": waited_s - cache.age_s(),
-        "changes": [[change.removed, _encode(change.object)] for change in changes],
-    }
-    return json.dumps(document).encode()
-
-
-def _encode(item: KindObject) -> list:
-    return [item.name, item.revision, item.spec, item.status]
-
-
-@dataclass(slots=True)
-class StorePause:
-    """Until when an entry does not ask the store itself (loop's time)."""
-
-    until: float = 0.0
+        asked_at = cache.boot()
+        status = await self._news(cache, request)
+        if status != OK:
+            responder.send(status, ())
+            return
+        confirmed_after_s = cache.boot() - asked_at - cache.age_s()
+        headers, body = self.encoder.encode(cache, request.after, confirmed_after_s)
+        responder.send(OK, headers, body)
+
+    async def _news(self, cache: KindCache, request: FeedRequest) -> int:
+        """Return the status to answer with, once there is news or the wait is over."""
+        now = asyncio.get_running_loop().time
+        until, confirmed_at = now() + request.wait_s, cache.confirmed_at
+        while True:
+            left_s = until - now()
+            if cache.is_fresh:
+                changes = cache.since(request.after) if request.after else ()
+                if changes is None:
+                    return GONE
+                has_news = bool(changes) or cache.confirmed_at > confirmed_at
+                if not request.after or has_news or left_s <= 0:
+                    return OK
+            elif left_s <= 0 or not request.holds_stale:
+                return UNAVAILABLE
+            await cache.wait(left_s)
 
 
 @dataclass(slots=True)
 class RelayedStore:
     """`KindStore` that asks peers first and the store itself otherwise.
 
-    `direct_wait_s` bounds a watch of the store, `pause` is shared by the feeds of
-    one entry. `on_stale_peer` hears when
-    a read failed because no peer knows more than this entry (`saw_stale`). `by_peer`
-    and `by_store` count the calls that were answered by each.
+    `direct_wait_s` bounds a watch of the store, `own_reads` is shared by the feeds
+    of one entry. `on_stale_peer` hears when a read failed because no peer knows more
+    than this entry (`saw_stale`). `by_peer` and `by_store` count the calls that were
+    answered by each.
     """
 
     name: str
     region: str
     store: KindStore
     direct_wait_s: float
+    max_age_s: float
     pool: ConnectionPool
-    peers: dict[str, PeerEntry] = field(default_factory=dict)
+    plan: ReadPlan = field(default_factory=ReadPlan)
     paused_until: dict[str, float] = field(default_factory=dict)
     now: Callable[[], float] = lambda: asyncio.get_running_loop().time()
-    pause: StorePause = field(default_factory=StorePause)
+    own_reads: OwnReads = field(default_factory=OwnReads)
+    rng: random.Random = field(default_factory=random.Random)
     on_stale_peer: Callable[[], None] = lambda: None
     saw_stale: bool = False
     by_peer: int = 0
     by_store: int = 0
 
-    def _peers(self, before_own: bool) -> list[PeerEntry]:
-        """Return the peers before or after this entry that may be asked.
-
-        The only entry of a region asks the others once the store has failed it.
-        """
-        own = {n: p for n, p in self.peers.items() if p.region == self.region}
-        is_alone = not own.keys() - {self.name}
-        if is_alone:
-            own = self.peers
-        order = ranked(stable_hash(RANK_KEY), {*own, self.name})
-        place = 0 if is_alone else order.index(self.name)
-        names = order[:place] if before_own else order[place:]
-        names = [name for name in names if name != self.name]
-        now = self.now()
-        usable = [n for n in names if now >= self.paused_until.get(n, 0.0)]
-        return [own[name] for name in usable[:MAX_PEERS]]
+    def set_peers(self, peers: Mapping[str, PeerEntry]) -> None:
+        """Read through these entries from now on."""
+        self.plan = plan_reads(self.name, self.region, peers)
+        self.paused_until = {n: t for n, t in self.paused_until.items() if n in peers}
 
     async def list_kind(self, kind: str) -> Result[KindList, StoreError]:
         """Read all objects of a kind."""
@@ -166,7 +175,7 @@
         async def read_store() -> Result[KindList, StoreError]:
             return await self.store.list_kind(kind)
 
-        return await self._read(kind, "", PEER_SLACK_S, read_store, _list)
+        return await self._read(kind, None, read_store, read_list)
 
     async def watch_kind(
         self, kind: str, revision: int, wait_s: float
@@ -177,39 +186,64 @@
         async def read_store() -> Result[KindChanges, StoreError]:
             return await self.store.watch_kind(kind, revision, wait_s)
 
-        query = f"?after={revision}&wait_ms={int(PEER_WAIT_S * 1000)}"
-        timeout_s = PEER_WAIT_S + PEER_SLACK_S
-        return await self._read(kind, query, timeout_s, read_store, _changes)
+        return await self._read(kind, revision, read_store, read_changes)
 
-    async def _read(self, kind: str, query: str, timeout_s: float, read_store, decode):
-        """Ask earlier peers, then the store, then later peers."""
+    async def _read(self, kind: str, after: int | None, read_store, decode):
+        """Ask the parent, then as a reader the store, then other peers."""
         self.saw_stale = False
-        found = await self._ask_all(self._peers(True), kind, query, timeout_s)
         result = Failure(Unavailable(kind, "the store failed a moment ago"))
-        if found is None and self.now() >= self.pause.until:
-            self.by_store += 1
-            result = await read_store()
-            if isinstance(result, Success):
-                self.pause.until = 0.0
-                return result
-            if isinstance(result.failure(), HistoryGone):
+        found = await self._ask_parent(kind, after, decode)
+        if found is None and self.plan.is_reader:
+            result = await self._read_store(result, read_store)
+            if not _is_unavailable(result):
                 return result
-            self.pause.until = self.now() + STORE_PAUSE_S
         if found is None:
-            found = await self._ask_all(self._peers(False), kind, query, timeout_s)
+            found = await self._ask_others(kind, after, decode)
+        if found is None and not self.plan.is_reader:
+            result = await self._read_store(result, read_store)
+            if not _is_unavailable(result):
+                return result
         if found is None:
             if self.saw_stale:
                 self.on_stale_peer()
             return result
         self.by_peer += 1
-        return Failure(HistoryGone(kind)) if found == GONE else Success(decode(found))
+        self.own_reads.note_news()
+        return found
 
-    async def _ask_all(
-        self, peers: list[PeerEntry], kind: str, query: str, timeout_s: float
-    ) -> dict | int | None:
+    async def _read_store(self, result: Result, read_store) -> Result:
+        """Return the store's answer, or `result` if it may not be asked now."""
+        if not self.own_reads.may_read(self.plan, self.now()):
+            return result
+        self.by_store += 1
+        result = await read_store()
+        if _is_unavailable(result):
+            self.own_reads.note_failed(self.plan, self.now())
+        else:
+            self.own_reads.note_news()
+        return result
+
+    async def _ask_parent(self, kind: str, after: int | None, decode) -> Result | None:
+        parent = self.plan.parent
+        if parent is None or self._is_paused(parent):
+            return None
+        holds = not self.plan.is_reader
+        wait_s = self.direct_wait_s + NEWS_SLACK_S if after is not None or holds else 0
+        request = FeedRequest(kind, after, wait_s, holds)
+        stale_pause_s = 0.0 if holds else PEER_PAUSE_S
+        return await self._ask(parent, request, decode, stale_pause_s)
+
+    async def _ask_others(self, kind: str, after: int | None, decode) -> Result | None:
+        """Ask peers for what they know now."""
+        peers = list(self.plan.others)
+        if self.plan.anyone:
+            peers.append(self.rng.choice(self.plan.anyone))
         started = self.now()
-        for peer in peers:
-            found = await self._ask(peer, kind, query, timeout_s)
+        for peer in dict.fromkeys(peers):
+            if peer == self.plan.parent or self._is_paused(peer):
+                continue
+            request = FeedRequest(kind, after)
+            found = await self._ask(peer, request, decode, STALE_PAUSE_S)
             if found is not None:
                 return found
             if self.now() - started > CONNECT_TIMEOUT_S + PEER_SLACK_S:
@@ -218,45 +252,47 @@
                 break
         return None
 
+    def _is_paused(self, peer: PeerEntry) -> bool:
+        return self.now() < self.paused_until.get(peer.name, 0.0)
+
     async def _ask(
-        self, peer: PeerEntry, kind: str, query: str, timeout_s: float
-    ) -> dict | int | None:
-        """Return a peer's fresh answer, a status that is final, or None."""
-        answer = await self._call(peer, f"{PATH.decode()}{kind}{query}", timeout_s)
-        if answer == GONE:
-            return GONE
-        if isinstance(answer, dict):
-            if answer["confirmed_after_s"] >= -MAX_PEER_AGE_S:
-                return answer
-            reason = "its knowledge is old"
+        self, peer: PeerEntry, request: FeedRequest, decode, stale_pause_s: float
+    ) -> Result | None:
+        """Return a peer's fresh answer, or that its history is gone, or None."""
+        timeout_s = request.wait_s + PEER_SLACK_S
+        answer = await call_peer(self.pool, peer.address, request.target(), timeout_s)
+        pause_s = PEER_PAUSE_S
+        if answer is None:
+            reason = "no answer"
+        elif answer.status == GONE:
+            return Failure(HistoryGone(request.kind))
+        elif answer.status == OK:
+            found, reason = self._decoded(answer, decode)
+            if found is not None:
+                return Success(found)
         else:
-            reason = f"answer {answer}"
-        self.saw_stale = self.saw_stale or answer is not None
-        self.paused_until[peer.name] = self.now() + PEER_PAUSE_S
-        log.info("peer not used for feeds", peer=peer.name, feed=kind, reason=reason)
+            self.saw_stale, reason = True, f"answer {answer.status}"
+            pause_s = stale_pause_s
+        self.paused_until[peer.name] = self.now() + pause_s
+        log.info(
+            "peer not used for feeds", peer=peer.name, feed=request.kind, reason=reason
+        )
         return None
 
-    async def _call(
-        self, peer: PeerEntry, path: str, timeout_s: float
-    ) -> dict | int | None:
-        answer = await call_peer(self.pool, peer.address, path, timeout_s)
-        if answer is None:
-            return None
-        if answer.status != 200:
-            return answer.status
+    def _decoded(self, answer: PeerAnswer, decode) -> tuple[object | None, str]:
+        """Return what a peer tells if it is fresh, else why it is not used."""
         try:
-            return json.loads(answer.body)
-        except ValueError:
-            return None
-
-
-def _list(found: dict) -> KindList:
-    objects = tuple(KindObject(*row) for row in found["objects"])
-    return KindList(objects, found["revision"], found["confirmed_after_s"])
-
-
-def _changes(found: dict) -> KindChanges:
-    changes = tuple(
-        KindChange(KindObject(*row), removed) for removed, row in found["changes"]
-    )
-    return KindChanges(changes, found["revision"], found["confirmed_after_s"])
+            found = decode(answer)
+        except CodecError as error:
+            return None, str(error)
+        if found.confirmed_after_s < -self.max_age_s:
+            self.saw_stale = True
+            return None, "its knowledge is old"
+        return found, ""
+
+
+def _is_unavailable(result: Result) -> bool:
+    """Whether a read of the store failed in a way that a peer may make good."""
+    if isinstance(result, Success):
+        return False
+    return not isinstance(result.failure(), HistoryGone)
--- /dev/null
+++ b/monsoontack/gateway/statedump.py
@@ -0,0 +1,48 @@
+"""The state dump of a gateway for operators."""
+
+from typing import TYPE_CHECKING
+
+from monsoontack.gateway.fleet import Member
+
+if TYPE_CHECKING:
+    from monsoontack.gateway.daemon import GatewayDaemon
+
+
+def dump_state(daemon: "GatewayDaemon") -> dict:
+    """Return what a gateway knows and has under way, ready for JSON."""
+    config, now = daemon.knowledge.config, daemon.gateway.now()
+    knowledge, relayed = daemon.knowledge, daemon.relayed
+    return {
+        "name": daemon.settings.name,
+        "ready": daemon.is_ready,
+        "draining": daemon.draining,
+        "config_version": config.version if config else None,
+        "config_age_s": round(knowledge.age_s(), 3) if config else None,
+        "requests_in_progress": daemon.gateway.in_progress,
+        "feeds": {f.kind: [f.revision, f.failures] for f in daemon.feeds},
+        "feeds_by_peer": sum(r.by_peer for r in relayed),
+        "feeds_by_store": sum(r.by_store for r in relayed),
+        "reads_through": relayed[0].plan.parent.name
+        if relayed and relayed[0].plan.parent
+        else None,
+        "connections": {"opened": daemon.pool.opened, "reused": daemon.pool.reused},
+        "servers": [
+            _server_state(daemon, member, now)
+            for member in daemon.fleet.members.values()
+        ],
+    }
+
+
+def _server_state(daemon: "GatewayDaemon", member: Member, now: float) -> dict:
+    server = member.server
+    return {
+        "server": server.incarnation,
+        "address": server.address,
+        "service": server.service,
+        "versions": list(server.versions),
+        "in_flight": member.in_flight,
+        "waiting_tokens": member.waiting_tokens,
+        "held_tokens": member.held_tokens,
+        "avoided": now < member.avoid_until,
+        "share": round(daemon.fleet.ejection.share(server.address, now), 3),
+    }
--- a/monsoontack/platform/settings.py
+++ b/monsoontack/platform/settings.py
@@ -8,7 +8,7 @@
 
 from monsoontack.core.errors import FieldError, FieldErrors
 from monsoontack.core.records import Place
-from monsoontack.gateway.daemon import GatewaySettings
+from monsoontack.gateway.settings import GatewaySettings
 
 PATH_VARIABLE = "MONSOONTACK_BOOT"
 DEFAULT_PATH = "/etc/monsoontack/node.toml"
@@ -25,7 +25,11 @@
 
 
 class _Bounds(msgspec.Struct):
-    """Bounds of the rules; `retry_*` hold for all entries together."""
+    """Bounds of the rules; `retry_*` hold for all entries together.
+
+    `config_apply_ms` and `drain_ms` bound when a configuration, and that a server
+    leaves, are in force.
+    """
 
     grace_s: float = 8.0
     revoke_ms: float = 5000.0
@@ -34,6 +38,8 @@
     retry_extra: float = 10.0
     canary_share: float = 0.05
     canary_tolerance: float = 10.0
+    config_apply_ms: float = 2500.0
+    drain_ms: float = 2500.0
 
 
 class _Platform(msgspec.Struct):
@@ -55,6 +61,8 @@
     platform: _Platform
     zones: dict[str, str]
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # True only when the whole system starts for the first time.
+    first_start: bool = False
 
 
 def settings_path() -> Path:
@@ -85,5 +93,7 @@
         retry_window_s=bounds.retry_window_s,
         canary_share=bounds.canary_share,
         canary_tolerance=bounds.canary_tolerance,
+        is_first_start=file.first_start,
+        news_s=min(bounds.config_apply_ms, bounds.drain_ms) / 1000,
     )
     return Success((settings, file.zones))
--- a/monsoontack/store/cache.py
+++ b/monsoontack/store/cache.py
@@ -21,10 +21,12 @@
 class KindCache:
     """Objects of a kind by name, with the changes since `oldest`.
 
-    Readers that know a revision of at least `oldest` need only the changes.
+    Readers that know a revision of at least `oldest` need only the changes. What was
+    confirmed longer than `max_age_s` ago is not passed on.
     """
 
     listener: Listener
+    max_age_s: float = float("inf")
     boot: Callable[[], float] = boot_time
     objects: dict[str, KindObject] = field(default_factory=dict)
     changes: deque[KindChange] = field(default_factory=deque)
@@ -59,6 +61,12 @@
         """Note that the objects were current at `at` (seconds since boot)."""
         self.confirmed_at = max(self.confirmed_at, at)
         self.listener.confirmed(at)
+        self._wake()
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the objects are known and were confirmed lately."""
+        return self.is_loaded and self.age_s() <= self.max_age_s
 
     def age_s(self) -> float:
         """Return how long ago the objects were known to be current."""
