Judge a new version while it takes over, and let a few entries try it

Cause: the tolerance of the exposure was divided among all entries, 0.44 requests each at 68 and 0.08 at 390, so that an entry with 0.3 streams a second tried a new version after half a minute. Once a version took over nothing was judged: one that fails late or under load only got all traffic until the deadline and past it. Servers that have just started are slow whatever their version and counted against it.

Change: rendezvous hash of the order chooses the entries that share the tolerance, two requests each at least. While a version takes over, all its answers and those of the last 2.5 s are judged each 0.35 s, it can be taken back, and old engines stop after 0.9 s at the earliest. A move begins when a fault that begins with it could be undone within the bound of exposure. Few failures convict by an exact binomial test. Answers of cold servers say nothing about speed.

The test of a move's end asks once more after 0.9 s.

--- a/monsoontack/core/records.py
+++ b/monsoontack/core/records.py
@@ -64,7 +64,8 @@
     `kind` is `engine` or `service`; `versions` are those it can run now. For a
     server that entries speak to directly, `address` is its own, and
     `incarnation` names it (empty behind an agent) and `started_unix_ms` tells one
-    start under that name from the next, 0 if the server does not say.
+    start under that name from the next, 0 if the server does not say. `cold_left_s`
+    is how much longer it is slow after its start.
     """
 
     address: str
@@ -77,6 +78,7 @@
     checks_fencing: bool = False
     incarnation: str = ""
     started_unix_ms: int = 0
+    cold_left_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -200,7 +200,7 @@
         self.peers_known.set()
         self.gateway.calls.budgets.resize(max(len(entries), MIN_ENTRIES))
         if self.desk is not None:
-            self.desk.entries = max(len(entries), MIN_ENTRIES)
+            self.desk.entries = frozenset(entries)
         reachable = {name: peer for name, peer in entries.items() if peer.address}
         for relayed in self.relayed:
             relayed.set_peers(reachable)
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -39,8 +39,8 @@
     first event, `held_tokens` the KV memory that its runs and copies may take.
     `seen_at` is when the server last sent a byte, `doubted_at` when one of its
     running streams fell silent, `gap_s` the longest pause between events seen lately.
-    `restarted` is set once the server has started anew: it knows nothing of the runs
-    that were sent to this start.
+    Until `cold_until` the server is slow after its start. `restarted` is set once it
+    has started anew: it knows nothing of the runs that were sent to this start.
     """
 
     server: BackendServer
@@ -53,6 +53,7 @@
     failures_in_row: int = 0
     failed_at: float = float("-inf")
     gap_s: float = 0.0
+    cold_until: float = 0.0
     restarted: bool = False
 
     def is_doubtful(self, now: float) -> bool:
@@ -95,7 +96,7 @@
         for incarnation in set(self.members) - set(listed):
             self.entry_removed(incarnation, now)
         for server in listed.values():
-            self.put(server, server.incarnation in leaving)
+            self.put(server, server.incarnation in leaving, now)
 
     def entry_removed(self, incarnation: str, now: float) -> None:
         """Take over that the entry of a server is gone."""
@@ -110,7 +111,7 @@
             if now >= until:
                 self.remove(incarnation)
 
-    def put(self, server: BackendServer, leaving: bool) -> None:
+    def put(self, server: BackendServer, leaving: bool, now: float = 0.0) -> None:
         """Add a server, or take over what its entry says now."""
         incarnation = server.incarnation
         self.missing.pop(incarnation, None)
@@ -132,7 +133,7 @@
             else:
                 member.server = server
                 return
-        member = Member(server)
+        member = Member(server, cold_until=now + server.cold_left_s)
         self.members[incarnation] = member
         self.by_service.setdefault(server.service, {})[incarnation] = member
         log.info(
--- a/monsoontack/gateway/rollouts.py
+++ b/monsoontack/gateway/rollouts.py
@@ -47,6 +47,10 @@
 # acted on within seconds of its fiftieth bad answer.
 REPORT_S = 0.7
 LOOK_S = 0.7
+# While a version takes over, a fault has to be noticed sooner; a large fleet reports
+# so that the store gets this many writes a second.
+MOVING_REPORT_S = 0.35
+REPORTS_PER_S = 200.0
 IDLE_S = 0.5
 ENDED = (Phase.COMPLETE, Phase.REVERTED)
 
@@ -79,6 +83,7 @@
     counters: EvidenceCounters
     seen_at: float
     old_open: int = 0
+    new_open: int = 0
     reported: str = ""
     version: int = 0
     state: MoveState | None = None
@@ -103,7 +108,7 @@
     tolerance: float
     decode: Callable[[KindObject], OrderObject | None]
     encode_status: Callable[[MoveOrder, str], dict]
-    entries: int = 1
+    entries: frozenset[str] = frozenset()
     moves: dict[str, Move] = field(default_factory=dict)
 
     def replace_all(self, objects: tuple[KindObject, ...], revision: int) -> None:
@@ -122,7 +127,9 @@
             if found.revision >= move.object.revision:
                 self._note_phase(move, found)
             return
-        gate = CanaryGate.for_entries(self.share, self.tolerance, self.entries)
+        gate = CanaryGate.for_entry(
+            self.share, self.tolerance, order.uid, self.name, self.entries
+        )
         seen_at = self.now()
         self.moves[order.service] = Move(found, gate, EvidenceCounters(), seen_at)
         log.info(
@@ -165,8 +172,11 @@
         target, phase = move.order.target, move.order.phase
         new = [m for m in members if target in m.server.versions]
         old = [m for m in members if target not in m.server.versions]
+        if phase is Phase.MOVING and move.gate.is_failing:
+            return old or new
         if phase in (Phase.MOVING, Phase.COMPLETE):
             return new or old
+        move.gate.is_late = self.now() > move.seen_at + move.order.span_s
         if phase is Phase.CANARY and new and move.gate.may_expose():
             return new
         return old
@@ -178,6 +188,7 @@
             return
         if move.order.target in member.server.versions:
             move.gate.note_exposed()
+            move.new_open += 1
         else:
             move.old_open += 1
 
@@ -197,8 +208,12 @@
         version = move.order.target if is_new else OLD
         if is_new:
             move.gate.note_answer(failed)
+            move.new_open = max(move.new_open - 1, 0)
         else:
             move.old_open = max(move.old_open - 1, 0)
+        if self.now() < member.cold_until:
+            # A server that has just started is slow whatever its version.
+            latency_s = gap_s = None
         service = member.server.service
         move.counters.record(Outcome(service, version, route, failed, latency_s, gap_s))
 
@@ -213,15 +228,22 @@
     async def report(self, store: ObjectStore) -> None:
         """Write this entry's evidence while orders run, until cancelled."""
         while True:
-            await asyncio.sleep(REPORT_S)
+            await asyncio.sleep(self._pause_s(REPORT_S))
             for move in self.running():
                 await self._write_evidence(store, move)
 
+    def _pause_s(self, usual_s: float) -> float:
+        """Return the time to the next report or look."""
+        if any(move.order.phase is Phase.MOVING for move in self.running()):
+            usual_s = MOVING_REPORT_S
+        return max(usual_s, len(self.entries) / REPORTS_PER_S)
+
     async def _write_evidence(self, store: ObjectStore, move: Move) -> None:
         document = {
             "uid": move.order.uid,
             "phase": str(move.order.phase),
             "old_open": move.old_open,
+            "new_open": move.new_open,
             "counts": [[*k, asdict(c)] for k, c in move.counters.counts.items()],
         }
         text = json.dumps(document)
@@ -257,7 +279,7 @@
                     runner = LeaseRunner.from_name(self.name, store, LoopClock(), rng)
                 if running and runner.epoch() is not None:
                     await self._look(store, kinds, running)
-                    await asyncio.sleep(LOOK_S)
+                    await asyncio.sleep(self._pause_s(LOOK_S))
                 else:
                     await asyncio.sleep(IDLE_S)
         finally:
@@ -273,7 +295,9 @@
         now = self.now()
         for move in running:
             if move.state is None or move.state.order.uid != move.order.uid:
-                move.state = MoveState(move.order, move.seen_at)
+                move.state = MoveState(
+                    move.order, move.seen_at, self.share, self.tolerance
+                )
             state = move.state
             state.order = move.order
             state.evidence = decode_evidence(listed.unwrap().objects, move.order.uid)
@@ -317,6 +341,7 @@
     uid: str
     phase: Phase
     old_open: int
+    new_open: int
     counts: list[tuple[str, str, str, Counts]]
 
     def evidence(self) -> EntryEvidence:
@@ -324,4 +349,4 @@
         counts = {EvidenceKey(*key): value for *key, value in self.counts}
         if not all(value.is_valid() for value in counts.values()):
             raise ValueError("impossible counts")
-        return EntryEvidence(counts, self.old_open, self.phase)
+        return EntryEvidence(counts, self.old_open, self.phase, self.new_open)
--- a/monsoontack/gateway/rollouts_test.py
+++ b/monsoontack/gateway/rollouts_test.py
@@ -12,6 +12,7 @@
     "uid": "u",
     "phase": "canary",
     "old_open": 2,
+    "new_open": 1,
     "counts": [["s", "v2", "r", asdict(Counts(3, 1))]],
 }
 
--- a/monsoontack/platform/app.py
+++ b/monsoontack/platform/app.py
@@ -80,7 +80,7 @@
         if found is None:
             self.fleet.remove(item.name)
         else:
-            self.fleet.put(*found)
+            self.fleet.put(*found, self.now())
 
     def removed(self, name: str, revision: int) -> None:
         """Take over that an entry is gone."""
--- a/monsoontack/platform/objects.py
+++ b/monsoontack/platform/objects.py
@@ -217,6 +217,7 @@
         slots=server.slots,
         incarnation=name,
         started_unix_ms=server.born,
+        cold_left_s=max(server.cold_left_ms, 0.0) / 1000,
     )
     return record, server.state == DRAINING
 
--- a/monsoontack/rollout/order_test.py
+++ b/monsoontack/rollout/order_test.py
@@ -5,6 +5,7 @@
 from monsoontack.core.records import Outcome
 from monsoontack.rollout.evidence import EvidenceCounters
 from monsoontack.rollout.order import (
+    MIN_MOVE_S,
     OLD,
     CanaryGate,
     EntryEvidence,
@@ -69,9 +70,21 @@
         """Guards against old engines that stop while they answer."""
         rows = [(OLD, "r", 10, 0, 0.1)]
         busy = state(rows, Phase.MOVING, old_open=2)
-        self.assertEqual(Phase.MOVING, busy.next_phase(4.0))
         done = state(rows, Phase.MOVING)
-        self.assertEqual(Phase.COMPLETE, done.next_phase(4.0))
+        for found in (busy, done):
+            self.assertEqual(Phase.MOVING, found.next_phase(4.0))
+        self.assertEqual(Phase.MOVING, busy.next_phase(4.0 + MIN_MOVE_S))
+        self.assertEqual(Phase.COMPLETE, done.next_phase(4.0 + MIN_MOVE_S))
+
+    def test_fault_that_begins_with_the_move_is_noticed(self):
+        """Guards against old engines that stop as the new ones fail under load."""
+        rows = [(OLD, "r", 100, 3, 0.1), ("v2", "r", 60, 1, 0.1)]
+        found = state(rows, Phase.MOVING)
+        self.assertEqual(Phase.MOVING, found.next_phase(4.0))
+        rows[1] = ("v2", "r", 80, 9, 0.1)
+        found.evidence["e1"] = evidence(rows, phase=Phase.MOVING)
+        self.assertEqual(Phase.REVERTED, found.next_phase(4.4))
+        self.assertIn("8 of 20", found.reason)
 
     def test_entry_that_has_not_heard_of_the_move_holds_it(self):
         """Guards against engines that stop while an entry still sends to them."""
