Let entries that are gone leave the count; refuse streams that come too late

Change: the first entry of a region asks the others in turn, one each 2 s, and removes one that was silent for 300 s, under the condition that its object was not written since; while more than a tenth is silent, a domain or its own link is down and they count for an hour. An entry that finds itself missing registers again. A stream that has less time than 0.4 of the usual reading time is refused at once as `too_late`, unless its prompt was sent to an engine before.

Ruled out: leases (a write a second for each entry); removal at SIGTERM (most entries start again at once).

--- a/monsoontack/gateway/census.py
+++ b/monsoontack/gateway/census.py
@@ -1,13 +1,13 @@
 """How many entries the deployment has, from one object of each in the store.
 
-An entry writes its object once, at its first start under its name. Objects of
-entries that are gone for good stay, so the number is rather too high than too
-low, which keeps the bounds that all entries share.
+An entry writes its object at its first start under its name, and again if it finds
+itself missing. Objects of entries that are gone stay for a while (`departures`), so
+the number is rather too high than too low, which keeps the bounds that all share.
 """
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import structlog
@@ -53,12 +53,36 @@
     spec = item.spec if isinstance(item.spec, dict) else {}
     region, address = spec.get("region"), spec.get("peer")
     if not isinstance(region, str) or not isinstance(address, str):
-        return PeerEntry(item.name, "", "")
-    return PeerEntry(item.name, region, address)
+        return PeerEntry(item.name, "", "", item.revision)
+    return PeerEntry(item.name, region, address, item.revision)
+
+
+@dataclass(slots=True)
+class Registration:
+    """Keeps this entry's object in the store."""
+
+    own: PeerEntry
+    missing: asyncio.Event = field(default_factory=asyncio.Event)
+    was_listed: bool = False
+
+    def entries_changed(self, entries: Mapping[str, PeerEntry]) -> None:
+        """Notice that this entry was taken for gone."""
+        if self.own.name in entries:
+            self.was_listed = True
+        elif self.was_listed:
+            self.was_listed = False
+            self.missing.set()
+
+    async def run(self, store: ObjectStore) -> None:
+        """Register, and again whenever this entry is missing, until cancelled."""
+        while True:
+            self.missing.clear()
+            await register(store, self.own)
+            await self.missing.wait()
 
 
 async def register(store: ObjectStore, own: PeerEntry) -> None:
-    """Write the object of this entry, unless it is there; then wait for ever."""
+    """Write the object of this entry, unless it is there."""
     value = json.dumps({"region": own.region, "peer": own.address}).encode()
     key = f"{ENTRIES_KIND}/{own.name}"
     while True:
@@ -75,4 +99,3 @@
                 break
         await asyncio.sleep(RETRY_S)
     log.info("entry is registered", name=own.name, peer=own.address)
-    await asyncio.Event().wait()
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -15,15 +15,16 @@
 from monsoontack.core.supervise import keep_running
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.calls import CallForwarder
-from monsoontack.gateway.census import ENTRIES_KIND, Census, register
+from monsoontack.gateway.census import ENTRIES_KIND, Census, Registration
+from monsoontack.gateway.departures import Departures
 from monsoontack.gateway.fleet import DirectFleet
 from monsoontack.gateway.handler import Gateway
-from monsoontack.gateway.inbound import BodyBudget, InboundServer
+from monsoontack.gateway.inbound import BodyBudget, InboundServer, listen_on
 from monsoontack.gateway.knowledge import ConfigKnowledge
 from monsoontack.gateway.loadnews import PATH as LOAD_PATH
 from monsoontack.gateway.loadnews import LoadNews
 from monsoontack.gateway.metrics import GatewayMetrics
-from monsoontack.gateway.peers import PeerEntry, peer_pool
+from monsoontack.gateway.peers import PeerEntry, call_peer, peer_pool
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.ports import WireFormat
 from monsoontack.gateway.readtree import OwnReads
@@ -71,7 +72,9 @@
 MIN_OUTAGE_S = 1.5
 # Entries that start together do not see each other at once.
 MIN_ENTRIES = 4
-BACKLOG = 512
+# Any answer of a peer shows that it lives.
+ALIVE_PATH = "/alive"
+ALIVE_TIMEOUT_S = 1.0
 OK = 200
 UNAVAILABLE = 503
 
@@ -93,6 +96,8 @@
     own_reads: OwnReads = field(default_factory=OwnReads)
     lost_at: dict[str, float] = field(default_factory=dict)
     peers_known: asyncio.Event | None = None
+    registration: Registration | None = None
+    departures: Departures | None = None
     peer_pool: ConnectionPool = field(default_factory=peer_pool)
     reload: Callable[[], None] = lambda: None
     desk: RolloutDesk | None = None
@@ -183,7 +188,19 @@
         self.peers_known = asyncio.Event()
         settings = self.settings
         own = PeerEntry(settings.name, settings.place.region, settings.peer_address)
-        self.extra_work.append(lambda: register(store, own))
+        self.registration = Registration(own)
+        self.departures = Departures(
+            settings.name, settings.place.region, store, self._is_alive
+        )
+        self.extra_work.append(partial(self.registration.run, store))
+        self.extra_work.append(self.departures.run)
+
+    async def _is_alive(self, peer: PeerEntry) -> bool:
+        """Whether a peer answers anything."""
+        answer = await call_peer(
+            self.peer_pool, peer.address, ALIVE_PATH, ALIVE_TIMEOUT_S
+        )
+        return answer is not None
 
     def follow_rollouts(
         self, store: StatusStore, kinds: KindStore, kind: str, desk: RolloutDesk
@@ -197,6 +214,8 @@
 
     def _entries_changed(self, entries: dict[str, PeerEntry]) -> None:
         log.info("entries changed", entries=len(entries))
+        self.registration.entries_changed(entries)
+        self.departures.set_entries(entries)
         self.peers_known.set()
         self.gateway.calls.budgets.resize(max(len(entries), MIN_ENTRIES))
         if self.desk is not None:
@@ -306,7 +325,7 @@
             (operator, self.settings.operator_address),
             (peers, self.settings.peer_address),
         ):
-            self.listeners.append(await _listen_on(server, address))
+            self.listeners.append(await listen_on(server, address))
 
     def _bad_request(self, status: int, detail: str) -> None:
         self.metrics.bad_requests.labels(str(status)).inc()
@@ -373,11 +392,3 @@
         self.front.abort_all()
         self.pool.close()
         log.info("drained", cut=left, took_s=round(self.gateway.now() - started, 2))
-
-
-async def _listen_on(server: InboundServer, address: str) -> asyncio.Server:
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(
-        server.make_connection, host, int(port), backlog=BACKLOG, reuse_address=True
-    )
--- a/monsoontack/gateway/inbound.py
+++ b/monsoontack/gateway/inbound.py
@@ -26,6 +26,8 @@
 SINGLE_HEADERS = frozenset((b"host", b"content-length", b"transfer-encoding"))
 # Bytes without a part of a body: trailers and chunk extensions of one request.
 MAX_FRAMING_BYTES = 65_536
+# Connections that wait to be accepted; a burst of a second at a large entry.
+BACKLOG = 512
 # Callers that vanished without closing are noticed after this time.
 USER_TIMEOUT_MS = 10_000
 
@@ -376,3 +378,12 @@
     if b"transfer-encoding" in seen and version == "1.0":
         return "chunked request in HTTP/1.0"
     return ""
+
+
+async def listen_on(server: InboundServer, address: str) -> asyncio.Server:
+    """Accept connections of `server` at `ip:port`."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        server.make_connection, host, int(port), backlog=BACKLOG, reuse_address=True
+    )
--- a/monsoontack/gateway/peers.py
+++ b/monsoontack/gateway/peers.py
@@ -1,7 +1,7 @@
 """Other entries of the deployment, and calls to them."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
@@ -20,11 +20,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerEntry:
-    """Another entry: its name, region, and address for its peers."""
+    """Another entry: its name, region, and address for its peers.
+
+    `revision` is that of its object in the store.
+    """
 
     name: str
     region: str
     address: str
+    revision: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -81,6 +81,10 @@
         self.forwarder.budgets.note_request(job.service, self.now())
         if self.forwarder.desk is not None:
             self.forwarder.desk.note_request(job.service)
+        if self._comes_too_late():
+            message = "less time is left than any engine needs to read the prompt"
+            self._refuse(RequestError(503, "too_late", message, retry_after_s=0.0))
+            return
         try:
             ended = await self._attempts()
         except CallerGoneError:
@@ -92,6 +96,19 @@
             return
         self._give_up(ended)
 
+    def _comes_too_late(self) -> bool:
+        """Whether the deadline passes before an engine can have read the prompt.
+
+        The start of a prompt that others share, or all of one that came before, may
+        be in an engine's memory.
+        """
+        if self.part in self.forwarder.sent_to or self.last_id is not None:
+            return False
+        parts = self.job.request.parts
+        tokens = parts[-1].tokens if parts else self.job.request.prompt_tokens
+        left_s = self.job.left_s(self.now())
+        return left_s < self.pace.shortest_first_event_s(tokens)
+
     async def _attempts(self) -> StreamLoss | None:
         """Return None once the stream is complete, else the last loss."""
         step = NextStep.RESTART
@@ -316,9 +333,12 @@
             job.outcome, job.status = "engine_error", error.answer.status
             responder.send(error.answer.status, error.answer.forwarded, error.body)
             return
-        refusal = self._refusal(loss)
+        self._refuse(self._refusal(loss))
+
+    def _refuse(self, refusal: RequestError) -> None:
+        job = self.job
         job.outcome, job.status = refusal.code, refusal.status
-        responder.send(*error_answer(refusal, job.request.request_id))
+        job.responder.send(*error_answer(refusal, job.request.request_id))
 
     def _refusal(self, loss: StreamLoss) -> RequestError:
         job = self.job
--- a/monsoontack/gateway/streams_test.py
+++ b/monsoontack/gateway/streams_test.py
@@ -232,6 +232,29 @@
         self.assertEqual(WHOLE, job.responder.body)
         self.assertTrue(job.responder.finished)
 
+    def test_stream_that_comes_too_late_is_refused_at_once(self):
+        """Guards against a prompt that is read in vain while its caller waits for
+        nothing, and takes the time of others. The pattern: callers that return after
+        a loss with a rest of their time."""
+        scripts = {"s1": engine(), "s2": engine(), "s3": engine()}
+        forwarder, job = serve(scripts, deadline_s=0.3)
+        self.assertEqual([], forwarder.sender.sent)
+        self.assertEqual((503, "too_late"), (job.responder.status, job.outcome))
+        self.assertIn(b"retry-after", dict(job.responder.headers))
+        self.assertLess(job.responder.answered_at - job.started_at, 0.01)
+
+    def test_known_prompt_is_tried_with_little_time_left(self):
+        """Guards against a refusal of a stream whose prompt an engine has read."""
+
+        async def scenario():
+            forwarder = make({"s1": engine(first_s=0.1)}, (HOME,))
+            forwarder.remember("part-1", "s1")
+            job = make_job(stream_route(), deadline_s=0.3)
+            await forwarder.serve(job)
+            return forwarder
+
+        self.assertEqual(1, len(run_paused(scenario()).sender.sent))
+
     def test_stop_inside_an_event_repeats_it_whole(self):
         """Guards against half an event joined with one of another run."""
         dying = engine(dies_at=12, split_at=13)
--- a/monsoontack/generation/pace.py
+++ b/monsoontack/generation/pace.py
@@ -30,6 +30,9 @@
 # The first event may take this much longer than predicted.
 FIRST_EVENT_FACTOR = 2.0
 FIRST_EVENT_MARGIN_S = 1.0
+# A prompt is hardly read in less than this part of the usual time; the usual time
+# includes other prompts that were read beside it.
+SHORTEST_SHARE = 0.4
 # After this share of the predicted time the engine is checked to be alive.
 CHECK_SHARE = 0.5
 
@@ -86,6 +89,10 @@
         """
         return FIRST_EVENT_FACTOR * tokens / self.read_rate + FIRST_EVENT_MARGIN_S
 
+    def shortest_first_event_s(self, tokens: int) -> float:
+        """Return a time within which no engine reads so many prompt tokens."""
+        return SHORTEST_SHARE * tokens / self.read_rate
+
     def check_after_s(self, tokens: int) -> float:
         """Return the wait for a first event after which the engine is checked."""
         return max(CHECK_SHARE * tokens / self.read_rate, SILENCE_FLOOR_S)
--- a/monsoontack/platform/check_test.py
+++ b/monsoontack/platform/check_test.py
@@ -29,6 +29,17 @@
             read = read_settings(path)
             return [error.path for error in check(path)], read
 
+    def test_bounds_for_news_and_the_first_start_are_read(self):
+        """Guards against watches that are too long for the bounds of a deployment."""
+        text = "first_start = true\n" + GOOD.replace(
+            "[bounds]", "[bounds]\nconfig_apply_ms = 4000\ndrain_ms = 3000"
+        )
+        self.assertIn("drain_ms", text)
+        _, read = self.check(text)
+        settings, _ = read.unwrap()
+        self.assertEqual((3.0, True), (settings.news_s, settings.is_first_start))
+        self.assertEqual(0.75, settings.watch_s)
+
     def test_good_file_is_read_and_has_no_fault(self):
         """Guards against a check that refuses what a process accepts."""
         paths, read = self.check(GOOD + "\n[later]\nnew_field = 1\n")
@@ -36,6 +47,7 @@
         self.assertIsInstance(read, Success)
         settings, regions = read.unwrap()
         self.assertEqual(5.0, settings.revoke_s)
+        self.assertEqual((2.5, False), (settings.news_s, settings.is_first_start))
         self.assertEqual({"zone-a": "north", "zone-b": "north"}, regions)
 
     def test_all_faults_at_once(self):
--- a/standins/gatewayparts.py
+++ b/standins/gatewayparts.py
@@ -151,6 +151,10 @@
 class ScriptedWire:
     """Wire format of scripted answers: status 299 stands for an unsigned 200."""
 
+    def answer_id(self, headers: Headers) -> str | None:
+        """Return nothing: scripted answers name no request."""
+        return None
+
     def read_answer(self, status: int, headers: Headers) -> AnswerHead:
         """Decode the head of a scripted answer."""
         names = {name for name, _ in headers}
