Count requests from before an order; remove evidence of ended orders

Cause, found by reading: an entry counted as open at old engines only what it sent after it heard of the order, and the end of earlier requests lowered that count, so old engines could stop while they ran streams. Evidence objects bear the entry's life in their names and were never removed: two orders a night at 390 entries are 780 objects a night, each of which the lease holder reads at every look.

CanaryGate.for_entries has no caller left; its test now checks the bound for gates of chosen entries at five sizes and three tolerances instead of one.

Before: rollouts_test reports 0 open requests, and keeps every object.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -207,6 +207,7 @@
     ) -> None:
         """Follow operators' orders, and judge them while this entry has the lease."""
         self.desk = desk
+        desk.members = self.fleet.of_service
         self.gateway.calls.desk = self.gateway.streams.desk = desk
         self.follow(kinds, kind, desk)
         self.extra_work.append(lambda: desk.report(store))
--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -38,6 +38,7 @@
     "closed": "connection closed before the end",
     "malformed": "bytes that are no valid answer",
     "foreign": "an answer without the id of the request",
+    "oversized": "more bytes than an answer may have",
     "silent": "no bytes for longer than usual",
     "deadline": "the time of the request was over",
     "unwanted": "the caller had left before the send",
--- a/monsoontack/gateway/rollouts.py
+++ b/monsoontack/gateway/rollouts.py
@@ -10,7 +10,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import asdict, dataclass, field
 from typing import Any, Protocol
 
@@ -52,6 +52,9 @@
 MOVING_REPORT_S = 0.35
 REPORTS_PER_S = 200.0
 IDLE_S = 0.5
+# Evidence of former orders that the holder of the lease removes at each look, so that
+# the list stays short and the calls stay few.
+LEFTOVERS_A_LOOK = 3
 ENDED = (Phase.COMPLETE, Phase.REVERTED)
 
 
@@ -82,8 +85,6 @@
     gate: CanaryGate
     counters: EvidenceCounters
     seen_at: float
-    old_open: int = 0
-    new_open: int = 0
     reported: str = ""
     version: int = 0
     state: MoveState | None = None
@@ -99,7 +100,8 @@
     """All orders by service. `decode` reads one from the store's object.
 
     `encode_status` gives the status document of a phase; `share` and `tolerance`
-    bound the exposure to an unproved version at all entries together.
+    bound the exposure to an unproved version at all entries together. `members`
+    gives the servers of a service.
     """
 
     name: str
@@ -109,6 +111,7 @@
     decode: Callable[[KindObject], OrderObject | None]
     encode_status: Callable[[MoveOrder, str], dict]
     entries: frozenset[str] = frozenset()
+    members: Callable[[str], Iterable[Member]] = lambda service: ()
     moves: dict[str, Move] = field(default_factory=dict)
 
     def replace_all(self, objects: tuple[KindObject, ...], revision: int) -> None:
@@ -188,9 +191,6 @@
             return
         if move.order.target in member.server.versions:
             move.gate.note_exposed()
-            move.new_open += 1
-        else:
-            move.old_open += 1
 
     def ended(
         self,
@@ -208,9 +208,6 @@
         version = move.order.target if is_new else OLD
         if is_new:
             move.gate.note_answer(failed)
-            move.new_open = max(move.new_open - 1, 0)
-        else:
-            move.old_open = max(move.old_open - 1, 0)
         if self.now() < member.cold_until:
             # A server that has just started is slow whatever its version.
             latency_s = gap_s = None
@@ -229,8 +226,11 @@
         """Write this entry's evidence while orders run, until cancelled."""
         while True:
             await asyncio.sleep(self._pause_s(REPORT_S))
-            for move in self.running():
-                await self._write_evidence(store, move)
+            for move in list(self.moves.values()):
+                if move.order.phase not in ENDED:
+                    await self._write_evidence(store, move)
+                elif move.version:
+                    await self._remove_evidence(store, move)
 
     def _pause_s(self, usual_s: float) -> float:
         """Return the time to the next report or look."""
@@ -239,17 +239,20 @@
         return max(usual_s, len(self.entries) / REPORTS_PER_S)
 
     async def _write_evidence(self, store: ObjectStore, move: Move) -> None:
+        target = move.order.target
+        members = list(self.members(move.order.service))
+        new = sum(m.in_flight for m in members if target in m.server.versions)
         document = {
             "uid": move.order.uid,
             "phase": str(move.order.phase),
-            "old_open": move.old_open,
-            "new_open": move.new_open,
+            "old_open": sum(m.in_flight for m in members) - new,
+            "new_open": new,
             "counts": [[*k, asdict(c)] for k, c in move.counters.counts.items()],
         }
         text = json.dumps(document)
         if text == move.reported:
             return
-        key = f"{EVIDENCE_KIND}/{self.name}-{self.incarnation}-{move.order.service}"
+        key = self._evidence_key(move)
         if move.version:
             result = await store.update(key, text.encode(), move.version)
         else:
@@ -262,6 +265,27 @@
         if isinstance(error, Conflict) and error.current is not None:
             move.version = error.current.version
 
+    def _evidence_key(self, move: Move) -> str:
+        return f"{EVIDENCE_KIND}/{self.name}-{self.incarnation}-{move.order.service}"
+
+    async def _remove_evidence(self, store: ObjectStore, move: Move) -> None:
+        """Take this entry's evidence about an ended order out of the store."""
+        version, move.version = move.version, 0
+        result = await store.delete(self._evidence_key(move), version)
+        if not isinstance(result, Success):
+            # The holder of the lease removes what is left at the next order.
+            error = type(result.failure()).__name__
+            log.info("evidence not removed", service=move.order.service, error=error)
+
+    async def _remove_leftovers(
+        self, store: ObjectStore, objects: tuple[KindObject, ...], running: list[Move]
+    ) -> None:
+        """Remove a few objects of former orders, whose writers may be gone."""
+        uids = {move.order.uid for move in running}
+        left = [o for o in objects if not uids & {_uid(o)}]
+        for item in left[:LEFTOVERS_A_LOOK]:
+            await store.delete(f"{EVIDENCE_KIND}/{item.name}", item.revision)
+
     async def control(self, store: StatusStore, kinds: KindStore) -> None:
         """Hold the lease and judge while orders run, until cancelled."""
         rng = random.Random()
@@ -292,6 +316,8 @@
         listed = await kinds.list_kind(EVIDENCE_KIND)
         if not isinstance(listed, Success):
             return
+        objects = listed.unwrap().objects
+        await self._remove_leftovers(store, objects, running)
         now = self.now()
         for move in running:
             if move.state is None or move.state.order.uid != move.order.uid:
@@ -300,7 +326,7 @@
                 )
             state = move.state
             state.order = move.order
-            state.evidence = decode_evidence(listed.unwrap().objects, move.order.uid)
+            state.evidence = decode_evidence(objects, move.order.uid)
             phase = state.next_phase(now)
             if phase is not move.order.phase:
                 await self._write_status(store, move, phase)
@@ -335,6 +361,11 @@
     return found
 
 
+def _uid(item: KindObject) -> str | None:
+    """Return the order that evidence is about, None if it cannot be read."""
+    return item.spec.get("uid") if isinstance(item.spec, dict) else None
+
+
 class _Report(msgspec.Struct):
     """An entry's evidence as it stands in the store."""
 
--- a/monsoontack/gateway/rollouts_test.py
+++ b/monsoontack/gateway/rollouts_test.py
@@ -1,12 +1,23 @@
-"""Tests of evidence about a new version, as entries write it to the store."""
+"""Tests of evidence about new versions: written, read, and removed again."""
 
+import asyncio
+import json
 import unittest
-from dataclasses import asdict
+from dataclasses import asdict, replace
 
-from monsoontack.gateway.rollouts import decode_evidence
+from returns.result import Success
+
+from monsoontack.core.pausedloop import run_paused
+from monsoontack.gateway.rollouts import (
+    LEFTOVERS_A_LOOK,
+    OrderObject,
+    RolloutDesk,
+    decode_evidence,
+)
 from monsoontack.rollout.evidence import BUCKETS, Counts, EvidenceKey
-from monsoontack.rollout.order import Phase
-from monsoontack.store.api import KindObject
+from monsoontack.rollout.order import MoveOrder, Phase
+from monsoontack.store.api import KindList, KindObject, StoredObject
+from standins.gatewayparts import HOME, SERVICE, make_fleet
 
 GOOD = {
     "uid": "u",
@@ -54,5 +65,104 @@
         self.assertEqual(BUCKETS, len(counts["first_token"]))
 
 
+class EvidenceStore:
+    """Keeps evidence objects by key, with a version for each write."""
+
+    def __init__(self, objects=()):
+        self.objects = {f"evidence/{o.name}": o for o in objects}
+        self.version = 10
+        self.deleted = []
+
+    async def create(self, key, value):
+        return self._put(key, value)
+
+    async def update(self, key, value, version):
+        return self._put(key, value)
+
+    def _put(self, key, value):
+        self.version += 1
+        name = key.partition("/")[2]
+        self.objects[key] = KindObject(name, self.version, json.loads(value), None)
+        return Success(StoredObject(key, value, self.version))
+
+    async def delete(self, key, version):
+        self.deleted.append(key)
+        if self.objects.pop(key).revision != version:
+            raise AssertionError("deleted under another revision")
+        return Success(None)
+
+    async def list_kind(self, kind):
+        return Success(KindList(tuple(self.objects.values()), self.version))
+
+
+def order(phase):
+    found = MoveOrder(SERVICE, "v2", 5.0, phase)
+    return OrderObject(f"rollouts/{SERVICE}", 1, found)
+
+
+def make_desk(phase=Phase.CANARY):
+    desk = RolloutDesk("e1", "life", 0.1, 50, lambda item: order(item.spec), None)
+    desk.changed(KindObject(SERVICE, 1, phase, None))
+    return desk
+
+
+class DeskTest(unittest.TestCase):
+    def test_requests_from_before_the_order_hold_the_old_engines(self):
+        """Guards against old engines that stop while they run streams which began
+        before the entry heard of the order."""
+
+        async def scenario():
+            fleet = make_fleet({"s1": HOME})
+            fleet.members["s1"].in_flight = 2
+            desk, store = make_desk(), EvidenceStore()
+            desk.members = fleet.of_service
+            await desk._write_evidence(store, desk.moves[SERVICE])
+            return next(iter(store.objects.values())).spec
+
+        self.assertEqual(2, run_paused(scenario())["old_open"])
+
+    def test_evidence_is_removed_once_the_order_has_ended(self):
+        """Guards against objects that pile up night after night until the list of
+        evidence takes longer than a fault may last."""
+
+        async def scenario():
+            desk, store = make_desk(), EvidenceStore()
+            task = asyncio.ensure_future(desk.report(store))
+            await asyncio.sleep(2.0)
+            kept = len(store.objects)
+            ended = replace(desk.moves[SERVICE].order, phase=Phase.COMPLETE)
+            move = desk.moves[SERVICE]
+            move.object = replace(move.object, order=ended)
+            await asyncio.sleep(2.0)
+            task.cancel()
+            return kept, store
+
+        kept, store = run_paused(scenario())
+        self.assertEqual(1, kept)
+        self.assertEqual({}, store.objects)
+        self.assertEqual(1, len(store.deleted))
+
+    def test_leftovers_of_entries_that_died_go_a_few_at_a_time(self):
+        """Guards against evidence of dead entries that stays, and against a call of
+        the store for each of them at once."""
+
+        async def scenario():
+            old = [item(f"old-{n}", GOOD) for n in range(10)]
+            desk = make_desk()
+            desk.entries = frozenset(("e1",))
+            running = desk.running()
+            current = item("now", GOOD | {"uid": running[0].order.uid})
+            store = EvidenceStore([*old, current])
+            await desk._look(store, store, running)
+            first = len(store.deleted)
+            for _ in range(5):
+                await desk._look(store, store, running)
+            return first, store
+
+        first, store = run_paused(scenario())
+        self.assertEqual(LEFTOVERS_A_LOOK, first)
+        self.assertEqual(["evidence/now"], list(store.objects))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/monsoontack/rollout/order.py
+++ b/monsoontack/rollout/order.py
@@ -114,12 +114,6 @@
     failures: int = 0
     answers: int = 0
 
-    @classmethod
-    def for_entries(cls, share: float, tolerance: float, entries: int) -> "CanaryGate":
-        """Return the gate of one of `entries` entries."""
-        part = TOLERANCE_USED * tolerance / max(entries, 1)
-        return cls(SHARE_USED * share, part)
-
     def note_request(self) -> None:
         """Count a request of the service."""
         self.requests += 1
--- a/monsoontack/rollout/order_test.py
+++ b/monsoontack/rollout/order_test.py
@@ -103,21 +103,30 @@
 
     def test_entries_together_keep_the_bound(self):
         """Guards against many entries that each use the whole allowance."""
-        entries, exposed, requests = 26, 0, 0
-        for _ in range(entries):
-            gate = CanaryGate.for_entries(0.1, 50, entries)
-            for _ in range(40):
+        for entries in (1, 5, 26, 68, 390):
+            for tolerance in (0, 3, 50):
+                exposed, requests = self.expose(entries, tolerance, 40)
+                self.assertLessEqual(exposed, 0.1 * requests + tolerance)
+                if tolerance >= 3:
+                    self.assertGreater(exposed, 0)
+
+    def expose(self, entries, tolerance, each):
+        """Let each entry get requests; return how many were exposed, and all."""
+        names = [f"e{n}" for n in range(entries)]
+        exposed = 0
+        for name in names:
+            gate = CanaryGate.for_entry(0.1, tolerance, "order", name, names)
+            gate.is_late = True
+            for _ in range(each):
                 gate.note_request()
-                requests += 1
                 if gate.may_expose():
                     gate.note_exposed()
                     exposed += 1
-        self.assertGreater(exposed, 0)
-        self.assertLessEqual(exposed, 0.1 * requests + 50)
+        return exposed, entries * each
 
     def test_failures_close_the_gate_before_the_judgement(self):
         """Guards against bad answers while the lease changes hands."""
-        gate = CanaryGate.for_entries(0.1, 500, 1)
+        gate = CanaryGate.for_entry(0.1, 500, "order", "e1", ["e1"])
         for _ in range(6):
             gate.note_answer(failed=True)
         gate.note_request()
