Let other peers hold a read as a parent does

Cause: while its parent is dead an entry asked others for what they know now, got an answer at once and asked again, every 20 ms a kind; each second read found all of them paused and logged that the store was lost. Change: others hold a read until there is news; without a wait only after a parent that was silent. Test: fails on the code before (more than 6 reads in 1.5 s), passes now.

--- a/monsoontack/gateway/relay.py
+++ b/monsoontack/gateway/relay.py
@@ -54,6 +54,8 @@
 PEER_PAUSE_S = 4.0
 # A peer without news is asked again after this time.
 STALE_PAUSE_S = 0.4
+# A read ends after about this time, also when several peers are dark.
+MAX_READ_S = 2.0
 # The longest time for which a peer's request is held.
 MAX_HOLD_S = 30.0
 OK, GONE, UNAVAILABLE = 200, 410, 503
@@ -191,6 +193,7 @@
     async def _read(self, kind: str, after: int | None, read_store, decode):
         """Ask the parent, then as a reader the store, then other peers."""
         self.saw_stale = False
+        started = self.now()
         result = Failure(Unavailable(kind, "the store failed a moment ago"))
         found = await self._ask_parent(kind, after, decode)
         if found is None and self.plan.is_reader:
@@ -198,7 +201,7 @@
             if not _is_unavailable(result):
                 return result
         if found is None:
-            found = await self._ask_others(kind, after, decode)
+            found = await self._ask_others(kind, after, decode, started)
         if found is None and not self.plan.is_reader:
             result = await self._read_store(result, read_store)
             if not _is_unavailable(result):
@@ -228,30 +231,39 @@
         if parent is None or self._is_paused(parent):
             return None
         holds = not self.plan.is_reader
-        wait_s = self.direct_wait_s + NEWS_SLACK_S if after is not None or holds else 0
+        wait_s = self._news_wait_s(after)
+        if holds:
+            wait_s = self.direct_wait_s + NEWS_SLACK_S
         request = FeedRequest(kind, after, wait_s, holds)
         stale_pause_s = 0.0 if holds else PEER_PAUSE_S
         return await self._ask(parent, request, decode, stale_pause_s)
 
-    async def _ask_others(self, kind: str, after: int | None, decode) -> Result | None:
-        """Ask peers for what they know now."""
+    async def _ask_others(
+        self, kind: str, after: int | None, decode, started: float
+    ) -> Result | None:
+        """Ask other peers; without a wait if the read has taken long already."""
         peers = list(self.plan.others)
         if self.plan.anyone:
             peers.append(self.rng.choice(self.plan.anyone))
-        started = self.now()
         for peer in dict.fromkeys(peers):
             if peer == self.plan.parent or self._is_paused(peer):
                 continue
-            request = FeedRequest(kind, after)
+            is_late = self.now() - started > CONNECT_TIMEOUT_S + PEER_SLACK_S
+            wait_s = 0.0 if is_late else self._news_wait_s(after)
+            request = FeedRequest(kind, after, wait_s)
             found = await self._ask(peer, request, decode, STALE_PAUSE_S)
             if found is not None:
                 return found
-            if self.now() - started > CONNECT_TIMEOUT_S + PEER_SLACK_S:
+            if self.now() - started > MAX_READ_S:
                 # Another wait would delay the news further than one entry may be
                 # behind; the store is asked instead.
                 break
         return None
 
+    def _news_wait_s(self, after: int | None) -> float:
+        """Return how long a peer may hold a request until it has news."""
+        return 0.0 if after is None else self.direct_wait_s + NEWS_SLACK_S
+
     def _is_paused(self, peer: PeerEntry) -> bool:
         return self.now() < self.paused_until.get(peer.name, 0.0)
 
--- a/monsoontack/gateway/relay_test.py
+++ b/monsoontack/gateway/relay_test.py
@@ -222,6 +222,34 @@
         self.assertEqual(8, (await task).unwrap().revision)
         self.assertEqual(0, store.calls)
 
+    async def test_other_peers_are_not_asked_without_a_pause(self):
+        """Guards against an entry that, while its parent is dead, asks others in a
+        loop and fills their VMs and the log.
+
+        Seen on trouble-2 of batbayar-fleet-large: a read every 20 ms.
+        """
+        self.load()
+        asked = []
+
+        async def count(raw, responder):
+            asked.append(raw.target)
+            await self.relay.handle(raw, responder)
+
+        self.answer = count
+        relayed = self.relayed(CountingStore())
+        fresh = relayed.plan.parent
+        dead = PeerEntry("dead", "north", "127.0.0.1:9")
+        relayed.plan = replace(
+            relayed.plan, parent=dead, others=(fresh,), anyone=(fresh,), is_reader=False
+        )
+        until = time.monotonic() + 1.5
+        while time.monotonic() < until:
+            boot = time.clock_gettime(time.CLOCK_BOOTTIME)
+            asyncio.get_running_loop().call_later(0.4, self.cache.confirmed, boot)
+            result = await relayed.watch_kind("k", 5, 1.0)
+            self.assertIsInstance(result, Success)
+        self.assertLessEqual(len(asked), 6)
+
     async def test_answer_of_a_peer_that_cannot_be_read_is_not_used(self):
         """Guards against a malformed message that ends the feed or the process."""
         bodies = (b"", b"{", b"[[1]]", b'[["a","x",1,2]]', b"null", b"[" * 10_000)
