Feed mutated messages to every border of a gateway

Cause: the users report that one malformed message ended a whole process elsewhere. Ruled out: a fuzzer of our own.

--- /dev/null
+++ b/monsoontack/gateway/mutations_test.py
@@ -0,0 +1,198 @@
+"""Mutated messages at the gateway's borders: callers, servers, peers.
+
+Each must end only itself: no exception leaves the callbacks, and what is handed on
+has one reading.
+"""
+
+import asyncio
+import json
+import unittest
+from dataclasses import asdict
+
+from hypothesis import given
+
+from monsoontack.core.pausedloop import run_paused
+from monsoontack.gateway.events import EventSplitter, EventTooLongError
+from monsoontack.gateway.feedcodec import (
+    AGE_HEADER,
+    REVISION_HEADER,
+    CodecError,
+    read_changes,
+    read_list,
+)
+from monsoontack.gateway.inbound import BodyBudget, InboundServer
+from monsoontack.gateway.loadnews import LoadNews
+from monsoontack.gateway.outbound import Connection, Exchange
+from monsoontack.gateway.peers import PeerAnswer, peer_pool
+from monsoontack.gateway.records import CallerLimits, RawRequest
+from monsoontack.gateway.relay import FeedRequest
+from monsoontack.gateway.rollouts import decode_evidence
+from monsoontack.rollout.evidence import Counts
+from monsoontack.store.api import KindObject
+from standins.gatewayparts import FakeTransport
+from standins.mutations import FIXED, JSON_VALUES, mutated_bytes, mutated_json
+
+REQUESTS = (
+    b"GET /a?b=1 HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n",
+    b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
+    b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"4\r\nbody\r\n0\r\nX-T: 1\r\n\r\n",
+)
+ANSWERS = (
+    b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 4\r\n\r\nbody",
+    b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"4;x=1\r\nbody\r\n0\r\nX-T: 1\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nX-Id: r1\r\n"
+    b"Content-Length: 0\r\n\r\n",
+)
+STATE = ((REVISION_HEADER, b"9"), (AGE_HEADER, b"0.0"))
+NEWS = {
+    "name": "e2",
+    "full": True,
+    "first": True,
+    "engines": {"i1": [1, 2, 3]},
+    "prompts": {"p": "i1"},
+    "failed": ["i2"],
+}
+REPORT = {
+    "uid": "u",
+    "phase": "canary",
+    "old_open": 2,
+    "new_open": 0,
+    "counts": [["s", "v2", "r", asdict(Counts(3, 1))]],
+}
+
+
+class CallersTest(unittest.TestCase):
+    @FIXED
+    @given(mutated_bytes(*REQUESTS))
+    def test_any_request_is_read_or_refused(self, data):
+        """Guards against bytes of a caller that end more than its connection."""
+
+        async def scenario():
+            seen = []
+
+            async def handle(raw, responder):
+                seen.append(raw)
+                responder.send(200, (), b"ok")
+
+            limits = CallerLimits(1000, 5000, 3.0, 15.0)
+            server = InboundServer(handle, lambda: limits, BodyBudget(10**6))
+            connection = server.make_connection()
+            connection.connection_made(FakeTransport())
+            for start in range(0, len(data), 7):
+                if not connection.transport.closed:
+                    connection.data_received(data[start : start + 7])
+            await asyncio.sleep(20.0)
+            connection.connection_lost(None)
+            return seen, server
+
+        seen, server = run_paused(scenario())
+        self.assertEqual(0, server.budget.held)
+        for raw in seen:
+            self.assertEqual(1, sum(name == b"host" for name, _ in raw.headers))
+
+
+class ServersTest(unittest.TestCase):
+    @FIXED
+    @given(mutated_bytes(*ANSWERS))
+    def test_any_answer_ends_its_exchange_only(self, data):
+        """Guards against bytes of a server that end more than its connection."""
+
+        async def scenario():
+            connection = Connection(
+                lambda headers: dict(headers).get(b"x-id", b"").decode("latin-1"),
+                lambda freed: None,
+            )
+            connection.connection_made(FakeTransport())
+            exchange = Exchange("r1")
+            connection.start(exchange, b"GET / HTTP/1.1\r\n\r\n")
+            for start in range(0, len(data), 7):
+                if not connection.transport.closed:
+                    connection.data_received(data[start : start + 7])
+            connection.eof_received()
+            connection.connection_lost(None)
+            return exchange
+
+        exchange = run_paused(scenario())
+        self.assertTrue(exchange.over)
+        self.assertLessEqual(len(exchange.take()), len(data))
+
+    @FIXED
+    @given(mutated_bytes(b"id: 1\ndata: a\n\n: c\n\nid: 2\r\ndata: b\r\n\r\n"))
+    def test_any_stream_loses_no_byte(self, data):
+        """Guards against an event that is lost, doubled or changed."""
+        splitter, whole = EventSplitter(), b""
+        try:
+            for start in range(0, len(data), 5):
+                whole += splitter.feed(data[start : start + 5])
+        except EventTooLongError:
+            self.fail("a short stream was too long")
+        self.assertEqual(data, whole + splitter.rest)
+
+
+class PeersTest(unittest.TestCase):
+    @FIXED
+    @given(mutated_json([["a", 1, {}, None], ["b", 2, None, {}]]), mutated_bytes(b"9"))
+    def test_any_list_of_a_peer_is_read_or_refused(self, rows, revision):
+        """Guards against an answer of a peer that ends a feed."""
+        headers = ((REVISION_HEADER, revision), (AGE_HEADER, b"-0.5"))
+        body = json.dumps(rows).encode()
+        for decode in (read_list, read_changes):
+            try:
+                decode(PeerAnswer(200, body, headers))
+            except CodecError:
+                continue
+
+    @FIXED
+    @given(mutated_bytes(b'[[false,["a",1,{},null]]]'))
+    def test_any_bytes_of_a_peer_are_read_or_refused(self, body):
+        """Guards against bytes of a peer that end a feed."""
+        for decode in (read_list, read_changes):
+            try:
+                decode(PeerAnswer(200, body, STATE))
+            except CodecError:
+                continue
+
+    @FIXED
+    @given(mutated_bytes(b"/feeds/config?after=5&wait_ms=100&hold=1"))
+    def test_any_question_of_a_peer_is_read_or_refused(self, target):
+        """Guards against a question that ends more than itself."""
+        try:
+            request = FeedRequest.from_target(target)
+        except ValueError:
+            return
+        self.assertLessEqual(0.0, request.wait_s)
+
+    @FIXED
+    @given(mutated_json(NEWS))
+    def test_any_news_of_a_peer_are_taken_or_refused(self, document):
+        """Guards against news that end more than themselves, or spoil the book."""
+
+        async def scenario():
+            news, statuses = LoadNews("e1", peer_pool()), []
+
+            class Answering:
+                def send(self, status, headers, body=b""):
+                    statuses.append(status)
+
+            body = json.dumps(document).encode()
+            raw = RawRequest(b"POST", b"/load", (), body, True, 0.0)
+            await news.handle(raw, Answering())
+            news.book.totals(0.0)
+            return statuses
+
+        self.assertEqual(1, len(run_paused(scenario())))
+
+    @FIXED
+    @given(mutated_json(REPORT), JSON_VALUES)
+    def test_any_evidence_is_taken_or_left_out(self, report, other):
+        """Guards against evidence that ends the judgement of orders."""
+        objects = [KindObject("a", 1, report, None), KindObject("b", 1, other, None)]
+        for found in decode_evidence(tuple(objects), "u").values():
+            for counts in found.counts.values():
+                self.assertTrue(counts.is_valid())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/monsoontack/platform/mutations_test.py
@@ -0,0 +1,105 @@
+"""Mutated objects, headers and settings at the adapter's border."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from returns.result import Failure, Success
+
+from monsoontack.core.errors import RequestError
+from monsoontack.gateway.records import Attempt, RawRequest
+from monsoontack.platform.objects import decode_config, decode_order, decode_server
+from monsoontack.platform.objects_test import CONFIG, REGIONS, SERVER
+from monsoontack.platform.settings import read_settings
+from monsoontack.platform.wire import PlatformWire
+from monsoontack.store.api import KindObject
+from standins.gatewayparts import make_server
+from standins.gatewayprocess import SETTINGS
+from standins.mutations import FIXED, mutated_bytes, mutated_json
+
+HEADERS = (
+    b"host\nx-monsoontack-request-id\nx-monsoontack-token-usage\n"
+    b"x-monsoontack-prefix-hash\nx-monsoontack-deadline-ms\nlast-event-id\nauthorization",
+    b"h.example:80\n9c41\n1460,80\n5c1e:800,91bd:410\n25000\n12\nToken abc",
+)
+FILE = SETTINGS.format(
+    name="e1",
+    port=7200,
+    last=7215,
+    front=8740,
+    ready=8749,
+    memory_mb=300,
+    store="10.0.0.1:8742",
+).encode()
+
+
+class ObjectsTest(unittest.TestCase):
+    @FIXED
+    @given(mutated_json(CONFIG))
+    def test_any_configuration_is_read_or_left(self, spec):
+        """Guards against a configuration that ends the feed of configurations."""
+        config = decode_config(json.loads(json.dumps(spec)))
+        if config is not None:
+            self.assertIsInstance(config.version, int)
+
+    @FIXED
+    @given(mutated_json(SERVER))
+    def test_any_entry_of_a_server_is_read_or_left(self, spec):
+        """Guards against an entry of another writer that ends the list of servers."""
+        found = decode_server("i-1", json.loads(json.dumps(spec)), REGIONS)
+        if found is not None:
+            self.assertTrue(found[0].address.rpartition(":")[2].isdigit())
+
+    @FIXED
+    @given(mutated_json({"service": "s", "target": "v2", "over_s": 5}))
+    def test_any_order_is_read_or_left(self, spec):
+        """Guards against an order that ends the feed of orders."""
+        status = {"state": "running", "target": "v2", "phase": "moving"}
+        decode_order(KindObject("s", 3, spec, status))
+        decode_order(KindObject("s", 3, {"service": "s"}, spec))
+
+
+class WireTest(unittest.TestCase):
+    @FIXED
+    @given(mutated_bytes(HEADERS[0]), mutated_bytes(HEADERS[1]))
+    def test_any_headers_are_read_or_refused(self, names, values):
+        """Guards against a header that ends more than its request, or that reaches
+        a server as two."""
+        wire = PlatformWire()
+        lines = [
+            (n.lower(), v.replace(b"\r", b""))
+            for n, v in zip(names.split(b"\n"), values.split(b"\n"), strict=False)
+        ]
+        raw = RawRequest(b"POST", b"/p/x", tuple(lines), b"", True, 0.0)
+        request = wire.read_request(raw)
+        if isinstance(request, RequestError):
+            self.assertEqual(400, request.status)
+            return
+        attempt = Attempt(make_server("s1"), 1.0, last_event_id=request.last_event_id)
+        head = wire.write_attempt(request, attempt)
+        self.assertEqual(1, head.count(b"\r\n\r\n"))
+
+    @FIXED
+    @given(mutated_bytes(HEADERS[0]), mutated_bytes(HEADERS[1]))
+    def test_any_head_of_an_answer_is_read(self, names, values):
+        """Guards against a server's header that ends more than its exchange."""
+        pairs = zip(names.split(b"\n"), values.split(b"\n"), strict=False)
+        answer = PlatformWire().read_answer(200, tuple(pairs))
+        self.assertEqual(200, answer.status)
+
+
+class SettingsTest(unittest.TestCase):
+    @FIXED
+    @given(mutated_bytes(FILE))
+    def test_any_settings_file_is_read_or_refused(self, data):
+        """Guards against a changed file that ends a running gateway."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            path.write_bytes(data)
+            self.assertIsInstance(read_settings(path), (Success, Failure))
+
+
+if __name__ == "__main__":
+    unittest.main()
