--- a/soak/promises.py
+++ b/soak/promises.py
@@ -3,12 +3,15 @@
 from collections import defaultdict
 
 from soak.callers import Seen
-from soak.world import World
-from standins.directengine import event
+from soak.world import MEMORY_MB, World
+from standins.directengine import COMMENT, event
 
 # Statuses that promise that a request has not run and never will.
 NOT_RUN = frozenset((401, 404, 408, 421, 429, 503))
 REVOKE_S = 5.0
+# What a server may send in vain: the bound of a gateway (64 KiB) and what fills the
+# buffers of two sockets and a relay.
+MAX_IN_VAIN_BYTES = 8_000_000
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 51))
 
 
@@ -19,6 +22,17 @@
         for request, _, _ in engine.runs:
             runs[request].append(engine.name)
     broken = [f"a gateway ended by itself: {text}" for text in world.own_ends]
+    for engine in world.engines:
+        broken += [
+            f"{engine.name} sent {sent} bytes that are no answer"
+            for sent in engine.endless
+            if sent > MAX_IN_VAIN_BYTES
+        ]
+    broken += [
+        f"{name} took {mb} MB of memory"
+        for name, mb in world.memory_mb()
+        if mb > MEMORY_MB
+    ]
     for item in seen:
         broken += _check_answer(item, runs[item.request])
         broken += _check_key(world, item, runs[item.request])
@@ -38,9 +52,11 @@
     if item.status != 200:
         return broken
     if item.kind == "stream":
-        if item.whole and item.body != WHOLE_STREAM:
+        # Comments of the engine belong to no event and go on as they come.
+        events = item.body.replace(COMMENT, b"")
+        if item.whole and events != WHOLE_STREAM:
             broken.append(f"{item.request} ended as whole, but is not")
-        if not WHOLE_STREAM.startswith(item.body):
+        if not WHOLE_STREAM.startswith(events):
             broken.append(f"{item.request} has a gap or a repetition")
     elif item.whole and not item.body.endswith(f" for {item.request}".encode()):
         broken.append(f"{item.request} got the answer {item.body!r}")
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from soak.bytefaults import ByteFaults
 from soak.callers import Callers
 from soak.faults import Faults
 from soak.promises import check
@@ -40,15 +41,17 @@
         rng = random.Random(seed)
         callers = Callers(world, random.Random(rng.random()))
         faults = Faults(world, random.Random(rng.random()))
+        odd_bytes = ByteFaults(world, random.Random(rng.random()))
         tasks = [asyncio.ensure_future(callers.run_one()) for _ in range(CALLERS)]
-        await faults.run(seconds)
+        await asyncio.gather(faults.run(seconds), odd_bytes.run(seconds))
         unserved = await _recovered(world, callers)
         callers.stopping = True
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_S)
         statuses = Counter(item.status for item in callers.seen)
         broken = check(world, callers.seen)
-        return SoakResult(seed, faults.counts, statuses, broken, unserved)
+        counts = faults.counts + odd_bytes.counts
+        return SoakResult(seed, counts, statuses, broken, unserved)
     finally:
         await world.close()
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -179,6 +179,21 @@
                 self.expected_ends.add(gateway.process.pid)
             gateway.process.send_signal(number)
 
+    def memory_mb(self) -> list[tuple[str, int]]:
+        """Return the highest memory so far of each gateway that runs, in MB."""
+        found = []
+        for gateway in self.gateways:
+            status = Path(f"/proc/{gateway.process.pid}/status")
+            try:
+                text = status.read_text()
+            except OSError:
+                # The process ended between two looks.
+                continue
+            peak = [line for line in text.splitlines() if line.startswith("VmHWM")]
+            if peak:
+                found.append((gateway.settings.stem, int(peak[0].split()[1]) // 1024))
+        return found
+
     def heal(self) -> None:
         """End all faults that last."""
         self.store.down = None
