--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,7 +11,7 @@
 REVOKE_S = 5.0
 # What a server may send in vain: the bound of a gateway (64 KiB) and what fills the
 # buffers of two sockets and a relay.
-MAX_IN_VAIN_BYTES = 8_000_000
+MAX_IN_VAIN_BYTES = 2_000_000
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 51))
 
 
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -22,8 +22,8 @@
 EVENT_GAP_S = 0.02
 # Bytes without end: parts of this size as fast as the caller reads, up to a bound that
 # only a caller without one reaches.
-ENDLESS_PART = b"x-filler: " + b"y" * 16_000 + b"\r\n"
-ENDLESS_PAUSE_S = 0.002
+ENDLESS_PART = b"x-filler: " + b"y" * 64_000 + b"\r\n"
+ENDLESS_PAUSE_S = 0.001
 MAX_ENDLESS_BYTES = 50_000_000
 COMMENT = b": still here\n\n"
 # A second copy comes while the connection may be idle or in use again.
