--- a/monsoontack/gateway/relay.py
+++ b/monsoontack/gateway/relay.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl
 
@@ -160,9 +160,11 @@
     paused_until: dict[str, float] = field(default_factory=dict)
     now: Callable[[], float] = lambda: asyncio.get_running_loop().time()
     own_reads: OwnReads = field(default_factory=OwnReads)
+    call: Callable[..., Awaitable[PeerAnswer | None]] = call_peer
     rng: random.Random = field(default_factory=random.Random)
     on_stale_peer: Callable[[], None] = lambda: None
     saw_stale: bool = False
+    substitute: PeerEntry | None = None
     by_peer: int = 0
     by_store: int = 0
 
@@ -170,6 +172,7 @@
         """Read through these entries from now on."""
         self.plan = plan_reads(self.name, self.region, peers)
         self.paused_until = {n: t for n, t in self.paused_until.items() if n in peers}
+        self.substitute = None
 
     async def list_kind(self, kind: str) -> Result[KindList, StoreError]:
         """Read all objects of a kind."""
@@ -241,18 +244,27 @@
     async def _ask_others(
         self, kind: str, after: int | None, decode, started: float
     ) -> Result | None:
-        """Ask other peers; without a wait if the read has taken long already."""
+        """Ask other peers for what they know now; wait at the one that had news last.
+
+        A peer that may be dark is not waited at, since the news are late already.
+        """
+        waits = self.substitute is not None and not self._was_slow(started)
+        if waits and not self._is_paused(self.substitute):
+            request = FeedRequest(kind, after, self._news_wait_s(after))
+            found = await self._ask(self.substitute, request, decode, STALE_PAUSE_S)
+            if found is not None:
+                return found
+        self.substitute = None
         peers = list(self.plan.others)
         if self.plan.anyone:
             peers.append(self.rng.choice(self.plan.anyone))
         for peer in dict.fromkeys(peers):
             if peer == self.plan.parent or self._is_paused(peer):
                 continue
-            is_late = self.now() - started > CONNECT_TIMEOUT_S + PEER_SLACK_S
-            wait_s = 0.0 if is_late else self._news_wait_s(after)
-            request = FeedRequest(kind, after, wait_s)
+            request = FeedRequest(kind, after)
             found = await self._ask(peer, request, decode, STALE_PAUSE_S)
             if found is not None:
+                self.substitute = peer
                 return found
             if self.now() - started > MAX_READ_S:
                 # Another wait would delay the news further than one entry may be
@@ -260,6 +272,10 @@
                 break
         return None
 
+    def _was_slow(self, started: float) -> bool:
+        """Whether a peer that was asked in this read has cost much of its time."""
+        return self.now() - started > CONNECT_TIMEOUT_S + PEER_SLACK_S
+
     def _news_wait_s(self, after: int | None) -> float:
         """Return how long a peer may hold a request until it has news."""
         return 0.0 if after is None else self.direct_wait_s + NEWS_SLACK_S
@@ -272,7 +288,8 @@
     ) -> Result | None:
         """Return a peer's fresh answer, or that its history is gone, or None."""
         timeout_s = request.wait_s + PEER_SLACK_S
-        answer = await call_peer(self.pool, peer.address, request.target(), timeout_s)
+        target = request.target()
+        answer = await self.call(self.pool, peer.address, target, timeout_s)
         pause_s = PEER_PAUSE_S
         if answer is None:
             reason = "no answer"
--- a/monsoontack/gateway/relay_test.py
+++ b/monsoontack/gateway/relay_test.py
@@ -242,12 +242,18 @@
         relayed.plan = replace(
             relayed.plan, parent=dead, others=(fresh,), anyone=(fresh,), is_reader=False
         )
+
+        async def confirm():
+            while True:
+                await asyncio.sleep(0.4)
+                self.cache.confirmed(time.clock_gettime(time.CLOCK_BOOTTIME))
+
+        task = asyncio.ensure_future(confirm())
         until = time.monotonic() + 1.5
         while time.monotonic() < until:
-            boot = time.clock_gettime(time.CLOCK_BOOTTIME)
-            asyncio.get_running_loop().call_later(0.4, self.cache.confirmed, boot)
             result = await relayed.watch_kind("k", 5, 1.0)
             self.assertIsInstance(result, Success)
+        task.cancel()
         self.assertLessEqual(len(asked), 6)
 
     async def test_answer_of_a_peer_that_cannot_be_read_is_not_used(self):
