--- a/monsoontack/gateway/relay.py
+++ b/monsoontack/gateway/relay.py
@@ -151,7 +151,8 @@
 
     `direct_wait_s` bounds a watch of the store, `own_reads` is shared by the feeds
     of one entry. `on_stale_peer` hears when a read failed because no peer knows more
-    than this entry (`saw_stale`). `by_peer` and `by_store` count the calls that were
+    than this entry (`saw_stale`). `substitute` is the peer that had news while the
+    parent had none. `by_peer` and `by_store` count the calls that were
     answered by each.
     """
 
