Log and count the limits that backend servers state

A gateway now reads the limit in the head of each response, keeps it with a version, and logs each change with rate, source and version. The metrics monsoontack_limited_servers and monsoontack_limited_sends_total and the state dump's field limits show the same. The selection of servers is unchanged.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -142,6 +142,9 @@
         calls = CallForwarder(fleet, sender, picker, budgets, Hedging(), rng)
         streams = StreamForwarder(settings.place, fleet, sender, budgets, rng)
         metrics = GatewayMetrics.create()
+        sender.on_limited_send = lambda service: metrics.limited_sends.labels(
+            service
+        ).inc()
         gateway = Gateway(wire, config_state, calls, streams, metrics, rng)
         daemon = cls(settings, config_state, fleet, pool, gateway, metrics)
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
@@ -384,6 +387,10 @@
         if config is not None:
             metrics.config_version.set(config.version)
             metrics.config_age_s.set(self.config_state.age_s())
+        limits = self.gateway.calls.sender.limits
+        known = {member.limit_key for member in self.fleet.members.values()}
+        limits.forget_old(known, self.gateway.now())
+        metrics.limited_servers.set(len(limits.limited()))
         for service, members in self.fleet.by_service.items():
             metrics.servers.labels(service).set(len(members))
         if self.log_writer is not None:
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -69,8 +69,12 @@
     @property
     def key(self) -> tuple[str, str]:
         """Return the key of connections to this start of the server."""
-        server = self.server
-        return server.address, f"{server.incarnation}@{server.started_unix_ms}"
+        return self.server.address, self.limit_key
+
+    @property
+    def limit_key(self) -> str:
+        """Return the name of this start of the server in all entries' limits."""
+        return f"{self.server.incarnation}@{self.server.started_unix_ms}"
 
 
 @dataclass(slots=True)
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -32,6 +32,8 @@
     in_progress: Gauge = None
     config_version: Gauge = None
     config_age_s: Gauge = None
+    limited_sends: Counter = None
+    limited_servers: Gauge = None
     servers: Gauge = None
     store_feed_up: Gauge = None
     log_lines_dropped: Gauge = None
@@ -59,6 +61,12 @@
             ("status",),
             registry=registry,
         )
+        metrics.limited_sends = Counter(
+            "monsoontack_limited_sends",
+            "Requests sent to backend servers that have stated a limit, by service",
+            ("service",),
+            registry=registry,
+        )
         metrics.answer_s = Histogram(
             "monsoontack_answer_seconds",
             "Time from a request to the end of its answer",
@@ -90,6 +98,9 @@
         self.config_age_s = gauge(
             "config_age_seconds", "Time since the configuration was confirmed"
         )
+        self.limited_servers = gauge(
+            "limited_servers", "Backend servers that have stated a limit"
+        )
         self.servers = gauge("servers", "Backend servers in use", ("service",))
         self.store_feed_up = gauge(
             "store_feed_up", "Whether the store answers a feed", ("feed",)
--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -71,7 +71,8 @@
     """One request and its response.
 
     `has_head` is true once the head of the response has arrived. Body data collects in
-    `parts`. `wait` returns at the next change of state or after its timeout.
+    `parts`. `wait` returns at the next change of state or after its timeout. `on_head`
+    is called once when the head arrives, even if nobody waits for the response.
     """
 
     def __init__(self, request_id: str | None) -> None:
@@ -85,6 +86,7 @@
         self.failure: ExchangeFailure | None = None
         self.connection: OutboundConnection | None = None
         self.waiter: asyncio.Future | None = None
+        self.on_head: Callable[[HttpExchange], None] | None = None
         self.received_bytes = 0
 
     @property
@@ -283,6 +285,8 @@
         self._set_framing(status)
         exchange.status, exchange.headers = status, self.headers
         exchange.has_head = True
+        if exchange.on_head is not None:
+            exchange.on_head(exchange)
         exchange.wake()
         if self.is_head_request:
             self.is_reusable = False
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -2,23 +2,35 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import partial
 
+from monsoontack.admission.statedlimits import StatedLimits
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.outbound import ExchangeFailure, FailureKind, HttpExchange
 from monsoontack.gateway.pool import CONNECT_TIMEOUT_S, ConnectionPool
 from monsoontack.gateway.ports import WireFormat
 from monsoontack.gateway.records import Attempt, CallerRequest
 
+# Status of a VM at which the server no longer runs.
+MISDIRECTED_STATUS = 421
+
 
 @dataclass(slots=True)
 class Sender:
-    """Sends requests; `on_sent` is called with the service of each one sent."""
+    """Sends requests; `on_sent` is called with the service of each one sent.
+
+    `limits` records the request rates that servers state in their responses.
+    `on_limited_send` is called with the service of each request sent to a server that
+    has stated one.
+    """
 
     pool: ConnectionPool
     wire: WireFormat
     fleet: BackendFleet
+    limits: StatedLimits = field(default_factory=StatedLimits)
     on_sent: Callable[[str], None] = lambda service: None
+    on_limited_send: Callable[[str], None] = lambda service: None
 
     async def send(
         self,
@@ -41,12 +53,29 @@
             self.pool.release(member.key, connection)
             return ExchangeFailure(FailureKind.UNWANTED, False, "no longer wanted")
         exchange = HttpExchange(request.request_id)
+        exchange.on_head = partial(self._record_limit, member, self.now())
         head = self.wire.encode_request_head(request, attempt)
         is_head = request.raw.method == b"HEAD"
         connection.start(exchange, head + request.raw.body, is_head)
         self.on_sent(member.server.service)
+        if self.limits.rate(member.limit_key) is not None:
+            self.on_limited_send(member.server.service)
         return exchange
 
+    def _record_limit(
+        self, member: Member, sent_at: float, exchange: HttpExchange
+    ) -> None:
+        """Record the limit that a server states in the head of a response.
+
+        Only a response of the server itself without a limit ends a limit.
+        """
+        head = self.wire.parse_response_head(exchange.status, exchange.headers)
+        if head.status == MISDIRECTED_STATUS:
+            return
+        if head.stated_limit is None and (head.not_run or not head.signed):
+            return
+        self.limits.observe(member.limit_key, head.stated_limit, sent_at, self.now())
+
     async def check_connection(
         self, member: Member, timeout_s: float
     ) -> ExchangeFailure | None:
--- a/monsoontack/gateway/statedump.py
+++ b/monsoontack/gateway/statedump.py
@@ -26,6 +26,10 @@
         if relayed and relayed[0].plan.parent
         else None,
         "connections": {"opened": daemon.pool.opened, "reused": daemon.pool.reused},
+        "limits": {
+            key: [record.rate, record.version]
+            for key, record in daemon.gateway.calls.sender.limits.records.items()
+        },
         "servers": [
             _server_state(daemon, member, now)
             for member in daemon.fleet.members.values()
--- a/monsoontack/platform/wire.py
+++ b/monsoontack/platform/wire.py
@@ -33,6 +33,8 @@
 # Response header of a server that has not run the request and will not run it.
 NOT_RUN = b"x-monsoontack-not-executed"
 PRIORITY = b"x-monsoontack-request-priority"
+# Requests a second that a server in need takes from all entries together.
+SERVER_LIMIT = b"server-limit"
 # Address of the engine that receives a continuous copy of a request's KV cache.
 KV_BACKUP = b"x-monsoontack-kv-backup"
 # ADDRESS/HANDLE of the KV cache copy from which a request resumes.
@@ -170,6 +172,7 @@
                 if name not in RESPONSE_HOP_BY_HOP_HEADERS and name != NOT_RUN
             ),
             keep_alive_s=keep_alive_s(headers),
+            stated_limit=_find_header(headers, SERVER_LIMIT),
         )
 
 
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -7,7 +7,8 @@
 again shortly afterwards); or `comments` (the first attempt of a stream sends only
 comments after a few events). A stream resumes after the event in `last-event-id`.
 `runs` lists the requests that ran, each as id, headers and body; `endless_responses`
-lists the responses without end.
+lists the responses without end. A server with a `limit` states it in its responses;
+`arrivals` lists when requests arrived, in the event loop's time.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 from monsoontack.gateway.responder import CallerDisconnectedError, Responder
 
 REQUEST_ID_HEADER = b"x-monsoontack-request-id"
+LIMIT_HEADER = b"server-limit"
 ORIGIN_STAMP_HEADER = b"x-monsoontack-origin-stamp"
 EXPECTED_INSTANCE_HEADER = b"x-monsoontack-expect-instance"
 NOT_RUN_HEADERS = ((b"x-monsoontack-not-executed", b"1"),)
@@ -58,6 +60,8 @@
     runs: list[tuple[str, dict, bytes]] = field(default_factory=list)
     disconnected_requests: list[str] = field(default_factory=list)
     endless_responses: list[EndlessResponse] = field(default_factory=list)
+    limit: str | None = None
+    arrivals: list[float] = field(default_factory=list)
     address: str = ""
     listener: asyncio.Server | None = None
     server: InboundServer | None = None
@@ -99,6 +103,9 @@
             (REQUEST_ID_HEADER, request_id),
             (ORIGIN_STAMP_HEADER, self.name.encode()),
         )
+        self.arrivals.append(asyncio.get_running_loop().time())
+        if self.limit is not None:
+            response_headers += ((LIMIT_HEADER, self.limit.encode()),)
         if headers.get(EXPECTED_INSTANCE_HEADER, b"").decode() not in ("", self.name):
             responder.send(421, response_headers)
             return
