Add a failing test of a stated limit over three gateways

Three gateway processes send 45 calls a second to two servers, one of which states a limit of 2.8 a second.

--- /dev/null
+++ b/tests/limits_test.py
@@ -0,0 +1,91 @@
+"""Tests of a limit that a server states, with several gateway processes on loopback."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from standins.directengine import DirectEngine
+from standins.gatewayprocess import GatewayProcess, config
+from standins.platformstore import SimulatedPlatformStore
+
+GATEWAY_COUNT = 3
+MEMORY_MB = 200
+CALLS_PER_S = 45
+# The users' rule: from 4 s after a server first stated a limit, it gets in any 4 s at
+# most one and a half times what the limit allows, and 5 requests more.
+SETTLE_S = 4.0
+WINDOW_S = 4.0
+ALLOWED_FACTOR = 1.5
+ALLOWED_EXTRA = 5
+
+
+def most_arrivals(arrivals, since):
+    """Return the most arrivals of any window that begins after `since`."""
+    late = [at for at in arrivals if at >= since]
+    return max((sum(at <= x < at + WINDOW_S for x in late) for at in late), default=0)
+
+
+def allowed_arrivals(limit):
+    """Return the arrivals of one window that the users' rule allows."""
+    return ALLOWED_FACTOR * limit * WINDOW_S + ALLOWED_EXTRA
+
+
+class LimitsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = SimulatedPlatformStore()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+        self.engines = {}
+        for name, service, zone in (
+            ("desk-1", "desk", "zone-a"),
+            ("desk-2", "desk", "zone-b"),
+            ("plan-1", "planner", "zone-a"),
+        ):
+            engine = self.engines[name] = DirectEngine(name, event_count=5)
+            await engine.start()
+            self.addAsyncCleanup(engine.close)
+            self.store.put("servers", name, engine.entry(service, zone))
+        self.store.put("config", "main", config())
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.gateways = []
+        for number in range(GATEWAY_COUNT):
+            gateway = GatewayProcess.write_settings(
+                self.store, {}, Path(folder), MEMORY_MB, name=f"gateway-{number}"
+            )
+            self.gateways.append(gateway)
+            self.addAsyncCleanup(gateway.stop)
+        await asyncio.gather(*(gateway.start() for gateway in self.gateways))
+        self.answers = []
+        self.tasks = set()
+        self.now = asyncio.get_running_loop().time
+
+    async def send_calls(self, seconds, path="/look/a"):
+        """Send calls through all gateways in turn at a constant rate."""
+        until, number = self.now() + seconds, 0
+        while self.now() < until:
+            number += 1
+            gateway = self.gateways[number % GATEWAY_COUNT]
+            call = gateway.call(path, f"{path}-{len(self.tasks)}-{self.now()}")
+            task = asyncio.ensure_future(self.record(call))
+            self.tasks.add(task)
+            await asyncio.sleep(1 / CALLS_PER_S)
+        await asyncio.gather(*self.tasks)
+
+    async def record(self, call):
+        status, headers, _ = await call
+        self.answers.append((self.now(), status, headers.get("Retry-After")))
+
+    async def test_limit_holds_for_all_gateways_together(self):
+        """Guards against gateways that send a server more than the limit it stated."""
+        limit, began_at = 2.8, self.now()
+        self.engines["desk-1"].limit = str(limit)
+        await self.send_calls(11.0)
+        arrivals = self.engines["desk-1"].arrivals
+        most = most_arrivals(arrivals, began_at + SETTLE_S)
+        self.assertLessEqual(most, allowed_arrivals(limit))
+        self.assertEqual({200}, {status for _, status, _ in self.answers})
+
+
+if __name__ == "__main__":
+    unittest.main()
