Divide the link between regions by the entries of the region

A gateway took an eighth of the link's rate for its own whatever the size of the fleet: 390 entries together 49 times the rate, and 5 entries five eighths of it. The divisor was the setting expected_max_entries and was never updated, unlike that of the retry budget. Which callers it reached is not known: calls leave their region only when it has no free slot.

The list of entries now sets the divisor to the entries of the region, at least 4 as for the retry budget. daemon_test failed before with 234,375 bytes a second instead of 62,500 at 30 entries.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -253,6 +253,11 @@
         self.gateway.calls.budgets.set_entry_count(
             max(len(entries), MIN_ASSUMED_ENTRIES)
         )
+        region = self.settings.place.region
+        in_region = sum(peer.region == region for peer in entries.values())
+        self.gateway.calls.picker.link_budget.set_entry_count(
+            max(in_region, MIN_ASSUMED_ENTRIES), self.gateway.now()
+        )
         self.limit_exchange.set_peers(entries)
         if self.rollouts is not None:
             self.rollouts.entries = frozenset(entries)
--- a/monsoontack/gateway/daemon_test.py
+++ b/monsoontack/gateway/daemon_test.py
@@ -14,7 +14,9 @@
     GatewayDaemon,
 )
 from monsoontack.gateway.entryregistry import ENTRIES_KIND
+from monsoontack.gateway.peers import PeerEntry
 from monsoontack.gateway.settings import GatewaySettings
+from monsoontack.routing.linkbudget import LINK_BYTES_PER_S
 from monsoontack.store.api import KindList, Unavailable
 from monsoontack.store.feed_test import Recorder
 from standins.gatewayfakes import HOME, ScriptedWire
@@ -99,5 +101,26 @@
         self.assertAlmostEqual(ENTRIES_WAIT_TIMEOUT_S, found["config"], 2)
 
 
+class SharedBoundsTest(unittest.TestCase):
+    """Bounds for the whole fleet, of which each entry uses a part."""
+
+    def test_link_between_regions_is_divided_by_the_entries_of_the_region(self):
+        """Guards against a part of the link that does not change with the fleet."""
+
+        async def scenario():
+            daemon = GatewayDaemon.from_settings(
+                SETTINGS, ScriptedWire(), lambda headers: None, random.Random(1)
+            )
+            daemon.join_cluster(TimedStore(), TimedStore())
+            regions = [HOME.region] * 30 + ["elsewhere"] * 20
+            daemon._entries_changed(
+                {f"e{n}": PeerEntry(f"e{n}", r, "") for n, r in enumerate(regions)}
+            )
+            return daemon.gateway.calls.picker.link_budget
+
+        budget = run_in_virtual_time(scenario())
+        self.assertAlmostEqual(LINK_BYTES_PER_S / 30, budget.bucket.rate)
+
+
 if __name__ == "__main__":
     unittest.main()
