Count waits and wants of limited servers right after a change

A caller refused by an entry that had just learned of a limit was told to come back in 10 s, the upper bound: the entry divided by its own part of the limit before its parent had told it the wait of the fleet. And an entry that held expired permits asked for too few new ones.

An attached entry now counts on the whole limit until it is told the wait, and expired permits are not counted as held. permits_test (wait before the first grant) and limitgate_test (expired permits) cover them.

--- a/monsoontack/admission/limitgate.py
+++ b/monsoontack/admission/limitgate.py
@@ -68,7 +68,7 @@
 
     def may_send(self, key: str, now: float) -> bool:
         """Whether a request may be sent to a server now."""
-        return self.limits.rate(key) is None or self.permits.has_permit(key, now)
+        return self.limits.rate(key) is None or self.permits.held_count(key, now) > 0
 
     def take(self, key: str, now: float) -> Permit | None:
         """Take the permit for one request, None if there is none."""
@@ -106,7 +106,7 @@
             keys = self._limited_servers(service)
             expected = len(times) * PERMIT_LIFETIME_S / DEMAND_WINDOW_S
             for key in keys:
-                held = len(self.permits.held.get(key, ()))
+                held = self.permits.held_count(key, now)
                 wants[key] = max(expected / len(keys) - held, 0.0)
         self.permits.own_wants = wants
 
--- a/monsoontack/admission/limitgate_test.py
+++ b/monsoontack/admission/limitgate_test.py
@@ -78,6 +78,15 @@
         self.gate.update_wants(9.0)
         self.assertEqual({}, self.gate.permits.own_wants)
 
+    def test_expired_permits_do_not_lower_the_wants(self):
+        """Guards against an entry that asks for nothing as it holds old permits."""
+        self.state_limit("a")
+        self.give_permits("a", 2, 0.0)
+        for number in range(8):
+            self.gate.note_request(SERVICE, 2.0 + number / 10)
+        self.gate.update_wants(3.0)
+        self.assertEqual({"a": 6.0}, self.gate.permits.own_wants)
+
     def test_number_of_servers_asked_is_bounded(self):
         """Guards against messages that grow with the number of servers."""
         self.keys = [f"s{number}" for number in range(850)]
--- a/monsoontack/admission/permits.py
+++ b/monsoontack/admission/permits.py
@@ -193,9 +193,9 @@
         held = self._unexpired(self.held, key, now)
         return held.popleft() if held else None
 
-    def has_permit(self, key: str, now: float) -> bool:
-        """Whether this entry has a permit for a server."""
-        return bool(self._unexpired(self.held, key, now))
+    def held_count(self, key: str, now: float) -> int:
+        """Return the number of this entry's permits for a server."""
+        return len(self._unexpired(self.held, key, now))
 
     def give_back(self, key: str, expires_at: float) -> None:
         """Return a permit whose request was not sent."""
@@ -207,8 +207,10 @@
         """Return how long the requests wanted now take at the server's limit."""
         if self.is_attached(now) and key in self.waits:
             return self.waits[key]
-        rate = self._mint_rate(key, now)
-        return max(self.wants(now).get(key, 0.0), 1.0) / rate if rate > 0 else math.inf
+        # An attached entry that has not been told a wait counts on the whole limit.
+        is_attached = self.is_attached(now)
+        rate = self.limits.rate(key) if is_attached else self._mint_rate(key, now)
+        return max(self.wants(now).get(key, 0.0), 1.0) / rate if rate else 0.0
 
     def _draw(
         self, key: str, want: float, total_want: float, now: float
--- a/monsoontack/admission/permits_test.py
+++ b/monsoontack/admission/permits_test.py
@@ -56,8 +56,8 @@
         node.apply_grant("parent", PermitGrant({KEY: (PERMIT_LIFETIME_S,)}, {}), 0.0)
         node.own_wants = {KEY: 1.0}
         node.serve_own_wants(0.1)
-        self.assertTrue(node.has_permit(KEY, PERMIT_LIFETIME_S - 0.01))
-        self.assertFalse(node.has_permit(KEY, PERMIT_LIFETIME_S))
+        self.assertTrue(node.held_count(KEY, PERMIT_LIFETIME_S - 0.01))
+        self.assertFalse(node.held_count(KEY, PERMIT_LIFETIME_S))
         self.assertIsNone(node.take(KEY, PERMIT_LIFETIME_S))
 
     def test_entry_with_a_parent_mints_nothing(self):
@@ -67,7 +67,7 @@
         node.own_wants = {KEY: 9.0}
         for step in range(20):
             node.serve_own_wants(step / 10)
-        self.assertFalse(node.has_permit(KEY, 2.0))
+        self.assertFalse(node.held_count(KEY, 2.0))
 
     def test_lost_parent_adds_no_permits_of_the_past(self):
         """Guards against entries that all mint at once when their parent is lost."""
@@ -77,7 +77,7 @@
         node.apply_grant("parent", PermitGrant({}, {}), 500.0)
         node.held.clear()
         node.serve_own_wants(500.0 + CONTACT_TIMEOUT_S + 0.01)
-        self.assertFalse(node.has_permit(KEY, 500.0 + CONTACT_TIMEOUT_S + 0.02))
+        self.assertFalse(node.held_count(KEY, 500.0 + CONTACT_TIMEOUT_S + 0.02))
 
     def test_shares_of_all_fragments_stay_near_the_limit(self):
         """Guards against each part of a partitioned fleet using the whole limit."""
@@ -122,6 +122,13 @@
         for name, count in given.items():
             self.assertGreater(count, 0.7 * mean, name)
 
+    def test_wait_before_the_first_grant_counts_on_the_whole_limit(self):
+        """Guards against a retry time of minutes, from one entry's own part."""
+        node = make_node(fleet_size=390)
+        node.apply_grant("parent", PermitGrant({}, {}), 0.0)
+        node.own_wants = {KEY: 7.0}
+        self.assertAlmostEqual(7.0 / RATE, node.wait_s(KEY, 0.1))
+
     def test_permits_of_an_ended_limit_are_dropped(self):
         """Guards against state that stays for each server that ever had a limit."""
         node = make_node()
--- a/monsoontack/gateway/limitedservers_test.py
+++ b/monsoontack/gateway/limitedservers_test.py
@@ -208,9 +208,11 @@
             signed=b"unsigned" not in found,
             encoded=False,
             forwarded=headers,
-            stated_limit=found.get(b"limit", b"").decode() or None,
         )
 
+    def stated_limit(self, headers):
+        return dict(headers).get(b"limit", b"").decode() or None
+
 
 class SlowPool:
     """Pool whose connections take some time; `started` lists their exchanges."""
@@ -259,7 +261,7 @@
         """Guards against sends of any kind that pass the limit by."""
         gate, key, sent = self.send(limited=("s1",), permits=1)
         self.assertIsInstance(sent, HttpExchange)
-        self.assertFalse(gate.permits.has_permit(key, 0.1))
+        self.assertFalse(gate.permits.held_count(key, 0.1))
         _, _, failure = self.send(limited=("s1",))
         self.assertEqual(
             (FailureKind.LIMITED, False), (failure.kind, failure.maybe_sent)
@@ -282,7 +284,7 @@
         pool = SlowPool(refused)
         gate, key, failure = self.send(limited=("s1",), permits=1, pool=pool)
         self.assertIs(refused, failure)
-        self.assertTrue(gate.permits.has_permit(key, 0.1))
+        self.assertTrue(gate.permits.held_count(key, 0.1))
 
     def test_limits_are_read_from_all_responses_of_the_server(self):
         """Guards against limits in refusals and errors that nobody reads."""
