Read a stated limit without decoding the response head twice

Each response head was decoded a second time only to find out that it states no limit. The wire format now has the lookup by itself; the head is decoded for limits only if one is stated or known. wire_test covers that the text is passed on unchanged.

--- a/monsoontack/gateway/ports.py
+++ b/monsoontack/gateway/ports.py
@@ -27,6 +27,13 @@
         """Return the request id in the headers of a response, if there is one."""
         ...
 
+    def stated_limit(self, headers: Headers) -> str | None:
+        """Return the text of the request rate that a server states, None without one.
+
+        The rate is in requests a second, for all entries together.
+        """
+        ...
+
     def parse_response_head(self, status: int, headers: Headers) -> ResponseHead:
         """Parse the head of a backend server's response."""
         ...
--- a/monsoontack/gateway/records.py
+++ b/monsoontack/gateway/records.py
@@ -202,8 +202,7 @@
     is true if the response has the server's signature, `encoded` if its body has a
     content encoding, which the gateway never requests. `forwarded` are the headers
     that are forwarded to the caller, `keep_alive_s` is how long the server keeps
-    an idle connection open. `stated_limit` is the text of the request rate that the
-    server states for all entries together, None if it states none.
+    an idle connection open.
     """
 
     status: int
@@ -213,4 +212,3 @@
     encoded: bool
     forwarded: Headers
     keep_alive_s: float | None = None
-    stated_limit: str | None = None
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -96,15 +96,16 @@
 
         Only a response of the server itself without a limit ends a limit.
         """
+        key, limits = member.limit_key, self.gate.limits
+        stated = self.wire.stated_limit(exchange.headers)
+        if stated is None and limits.rate(key) is None:
+            return
         head = self.wire.parse_response_head(exchange.status, exchange.headers)
         if head.status == MISDIRECTED_STATUS:
             return
-        if head.stated_limit is None and (head.not_run or not head.signed):
+        if stated is None and (head.not_run or not head.signed):
             return
-        changed = self.gate.limits.observe(
-            member.limit_key, head.stated_limit, sent_at, self.now()
-        )
-        if changed:
+        if limits.observe(key, stated, sent_at, self.now()):
             self.on_limit_change()
 
     async def check_connection(
--- a/monsoontack/platform/wire.py
+++ b/monsoontack/platform/wire.py
@@ -172,9 +172,12 @@
                 if name not in RESPONSE_HOP_BY_HOP_HEADERS and name != NOT_RUN
             ),
             keep_alive_s=keep_alive_s(headers),
-            stated_limit=_find_header(headers, SERVER_LIMIT),
         )
 
+    def stated_limit(self, headers: Headers) -> str | None:
+        """Return the limit that a server states in a response, as it is written."""
+        return _find_header(headers, SERVER_LIMIT)
+
 
 def keep_alive_s(headers: Headers) -> float | None:
     """Return the server's idle timeout from `Keep-Alive`, None if it gives none."""
--- a/monsoontack/platform/wire_test.py
+++ b/monsoontack/platform/wire_test.py
@@ -150,6 +150,14 @@
         coded = ((b"content-encoding", b"gzip"),)
         self.assertTrue(WIRE.parse_response_head(200, coded).encoded)
 
+    def test_stated_limit_is_read_as_written_and_forwarded(self):
+        """Guards against a limit that is changed before it is checked and logged."""
+        headers = ((b"server-limit", b" 2.8x"), (b"x-a", b"1"))
+        self.assertEqual(" 2.8x", WIRE.stated_limit(headers))
+        self.assertIsNone(WIRE.stated_limit(headers[1:]))
+        head = WIRE.parse_response_head(200, headers)
+        self.assertEqual(headers, head.forwarded)
+
     def test_keep_alive(self):
         """Guards against reusing connections that the server has closed."""
         found = keep_alive_s(((b"keep-alive", b"timeout=5, max=100"),))
