Check stated limits in the soak

Engines of the soak state limits at random, change and end them, and state malformed ones, beside all other faults. The check holds for what an engine gets, also from gateways that were killed, stopped, paused or cut off: from 4 s after it has stated a limit, in no 4 s more than one and a half times the limit and 5 requests.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -72,7 +72,8 @@
 
     `blocked_intervals` lists the intervals, in the event loop's time, in which a link
     fault or a paused gateway may have kept an engine's bytes from the gateway that
-    would have closed the connection.
+    would have closed the connection. `limit_spans` lists engines that stated a limit:
+    engine, requests a second, and the times of the beginning and end.
     """
 
     store: SimulatedPlatformStore = field(default_factory=SimulatedPlatformStore)
@@ -86,6 +87,9 @@
     expected_exit_pids: set[int] = field(default_factory=set)
     unexpected_exits: list[str] = field(default_factory=list)
     blocked_intervals: list[tuple[float, float]] = field(default_factory=list)
+    limit_spans: list[tuple[DirectEngine, float, float, float]] = field(
+        default_factory=list
+    )
     engine_count: int = 0
     folder: tempfile.TemporaryDirectory = field(
         default_factory=tempfile.TemporaryDirectory
@@ -217,6 +221,7 @@
             proxy.set_faults({"silence": "none", "latency_s": 0, "close": True})
         for proxied in self.proxied_engines:
             proxied.engine.behavior = "ok"
+            proxied.engine.limit = None
         for gateway in self.gateways:
             self.signal(gateway, signal.SIGCONT)
 
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -12,6 +12,10 @@
 # Bytes that a server can send before its connection is closed: the gateway's limit
 # (64 KiB) plus the content of the buffers of two sockets and of a TCP proxy.
 MAX_DISCARDED_BYTES = 2_000_000
+# From this time after an engine has stated a limit, it gets in no window more than
+# one and a half times what the limit allows, and some requests.
+LIMIT_SETTLE_S, LIMIT_WINDOW_S = 4.0, 4.0
+LIMIT_FACTOR, LIMIT_EXTRA = 1.5, 5
 COMPLETE_STREAM = b"".join(make_event(number) for number in range(1, 51))
 
 
@@ -41,6 +45,8 @@
     for item in observed:
         violations += _check_answer(item, runs[item.request_id])
         violations += _check_key(environment, item, runs[item.request_id])
+    for engine, limit, began_at, ended_at in environment.limit_spans:
+        violations += _check_limit(engine, limit, began_at, ended_at)
     known = {item.request_id for item in observed}
     violations += [
         f"{name} ran, but nobody sent it" for name in set(runs) - known if runs[name]
@@ -48,6 +54,23 @@
     return violations
 
 
+def _check_limit(engine, limit: float, began_at: float, ended_at: float) -> list[str]:
+    """Return a violation if the engine got more requests than its limit allows."""
+    since = began_at + LIMIT_SETTLE_S
+    arrivals = [at for at in engine.arrivals if since <= at < ended_at]
+    allowed = LIMIT_FACTOR * limit * LIMIT_WINDOW_S + LIMIT_EXTRA
+    most = max(
+        (sum(a <= at < a + LIMIT_WINDOW_S for at in arrivals) for a in arrivals),
+        default=0,
+    )
+    if most <= allowed:
+        return []
+    return [
+        f"{engine.name} with a limit of {limit:.2f} a second got {most} requests in "
+        f"{LIMIT_WINDOW_S:g} s; allowed {allowed:.1f}"
+    ]
+
+
 def _was_blocked(environment: SoakEnvironment, item: EndlessResponse) -> bool:
     """Return whether a fault may have kept the bytes from the gateway.
 
--- a/soak/invariants_test.py
+++ b/soak/invariants_test.py
@@ -16,6 +16,7 @@
     endless_responses=(),
     memory=(),
     blocked_intervals=(),
+    limit_spans=(),
 ):
     engine = SimpleNamespace(
         name="e1",
@@ -28,6 +29,7 @@
         unexpected_exits=list(unexpected_exits),
         memory_mb=lambda: list(memory),
         blocked_intervals=list(blocked_intervals),
+        limit_spans=list(limit_spans),
     )
 
 
@@ -109,6 +111,18 @@
             [], find_violations(environment(["once-1"], back), [observed_request()])
         )
 
+    def test_requests_beyond_a_stated_limit(self):
+        """Guards against a check that misses requests beyond an engine's limit."""
+        early = [10.0 + number / 100 for number in range(300)]
+        allowed = [14.5 + number / 10 for number in range(17)]
+        engine = SimpleNamespace(name="e1", arrivals=early + allowed)
+        span = (engine, 2.0, 10.0, 20.0)
+        self.assertEqual([], find_violations(environment(limit_spans=[span]), []))
+        engine.arrivals.append(16.4)
+        found = find_violations(environment(limit_spans=[span]), [])
+        self.assertEqual(1, len(found))
+        self.assertIn("got 18 requests in 4 s; allowed 17.0", found[0])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,7 @@
 from soak.environment import KEYS, SoakEnvironment
 from soak.faults import Faults
 from soak.invariants import find_violations
+from soak.limitfaults import LimitFaults
 from soak.responsefaults import ResponseFaults
 
 CALLER_COUNT = 12
@@ -45,14 +46,17 @@
         tasks = [
             asyncio.ensure_future(callers.run_caller()) for _ in range(CALLER_COUNT)
         ]
-        await asyncio.gather(faults.run(seconds), response_faults.run(seconds))
+        limit_faults = LimitFaults(environment, random.Random(rng.random()))
+        await asyncio.gather(
+            faults.run(seconds), response_faults.run(seconds), limit_faults.run(seconds)
+        )
         unserved = await _unrecovered_routes(environment, callers)
         callers.stopping = True
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_DELAY_S)
         statuses = Counter(item.status for item in callers.observed)
         violations = find_violations(environment, callers.observed)
-        counts = faults.counts + response_faults.counts
+        counts = faults.counts + response_faults.counts + limit_faults.counts
         return SoakResult(seed, counts, statuses, violations, unserved)
     finally:
         await environment.close()
