Take back permits when a server lowers its limit

Permits of the higher limit stayed valid for up to 1.5 s after a server had lowered it: 40 permits at an entry when a limit fell from 40 to 2 a second. Found in review.

Each entry now drops the part of its permits that exceeds the lowered limit. permits_test (lowered limit) failed before with 40 permits where 5 were allowed. The model's test of a lowered limit in a fleet of 68 entries passed before as well: at its load, permits were used soon after they were granted.

--- a/bench/limits_test.py
+++ b/bench/limits_test.py
@@ -82,6 +82,22 @@
 
         self.run_model(scenario)
 
+    def test_lowered_limit_holds_soon_after(self):
+        """Guards against a fleet that goes on sending at a higher limit of before."""
+
+        async def scenario(model):
+            server, lowered = model.servers["server-0"], 0.5
+            server.limit = 20.0
+            load = asyncio.ensure_future(model.send_calls(16.0))
+            await asyncio.sleep(8.0)
+            server.limit = lowered
+            changed_at = asyncio.get_running_loop().time()
+            await load
+            most = most_arrivals(server.arrivals, changed_at + 0.5)
+            self.assertLessEqual(most, allowed_arrivals(lowered))
+
+        self.run_model(scenario)
+
     def test_restarted_entry_hears_the_limits_at_once(self):
         """Guards against a burst from an entry that lost its limits by a restart."""
 
--- a/monsoontack/admission/permits.py
+++ b/monsoontack/admission/permits.py
@@ -101,7 +101,8 @@
 
     `fleet_size` is the number of all entries. `held` has the expiry times of this
     entry's own permits by server, `pool` those to be passed on. `own_wants` are the
-    requests that this entry wants to send. `attached_until` ends the time in which the
+    requests that this entry wants to send. `permit_rates` are the limits under which the
+    permits were counted. `attached_until` ends the time in which the
     entry counts on its parent.
     """
 
@@ -115,6 +116,7 @@
     pool: dict[str, deque[float]] = field(default_factory=dict)
     buckets: dict[str, Bucket] = field(default_factory=dict)
     waits: dict[str, float] = field(default_factory=dict)
+    permit_rates: dict[str, float] = field(default_factory=dict)
     parent: str | None = None
     attached_until: float = -math.inf
     expired_permits: int = 0
@@ -182,6 +184,7 @@
         """Give this entry its part of the permits, as if it were a child."""
         self._drop_silent_children(now)
         self._drop_unlimited()
+        self._take_back_permits()
         totals = self.wants(now)
         for key, want in self.own_wants.items():
             if want > 0 and self.limits.rate(key) is not None:
@@ -267,10 +270,21 @@
 
     def _drop_unlimited(self) -> None:
         """Drop the permits and tokens of servers that have no limit any more."""
-        for table in (self.held, self.pool, self.buckets, self.waits):
+        tables = (self.held, self.pool, self.buckets, self.waits, self.permit_rates)
+        for table in tables:
             for key in [key for key in table if self.limits.rate(key) is None]:
                 del table[key]
 
+    def _take_back_permits(self) -> None:
+        """Drop the permits that exceed a lowered limit, in proportion to it."""
+        for key in {*self.held, *self.pool}:
+            rate = self.limits.rate(key)
+            factor = rate / self.permit_rates.get(key, rate)
+            for permits in (self.held.get(key, ()), self.pool.get(key, ())):
+                for _ in range(len(permits) - int(len(permits) * min(factor, 1.0))):
+                    permits.pop()
+            self.permit_rates[key] = rate
+
     def _unexpired(
         self, table: dict[str, deque[float]], key: str, now: float
     ) -> deque[float]:
--- a/monsoontack/admission/permits_test.py
+++ b/monsoontack/admission/permits_test.py
@@ -129,6 +129,17 @@
         node.own_wants = {KEY: 7.0}
         self.assertAlmostEqual(7.0 / RATE, node.wait_s(KEY, 0.1))
 
+    def test_lowered_limit_takes_back_permits(self):
+        """Guards against permits of a higher limit that stay valid after its end."""
+        node = make_node(rate=40.0)
+        node.own_wants = {KEY: 90.0}
+        for step in range(5):
+            node.serve_own_wants(step / 4)
+        self.assertGreater(node.held_count(KEY, 1.0), 20)
+        node.limits.observe(KEY, "2", 1.0, 1.0)
+        node.serve_own_wants(1.0)
+        self.assertLessEqual(node.held_count(KEY, 1.0), 5)
+
     def test_permits_of_an_ended_limit_are_dropped(self):
         """Guards against state that stays for each server that ever had a limit."""
         node = make_node()
