--- a/monsoontack/admission/permits.py
+++ b/monsoontack/admission/permits.py
@@ -101,9 +101,9 @@
 
     `fleet_size` is the number of all entries. `held` has the expiry times of this
     entry's own permits by server, `pool` those to be passed on. `own_wants` are the
-    requests that this entry wants to send. `permit_rates` are the limits under which the
-    permits were counted. `attached_until` ends the time in which the
-    entry counts on its parent.
+    requests that this entry wants to send. `permit_rates` are the limits under which
+    the permits were counted. `attached_until` ends the time in which the entry counts
+    on its parent.
     """
 
     name: str
--- a/tests/limits_test.py
+++ b/tests/limits_test.py
@@ -1,10 +1,13 @@
 """Tests of a limit that a server states, with several gateway processes on loopback."""
 
 import asyncio
+import signal
 import tempfile
 import unittest
 from pathlib import Path
 
+import aiohttp
+
 from standins.directengine import DirectEngine
 from standins.gatewayprocess import GatewayProcess, config
 from standins.platformstore import SimulatedPlatformStore
@@ -71,9 +74,14 @@
             self.tasks.add(task)
             await asyncio.sleep(1 / CALLS_PER_S)
         await asyncio.gather(*self.tasks)
+        self.tasks.clear()
 
     async def record(self, call):
-        status, headers, _ = await call
+        try:
+            status, headers, _ = await call
+        except aiohttp.ClientError:
+            # The gateway was killed; its caller gets no response.
+            return
         self.answers.append((self.now(), status, headers.get("Retry-After")))
 
     async def test_limit_holds_for_all_gateways_together(self):
@@ -86,6 +94,39 @@
         self.assertLessEqual(most, allowed_arrivals(limit))
         self.assertEqual({200}, {status for _, status, _ in self.answers})
 
+    async def test_limits_hold_over_restarts_without_the_store_and_then_end(self):
+        """Guards against a limit that a restart or a store outage multiplies, refusals
+        without a retry time, and a limit that outlasts the server's need."""
+        limits, began_at = {"desk-1": 2.8, "desk-2": 4.4}, self.now()
+        for name, limit in limits.items():
+            self.engines[name].limit = str(limit)
+        load = asyncio.ensure_future(self.send_calls(14.0))
+        await asyncio.sleep(3.0)
+        self.store.error_status = 503
+        await asyncio.sleep(1.0)
+        self.store.error_status = None
+        restarted = self.gateways[0]
+        restarted.signal(signal.SIGKILL)
+        await restarted.process.wait()
+        await restarted.start()
+        self.store.error_status = 503
+        await asyncio.sleep(2.0)
+        self.store.error_status = None
+        await load
+        for name, limit in limits.items():
+            most = most_arrivals(self.engines[name].arrivals, began_at + SETTLE_S)
+            self.assertLessEqual(most, allowed_arrivals(limit), name)
+        refused = [retry for _, status, retry in self.answers if status == 503]
+        self.assertGreater(len(refused), 20)
+        self.assertGreater(min(float(retry) for retry in refused), 0.0)
+        for name in limits:
+            self.engines[name].limit = None
+        await self.send_calls(1.0)
+        await asyncio.sleep(0.5)
+        self.answers.clear()
+        await self.send_calls(1.0)
+        self.assertEqual({200}, {status for _, status, _ in self.answers})
+
 
 if __name__ == "__main__":
     unittest.main()
