Drop the waits of an earlier overload; define the users' rule of limits once

An entry kept the wait that its parent had last told it for a server, so that the first callers refused in a new overload were told a retry time that was true minutes before. Found in review.

The rule of arrivals in 4 s stood three times, in tests, soak and model; the model's is now used by all, and the bounds are the same. The state dump shows expired permits.

--- a/monsoontack/admission/permits.py
+++ b/monsoontack/admission/permits.py
@@ -103,7 +103,7 @@
     entry's own permits by server, `pool` those to be passed on. `own_wants` are the
     requests that this entry wants to send. `permit_rates` are the limits under which
     the permits were counted. `attached_until` ends the time in which the entry counts
-    on its parent.
+    on its parent. `waits` are those of its last grant.
     """
 
     name: str
@@ -156,7 +156,7 @@
         for key, lifetimes in grant.lifetimes.items():
             pool = self.pool.setdefault(key, deque())
             pool.extend(sent_at + lifetime_s for lifetime_s in lifetimes)
-        self.waits.update(grant.waits)
+        self.waits = dict(grant.waits)
 
     def handle_report(self, report: PermitReport, now: float) -> PermitGrant | None:
         """Answer a child's report; None refuses it, since there are too many."""
@@ -208,10 +208,10 @@
 
     def wait_s(self, key: str, now: float) -> float:
         """Return how long the requests wanted now take at the server's limit."""
-        if self.is_attached(now) and key in self.waits:
-            return self.waits[key]
-        # An attached entry that has not been told a wait counts on the whole limit.
         is_attached = self.is_attached(now)
+        if is_attached and key in self.waits:
+            return self.waits[key]
+        # An attached entry whose parent gave no wait counts on the whole limit.
         rate = self.limits.rate(key) if is_attached else self._mint_rate(key, now)
         return max(self.wants(now).get(key, 0.0), 1.0) / rate if rate else 0.0
 
--- a/monsoontack/admission/permits_test.py
+++ b/monsoontack/admission/permits_test.py
@@ -140,6 +140,14 @@
         node.serve_own_wants(1.0)
         self.assertLessEqual(node.held_count(KEY, 1.0), 5)
 
+    def test_wait_of_an_earlier_overload_is_dropped(self):
+        """Guards against a retry time that was true minutes ago."""
+        node = make_node(fleet_size=390)
+        node.apply_grant("parent", PermitGrant({}, {KEY: 9.0}), 0.0)
+        self.assertEqual(9.0, node.wait_s(KEY, 0.1))
+        node.apply_grant("parent", PermitGrant({}, {}), 1.0)
+        self.assertAlmostEqual(1.0 / RATE, node.wait_s(KEY, 1.1))
+
     def test_permits_of_an_ended_limit_are_dropped(self):
         """Guards against state that stays for each server that ever had a limit."""
         node = make_node()
--- a/monsoontack/gateway/statedump.py
+++ b/monsoontack/gateway/statedump.py
@@ -11,7 +11,8 @@
 def dump_state(daemon: "GatewayDaemon") -> dict:
     """Return the state of a gateway as a document that JSON can encode."""
     config, now = daemon.config_state.config, daemon.gateway.now()
-    limits = daemon.limit_exchange.gate.limits
+    gate = daemon.limit_exchange.gate
+    limits, permits = gate.limits, gate.permits
     config_state, relayed = daemon.config_state, daemon.relayed_stores
     return {
         "name": daemon.settings.name,
@@ -30,7 +31,8 @@
         "limits": {
             key: [record.rate, record.version] for key, record in limits.records.items()
         },
-        "limit_parent": daemon.limit_exchange.gate.permits.parent,
+        "limit_parent": permits.parent,
+        "permits_expired": permits.expired_permits,
         "servers": [
             _server_state(daemon, member, now)
             for member in daemon.fleet.members.values()
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -2,6 +2,12 @@
 
 from collections import defaultdict
 
+from bench.limitmodel import (
+    SETTLE_S,
+    WINDOW_S,
+    allowed_arrivals,
+    most_arrivals,
+)
 from soak.callers import ObservedRequest
 from soak.environment import MEMORY_LIMIT_MB, SoakEnvironment
 from standins.directengine import SSE_COMMENT, EndlessResponse, make_event
@@ -12,10 +18,6 @@
 # Bytes that a server can send before its connection is closed: the gateway's limit
 # (64 KiB) plus the content of the buffers of two sockets and of a TCP proxy.
 MAX_DISCARDED_BYTES = 2_000_000
-# From this time after an engine has stated a limit, it gets in no window more than
-# one and a half times what the limit allows, and some requests.
-LIMIT_SETTLE_S, LIMIT_WINDOW_S = 4.0, 4.0
-LIMIT_FACTOR, LIMIT_EXTRA = 1.5, 5
 COMPLETE_STREAM = b"".join(make_event(number) for number in range(1, 51))
 
 
@@ -56,18 +58,14 @@
 
 def _check_limit(engine, limit: float, began_at: float, ended_at: float) -> list[str]:
     """Return a violation if the engine got more requests than its limit allows."""
-    since = began_at + LIMIT_SETTLE_S
-    arrivals = [at for at in engine.arrivals if since <= at < ended_at]
-    allowed = LIMIT_FACTOR * limit * LIMIT_WINDOW_S + LIMIT_EXTRA
-    most = max(
-        (sum(a <= at < a + LIMIT_WINDOW_S for at in arrivals) for a in arrivals),
-        default=0,
-    )
+    arrivals = [at for at in engine.arrivals if at < ended_at]
+    most = most_arrivals(arrivals, began_at + SETTLE_S)
+    allowed = allowed_arrivals(limit)
     if most <= allowed:
         return []
     return [
         f"{engine.name} with a limit of {limit:.2f} a second got {most} requests in "
-        f"{LIMIT_WINDOW_S:g} s; allowed {allowed:.1f}"
+        f"{WINDOW_S:g} s; allowed {allowed:.1f}"
     ]
 
 
--- a/tests/limits_test.py
+++ b/tests/limits_test.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from bench.limitmodel import SETTLE_S, allowed_arrivals, most_arrivals
 from standins.directengine import DirectEngine
 from standins.gatewayprocess import GatewayProcess, config
 from standins.platformstore import SimulatedPlatformStore
@@ -15,23 +16,6 @@
 GATEWAY_COUNT = 3
 MEMORY_MB = 200
 CALLS_PER_S = 45
-# The users' rule: from 4 s after a server first stated a limit, it gets in any 4 s at
-# most one and a half times what the limit allows, and 5 requests more.
-SETTLE_S = 4.0
-WINDOW_S = 4.0
-ALLOWED_FACTOR = 1.5
-ALLOWED_EXTRA = 5
-
-
-def most_arrivals(arrivals, since):
-    """Return the most arrivals of any window that begins after `since`."""
-    late = [at for at in arrivals if at >= since]
-    return max((sum(at <= x < at + WINDOW_S for x in late) for at in late), default=0)
-
-
-def allowed_arrivals(limit):
-    """Return the arrivals of one window that the users' rule allows."""
-    return ALLOWED_FACTOR * limit * WINDOW_S + ALLOWED_EXTRA
 
 
 class LimitsTest(unittest.IsolatedAsyncioTestCase):
