Log and count engines whose process ended under a stream

The logs of the incident could not say which prompt parts ran when an engine ended, nor whether its process or only a connection had ended. The loss of a stream now has the parts of its prompt that others may share, and the line 'engine broke off streams' whether a new connection was refused. Nothing is decided by it yet; one more connection is opened to an engine that broke off a stream early.

--- /dev/null
+++ b/monsoontack/gateway/crashdetector.py
@@ -0,0 +1,95 @@
+"""Finds out whether an engine's process ended under the streams that it broke off.
+
+A broken connection alone says little: a link, a proxy or the engine itself may have
+closed it. The engine's process has ended if a new connection is refused at once.
+Engines that leave by plan, and those of a failure domain that was lost as a whole, are
+left out.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.gateway.fleet import Member
+from monsoontack.gateway.sender import Sender
+
+log = structlog.get_logger("gateway.crashes")
+
+# Streams of one engine end together; their losses are collected for this time. The
+# news that an engine leaves, or that its domain was lost, arrives in it as well.
+COLLECT_S = 0.1
+CHECK_TIMEOUT_S = 0.35
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCrash:
+    """The process of an engine ended.
+
+    `server` names this start of the engine. `prompts` are those on which the engine had
+    not gone on answering. `at` is the time of the first loss (event loop's clock).
+    """
+
+    server: str
+    prompts: tuple[SharedPrompt, ...]
+    at: float
+
+
+@dataclass(slots=True)
+class CrashDetector:
+    """Checks the engines that broke off streams; `on_crash` is called for crashes.
+
+    `lost` holds the prompts of the engines that are being checked.
+    """
+
+    sender: Sender
+    on_crash: Callable[[EngineCrash], None] = lambda crash: None
+    lost: dict[str, list[SharedPrompt]] = field(default_factory=dict)
+    tasks: set[asyncio.Task] = field(default_factory=set)
+
+    def note_broken_off(self, member: Member, prompt: SharedPrompt) -> None:
+        """Note that an engine broke off before it went on answering a prompt."""
+        if not prompt.parts:
+            return
+        prompts = self.lost.get(member.limit_key)
+        if prompts is not None:
+            prompts.append(prompt)
+            return
+        self.lost[member.limit_key] = [prompt]
+        task = asyncio.ensure_future(self._check(member))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _check(self, member: Member) -> None:
+        lost_at = self.sender.now()
+        try:
+            failure = await self.sender.check_connection(member, CHECK_TIMEOUT_S)
+            await asyncio.sleep(COLLECT_S)
+        finally:
+            prompts = self.lost.pop(member.limit_key)
+        now = self.sender.now()
+        reason = self._reason_against(member, lost_at, now)
+        has_ended = failure is not None and failure.is_refused
+        log.info(
+            "engine broke off streams",
+            server=member.server.incarnation,
+            process_ended=has_ended,
+            not_a_crash=reason,
+            prompts=[[prompt.account, *prompt.parts] for prompt in prompts],
+        )
+        if has_ended and reason is None:
+            unique = tuple(dict.fromkeys(prompts))
+            self.on_crash(EngineCrash(member.limit_key, unique, lost_at))
+
+    def _reason_against(self, member: Member, lost_at: float, now: float) -> str | None:
+        """Return why the end of an engine is no crash of its own, if it is none."""
+        fleet = self.sender.fleet
+        if not fleet.is_current(member):
+            return "the engine left"
+        if member.last_byte_at > lost_at:
+            return "the engine went on answering"
+        if fleet.is_domain_lost(member, now):
+            return "the failure domain was lost"
+        return None
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -17,6 +17,7 @@
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.calls import CallForwarder
 from monsoontack.gateway.configstate import ConfigState
+from monsoontack.gateway.crashdetector import EngineCrash
 from monsoontack.gateway.entryregistry import ENTRIES_KIND, EntryList, EntryRegistration
 from monsoontack.gateway.entryremoval import SilentEntryRemover
 from monsoontack.gateway.fleet import BackendFleet
@@ -156,6 +157,7 @@
         daemon = cls(settings, config_state, fleet, pool, gateway, metrics)
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
         streams.share_load_with_peers(load_exchange)
+        streams.crash_detector.on_crash = daemon._on_engine_crash
         daemon.background_jobs.append(load_exchange.run)
         call = partial(call_limit_peer, daemon.peer_pool)
         place = settings.place
@@ -266,6 +268,9 @@
             relayed.set_peers(reachable)
         self.gateway.streams.load_exchange.set_peers(entries)
 
+    def _on_engine_crash(self, crash: EngineCrash) -> None:
+        self.metrics.engine_crashes.inc()
+
     def _on_store_status(self, kind: str, is_up: bool, reason: str) -> None:
         self.metrics.store_feed_up.labels(kind).set(is_up)
         now = self.gateway.now()
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -26,6 +26,9 @@
 # servers of the domain become suspect as well.
 MIN_DOMAIN_FAILURES = 2
 DOMAIN_FAILURE_WINDOW_S = 1.0
+# The failure domain itself counts as lost if half of its servers, and at least this
+# many, are lost within the window.
+MIN_DOMAIN_LOSSES = 3
 # Servers that are alive rewrite records that expired during a store outage within about
 # this time after the store has recovered.
 RECORD_GRACE_S = 2.2
@@ -39,9 +42,10 @@
     first event, `held_tokens` the KV cache tokens that its runs and copies may take.
     `last_byte_at` is the time of the last byte from the server. `suspected_at` is the
     last time at which a running stream of the server stalled, a peer reported the
-    server unreachable or its failure domain became suspect. `longest_gap_s` is the
-    longest recent gap between events. Until `cold_until` the server is slow because it
-    has just started.
+    server unreachable or its failure domain became suspect. `lost_at` is the last time
+    at which this entry or a peer found the server itself unreachable. `longest_gap_s`
+    is the longest recent gap between events. Until `cold_until` the server is slow
+    because it has just started.
     `restarted` is set when the server has started again; the new process does not know
     the runs that were sent to this one.
     """
@@ -55,6 +59,7 @@
     avoid_until: float = 0.0
     consecutive_failures: int = 0
     failed_at: float = float("-inf")
+    lost_at: float = float("-inf")
     longest_gap_s: float = 0.0
     cold_until: float = 0.0
     restarted: bool = False
@@ -206,7 +211,7 @@
             INITIAL_AVOID_S * 2 ** (member.consecutive_failures - 1), MAX_AVOID_S
         )
         member.avoid_until = max(member.avoid_until, now + avoid_s)
-        member.failed_at = now
+        member.failed_at = member.lost_at = now
         self._suspect_domain(member, now)
         self.on_failed(member)
 
@@ -221,7 +226,7 @@
             return
         if member.last_byte_at > now - DOMAIN_FAILURE_WINDOW_S:
             return
-        member.failed_at = member.suspected_at = now
+        member.failed_at = member.suspected_at = member.lost_at = now
         self._suspect_domain(member, now)
 
     def _suspect_domain(self, member: Member, now: float) -> None:
@@ -243,6 +248,16 @@
                 peer.failed_at = now
                 peer.suspected_at = now
 
+    def is_domain_lost(self, member: Member, now: float) -> bool:
+        """Whether most servers of a server's failure domain were lost just now."""
+        domain = [
+            m
+            for m in self.by_service.get(member.server.service, {}).values()
+            if m.server.place == member.server.place
+        ]
+        lost_count = sum(now - m.lost_at <= DOMAIN_FAILURE_WINDOW_S for m in domain)
+        return lost_count >= max(MIN_DOMAIN_LOSSES, len(domain) / 2)
+
     def note_alive(self, member: Member, now: float) -> None:
         """Note that a server sent bytes; end its avoidance."""
         member.last_byte_at = now
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from monsoontack.admission.sharedprompt import SharedPrompt
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.records import CallerRequest, GatewayAccount, Route
 from monsoontack.gateway.responder import Responder
@@ -47,6 +48,14 @@
     status: int = 0
     first_event_at: float | None = None
     worst_gap_s: float = 0.0
+    shared_prompt: SharedPrompt = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Derive the part of the prompt that other requests may share."""
+        self.shared_prompt = SharedPrompt.from_ids(
+            self.account.name if self.account else "",
+            (part.segment_id for part in self.request.prompt_segments),
+        )
 
     def left_s(self, now: float) -> float:
         """Return the time that is left until the deadline."""
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -33,6 +33,7 @@
     config_version: Gauge = None
     config_age_s: Gauge = None
     limited_sends: Counter = None
+    engine_crashes: Counter = None
     limited_servers: Gauge = None
     servers: Gauge = None
     store_feed_up: Gauge = None
@@ -67,6 +68,11 @@
             ("service",),
             registry=registry,
         )
+        metrics.engine_crashes = Counter(
+            "monsoontack_engine_crashes",
+            "Engines whose process ended before they went on answering a prompt",
+            registry=registry,
+        )
         metrics.answer_s = Histogram(
             "monsoontack_answer_seconds",
             "Time from a request to the end of its answer",
--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -56,11 +56,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeFailure:
-    """Why an exchange failed; `maybe_sent` is false only if it cannot have run."""
+    """Why an exchange failed; `maybe_sent` is false only if it cannot have run.
+
+    `is_refused` means that nothing listens at the address.
+    """
 
     kind: FailureKind
     maybe_sent: bool
     detail: str = ""
+    is_refused: bool = False
 
     def __str__(self) -> str:
         """Return the kind; for `OVERSIZED` also the limit that was exceeded."""
--- a/monsoontack/gateway/pool.py
+++ b/monsoontack/gateway/pool.py
@@ -81,7 +81,8 @@
                 )
         except (OSError, TimeoutError, ValueError) as error:
             detail = str(error) or type(error).__name__
-            return ExchangeFailure(FailureKind.CONNECT, False, detail)
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return ExchangeFailure(FailureKind.CONNECT, False, detail, is_refused)
         self.opened += 1
         return connection
 
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -29,6 +29,10 @@
 RESUME_LIMIT_FACTOR = 1.5
 # Share of the silence limit after which a new connection tests the engine.
 LIVENESS_CHECK_SHARE = 0.5
+BROKEN_OFF_KINDS = frozenset((FailureKind.CLOSED, FailureKind.RESET))
+# An engine that crashes when it begins an answer does so within tens of milliseconds of
+# the first event. After this time it has gone on answering.
+GO_ON_S = 0.5
 # Limit on the body of an error response, which is buffered for the caller.
 MAX_ERROR_BYTES = 65_536
 
@@ -39,7 +43,8 @@
 
     `not_run` means that the engine did not run the request, `unsent` that it was
     not even sent. `response_head` and `body` hold an error response of the engine, if
-    any. `events` is the number of events that the attempt delivered.
+    any. `events` is the number of events that the attempt delivered. `is_broken_off`
+    means that the engine's side closed or reset the connection.
     """
 
     reason: str
@@ -48,6 +53,7 @@
     response_head: ResponseHead | None = None
     body: bytes = b""
     events: int = 0
+    is_broken_off: bool = False
 
 
 class StreamRelay:
@@ -55,7 +61,8 @@
 
     `tokens_to_read` are the prompt tokens that the engine reads before the first
     event: those of runs ahead and the attempt's own. `resumed` attempts start from a
-    copy of the KV cache.
+    copy of the KV cache. `began_at` is the time of the attempt's first event;
+    `has_gone_on` is set once events have come for some time after it.
     """
 
     def __init__(
@@ -82,6 +89,8 @@
         )
         self.response_head: ResponseHead | None = None
         self.liveness_check: asyncio.Task | None = None
+        self.began_at: float | None = None
+        self.has_gone_on = False
 
     async def relay(self) -> StreamLoss | None:
         """Relay events; return None if the stream is complete, else the loss."""
@@ -199,6 +208,10 @@
                 )
         run.last_event_at = now
         run.events += 1
+        if self.began_at is None:
+            self.began_at = now
+        elif now >= self.began_at + GO_ON_S:
+            self.has_gone_on = True
         run.note_prompt_read()
         self._cancel_liveness_check()
 
@@ -274,11 +287,12 @@
         """Return None if the stream is complete, else the loss."""
         exchange = self.exchange
         if exchange.failure is not None:
-            return StreamLoss(str(exchange.failure))
+            is_broken_off = exchange.failure.kind in BROKEN_OFF_KINDS
+            return StreamLoss(str(exchange.failure), is_broken_off=is_broken_off)
         if self.response_head is None:
-            return StreamLoss(str(FailureKind.CLOSED))
+            return StreamLoss(str(FailureKind.CLOSED), is_broken_off=True)
         if self.splitter.buffer:
-            return StreamLoss("stopped inside an event")
+            return StreamLoss("stopped inside an event", is_broken_off=True)
         if not self.job.responder.head_sent:
             self.job.responder.begin(
                 self.response_head.status, self.response_head.forwarded
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -174,6 +174,7 @@
             request=job.request.request_id,
             server=member.server.incarnation,
             reason=loss.reason,
+            prompt=[job.shared_prompt.account, *job.shared_prompt.parts],
             events=self.events,
             last_id=self.last_id,
             copy=self.copy_address,
@@ -280,6 +281,9 @@
             if loss is not None:
                 loss.events = relay.splitter.id_count
             record.result = "complete" if loss is None else loss.reason
+            if loss is not None and loss.is_broken_off and not relay.has_gone_on:
+                detector = self.forwarder.crash_detector
+                detector.note_broken_off(member, job.shared_prompt)
             job.may_have_run |= loss is None or not loss.not_run
             self._record_server_health(member, loss)
             return loss
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -13,6 +13,7 @@
 
 from monsoontack.core.records import Place
 from monsoontack.gateway.budgets import RetryBudgets
+from monsoontack.gateway.crashdetector import CrashDetector
 from monsoontack.gateway.fleet import BackendFleet
 from monsoontack.gateway.job import Job
 from monsoontack.gateway.loadexchange import NO_USAGE, LoadExchange
@@ -57,6 +58,11 @@
     rollouts: RolloutManager | None = None
     prompt_engines: dict[str, str] = field(default_factory=dict)
     load_exchange: LoadExchange | None = None
+    crash_detector: CrashDetector = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the detector of crashed engines."""
+        self.crash_detector = CrashDetector(self.sender)
 
     async def serve(self, job: Job) -> None:
         """Serve one stream and update the average duration."""
