--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -9,9 +9,16 @@
 `runs` lists the requests that ran, each as id, headers and body; `endless_responses`
 lists the responses without end. A server with a `limit` states it in its responses;
 `arrivals` lists when requests arrived, in the event loop's time.
+
+A prompt with one of the `deadly_parts` ends the process once the prompt was read: the
+engine resets all connections and refuses new ones for `restart_s`, then it starts again
+under a new name. `deadly_arrivals` lists the part and time of such prompts that
+arrived, `crashes` of those that ended the process; `on_restart` is called after each
+new start.
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from monsoontack.gateway.inbound import BodyBudget, InboundServer
@@ -21,6 +28,7 @@
 REQUEST_ID_HEADER = b"x-monsoontack-request-id"
 LIMIT_HEADER = b"server-limit"
 ORIGIN_STAMP_HEADER = b"x-monsoontack-origin-stamp"
+PROMPT_HEADER = b"x-monsoontack-prefix-hash"
 EXPECTED_INSTANCE_HEADER = b"x-monsoontack-expect-instance"
 NOT_RUN_HEADERS = ((b"x-monsoontack-not-executed", b"1"),)
 EVENT_GAP_S = 0.02
@@ -62,26 +70,62 @@
     endless_responses: list[EndlessResponse] = field(default_factory=list)
     limit: str | None = None
     arrivals: list[float] = field(default_factory=list)
+    deadly_parts: frozenset[str] = frozenset()
+    deadly_arrivals: list[tuple[str, float]] = field(default_factory=list)
+    crashes: list[tuple[str, float]] = field(default_factory=list)
+    read_prompt_s: float = 0.0
+    restart_s: float = 1.0
+    on_restart: Callable[["DirectEngine"], None] = lambda engine: None
+    tasks: set[asyncio.Task] = field(default_factory=set)
     address: str = ""
     listener: asyncio.Server | None = None
     server: InboundServer | None = None
 
     async def start(self) -> None:
         """Start listening on a free loopback port."""
+        await self._listen(0)
+
+    async def _listen(self, port: int) -> None:
         limits = CallerLimits(body_bytes=10**7)
         self.server = InboundServer(self.handle, lambda: limits, BodyBudget(10**8))
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
-            self.server.make_connection, "127.0.0.1", 0
+            self.server.make_connection, "127.0.0.1", port
         )
         port = self.listener.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
     async def close(self) -> None:
         """Stop listening and reset all connections."""
+        for task in self.tasks:
+            task.cancel()
         self.listener.close()
         self.server.abort_all()
 
+    def crash(self, part: str = "") -> None:
+        """End the process, and start it anew under another name after a while."""
+        if not self.listener.is_serving():
+            return
+        self.crashes.append((part, asyncio.get_running_loop().time()))
+        self.listener.close()
+        self.server.abort_all()
+        task = asyncio.ensure_future(self._restart())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(self.restart_s)
+        base = self.name.partition("~")[0]
+        self.name = f"{base}~{len(self.crashes)}"
+        await self._listen(int(self.address.rpartition(":")[2]))
+        self.on_restart(self)
+
+    def _deadly_part(self, headers: dict) -> str | None:
+        """Return the part of the prompt, not the last one, that ends the process."""
+        items = headers.get(PROMPT_HEADER, b"").decode().split(",")[:-1]
+        parts = [item.partition(":")[0] for item in items]
+        return next((part for part in parts if part in self.deadly_parts), None)
+
     def entry(self, service: str, zone: str) -> dict:
         """Return the server's object for the store."""
         return {
@@ -162,6 +206,17 @@
         self, headers: dict, responder: Responder, response_headers
     ) -> None:
         start = int(headers.get(b"last-event-id", b"0")) + 1
+        deadly_part = self._deadly_part(headers)
+        if deadly_part is not None:
+            now = asyncio.get_running_loop().time()
+            self.deadly_arrivals.append((deadly_part, now))
+        await asyncio.sleep(self.read_prompt_s)
+        if responder.is_disconnected:
+            self.disconnected_requests.append(headers[REQUEST_ID_HEADER].decode())
+            return
+        if deadly_part is not None:
+            self.crash(deadly_part)
+            return
         responder.begin(
             200, (*response_headers, (b"content-type", b"text/event-stream"))
         )
--- a/standins/gatewayprocess.py
+++ b/standins/gatewayprocess.py
@@ -62,8 +62,16 @@
     return fields | changes
 
 
-def config(version: int = 1, keys: tuple[str, ...] = (KEY,)) -> dict:
-    """Return a configuration with a route of each kind and an anonymous route."""
+def config(
+    version: int = 1, keys: tuple[str, ...] = (KEY,), other_key: str | None = None
+) -> dict:
+    """Return a configuration with a route of each kind and an anonymous route.
+
+    With `other_key`, there is a second client account.
+    """
+    accounts = [{"name": "shop", "api_keys": list(keys)}]
+    if other_key is not None:
+        accounts.append({"name": "depot", "api_keys": [other_key]})
     stream = {"resumable": True, "itl_target_ms": 700, "slo_ms": 4500}
     engine = {"slots": 8, "kv_capacity": 88000, "backups": True, "handle_ttl_s": 4}
     return {
@@ -79,7 +87,7 @@
             {"name": "planner", "max_conns": 100, "backend": engine},
         ],
         "limits": {},
-        "tenants": [{"name": "shop", "api_keys": list(keys)}],
+        "tenants": accounts,
     }
 
 
@@ -202,13 +210,19 @@
         async with self.http.post(url, headers=headers, **options) as answer:
             return answer.status, answer.headers, await answer.read()
 
-    async def stream(self, request_id: str):
-        """Request a stream; return status, headers and body."""
+    async def stream(
+        self, request_id: str, parts: tuple[str, ...] = (), key: str | None = KEY
+    ):
+        """Request a stream; return status, headers and body.
+
+        `parts` are the ids of the parts of its prompt that other requests share.
+        """
+        prompt = ",".join(f"{part}:400" for part in (*parts, request_id))
         headers = {
             "X-Monsoontack-Token-Usage": "800,300",
-            "X-Monsoontack-Prefix-Hash": f"{request_id}:800",
+            "X-Monsoontack-Prefix-Hash": prompt,
         }
-        return await self.call("/stream/x", request_id, headers=headers)
+        return await self.call("/stream/x", request_id, key, headers=headers)
 
     def signal(self, number: int) -> None:
         """Send a signal to the gateway."""
