--- a/bench/limitmodel.py
+++ b/bench/limitmodel.py
@@ -1,6 +1,6 @@
 """Model of entries that share the limits which servers state, in virtual time.
 
-Each entry runs the product's `LimitExchange` and `LimitGate`; network, callers and
+Each entry runs the product's `EntryExchange` and `LimitGate`; network, callers and
 servers are simulated. Callers choose an entry at random and leave after a refusal.
 """
 
@@ -10,7 +10,8 @@
 from dataclasses import dataclass, field
 
 from monsoontack.admission.limitgate import LimitGate
-from monsoontack.gateway.limitexchange import CALL_TIMEOUT_S, LimitExchange
+from monsoontack.admission.promptguard import PromptGuard
+from monsoontack.gateway.entryexchange import CALL_TIMEOUT_S, EntryExchange
 from monsoontack.gateway.peers import PeerEntry, PeerResponse
 from monsoontack.gateway.records import RawRequest
 
@@ -54,7 +55,7 @@
     reach each other, but all reach the servers.
     """
 
-    exchange: LimitExchange
+    exchange: EntryExchange
     frozen: bool = False
     group: int = 0
     runner: asyncio.Task | None = None
@@ -96,7 +97,9 @@
         gate = LimitGate.for_entry(name, rng)
         gate.servers = lambda service: list(self.servers)
         gate.permits.fleet_size = len(self.peers)
-        exchange = LimitExchange(name, self.peers[name].region, gate, None, rng)
+        exchange = EntryExchange(
+            name, self.peers[name].region, gate, PromptGuard(name), None, rng
+        )
         entry = ModelEntry(exchange)
         exchange.call = lambda address, body: self._call(entry, address, body)
         self.entries[name] = entry
--- a/bench/limits_test.py
+++ b/bench/limits_test.py
@@ -11,7 +11,7 @@
 )
 from bench.limits import FAULTS, simulate
 from monsoontack.core.virtualtime import run_in_virtual_time
-from monsoontack.gateway.limitexchange import IDLE_REPORT_S
+from monsoontack.gateway.entryexchange import IDLE_REPORT_S
 
 LIMIT = 2.8
 
--- /dev/null
+++ b/monsoontack/admission/crashrecords.py
@@ -0,0 +1,211 @@
+"""Crashes of engines and the prompts that they ran, as all entries report them.
+
+No entry sees all requests that an engine ran, and none sees all crashes. So entries
+exchange a record of each crash with the prompts on which the engine had not gone on
+answering, and for each part of these prompts when an engine last began an answer on it
+and went on. Records merge in any order: prompts are united, and later times replace
+earlier ones. Times are seconds of the event loop's clock; between entries, records
+carry ages.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+import structlog
+
+from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.core.changes import ChangeCounter
+
+log = structlog.get_logger("admission.crashes")
+
+# The deployment loses 15 VMs on an ordinary day; more crashes in an hour have a cause
+# that the newest ones show.
+MAX_CRASHES = 256
+MAX_PROMPTS_PER_CRASH = 64
+RETENTION_S = 3600.0
+# An answer that began this long before a crash still clears its parts: a part that
+# crashes engines does so each time, and reports of other entries arrive late.
+SOUND_BEFORE_CRASH_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """A crash of an engine at the time `at` and the prompts that may have caused it."""
+
+    prompts: tuple[SharedPrompt, ...]
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class PartRecord:
+    """What is known of a part of the prompts in crash records; None if nothing is.
+
+    `sound_at` is when an engine began the latest answer on it that went on, `trial_at`
+    when an entry last sent a request with it although it was blocked.
+    """
+
+    sound_at: float | None = None
+    trial_at: float | None = None
+
+
+NO_RECORD = PartRecord()
+
+
+@dataclass(frozen=True, slots=True)
+class CrashNews:
+    """Records for another entry, with ages in seconds instead of times.
+
+    `crashes` maps the start of an engine to the age and the prompts of its crash,
+    `parts` the id of a part to the ages of its `sound_at` and `trial_at`.
+    """
+
+    crashes: Mapping[str, tuple[float, tuple[SharedPrompt, ...]]]
+    parts: Mapping[str, tuple[float | None, float | None]]
+
+
+NO_NEWS = CrashNews({}, {})
+
+
+@dataclass(slots=True)
+class CrashRecords:
+    """All crash records by the start of the engine, and the records of their parts.
+
+    `crashes_by_part` names the crashes with a part. `version` counts the changes that
+    may alter a decision.
+    """
+
+    changes: ChangeCounter = field(default_factory=ChangeCounter)
+    crashes: dict[str, CrashRecord] = field(default_factory=dict)
+    parts: dict[str, PartRecord] = field(default_factory=dict)
+    crashes_by_part: dict[str, set[str]] = field(default_factory=dict)
+    change_numbers: dict[tuple[str, str], int] = field(default_factory=dict)
+    version: int = 0
+
+    def add_crash(
+        self, server: str, prompts: Iterable[SharedPrompt], at: float
+    ) -> bool:
+        """Record a crash, or further prompts of a known one; return if anything is new.
+
+        Prompts of which no part can have caused the crash are left out.
+        """
+        known = self.crashes.get(server)
+        before = () if known is None else known.prompts
+        added = [p for p in prompts if p not in before and self.candidates(p, at)]
+        united = (*before, *dict.fromkeys(added))[:MAX_PROMPTS_PER_CRASH]
+        if united == before:
+            return False
+        at = at if known is None else min(at, known.at)
+        self.crashes[server] = CrashRecord(united, at)
+        for prompt in united:
+            for part in prompt.parts:
+                self.crashes_by_part.setdefault(part, set()).add(server)
+        self._note_change("crash", server)
+        self._limit_count()
+        return server in self.crashes
+
+    def add_sound(self, part: str, began_at: float) -> bool:
+        """Record that an engine began an answer on a part and went on.
+
+        Returns whether that is new, which it is only if it clears the part of a crash.
+        """
+        record = self.parts.get(part, NO_RECORD)
+        servers = self.crashes_by_part.get(part, ())
+        is_first = record.sound_at is None and bool(servers)
+        clears = any(
+            not is_sound(record, self.crashes[server].at)
+            and began_at >= self.crashes[server].at - SOUND_BEFORE_CRASH_S
+            for server in servers
+        )
+        if not (is_first or clears):
+            return False
+        self.parts[part] = replace(record, sound_at=began_at)
+        self._note_change("part", part)
+        return True
+
+    def add_trial(self, part: str, at: float) -> bool:
+        """Record that a request with a blocked part was sent; return if that is new."""
+        record = self.parts.get(part, NO_RECORD)
+        if part not in self.crashes_by_part:
+            return False
+        if record.trial_at is not None and record.trial_at >= at - 1.0:
+            # The same trial, whose age another entry counted a little differently.
+            return False
+        self.parts[part] = replace(record, trial_at=at)
+        self._note_change("part", part)
+        return True
+
+    def candidates(self, prompt: SharedPrompt, crash_at: float) -> list[str]:
+        """Return the parts of a prompt that may have caused a crash.
+
+        A part on which an engine has ever gone on answering is a candidate only if
+        that is true of all parts that the crash leaves open.
+        """
+        records = {part: self.parts.get(part, NO_RECORD) for part in prompt.parts}
+        left = [p for p, record in records.items() if not is_sound(record, crash_at)]
+        unproven = [part for part in left if records[part].sound_at is None]
+        return unproven or left
+
+    def news_since(self, number: int, now: float) -> CrashNews:
+        """Return the records that changed after the change with this number."""
+        crashes, parts = {}, {}
+        for (table, key), changed in self.change_numbers.items():
+            if changed <= number:
+                continue
+            if table == "crash":
+                record = self.crashes[key]
+                crashes[key] = (now - record.at, record.prompts)
+            else:
+                part = self.parts[key]
+                parts[key] = (_age(part.sound_at, now), _age(part.trial_at, now))
+        return CrashNews(crashes, parts)
+
+    def merge(self, news: CrashNews, now: float) -> list[str]:
+        """Adopt the news of another entry; return the parts whose records are new."""
+        changed = []
+        for server, (age_s, prompts) in news.crashes.items():
+            if age_s < RETENTION_S and self.add_crash(server, prompts, now - age_s):
+                changed += [p for prompt in prompts for p in prompt.parts]
+        for part, (sound_age_s, trial_age_s) in news.parts.items():
+            if sound_age_s is not None and self.add_sound(part, now - sound_age_s):
+                changed.append(part)
+            if trial_age_s is not None and self.add_trial(part, now - trial_age_s):
+                changed.append(part)
+        return changed
+
+    def forget_old(self, now: float) -> None:
+        """Forget crashes of long ago and the parts that no crash names any more."""
+        for server, record in list(self.crashes.items()):
+            if now >= record.at + RETENTION_S:
+                self._forget(server)
+
+    def _limit_count(self) -> None:
+        while len(self.crashes) > MAX_CRASHES:
+            oldest = min(self.crashes, key=lambda server: self.crashes[server].at)
+            log.warning("too many engine crashes to keep", forgotten=oldest)
+            self._forget(oldest)
+
+    def _forget(self, server: str) -> None:
+        record = self.crashes.pop(server)
+        self.change_numbers.pop(("crash", server), None)
+        self.version += 1
+        for part in {p for prompt in record.prompts for p in prompt.parts}:
+            servers = self.crashes_by_part[part]
+            servers.discard(server)
+            if not servers:
+                del self.crashes_by_part[part]
+                self.parts.pop(part, None)
+                self.change_numbers.pop(("part", part), None)
+
+    def _note_change(self, table: str, key: str) -> None:
+        self.change_numbers[table, key] = self.changes.next()
+        self.version += 1
+
+
+def is_sound(record: PartRecord, crash_at: float) -> bool:
+    """Whether an engine went on answering on a part too late for a crash to be its."""
+    sound_at = record.sound_at
+    return sound_at is not None and sound_at >= crash_at - SOUND_BEFORE_CRASH_S
+
+
+def _age(at: float | None, now: float) -> float | None:
+    return None if at is None else now - at
--- /dev/null
+++ b/monsoontack/admission/promptguard_test.py
@@ -0,0 +1,289 @@
+"""Tests of the decision which prompt parts are blocked; times are given."""
+
+import random
+import unittest
+
+from monsoontack.admission.crashrecords import MAX_CRASHES
+from monsoontack.admission.promptblame import BLOCK_S, MAX_BLOCK_S, MIN_CRASHES
+from monsoontack.admission.promptguard import (
+    MAX_BROKEN_OFF,
+    MAX_SOUND_PARTS,
+    TRIAL_S,
+    TURN_S,
+    PromptGuard,
+)
+from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.core.changes import ChangeCounter
+
+SHARED = "instructions"
+DEADLY = SharedPrompt("shop", (SHARED, "deadly"))
+SOUND = SharedPrompt("shop", (SHARED, "subject"))
+OTHER_ACCOUNT = SharedPrompt("depot", (SHARED, "deadly"))
+NAMES = ("entry-1", "entry-2", "entry-3")
+
+
+def make_guard(name="entry-1"):
+    guard = PromptGuard(name)
+    guard.entries = lambda: NAMES
+    return guard
+
+
+def crash(guard, prompts, at, count=MIN_CRASHES, gap_s=1.0):
+    """Let engines crash on the prompts one after the other; return the last time."""
+    for number in range(count):
+        guard.note_crash(f"engine-{at}-{number}", prompts, at + gap_s * number)
+    return at + gap_s * (count - 1)
+
+
+def exchange(guards, now):
+    """Pass all records between all guards until nothing is new."""
+    changed = True
+    while changed:
+        changed = False
+        for sender in guards:
+            news = sender.records.news_since(0, now)
+            for receiver in guards:
+                changed |= receiver.merge(news, now)
+
+
+class BlameTest(unittest.TestCase):
+    def test_part_in_each_crash_is_blocked_and_what_it_shares_is_not(self):
+        """Guards against a shared part or an account that is blamed with a part."""
+        guard = make_guard()
+        for number in range(MIN_CRASHES):
+            beside = SharedPrompt("shop", (SHARED, f"subject-{number}"))
+            guard.note_crash(f"engine-{number}", [DEADLY, beside], 10.0 + number)
+        self.assertEqual({"deadly"}, set(guard.blamed))
+        self.assertFalse(guard.is_blocked(SOUND))
+
+    def test_blame_moves_when_a_further_crash_tells_two_parts_apart(self):
+        """Guards against a part that stays blamed since it ran beside at first."""
+        guard = make_guard()
+        crash(guard, [DEADLY, SOUND], 10.0)
+        crash(guard, [DEADLY], 20.0, count=1)
+        self.assertEqual({"deadly"}, set(guard.blamed))
+
+    def test_crashes_seen_by_several_entries_add_up(self):
+        """Guards against entries of which none sees enough crashes alone."""
+        guards = [make_guard(name) for name in NAMES]
+        for number, guard in enumerate(guards):
+            crash(guard, [DEADLY], 10.0 + number, count=1)
+            self.assertFalse(guard.is_blocked(DEADLY))
+        exchange(guards, 13.0)
+        self.assertTrue(all(guard.is_blocked(DEADLY) for guard in guards))
+
+    def test_one_crash_seen_by_several_entries_counts_once(self):
+        """Guards against a single crash that blames what ran at the engine."""
+        guards = [make_guard(name) for name in NAMES]
+        for guard in guards:
+            guard.note_crash("engine-1", [DEADLY], 10.0)
+        exchange(guards, 11.0)
+        self.assertFalse(any(guard.blamed for guard in guards))
+
+    def test_part_on_which_an_engine_goes_on_answering_is_cleared(self):
+        """Guards against blame for a hot part that ran at each crash."""
+        guard = make_guard()
+        hot = SharedPrompt("shop", ("hot",))
+        for number in range(10):
+            at = 10.0 + number
+            guard.note_crash(f"engine-{number}", [hot], at)
+            guard.note_sound(hot, at + 0.1)
+        self.assertFalse(guard.is_blocked(hot))
+
+    def test_sound_answer_at_another_entry_clears_a_part(self):
+        """Guards against an entry that refuses what others know to be sound."""
+        first, second = make_guard("entry-1"), make_guard("entry-2")
+        crash(first, [SOUND], 10.0)
+        self.assertTrue(first.is_blocked(SOUND))
+        second.note_sound(SOUND, 12.5)
+        exchange([first, second], 13.0)
+        self.assertFalse(first.is_blocked(SOUND) or second.is_blocked(SOUND))
+
+    def test_engines_lost_at_the_same_moment_blame_nothing(self):
+        """Guards against blame for what ran when a kill took many engines."""
+        guard = make_guard()
+        crash(guard, [SOUND], 10.0, count=20, gap_s=0.01)
+        self.assertEqual({}, guard.blamed)
+
+    def test_part_that_was_sound_before_can_become_deadly(self):
+        """Guards against a part that stays trusted since it was answered once."""
+        guard = make_guard()
+        guard.note_sound(DEADLY, 1.0)
+        crash(guard, [DEADLY], 10.0)
+        self.assertTrue(guard.is_blocked(DEADLY))
+
+    def test_several_deadly_parts_are_found_at_once(self):
+        """Guards against a deadly part that hides behind another one."""
+        guard = make_guard()
+        second = SharedPrompt("shop", (SHARED, "deadly-2"))
+        for number in range(MIN_CRASHES):
+            guard.note_crash(f"first-{number}", [DEADLY, SOUND], 10.0 + number)
+            guard.note_crash(f"second-{number}", [second, SOUND], 10.5 + number)
+        guard.note_sound(SOUND, 13.0)
+        self.assertEqual({"deadly", "deadly-2"}, set(guard.blamed))
+
+    def test_first_part_can_be_the_deadly_one(self):
+        """Guards against a part that is never blamed since others follow it."""
+        guard = make_guard()
+        for number in range(MIN_CRASHES):
+            prompt = SharedPrompt("shop", ("deadly", f"subject-{number}"))
+            guard.note_crash(f"engine-{number}", [prompt], 10.0 + number)
+        self.assertEqual({"deadly"}, set(guard.blamed))
+
+
+class AccountTest(unittest.TestCase):
+    def test_one_account_cannot_block_a_part_for_others(self):
+        """Guards against a caller that blames the parts of another account."""
+        guard = make_guard()
+        crash(guard, [DEADLY], 10.0, count=20)
+        self.assertTrue(guard.is_blocked(DEADLY))
+        self.assertFalse(guard.is_blocked(OTHER_ACCOUNT))
+
+    def test_presence_at_the_crashes_of_another_account_is_no_evidence(self):
+        """Guards against an account blamed since its request ran beside."""
+        guard = make_guard()
+        crash(guard, [DEADLY], 10.0)
+        guard.note_crash("engine-both", [DEADLY, OTHER_ACCOUNT], 20.0)
+        self.assertFalse(guard.is_blocked(OTHER_ACCOUNT))
+
+    def test_crashes_of_two_accounts_block_a_part_for_all(self):
+        """Guards against one crash for each of many accounts."""
+        guard = make_guard()
+        crash(guard, [DEADLY], 10.0)
+        crash(guard, [OTHER_ACCOUNT], 20.0, count=1)
+        self.assertTrue(guard.is_blocked(SharedPrompt("third", ("deadly",))))
+
+
+class TrialTest(unittest.TestCase):
+    def setUp(self):
+        self.guards = [make_guard(name) for name in NAMES]
+        crash(self.guards[0], [DEADLY], 10.0)
+        exchange(self.guards, 12.0)
+        self.ends_at = 12.0 + BLOCK_S
+
+    def trial_taker(self, now):
+        takers = [guard for guard in self.guards if guard.take_trial(DEADLY, now)]
+        self.assertLessEqual(len(takers), 1)
+        return takers[0] if takers else None
+
+    def test_refusal_says_when_to_come_back(self):
+        """Guards against callers that are told to return while the part is blocked."""
+        error = self.guards[0].refusal(DEADLY, 20.0)
+        self.assertEqual((503, "not_run"), (error.status, str(error.run_state)))
+        self.assertAlmostEqual(self.ends_at - 20.0, error.retry_after_s, places=1)
+
+    def test_no_trial_before_the_block_ends(self):
+        """Guards against a part that is tried while callers are refused."""
+        self.assertIsNone(self.trial_taker(self.ends_at - 0.5))
+
+    def test_one_entry_at_a_time_tries_the_part(self):
+        """Guards against a trial at each entry, which ends as many engines."""
+        self.assertIsNotNone(self.trial_taker(self.ends_at + 0.1))
+        exchange(self.guards, self.ends_at + 0.5)
+        after_all_turns = self.ends_at + len(NAMES) * TURN_S
+        self.assertIsNone(self.trial_taker(after_all_turns))
+
+    def test_failed_trial_doubles_the_block(self):
+        """Guards against trials that go on ending engines at the same rate."""
+        at, block_s = self.ends_at, BLOCK_S
+        for number in range(6):
+            self.assertIsNotNone(self.trial_taker(at + 0.1))
+            self.guards[1].note_crash(f"trial-{number}", [DEADLY], at + 1.0)
+            exchange(self.guards, at + 2.0)
+            block_s = min(2 * block_s, MAX_BLOCK_S)
+            at = at + 1.0 + block_s
+            self.assertIsNone(self.trial_taker(at - 1.0))
+
+    def test_good_trial_clears_the_part_everywhere(self):
+        """Guards against a block that outlasts its cause."""
+        taker = self.trial_taker(self.ends_at + 0.1)
+        taker.note_sound(DEADLY, self.ends_at + 1.0)
+        exchange(self.guards, self.ends_at + 2.0)
+        self.assertFalse(any(guard.is_blocked(DEADLY) for guard in self.guards))
+
+    def test_trial_without_an_outcome_is_taken_again(self):
+        """Guards against a part that stays blocked since an entry was lost."""
+        self.trial_taker(self.ends_at + 0.1)
+        exchange(self.guards, self.ends_at + 0.5)
+        later = self.ends_at + 0.1 + TRIAL_S + 0.1
+        self.assertIsNotNone(self.trial_taker(later))
+
+    def test_restarted_entry_knows_the_block_from_the_others(self):
+        """Guards against an entry that forgets in a restart what is deadly."""
+        restarted = make_guard("entry-1")
+        exchange([restarted, self.guards[1]], 30.0)
+        self.assertTrue(restarted.is_blocked(DEADLY))
+        error = restarted.refusal(DEADLY, 30.0)
+        self.assertAlmostEqual(self.ends_at - 30.0, error.retry_after_s, places=1)
+
+
+class BoundsTest(unittest.TestCase):
+    def test_unproven_prompt_ends_a_bounded_number_of_engines(self):
+        """Guards against repeats of one request that end engine after engine."""
+        guard = make_guard()
+        self.assertTrue(guard.may_repeat(DEADLY, MAX_BROKEN_OFF - 1))
+        self.assertFalse(guard.may_repeat(DEADLY, MAX_BROKEN_OFF))
+
+    def test_prompt_of_proven_parts_is_repeated_as_usual(self):
+        """Guards against sound requests that fail since two engines were lost."""
+        guard = make_guard()
+        guard.note_sound(SOUND, 1.0)
+        self.assertTrue(guard.may_repeat(SOUND, MAX_BROKEN_OFF))
+
+    def test_endless_new_parts_are_kept_within_bounds(self):
+        """Guards against callers that fill an entry's memory with new parts."""
+        guard = make_guard()
+        for number in range(2 * MAX_CRASHES):
+            prompt = SharedPrompt("shop", (f"part-{number}",))
+            guard.note_crash(f"engine-{number}", [prompt], float(number))
+        for number in range(2 * MAX_SOUND_PARTS):
+            guard.note_sound(SharedPrompt("shop", (f"other-{number}",)), 1.0)
+        records = guard.records
+        self.assertEqual(MAX_CRASHES, len(records.crashes))
+        self.assertLessEqual(len(records.crashes_by_part), MAX_CRASHES)
+        self.assertLessEqual(len(records.change_numbers), 2 * MAX_CRASHES)
+        self.assertEqual(MAX_SOUND_PARTS, len(guard.sound_at))
+
+    def test_old_records_are_forgotten(self):
+        """Guards against records and blocks that stay for ever."""
+        guard = make_guard()
+        crash(guard, [DEADLY], 10.0)
+        guard.forget_old(1e6)
+        self.assertEqual(({}, {}), (guard.blamed, guard.records.crashes))
+        self.assertEqual({}, guard.records.change_numbers)
+
+    def test_long_ids_are_replaced_by_hashes(self):
+        """Guards against ids of any length that fill memory and messages."""
+        prompt = SharedPrompt.from_ids("shop", ("x" * 10_000, "y", "own"))
+        self.assertLessEqual(max(map(len, prompt.parts)), 64)
+        self.assertEqual(2, len(prompt.parts))
+
+
+class MergeTest(unittest.TestCase):
+    def test_entries_agree_whatever_order_news_arrive_in(self):
+        """Guards against entries that refuse different parts for the same crashes."""
+        rng = random.Random(28)
+        for _ in range(50):
+            guards = [make_guard(name) for name in NAMES]
+            for guard in guards:
+                guard.records.changes = ChangeCounter()
+            prompts = [
+                SharedPrompt(account, (SHARED, f"part-{number}"))
+                for account in ("shop", "depot")
+                for number in range(3)
+            ]
+            for number in range(12):
+                guard, prompt = rng.choice(guards), rng.choice(prompts)
+                at = 10.0 + number
+                guard.note_crash(f"engine-{rng.randrange(8)}", [prompt], at)
+                if rng.random() < 0.2:
+                    guard.note_sound(rng.choice(prompts), at)
+                if rng.random() < 0.3:
+                    exchange(rng.sample(guards, 2), at)
+            exchange(guards, 30.0)
+            found = [set(guard.blamed) for guard in guards]
+            self.assertEqual([found[0]] * 3, found)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/monsoontack/admission/sharedprompt.py
+++ b/monsoontack/admission/sharedprompt.py
@@ -32,4 +32,4 @@
 def _bounded(text: str) -> str:
     if len(text) <= MAX_PART_CHARACTERS:
         return text
-    return xxhash.xxh3_128_hexdigest(text)
+    return xxhash.xxh3_128_hexdigest(text.encode())
--- a/monsoontack/admission/statedlimits.py
+++ b/monsoontack/admission/statedlimits.py
@@ -15,6 +15,8 @@
 
 import structlog
 
+from monsoontack.core.changes import ChangeCounter
+
 log = structlog.get_logger("admission.limits")
 
 # A server that takes no request at all could never state that its need has ended, so
@@ -65,14 +67,14 @@
 class StatedLimits:
     """Known limits by server; a server's key identifies one start of it.
 
-    `changed_at` is the time of the last change of a record, `change_numbers` counts the
-    changes in their order, so that the news for another entry can be selected.
+    `changed_at` is the time of the last change of a record, `change_numbers` the number
+    of that change, by which the news for another entry are selected.
     """
 
     records: dict[str, LimitRecord] = field(default_factory=dict)
     changed_at: dict[str, float] = field(default_factory=dict)
     change_numbers: dict[str, int] = field(default_factory=dict)
-    change_count: int = 0
+    changes: ChangeCounter = field(default_factory=ChangeCounter)
 
     def rate(self, key: str) -> float | None:
         """Return the limit of a server in requests a second, None without one."""
@@ -139,9 +141,8 @@
             log.error("too many servers with a limit", server=key, known=MAX_RECORDS)
             return False
         previous = self.rate(key)
-        self.change_count += 1
         self.records[key], self.changed_at[key] = record, now
-        self.change_numbers[key] = self.change_count
+        self.change_numbers[key] = self.changes.next()
         if record.rate != previous:
             log.info(
                 "limit of backend server changed",
--- a/monsoontack/admission/statedlimits_test.py
+++ b/monsoontack/admission/statedlimits_test.py
@@ -75,7 +75,7 @@
     def test_news_hold_what_changed_since(self):
         """Guards against messages that repeat all limits each time."""
         self.limits.observe("s", "2.8", 0.9, 1.0)
-        seen = self.limits.change_count
+        seen = self.limits.changes.count
         self.limits.observe("t", "5", 0.9, 1.0)
         self.assertEqual({"t": LimitRecord(1, 5.0)}, self.limits.news_since(seen))
 
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -14,6 +14,7 @@
 from monsoontack.core.records import RouteRequest, ServerState
 from monsoontack.gateway.attemptresult import AttemptResult, result_label
 from monsoontack.gateway.budgets import RetryBudgets
+from monsoontack.gateway.crashdetector import BROKEN_OFF_KINDS, CrashDetector
 from monsoontack.gateway.errorresponse import error_response
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.job import AttemptRecord, Job
@@ -53,6 +54,11 @@
     rng: random.Random
     rollouts: RolloutManager | None = None
     background: set[asyncio.Task] = field(default_factory=set)
+    crash_detector: CrashDetector = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the detector of crashed servers."""
+        self.crash_detector = CrashDetector(self.sender)
 
     async def serve(self, job: Job) -> None:
         """Serve one call and send the response to its caller."""
@@ -166,7 +172,7 @@
     been sent. `counted_attempts` is the number of attempts that count towards the
     route's limit; attempts that failed before they were sent do not. `fallback_result`
     is the last error response that was not a `not_run` refusal; the caller gets it if
-    no attempt succeeds.
+    no attempt succeeds. `broken_off` counts the servers that broke off the call.
     """
 
     def __init__(self, forwarder: CallForwarder, job: Job) -> None:
@@ -180,6 +186,8 @@
         self.fallback_result: AttemptResult | None = None
         self.last_result: AttemptResult | None = None
         self.hedge_at: float | None = None
+        self.guard = forwarder.sender.guard
+        self.broken_off = 0
 
     def now(self) -> float:
         """Return the event loop's time in seconds."""
@@ -209,6 +217,10 @@
             if final_result is not None:
                 return final_result
 
+    def _is_blocked(self) -> bool:
+        job = self.job
+        return not job.is_trial and self.guard.is_blocked(job.shared_prompt)
+
     async def _next_result(self) -> AttemptResult | RequestError | None:
         """Return the next result, an error at the deadline, or None for a hedge."""
         job, now = self.job, self.now()
@@ -259,19 +271,33 @@
             return False
         if not self.repeatable and not result.is_not_run:
             return False
+        if not self._prompt_may_repeat():
+            return False
         return self.forwarder.budgets.take(job.service, self.now())
 
+    def _prompt_may_repeat(self) -> bool:
+        """Whether the call's prompt may be sent to a further server."""
+        if self.job.is_trial:
+            return False
+        # A server that has the call now may break it off as well.
+        at_risk = self.broken_off + len(self.tasks)
+        return self.guard.may_repeat(self.job.shared_prompt, at_risk)
+
     def _start_hedge(self) -> None:
         """Send a late idempotent call to a second server."""
         self.hedge_at = None
         job, forwarder = self.job, self.forwarder
         if self.counted_attempts >= job.route.attempts:
             return
+        if not self._prompt_may_repeat():
+            return
         if forwarder.budgets.take(job.service, self.now()):
             forwarder.hedging.sent += 1
             self._start_attempt()
 
     def _start_attempt(self) -> bool:
+        if self._is_blocked():
+            return False
         member = self.forwarder.pick(self.job, self.excluded)
         if member is None:
             return False
@@ -313,10 +339,20 @@
                 rollouts.note_ended(member, job.route.name, result.is_failure, took_s)
         record.result = result_label(result)
         self.forwarder.record_result(result, started_at)
+        self._record_prompt_evidence(result, started_at)
         if self.repeatable:
             self.forwarder.hedging.record(job.service, self.now() - started_at)
         return result
 
+    def _record_prompt_evidence(self, result: AttemptResult, started_at: float) -> None:
+        """Record whether the server ended under the call's prompt, if it has one."""
+        prompt, failure = self.job.shared_prompt, result.failure
+        if result.is_success:
+            self.guard.note_sound(prompt, started_at)
+        elif failure is not None and failure.kind in BROKEN_OFF_KINDS:
+            self.broken_off += 1
+            self.forwarder.crash_detector.note_broken_off(result.member, prompt)
+
     async def _read_response(
         self, exchange: HttpExchange, result: AttemptResult
     ) -> None:
@@ -395,6 +431,8 @@
         if result is not None and result.response_head is not None:
             message = f"every backend server asked for {self.job.service!r} is full"
             return RequestError(503, "full", message, retry_after_s=FULL_RETRY_AFTER_S)
+        if self._is_blocked():
+            return self.guard.refusal(self.job.shared_prompt, self.now())
         gate = self.forwarder.sender.gate
         limited = gate.refusal(self.job.service, self.now())
         if limited is not None:
--- a/monsoontack/gateway/crashdetector.py
+++ b/monsoontack/gateway/crashdetector.py
@@ -14,6 +14,7 @@
 
 from monsoontack.admission.sharedprompt import SharedPrompt
 from monsoontack.gateway.fleet import Member
+from monsoontack.gateway.outbound import FailureKind
 from monsoontack.gateway.sender import Sender
 
 log = structlog.get_logger("gateway.crashes")
@@ -22,6 +23,7 @@
 # news that an engine leaves, or that its domain was lost, arrives in it as well.
 COLLECT_S = 0.1
 CHECK_TIMEOUT_S = 0.35
+BROKEN_OFF_KINDS = frozenset((FailureKind.CLOSED, FailureKind.RESET))
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -12,19 +12,20 @@
 
 from monsoontack.admission.hedge import Hedging
 from monsoontack.admission.limitgate import LimitGate
+from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.core.boundedlog import LineWriter
 from monsoontack.core.supervise import run_with_restarts
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.calls import CallForwarder
 from monsoontack.gateway.configstate import ConfigState
 from monsoontack.gateway.crashdetector import EngineCrash
+from monsoontack.gateway.entryexchange import PATH as EXCHANGE_PATH
+from monsoontack.gateway.entryexchange import EntryExchange, call_entry
 from monsoontack.gateway.entryregistry import ENTRIES_KIND, EntryList, EntryRegistration
 from monsoontack.gateway.entryremoval import SilentEntryRemover
 from monsoontack.gateway.fleet import BackendFleet
 from monsoontack.gateway.handler import Gateway
 from monsoontack.gateway.inbound import BodyBudget, InboundServer, listen_on
-from monsoontack.gateway.limitexchange import PATH as LIMIT_PATH
-from monsoontack.gateway.limitexchange import LimitExchange, call_limit_peer
 from monsoontack.gateway.loadexchange import PATH as LOAD_PATH
 from monsoontack.gateway.loadexchange import LoadExchange
 from monsoontack.gateway.metrics import GatewayMetrics
@@ -114,7 +115,7 @@
     entry_remover: SilentEntryRemover | None = None
     peer_pool: ConnectionPool = field(default_factory=peer_pool)
     reload: Callable[[], None] = lambda: None
-    limit_exchange: LimitExchange | None = None
+    entry_exchange: EntryExchange | None = None
     rollouts: RolloutManager | None = None
     draining: bool = False
     listeners: list[asyncio.Server] = field(default_factory=list)
@@ -138,7 +139,7 @@
         gate = LimitGate.for_entry(settings.name, rng)
         gate.servers = fleet.limit_keys
         gate.permits.fleet_size = settings.expected_max_entries
-        sender = Sender(pool, wire, fleet, gate)
+        sender = Sender(pool, wire, fleet, gate, PromptGuard(settings.name))
         budgets = RetryBudgets(
             settings.retry_ratio,
             settings.retry_extra,
@@ -157,15 +158,16 @@
         daemon = cls(settings, config_state, fleet, pool, gateway, metrics)
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
         streams.share_load_with_peers(load_exchange)
-        streams.crash_detector.on_crash = daemon._on_engine_crash
+        for forwarder in (calls, streams):
+            forwarder.crash_detector.on_crash = daemon._on_engine_crash
         daemon.background_jobs.append(load_exchange.run)
-        call = partial(call_limit_peer, daemon.peer_pool)
+        call = partial(call_entry, daemon.peer_pool)
         place = settings.place
-        daemon.limit_exchange = LimitExchange(
-            settings.name, place.region, gate, call, rng
+        daemon.entry_exchange = EntryExchange(
+            settings.name, place.region, gate, sender.guard, call, rng
         )
-        sender.on_limit_change = daemon.limit_exchange.send_news
-        daemon.background_jobs.append(daemon.limit_exchange.run)
+        sender.on_limit_change = daemon.entry_exchange.send_news
+        daemon.background_jobs.append(daemon.entry_exchange.run)
         config_state.listeners.append(daemon.config_changed)
         return daemon
 
@@ -260,7 +262,7 @@
         self.gateway.calls.picker.link_budget.set_entry_count(
             max(in_region, MIN_ASSUMED_ENTRIES), self.gateway.now()
         )
-        self.limit_exchange.set_peers(entries)
+        self.entry_exchange.set_peers(entries)
         if self.rollouts is not None:
             self.rollouts.entries = frozenset(entries)
         reachable = {name: peer for name, peer in entries.items() if peer.address}
@@ -270,6 +272,7 @@
 
     def _on_engine_crash(self, crash: EngineCrash) -> None:
         self.metrics.engine_crashes.inc()
+        self.gateway.guard.note_crash(crash.server, crash.prompts, crash.at)
 
     def _on_store_status(self, kind: str, is_up: bool, reason: str) -> None:
         self.metrics.store_feed_up.labels(kind).set(is_up)
@@ -386,8 +389,8 @@
     async def _answer_peer(self, raw: RawRequest, responder: Responder) -> None:
         if raw.target == LOAD_PATH.encode():
             await self.gateway.streams.load_exchange.handle(raw, responder)
-        elif raw.target == LIMIT_PATH.encode():
-            await self.limit_exchange.handle(raw, responder)
+        elif raw.target == EXCHANGE_PATH.encode():
+            await self.entry_exchange.handle(raw, responder)
         else:
             await self.relay.handle(raw, responder)
 
@@ -414,10 +417,12 @@
         if config is not None:
             metrics.config_version.set(config.version)
             metrics.config_age_s.set(self.config_state.age_s())
-        limits = self.limit_exchange.gate.limits
+        limits = self.entry_exchange.gate.limits
         known = {member.limit_key for member in self.fleet.members.values()}
         limits.forget_old(known, self.gateway.now())
         metrics.limited_servers.set(len(limits.limited()))
+        self.gateway.guard.forget_old(self.gateway.now())
+        metrics.blocked_prompt_parts.set(len(self.gateway.guard.blamed))
         for service, members in self.fleet.by_service.items():
             metrics.servers.labels(service).set(len(members))
         if self.log_writer is not None:
--- a/monsoontack/gateway/entrycodec.py
+++ b/monsoontack/gateway/entrycodec.py
@@ -1,4 +1,4 @@
-"""JSON messages in which entries exchange limits and permits.
+"""JSON messages in which entries exchange limits, permits and crashes of engines.
 
 `MAX_LIFETIMES` and the ranges of numbers bound what a message of a faulty entry can do.
 """
@@ -8,11 +8,18 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from monsoontack.admission.crashrecords import (
+    MAX_CRASHES,
+    MAX_PROMPTS_PER_CRASH,
+    NO_NEWS,
+    CrashNews,
+)
 from monsoontack.admission.permits import (
     PERMIT_LIFETIME_S,
     PermitGrant,
     PermitReport,
 )
+from monsoontack.admission.sharedprompt import MAX_PARTS, SharedPrompt
 from monsoontack.admission.statedlimits import (
     MAX_RATE_PER_S,
     MAX_RECORDS,
@@ -25,30 +32,35 @@
 MAX_LIFETIMES = int(MAX_RATE_PER_S * PERMIT_LIFETIME_S)
 MAX_ENTRIES = 100_000
 LIFETIME_DIGITS = 3
+# Ages of crash records in seconds; entries forget them far earlier.
+MAX_AGE_S = 1e6
+# Parts of all prompts in the records of one message.
+MAX_PART_RECORDS = MAX_CRASHES * MAX_PROMPTS_PER_CRASH
 
 
 @dataclass(frozen=True, slots=True)
-class LimitMessage:
+class EntryMessage:
     """A message or its answer.
 
-    `boot` identifies the sender's process and `number` its newest change of a limit;
-    `news` are the limits that changed after the sender's change `since`. `seen_boot`
-    and `seen_number` name the receiver's newest change that the sender has got. A
-    message to a parent has a `report`, the answer to it a `grant`.
+    `boot` identifies the sender's process and `number` its newest change of a record;
+    `limits` and `crashes` are what changed after the sender's change `since`.
+    `seen_boot` and `seen_number` name the receiver's newest change that the sender has
+    got. A message to a parent has a `report`, the answer to it a `grant`.
     """
 
     name: str
     boot: str
     number: int
     since: int
-    news: Mapping[str, LimitRecord]
+    limits: Mapping[str, LimitRecord]
     seen_boot: str
     seen_number: int
+    crashes: CrashNews = NO_NEWS
     report: PermitReport | None = None
     grant: PermitGrant | None = None
 
 
-def encode_message(message: LimitMessage) -> bytes:
+def encode_message(message: EntryMessage) -> bytes:
     """Return the JSON document of a message."""
     document = {
         "name": message.name,
@@ -56,8 +68,18 @@
         "number": message.number,
         "since": message.since,
         "seen": [message.seen_boot, message.seen_number],
-        "news": {k: [r.version, r.rate] for k, r in message.news.items()},
+        "news": {k: [r.version, r.rate] for k, r in message.limits.items()},
     }
+    if message.crashes.crashes:
+        document["crashes"] = {
+            server: [round(age_s, 3), [[p.account, list(p.parts)] for p in prompts]]
+            for server, (age_s, prompts) in message.crashes.crashes.items()
+        }
+    if message.crashes.parts:
+        document["parts"] = {
+            part: [None if age_s is None else round(age_s, 3) for age_s in ages]
+            for part, ages in message.crashes.parts.items()
+        }
     report, grant = message.report, message.grant
     if report is not None:
         wants = {key: round(want, 2) for key, want in report.wants.items()}
@@ -74,17 +96,21 @@
     return json.dumps(document, separators=(",", ":")).encode()
 
 
-def decode_message(body: bytes) -> LimitMessage:
+def decode_message(body: bytes) -> EntryMessage:
     """Return the message of a JSON document; raise ValueError if it is malformed."""
     try:
         document = json.loads(body)
         seen_boot, seen_number = document["seen"]
-        return LimitMessage(
+        return EntryMessage(
             name=_text(document["name"]),
             boot=_text(document["boot"]),
             number=_count(document["number"], MAX_VERSION),
             since=_count(document["since"], MAX_VERSION),
-            news=_decode_news(document["news"]),
+            limits=_decode_limits(document["news"]),
+            crashes=CrashNews(
+                _decode_crashes(document.get("crashes", {})),
+                _decode_parts(document.get("parts", {})),
+            ),
             seen_boot=_text(seen_boot),
             seen_number=_count(seen_number, MAX_VERSION),
             report=_decode_report(document["name"], document.get("report")),
@@ -94,7 +120,38 @@
         raise ValueError(repr(error)) from error
 
 
-def _decode_news(rows: dict) -> dict[str, LimitRecord]:
+def _decode_crashes(rows: dict) -> dict[str, tuple[float, tuple[SharedPrompt, ...]]]:
+    if len(rows) > MAX_CRASHES:
+        raise ValueError(f"{len(rows)} crashes")
+    crashes = {}
+    for server, (age_s, prompts) in rows.items():
+        if len(prompts) > MAX_PROMPTS_PER_CRASH:
+            raise ValueError(f"{len(prompts)} prompts of a crash")
+        found = tuple(_decode_prompt(account, parts) for account, parts in prompts)
+        crashes[_text(server)] = (_number(age_s, 0.0, MAX_AGE_S), found)
+    return crashes
+
+
+def _decode_prompt(account: str, parts: list) -> SharedPrompt:
+    if not isinstance(parts, list) or len(parts) > MAX_PARTS:
+        raise ValueError(f"no parts of a prompt: {parts!r:.40}")
+    return SharedPrompt(_text(account), tuple(_text(part) for part in parts))
+
+
+def _decode_parts(rows: dict) -> dict[str, tuple[float | None, float | None]]:
+    if len(rows) > MAX_PART_RECORDS:
+        raise ValueError(f"{len(rows)} parts of prompts")
+    return {
+        _text(part): (_age(sound_age_s), _age(trial_age_s))
+        for part, (sound_age_s, trial_age_s) in rows.items()
+    }
+
+
+def _age(value: object) -> float | None:
+    return None if value is None else _number(value, 0.0, MAX_AGE_S)
+
+
+def _decode_limits(rows: dict) -> dict[str, LimitRecord]:
     if len(rows) > MAX_RECORDS:
         raise ValueError(f"{len(rows)} limits")
     news = {}
--- a/monsoontack/gateway/entryexchange.py
+++ b/monsoontack/gateway/entryexchange.py
@@ -1,10 +1,11 @@
-"""Exchange of stated limits and of permits between entries, along a tree.
-
-News of a limit pass at once between an entry, its parent and its children, so that
-they reach all entries within a few round trips, and an entry sends the same number of
-messages in a fleet of any size. An entry reports to its parent regularly: often while
-its part of the tree wants permits, rarely while no server has a limit, so that a
-restarted entry hears of the limits soon.
+"""Exchange of what all entries have to know, along a tree.
+
+Entries exchange the limits that servers state, the permits that divide these limits,
+and the crashes of engines. News pass at once between an entry, its parent and its
+children, so that they reach all entries within a few round trips, and an entry sends
+the same number of messages in a fleet of any size. An entry reports to its parent
+regularly: often while its part of the tree wants permits, rarely while no server has a
+limit, so that a restarted entry gets all records soon.
 """
 
 import asyncio
@@ -16,12 +17,14 @@
 import structlog
 
 from monsoontack.admission.limitgate import LimitGate
-from monsoontack.gateway.limitcodec import (
-    LimitMessage,
+from monsoontack.admission.promptguard import PromptGuard
+from monsoontack.core.changes import ChangeCounter
+from monsoontack.gateway.entrycodec import (
+    EntryMessage,
     decode_message,
     encode_message,
 )
-from monsoontack.gateway.limittree import TreePlace, tree_place
+from monsoontack.gateway.entrytree import TreePlace, tree_place
 from monsoontack.gateway.peers import PeerEntry, PeerResponse, call_peer
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.records import RawRequest
@@ -50,7 +53,7 @@
 MAX_PAUSE_S = 5.0
 
 
-async def call_limit_peer(
+async def call_entry(
     pool: ConnectionPool, address: str, body: bytes
 ) -> PeerResponse | None:
     """Send a message to the entry at an address; None if no response arrived."""
@@ -81,16 +84,18 @@
 
 
 @dataclass(slots=True)
-class LimitExchange:
-    """Exchanges limits and permits with the neighbours in the tree of entries.
+class EntryExchange:
+    """Exchanges records and permits with the neighbours in the tree of entries.
 
-    `call` sends a message to an entry's address and returns its response, or None if
-    none arrived in time. `boot` identifies this process.
+    The limits of `gate` and the crash records of `guard` number their changes with the
+    same counter, `changes`. `call` sends a message to an entry's address and returns
+    its response, or None if none arrived in time. `boot` identifies this process.
     """
 
     name: str
     region: str
     gate: LimitGate
+    guard: PromptGuard
     call: PeerCall
     rng: random.Random
     place: TreePlace = field(default_factory=TreePlace)
@@ -102,8 +107,16 @@
     sent_messages: int = 0
 
     def __post_init__(self) -> None:
-        """Draw the identity of this process."""
+        """Draw the identity of this process and share the counter of changes."""
         self.boot = self.boot or f"{self.rng.getrandbits(64):016x}"
+        self.guard.records.changes = self.changes
+        self.guard.on_change = self.send_news
+        self.guard.entries = lambda: self.entries
+
+    @property
+    def changes(self) -> ChangeCounter:
+        """Return the counter of the changes of all records."""
+        return self.gate.limits.changes
 
     def now(self) -> float:
         """Return the event loop's time in seconds."""
@@ -146,7 +159,7 @@
 
     def send_news(self) -> None:
         """Send each neighbour the changes that it has not got."""
-        changes = self.gate.limits.change_count
+        changes = self.changes.count
         if not changes:
             return
         parent = self.parent()
@@ -166,7 +179,7 @@
         try:
             message = decode_message(raw.body)
         except ValueError as error:
-            log.warning("entry sent a malformed limit message", detail=str(error))
+            log.warning("entry sent a malformed message", detail=str(error))
             responder.send(BAD_REQUEST, ())
             return
         peer = self.entries.get(message.name)
@@ -244,26 +257,26 @@
                 self._apply_grant(neighbour, answer, sent_at)
         finally:
             neighbour.is_sending = False
-        if neighbour.acknowledged < self.gate.limits.change_count:
+        if neighbour.acknowledged < self.changes.count:
             self._schedule_send(neighbour)
 
     def _decode_answer(
         self, neighbour: Neighbour, response: PeerResponse | None
-    ) -> LimitMessage | None:
+    ) -> EntryMessage | None:
         if response is None or response.status != OK:
             return None
         try:
             return decode_message(response.body)
         except ValueError as error:
             log.warning(
-                "entry sent a malformed limit answer",
+                "entry sent a malformed answer",
                 peer=neighbour.peer.name,
                 detail=str(error),
             )
             return None
 
     def _apply_grant(
-        self, neighbour: Neighbour, answer: LimitMessage, sent_at: float
+        self, neighbour: Neighbour, answer: EntryMessage, sent_at: float
     ) -> None:
         permits, name = self.gate.permits, neighbour.peer.name
         if permits.parent != name:
@@ -275,26 +288,27 @@
         neighbour.failures += 1
         neighbour.paused_until = self.now() + pause_s
         log.info(
-            "limit message to entry failed",
+            "message to entry failed",
             peer=neighbour.peer.name,
             reason=reason,
             pause_s=pause_s,
         )
 
-    def _message(self, neighbour: Neighbour) -> LimitMessage:
+    def _message(self, neighbour: Neighbour) -> EntryMessage:
         """Return a message with the news for a neighbour."""
-        limits = self.gate.limits
-        return LimitMessage(
+        since = neighbour.acknowledged
+        return EntryMessage(
             name=self.name,
             boot=self.boot,
-            number=limits.change_count,
-            since=neighbour.acknowledged,
-            news=limits.news_since(neighbour.acknowledged),
+            number=self.changes.count,
+            since=since,
+            limits=self.gate.limits.news_since(since),
+            crashes=self.guard.records.news_since(since, self.now()),
             seen_boot=neighbour.seen_boot,
             seen_number=neighbour.seen_number,
         )
 
-    def _apply(self, neighbour: Neighbour, message: LimitMessage) -> None:
+    def _apply(self, neighbour: Neighbour, message: EntryMessage) -> None:
         """Merge a neighbour's news and record what each of the two has got."""
         is_same_process = message.boot == neighbour.seen_boot
         if not is_same_process:
@@ -303,5 +317,6 @@
             neighbour.seen_number = max(neighbour.seen_number, message.number)
         is_mine = message.seen_boot == self.boot
         neighbour.acknowledged = message.seen_number if is_mine else 0
-        if self.gate.limits.merge(message.news, self.now()):
+        has_new_limits = self.gate.limits.merge(message.limits, self.now())
+        if self.guard.merge(message.crashes, self.now()) or has_new_limits:
             self.send_news()
--- a/monsoontack/gateway/entryexchange_test.py
+++ b/monsoontack/gateway/entryexchange_test.py
@@ -5,27 +5,34 @@
 import random
 import unittest
 
+from monsoontack.admission.crashrecords import CrashNews
 from monsoontack.admission.limitgate import LimitGate
 from monsoontack.admission.permits import PERMIT_LIFETIME_S, PermitGrant, PermitReport
+from monsoontack.admission.promptguard import PromptGuard
+from monsoontack.admission.sharedprompt import SharedPrompt
 from monsoontack.admission.statedlimits import LimitRecord
 from monsoontack.core.virtualtime import run_in_virtual_time
-from monsoontack.gateway.limitcodec import (
-    LimitMessage,
+from monsoontack.gateway.entrycodec import (
+    EntryMessage,
     decode_message,
     encode_message,
 )
-from monsoontack.gateway.limitexchange import LimitExchange
+from monsoontack.gateway.entryexchange import EntryExchange
 from monsoontack.gateway.peers import PeerEntry, PeerResponse
 from monsoontack.gateway.records import RawRequest
 
-MESSAGE = LimitMessage(
+MESSAGE = EntryMessage(
     name="entry-1",
     boot="b1",
     number=3,
     since=1,
-    news={"s": LimitRecord(2, 2.8), "t": LimitRecord(5, None)},
+    limits={"s": LimitRecord(2, 2.8), "t": LimitRecord(5, None)},
     seen_boot="b2",
     seen_number=7,
+    crashes=CrashNews(
+        {"e": (1.5, (SharedPrompt("shop", ("a", "b")), SharedPrompt("", ("c",))))},
+        {"a": (0.25, None), "b": (None, 3.0)},
+    ),
     report=PermitReport("entry-1", True, 4, {"s": 1.5}),
     grant=PermitGrant({"s": (1.25, 0.5)}, {"s": 2.0}),
 )
@@ -44,7 +51,7 @@
     def test_permits_do_not_live_longer_by_rounding(self):
         """Guards against permits that outlive those their grantor counts."""
         grant = PermitGrant({"s": (1.2399999,)}, {})
-        message = LimitMessage("e", "b", 0, 0, {}, "", 0, grant=grant)
+        message = EntryMessage("e", "b", 0, 0, {}, "", 0, grant=grant)
         found = decode_message(encode_message(message)).grant.lifetimes["s"]
         self.assertEqual((1.239,), found)
 
@@ -64,6 +71,15 @@
             changed(news={"s": [1, 1e300]}),
             changed(news={"s": [10**30, 2.8]}),
             changed(news={str(n): [1, 2.8] for n in range(5000)}),
+            changed(crashes=[]),
+            changed(crashes={"s": [-1.0, []]}),
+            changed(crashes={"s": [1.0, [["shop", "deadly"]]]}),
+            changed(crashes={"s": [1.0, [["shop", [7]]]]}),
+            changed(crashes={"s": [1.0, [["shop", ["p"] * 1000]]]}),
+            changed(crashes={"s": [1.0, [["shop", ["p"]]] * 1000]}),
+            changed(crashes={str(n): [1.0, []] for n in range(5000)}),
+            changed(parts={"p": [1.0]}),
+            changed(parts={"p": [float("nan"), None]}),
             changed(report=[True, 10**9, {}]),
             changed(report=[True, 1, {"s": float("inf")}]),
             changed(grant=[{"s": [PERMIT_LIFETIME_S + 1]}, {}]),
@@ -80,13 +96,20 @@
         self.status, self.body = status, body
 
 
-class LimitExchangeTest(unittest.TestCase):
+class EntryExchangeTest(unittest.TestCase):
     """One entry whose neighbours are scripted."""
 
     def run_entry(self, scenario, call):
         async def run():
             gate = LimitGate.for_entry("entry-1", random.Random(1))
-            exchange = LimitExchange("entry-1", "north", gate, call, random.Random(1))
+            exchange = EntryExchange(
+                "entry-1",
+                "north",
+                gate,
+                PromptGuard("entry-1"),
+                call,
+                random.Random(1),
+            )
             names = [f"entry-{number}" for number in range(5)]
             peers = {name: PeerEntry(name, "north", name) for name in names}
             exchange.set_peers(peers)
@@ -132,13 +155,13 @@
         async def scenario(exchange):
             exchange.gate.limits.observe("s", "2.8", 0.0, 0.0)
             answer = Answer()
-            message = LimitMessage("entry-new", "b9", 0, 0, {}, "", 0)
+            message = EntryMessage("entry-new", "b9", 0, 0, {}, "", 0)
             raw = RawRequest(
                 b"POST", b"/limits", (), encode_message(message), True, 0.0
             )
             await exchange.handle(raw, answer)
             found = decode_message(answer.body)
-            self.assertEqual({"s": LimitRecord(1, 2.8)}, found.news)
+            self.assertEqual({"s": LimitRecord(1, 2.8)}, found.limits)
 
         async def call(address, body):
             return None
--- a/monsoontack/gateway/entrytree_test.py
+++ b/monsoontack/gateway/entrytree_test.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from monsoontack.gateway.limittree import tree_place
+from monsoontack.gateway.entrytree import tree_place
 from monsoontack.gateway.peers import PeerEntry
 from monsoontack.gateway.readtree import FANOUT
 
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -26,8 +26,9 @@
 # servers of the domain become suspect as well.
 MIN_DOMAIN_FAILURES = 2
 DOMAIN_FAILURE_WINDOW_S = 1.0
-# The failure domain itself counts as lost if half of its servers, and at least this
-# many, are lost within the window.
+# The failure domain itself counts as lost if more than this share of its servers, and
+# at least this many, are lost within the window.
+DOMAIN_LOSS_SHARE = 2 / 3
 MIN_DOMAIN_LOSSES = 3
 # Servers that are alive rewrite records that expired during a store outage within about
 # this time after the store has recovered.
@@ -42,10 +43,10 @@
     first event, `held_tokens` the KV cache tokens that its runs and copies may take.
     `last_byte_at` is the time of the last byte from the server. `suspected_at` is the
     last time at which a running stream of the server stalled, a peer reported the
-    server unreachable or its failure domain became suspect. `lost_at` is the last time
-    at which this entry or a peer found the server itself unreachable. `longest_gap_s`
-    is the longest recent gap between events. Until `cold_until` the server is slow
-    because it has just started.
+    server unreachable or its failure domain became suspect. `lost_at` is when
+    this entry or a peer first found the server unreachable after its last byte.
+    `longest_gap_s` is the longest recent gap between events. Until `cold_until` the
+    server is slow because it has just started.
     `restarted` is set when the server has started again; the new process does not know
     the runs that were sent to this one.
     """
@@ -211,7 +212,7 @@
             INITIAL_AVOID_S * 2 ** (member.consecutive_failures - 1), MAX_AVOID_S
         )
         member.avoid_until = max(member.avoid_until, now + avoid_s)
-        member.failed_at = member.lost_at = now
+        self._note_lost(member, now)
         self._suspect_domain(member, now)
         self.on_failed(member)
 
@@ -226,7 +227,8 @@
             return
         if member.last_byte_at > now - DOMAIN_FAILURE_WINDOW_S:
             return
-        member.failed_at = member.suspected_at = member.lost_at = now
+        self._note_lost(member, now)
+        member.suspected_at = now
         self._suspect_domain(member, now)
 
     def _suspect_domain(self, member: Member, now: float) -> None:
@@ -248,6 +250,12 @@
                 peer.failed_at = now
                 peer.suspected_at = now
 
+    def _note_lost(self, member: Member, now: float) -> None:
+        """Record a failure, and when the first one since the last byte happened."""
+        if member.lost_at <= member.last_byte_at:
+            member.lost_at = now
+        member.failed_at = now
+
     def is_domain_lost(self, member: Member, now: float) -> bool:
         """Whether most servers of a server's failure domain were lost just now."""
         domain = [
@@ -256,7 +264,8 @@
             if m.server.place == member.server.place
         ]
         lost_count = sum(now - m.lost_at <= DOMAIN_FAILURE_WINDOW_S for m in domain)
-        return lost_count >= max(MIN_DOMAIN_LOSSES, len(domain) / 2)
+        share = lost_count / max(len(domain), 1)
+        return lost_count >= MIN_DOMAIN_LOSSES and share > DOMAIN_LOSS_SHARE
 
     def note_alive(self, member: Member, now: float) -> None:
         """Note that a server sent bytes; end its avoidance."""
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.calls import CallForwarder
 from monsoontack.gateway.configstate import ConfigState
@@ -55,6 +56,11 @@
         """Return the loop's time in seconds."""
         return asyncio.get_running_loop().time()
 
+    @property
+    def guard(self) -> PromptGuard:
+        """Return the parts of prompts that must not be sent."""
+        return self.streams.sender.guard
+
     async def handle(self, raw: RawRequest, responder: Responder) -> None:
         """Serve one request."""
         request = self.wire.parse_request(raw)
@@ -72,6 +78,10 @@
             )
             return
         job = self._make_job(request, route, account, responder)
+        blocked = self._check_prompt(job)
+        if blocked is not None:
+            self._refuse(blocked, responder, request.request_id, blocked.code)
+            return
         self.in_progress += 1
         try:
             await self._serve(job)
@@ -100,6 +110,14 @@
             config_age_s=self.config_state.age_s(),
         )
 
+    def _check_prompt(self, job: Job) -> RequestError | None:
+        """Return the refusal of a request with a blocked part, unless it is a trial."""
+        refusal = self.guard.refusal(job.shared_prompt, self.now())
+        if refusal is None:
+            return None
+        job.is_trial = self.guard.take_trial(job.shared_prompt, self.now())
+        return None if job.is_trial else refusal
+
     def _may_outlast_drain(self, route: Route) -> bool:
         """Whether a new request might still be running at the end of the drain."""
         if self.drain_deadline_at is None:
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -31,6 +31,7 @@
 
     `deadline_at` is the earlier of the caller's and the route's deadline (event loop's
     clock). `may_have_run` is set once a backend server may have run the request.
+    `is_trial` marks the one request that tries a blocked part of a prompt again.
     """
 
     request: CallerRequest
@@ -48,6 +49,7 @@
     status: int = 0
     first_event_at: float | None = None
     worst_gap_s: float = 0.0
+    is_trial: bool = False
     shared_prompt: SharedPrompt = field(init=False)
 
     def __post_init__(self) -> None:
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -35,6 +35,7 @@
     limited_sends: Counter = None
     engine_crashes: Counter = None
     limited_servers: Gauge = None
+    blocked_prompt_parts: Gauge = None
     servers: Gauge = None
     store_feed_up: Gauge = None
     log_lines_dropped: Gauge = None
@@ -107,6 +108,9 @@
         self.limited_servers = gauge(
             "limited_servers", "Backend servers that have stated a limit"
         )
+        self.blocked_prompt_parts = gauge(
+            "blocked_prompt_parts", "Parts of prompts that crash engines"
+        )
         self.servers = gauge("servers", "Backend servers in use", ("service",))
         self.store_feed_up = gauge(
             "store_feed_up", "Whether the store answers a feed", ("feed",)
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from monsoontack.admission.limitgate import LimitGate, unlimited_gate
+from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.outbound import (
     ExchangeFailure,
@@ -29,15 +30,16 @@
     """Sends requests; `on_sent` is called with the service of each one sent.
 
     `gate` has the request rates that servers state in their responses, and this entry's
-    permits. `on_limited_send` is called with the service of each request sent to a
-    server that has stated a limit, `on_limit_change` after a response that changed a
-    limit.
+    permits. `guard` has the parts of prompts that crash engines. `on_limited_send` is
+    called with the service of each request sent to a server that has stated a limit,
+    `on_limit_change` after a response that changed a limit.
     """
 
     pool: ConnectionPool
     wire: WireFormat
     fleet: BackendFleet
     gate: LimitGate = field(default_factory=unlimited_gate)
+    guard: PromptGuard = field(default_factory=partial(PromptGuard, ""))
     on_sent: Callable[[str], None] = lambda service: None
     on_limited_send: Callable[[str], None] = lambda service: None
     on_limit_change: Callable[[], None] = lambda: None
--- a/monsoontack/gateway/statedump.py
+++ b/monsoontack/gateway/statedump.py
@@ -11,7 +11,7 @@
 def dump_state(daemon: "GatewayDaemon") -> dict:
     """Return the state of a gateway as a document that JSON can encode."""
     config, now = daemon.config_state.config, daemon.gateway.now()
-    gate = daemon.limit_exchange.gate
+    gate = daemon.entry_exchange.gate
     limits, permits = gate.limits, gate.permits
     config_state, relayed = daemon.config_state, daemon.relayed_stores
     return {
@@ -31,6 +31,14 @@
         "limits": {
             key: [record.rate, record.version] for key, record in limits.records.items()
         },
+        "blocked_prompt_parts": {
+            part: {
+                "accounts": None if blame.accounts is None else sorted(blame.accounts),
+                "crashes": blame.crashes,
+                "blocked_s": round(blame.until - now, 1),
+            }
+            for part, blame in daemon.gateway.guard.blamed.items()
+        },
         "limit_parent": permits.parent,
         "permits_expired": permits.expired_permits,
         "servers": [
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from monsoontack.gateway.crashdetector import BROKEN_OFF_KINDS
 from monsoontack.gateway.fleet import Member
 from monsoontack.gateway.outbound import FailureKind, HttpExchange
 from monsoontack.gateway.records import (
@@ -29,7 +30,7 @@
 RESUME_LIMIT_FACTOR = 1.5
 # Share of the silence limit after which a new connection tests the engine.
 LIVENESS_CHECK_SHARE = 0.5
-BROKEN_OFF_KINDS = frozenset((FailureKind.CLOSED, FailureKind.RESET))
+BLOCKED_REASON = "a part of the prompt crashes engines"
 # An engine that crashes when it begins an answer does so within tens of milliseconds of
 # the first event. After this time it has gone on answering.
 GO_ON_S = 0.5
@@ -44,7 +45,8 @@
     `not_run` means that the engine did not run the request, `unsent` that it was
     not even sent. `response_head` and `body` hold an error response of the engine, if
     any. `events` is the number of events that the attempt delivered. `is_broken_off`
-    means that the engine's side closed or reset the connection.
+    means that the engine's side closed or reset the connection, `has_gone_on` that
+    events had come for some time before.
     """
 
     reason: str
@@ -54,6 +56,7 @@
     body: bytes = b""
     events: int = 0
     is_broken_off: bool = False
+    has_gone_on: bool = False
 
 
 class StreamRelay:
@@ -119,18 +122,24 @@
                 await self._forward_events(exchange.take_body())
             if exchange.is_finished:
                 return self._end_loss()
-            if job.left_s(self.run.now()) <= 0:
+            reason = self._reason_to_give_up()
+            if reason is not None:
                 exchange.abort()
-                return StreamLoss("deadline")
-            if self.member.restarted:
-                exchange.abort()
-                return StreamLoss("its engine started anew")
+                return StreamLoss(reason)
             silence = await self._detect_silence()
             if silence is not None:
                 run.forwarder.fleet.note_unreachable(self.member, run.now())
                 exchange.abort()
                 return StreamLoss(f"{FailureKind.SILENT}: {silence}")
 
+    def _reason_to_give_up(self) -> str | None:
+        """Return why the attempt is no longer of use, if it is not."""
+        if self.job.left_s(self.run.now()) <= 0:
+            return "deadline"
+        if not self.has_gone_on and self.run.is_blocked():
+            return BLOCKED_REASON
+        return "its engine started anew" if self.member.restarted else None
+
     def _poll_timeout_s(self) -> float:
         now = self.run.now()
         left_s = self.job.left_s(now)
@@ -212,6 +221,7 @@
             self.began_at = now
         elif now >= self.began_at + GO_ON_S:
             self.has_gone_on = True
+            run.guard.note_sound(self.job.shared_prompt, self.began_at)
         run.note_prompt_read()
         self._cancel_liveness_check()
 
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from monsoontack.admission.promptguard import crash_error
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.errorresponse import error_response
 from monsoontack.gateway.fleet import Member
@@ -16,7 +17,11 @@
 )
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.rollouts import RolloutManager
-from monsoontack.gateway.streamrelay import StreamLoss, StreamRelay
+from monsoontack.gateway.streamrelay import (
+    BLOCKED_REASON,
+    StreamLoss,
+    StreamRelay,
+)
 from monsoontack.generation.failover import FailoverInput, NextStep, next_step
 from monsoontack.routing.placement import (
     PromptAffinity,
@@ -60,7 +65,8 @@
     event. `counted_attempts` are limited by the route, `total_attempts` also include
     those that were not run. `excluded` has the engines that get no next attempt while
     others are available; `copy_address` is the engine with a copy of the KV cache.
-    `engine_error` is the last error response of an engine.
+    `engine_error` is the last error response of an engine. `broken_off` counts the
+    engines that broke off the stream before they went on answering.
     """
 
     def __init__(self, forwarder: "StreamForwarder", job: Job) -> None:
@@ -76,6 +82,8 @@
         self.counted_attempts = 0
         self.total_attempts = 0
         self.engine_error: StreamLoss | None = None
+        self.guard = forwarder.sender.guard
+        self.broken_off = 0
         request = job.request
         self.segment_id = (
             request.prompt_segments[-1].segment_id if request.prompt_segments else ""
@@ -122,10 +130,15 @@
         left_s = self.job.left_s(self.now())
         return left_s < self.stream_timeouts.min_first_event_s(tokens)
 
+    def _is_wanted(self) -> bool:
+        return self.job.is_wanted() and not self.is_blocked()
+
     async def _run_attempts(self) -> StreamLoss | None:
         """Return None if the stream is complete, else the last loss."""
         step = NextStep.RESTART
         while True:
+            if self.is_blocked():
+                return StreamLoss(BLOCKED_REASON, not_run=True)
             placement = self._place(step)
             if placement is None:
                 return StreamLoss("no engine can be reached", not_run=True, unsent=True)
@@ -166,6 +179,10 @@
             left_s=job.left_s(now),
         )
         step = next_step(state)
+        if loss.is_broken_off and not loss.has_gone_on:
+            self.broken_off += 1
+            if not self._may_repeat():
+                step = NextStep.END
         if step is not NextStep.END and not loss.unsent:
             if not self.forwarder.budgets.take(job.service, now):
                 step = NextStep.END
@@ -187,6 +204,18 @@
         )
         return step
 
+    def is_blocked(self) -> bool:
+        """Whether a part of the prompt has been blocked since the request arrived."""
+        job = self.job
+        return not job.is_trial and self.guard.is_blocked(job.shared_prompt)
+
+    def _may_repeat(self) -> bool:
+        """Whether the stream may go on at another engine after one broke it off."""
+        job = self.job
+        if job.is_trial:
+            return False
+        return self.guard.may_repeat(job.shared_prompt, self.broken_off)
+
     def _copy_member(self) -> Member | None:
         """Return the engine that has the copy if it accepts requests."""
         if self.copy_address is None:
@@ -267,7 +296,7 @@
             self.counted_attempts += 1
             self.total_attempts += 1
             sent = await self.forwarder.sender.send(
-                member, job.request, attempt, job.is_wanted
+                member, job.request, attempt, self._is_wanted
             )
             if isinstance(sent, ExchangeFailure):
                 if job.responder.is_disconnected:
@@ -281,9 +310,13 @@
             if loss is not None:
                 loss.events = relay.splitter.id_count
             record.result = "complete" if loss is None else loss.reason
-            if loss is not None and loss.is_broken_off and not relay.has_gone_on:
-                detector = self.forwarder.crash_detector
-                detector.note_broken_off(member, job.shared_prompt)
+            if loss is not None:
+                loss.has_gone_on = relay.has_gone_on
+                if loss.is_broken_off and not relay.has_gone_on:
+                    detector = self.forwarder.crash_detector
+                    detector.note_broken_off(member, job.shared_prompt)
+            elif relay.began_at is not None and not relay.has_gone_on:
+                self.guard.note_sound(job.shared_prompt, relay.began_at)
             job.may_have_run |= loss is None or not loss.not_run
             self._record_server_health(member, loss)
             return loss
@@ -373,6 +406,10 @@
         job = self.job
         if job.left_s(self.now()) <= 0:
             return job.timeout_error()
+        if self.is_blocked():
+            if job.may_have_run:
+                return crash_error()
+            return self.guard.refusal(job.shared_prompt, self.now())
         if job.may_have_run:
             message = f"every engine broke off: {loss.reason}"
             return RequestError(502, "backend_failed", message, RunState.UNKNOWN)
--- a/standins/gatewayfakes.py
+++ b/standins/gatewayfakes.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from monsoontack.admission.limitgate import LimitGate, unlimited_gate
+from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.core.records import BackendServer, Place
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.job import Job
@@ -186,6 +187,7 @@
     connect_s: float = 0.0
     wire: ScriptedWire = field(default_factory=ScriptedWire)
     gate: LimitGate = field(default_factory=unlimited_gate)
+    guard: PromptGuard = field(default_factory=lambda: PromptGuard(""))
     sent: list[Attempt] = field(default_factory=list)
     exchanges: list[ScriptedExchange] = field(default_factory=list)
     tasks: list[asyncio.Task] = field(default_factory=list)
@@ -256,8 +258,16 @@
     return Route(**(fields | changes))
 
 
-def make_job(route: Route, request_id: str = "id-1", deadline_s: float = 1.0) -> Job:
-    """Return a job for a request that has just arrived."""
+def make_job(
+    route: Route,
+    request_id: str = "id-1",
+    deadline_s: float = 1.0,
+    shared_parts: tuple[str, ...] = (),
+) -> Job:
+    """Return a job for a request that has just arrived.
+
+    `shared_parts` are the ids of the parts of its prompt that others may share.
+    """
     now = asyncio.get_running_loop().time()
     raw = RawRequest(b"POST", b"/p/x", (), b"body", True, now)
     request = CallerRequest(
@@ -268,7 +278,10 @@
         forwarded=(),
         prompt_tokens=8000,
         max_output_tokens=800,
-        prompt_segments=(PromptSegment("part-1", 8000),),
+        prompt_segments=(
+            *(PromptSegment(part, 200) for part in shared_parts),
+            PromptSegment("part-1", 8000),
+        ),
     )
     return Job(request, route, None, SERVICE, FakeResponder(), now, now + deadline_s)
 
