Keep the evidence of a deadly part when many engines are lost at once

A crash is now recorded only if it adds a moment to those of some part of its prompts, so that engines lost together take few records, and the records that tell least are forgotten first.

--- a/monsoontack/admission/crashrecords.py
+++ b/monsoontack/admission/crashrecords.py
@@ -22,6 +22,12 @@
 # that the newest ones show.
 MAX_CRASHES = 256
 MAX_PROMPTS_PER_CRASH = 64
+FORGOTTEN_AT_ONCE = 32
+# Crashes of one part above which a further one makes none of them more worth keeping.
+MAX_WEIGHT = 4
+# Crashes within this time count as one: a power loss or a kill takes many engines at
+# the same moment, whatever they run.
+SAME_MOMENT_S = 0.3
 RETENTION_S = 3600.0
 # An answer that began this long before a crash still clears its parts: a part that
 # crashes engines does so each time, and reports of other entries arrive late.
@@ -92,7 +98,7 @@
         before = () if known is None else known.prompts
         added = [p for p in prompts if p not in before and self.candidates(p, at)]
         united = (*before, *dict.fromkeys(added))[:MAX_PROMPTS_PER_CRASH]
-        if united == before:
+        if united == before or (known is None and not self._tells_more(added, at)):
             return False
         at = at if known is None else min(at, known.at)
         self.crashes[server] = CrashRecord(united, at)
@@ -103,6 +109,17 @@
         self._limit_count()
         return server in self.crashes
 
+    def _tells_more(self, prompts: Iterable[SharedPrompt], at: float) -> bool:
+        """Whether a crash adds a moment to those of any part of its prompts."""
+        parts = {p for prompt in prompts for p in self.candidates(prompt, at)}
+        return any(
+            all(
+                abs(self.crashes[server].at - at) >= SAME_MOMENT_S
+                for server in self.crashes_by_part.get(part, ())
+            )
+            for part in parts
+        )
+
     def add_sound(self, part: str, began_at: float) -> bool:
         """Record that an engine began an answer on a part and went on.
 
@@ -179,10 +196,25 @@
                 self._forget(server)
 
     def _limit_count(self) -> None:
-        while len(self.crashes) > MAX_CRASHES:
-            oldest = min(self.crashes, key=lambda server: self.crashes[server].at)
-            log.warning("too many engine crashes to keep", forgotten=oldest)
-            self._forget(oldest)
+        """Forget some crashes if there are too many, the least telling ones first."""
+        if len(self.crashes) <= MAX_CRASHES:
+            return
+        by_weight = sorted(
+            self.crashes, key=lambda server: (self._weight(server), self._at(server))
+        )
+        for server in by_weight[:FORGOTTEN_AT_ONCE]:
+            self._forget(server)
+        log.warning("too many engine crashes to keep", forgotten=FORGOTTEN_AT_ONCE)
+
+    def _weight(self, server: str) -> int:
+        """Return the most crashes of any part that may have caused this one."""
+        crash = self.crashes[server]
+        parts = {p for x in crash.prompts for p in self.candidates(x, crash.at)}
+        counts = [len(self.crashes_by_part[part]) for part in parts]
+        return min(max(counts, default=0), MAX_WEIGHT)
+
+    def _at(self, server: str) -> float:
+        return self.crashes[server].at
 
     def _forget(self, server: str) -> None:
         record = self.crashes.pop(server)
--- a/monsoontack/admission/promptblame.py
+++ b/monsoontack/admission/promptblame.py
@@ -11,14 +11,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from monsoontack.admission.crashrecords import CrashRecords
+from monsoontack.admission.crashrecords import SAME_MOMENT_S, CrashRecords
 
 # Crashes that blame a part. The users' rule counts from the fifth crash; an engine that
 # crashes by itself under one prompt three times in a row is far rarer.
 MIN_CRASHES = 3
-# Crashes within this time count as one: a power loss or a kill takes many engines at
-# the same moment, whatever they run.
-SAME_MOMENT_S = 0.3
 # A blamed part is blocked for this time after its last crash, then one request with it
 # is tried. The time doubles with each trial that crashes an engine, up to the maximum.
 BLOCK_S = 120.0
