Tell deadly parts from shared parts, kills and other accounts apart

- a first part shared by two deadly prompts added up the crashes of both and was blamed;
- the blame of one deadly part took the crashes that another one needed, and freed it;
- engines killed in waves took a rare part three times;
- a second account of a deadly part sent two requests at once, each to two engines.

Later parts are now looked at first, a part is not blamed for what one later part explains as well, crashes count for all parts that need them, crashes without a suspect are recorded and ask for five crashes instead of three, and accounts that a block leaves out try the part one request at a time. Each has a unit test.

--- a/monsoontack/admission/crashrecords.py
+++ b/monsoontack/admission/crashrecords.py
@@ -23,6 +23,7 @@
 MAX_CRASHES = 256
 MAX_PROMPTS_PER_CRASH = 64
 FORGOTTEN_AT_ONCE = 32
+MAX_CRASHES_OF_A_MOMENT = 8
 # Crashes of one part above which a further one makes none of them more worth keeping.
 MAX_WEIGHT = 4
 # Crashes within this time count as one: a power loss or a kill takes many engines at
@@ -92,13 +93,17 @@
     ) -> bool:
         """Record a crash, or further prompts of a known one; return if anything is new.
 
-        Prompts of which no part can have caused the crash are left out.
+        Prompts of which no part can have caused the crash are left out. A crash without
+        any prompt shows that engines crash for other reasons.
         """
         known = self.crashes.get(server)
         before = () if known is None else known.prompts
         added = [p for p in prompts if p not in before and self.candidates(p, at)]
         united = (*before, *dict.fromkeys(added))[:MAX_PROMPTS_PER_CRASH]
-        if united == before or (known is None and not self._tells_more(added, at)):
+        if known is None:
+            if self._is_mass_event(at):
+                return False
+        elif united == before:
             return False
         at = at if known is None else min(at, known.at)
         self.crashes[server] = CrashRecord(united, at)
@@ -109,16 +114,10 @@
         self._limit_count()
         return server in self.crashes
 
-    def _tells_more(self, prompts: Iterable[SharedPrompt], at: float) -> bool:
-        """Whether a crash adds a moment to those of any part of its prompts."""
-        parts = {p for prompt in prompts for p in self.candidates(prompt, at)}
-        return any(
-            all(
-                abs(self.crashes[server].at - at) >= SAME_MOMENT_S
-                for server in self.crashes_by_part.get(part, ())
-            )
-            for part in parts
-        )
+    def _is_mass_event(self, at: float) -> bool:
+        """Whether so many engines crashed at this moment that more tell nothing."""
+        same = sum(abs(c.at - at) < SAME_MOMENT_S for c in self.crashes.values())
+        return same >= MAX_CRASHES_OF_A_MOMENT
 
     def add_sound(self, part: str, began_at: float) -> bool:
         """Record that an engine began an answer on a part and went on.
--- a/monsoontack/admission/promptguard.py
+++ b/monsoontack/admission/promptguard.py
@@ -3,7 +3,8 @@
 `PromptGuard` joins what all entries know of crashes (`crashrecords`) with the search
 for the parts that explain them (`promptblame`). It refuses requests with a blocked
 part, lets one entry at a time try a part whose block has ended, and bounds how many
-engines a request may take down before any part is blamed.
+engines a request may take down before any part is blamed. Accounts whose requests have
+not crashed an engine on a blamed part may try it at once, also one at a time.
 """
 
 import math
@@ -30,8 +31,11 @@
 MAX_BROKEN_OFF = 2
 # Parts remembered as sound, the latest ones: those of some minutes at the entry.
 MAX_SOUND_PARTS = 4096
-# A trial whose outcome nobody reported in this time is over.
+# A trial whose outcome nobody reported in this time is over; most end in the other.
 TRIAL_S = 20.0
+USUAL_TRIAL_S = 3.0
+# Callers that come back for a trial must not arrive just before its time.
+MIN_RETRY_AFTER_S = 1.0
 # Each entry in the order for a part waits this much longer than the one before it, so
 # that the news of a trial reach an entry before its own turn.
 TURN_S = 2.0
@@ -57,7 +61,10 @@
     def note_crash(
         self, server: str, prompts: Iterable[SharedPrompt], at: float
     ) -> None:
-        """Record that an engine crashed with these prompts not yet going on."""
+        """Record that an engine crashed with these prompts not yet going on.
+
+        Without prompts, the crash had another cause.
+        """
         since = at - SOUND_BEFORE_CRASH_S
         prompts = [
             prompt
@@ -100,24 +107,23 @@
         """Whether a request must not be sent, or be given up if it was sent."""
         if not self.blamed:
             return False
-        return any(True for _ in self._blames(prompt))
+        return any(b.concerns(prompt.account) for _, b in self._blames(prompt))
 
     def refusal(self, prompt: SharedPrompt, now: float) -> RequestError | None:
         """Return the error of a request that was not sent and must not be."""
-        waits = [self._wait_s(part, blame, now) for part, blame in self._blames(prompt)]
+        waits = self._waits(prompt, now)
         if not waits:
             return None
         message = "a part of the prompt crashes the engines that answer it"
-        # A caller that comes back for the trial must not find its time unexpired.
-        retry_after_s = max(max(waits), 1.0)
+        retry_after_s = max(*waits, MIN_RETRY_AFTER_S)
         return RequestError(503, "prompt_blocked", message, retry_after_s=retry_after_s)
 
     def take_trial(self, prompt: SharedPrompt, now: float) -> bool:
         """Whether this request may be the one that tries its blocked parts again."""
-        blames = list(self._blames(prompt))
-        if not blames or any(self._wait_s(part, b, now) > 0 for part, b in blames):
+        waits = self._waits(prompt, now)
+        if not waits or max(waits) > 0:
             return False
-        for part, blame in blames:
+        for part, blame in self._blames(prompt):
             self.records.add_trial(part, now)
             log.warning(
                 "blocked part of prompts tried again",
@@ -134,7 +140,7 @@
 
         `broken_off` counts the engines that broke off before they went on answering.
         """
-        if self.is_blocked(prompt):
+        if any(True for _ in self._blames(prompt)):
             return False
         if broken_off < MAX_BROKEN_OFF:
             return True
@@ -143,14 +149,25 @@
     def _blames(self, prompt: SharedPrompt) -> Iterable[tuple[str, Blame]]:
         for part in prompt.parts:
             blame = self.blamed.get(part)
-            if blame is not None and blame.concerns(prompt.account):
+            if blame is not None:
                 yield part, blame
 
-    def _wait_s(self, part: str, blame: Blame, now: float) -> float:
-        """Return how long this entry has to wait before it may try a part again."""
+    def _waits(self, prompt: SharedPrompt, now: float) -> list[float]:
+        """Return how long this entry has to wait to try each blamed part again."""
+        return [
+            self._wait_s(part, blame, now)
+            if blame.concerns(prompt.account)
+            else min(self._trial_ends_at(part) - now, USUAL_TRIAL_S)
+            for part, blame in self._blames(prompt)
+        ]
+
+    def _trial_ends_at(self, part: str) -> float:
         trial_at = self.records.parts.get(part, NO_RECORD).trial_at
-        is_tried = trial_at is not None
-        may_try_at = max(blame.until, trial_at + TRIAL_S) if is_tried else blame.until
+        return -math.inf if trial_at is None else trial_at + TRIAL_S
+
+    def _wait_s(self, part: str, blame: Blame, now: float) -> float:
+        """Return the wait for accounts that the blame concerns."""
+        may_try_at = max(blame.until, self._trial_ends_at(part))
         if now >= may_try_at:
             may_try_at += TURN_S * self._turn(part)
         return may_try_at - now
--- a/monsoontack/admission/promptguard_test.py
+++ b/monsoontack/admission/promptguard_test.py
@@ -4,7 +4,12 @@
 import unittest
 
 from monsoontack.admission.crashrecords import MAX_CRASHES
-from monsoontack.admission.promptblame import BLOCK_S, MAX_BLOCK_S, MIN_CRASHES
+from monsoontack.admission.promptblame import (
+    BLOCK_S,
+    MAX_BLOCK_S,
+    MIN_CRASHES,
+    MIN_CRASHES_AMONG_OTHERS,
+)
 from monsoontack.admission.promptguard import (
     MAX_BROKEN_OFF,
     MAX_SOUND_PARTS,
@@ -105,6 +110,26 @@
         crash(guard, [SOUND], 10.0, count=20, gap_s=0.01)
         self.assertEqual({}, guard.blamed)
 
+    def test_waves_of_kills_do_not_blame_a_part_that_was_at_some(self):
+        """Guards against blame for a rare part that kills happened to take thrice."""
+        guard = make_guard()
+        for wave in range(4):
+            for number in range(5):
+                prompt = SharedPrompt("shop", (f"part-{wave}-{number}",))
+                prompts = [SOUND] if number == 0 else [prompt]
+                at = 10.0 + 2.0 * wave + 0.01 * number
+                guard.note_crash(f"engine-{wave}-{number}", prompts, at)
+        self.assertEqual({}, guard.blamed)
+
+    def test_deadly_part_is_found_among_kills(self):
+        """Guards against a deadly part that kills of other engines hide."""
+        guard = make_guard()
+        for number in range(30):
+            prompt = SharedPrompt("shop", (f"part-{number}",))
+            guard.note_crash(f"killed-{number}", [prompt], 10.0 + 0.1 * number)
+        crash(guard, [DEADLY], 10.0, count=MIN_CRASHES_AMONG_OTHERS)
+        self.assertEqual({"deadly"}, set(guard.blamed))
+
     def test_part_that_was_sound_before_can_become_deadly(self):
         """Guards against a part that stays trusted since it was answered once."""
         guard = make_guard()
@@ -122,6 +147,33 @@
         guard.note_sound(SOUND, 13.0)
         self.assertEqual({"deadly", "deadly-2"}, set(guard.blamed))
 
+    def test_first_part_of_several_deadly_prompts_is_not_blamed(self):
+        """Guards against a shared first part that adds up the crashes of two parts."""
+        guard = make_guard()
+        for number in range(MIN_CRASHES):
+            for part in ("deadly-1", "deadly-2"):
+                prompt = SharedPrompt("shop", (SHARED, part))
+                at = 10.0 + number + (0.5 if part == "deadly-2" else 0.0)
+                guard.note_crash(f"{part}-{number}", [prompt], at)
+        self.assertEqual({"deadly-1", "deadly-2"}, set(guard.blamed))
+
+    def test_shared_part_waits_for_the_verdict_on_the_part_after_it(self):
+        """Guards against a first part blamed since the later one has fewer crashes."""
+        guard = make_guard()
+        second = SharedPrompt("shop", (SHARED, "deadly-2"))
+        crash(guard, [DEADLY], 10.0)
+        crash(guard, [second], 20.0, count=MIN_CRASHES - 1)
+        self.assertEqual({"deadly"}, set(guard.blamed))
+
+    def test_part_stays_blamed_when_another_one_explains_some_crashes(self):
+        """Guards against a block that ends since two deadly parts met at an engine."""
+        guard = make_guard()
+        second = SharedPrompt("depot", ("other", "deadly-2"))
+        crash(guard, [DEADLY], 10.0, count=MIN_CRASHES - 1)
+        guard.note_crash("engine-both", [DEADLY, second], 12.5)
+        crash(guard, [second], 13.0, count=MIN_CRASHES + 1)
+        self.assertEqual({"deadly", "deadly-2"}, set(guard.blamed))
+
     def test_first_part_can_be_the_deadly_one(self):
         """Guards against a part that is never blamed since others follow it."""
         guard = make_guard()
@@ -138,6 +190,21 @@
         crash(guard, [DEADLY], 10.0, count=20)
         self.assertTrue(guard.is_blocked(DEADLY))
         self.assertFalse(guard.is_blocked(OTHER_ACCOUNT))
+        self.assertTrue(guard.take_trial(OTHER_ACCOUNT, 30.0))
+        guard.note_sound(OTHER_ACCOUNT, 31.0)
+        self.assertIsNone(guard.refusal(OTHER_ACCOUNT, 32.0))
+
+    def test_other_accounts_try_a_blamed_part_one_at_a_time(self):
+        """Guards against a crash for each account, and for each of its requests."""
+        guards = [make_guard(name) for name in NAMES]
+        crash(guards[0], [DEADLY], 10.0)
+        exchange(guards, 12.0)
+        self.assertTrue(guards[2].take_trial(OTHER_ACCOUNT, 20.0))
+        exchange(guards, 20.1)
+        for guard in guards:
+            self.assertFalse(guard.take_trial(OTHER_ACCOUNT, 20.2))
+            self.assertLess(guard.refusal(OTHER_ACCOUNT, 20.2).retry_after_s, 5.0)
+        self.assertFalse(guards[2].may_repeat(OTHER_ACCOUNT, 1))
 
     def test_presence_at_the_crashes_of_another_account_is_no_evidence(self):
         """Guards against an account blamed since its request ran beside."""
--- a/monsoontack/gateway/crashdetector.py
+++ b/monsoontack/gateway/crashdetector.py
@@ -51,15 +51,17 @@
     lost: dict[str, list[SharedPrompt]] = field(default_factory=dict)
     tasks: set[asyncio.Task] = field(default_factory=set)
 
-    def note_broken_off(self, member: Member, prompt: SharedPrompt) -> None:
-        """Note that an engine broke off before it went on answering a prompt."""
-        if not prompt.parts:
-            return
-        prompts = self.lost.get(member.limit_key)
-        if prompts is not None:
+    def note_broken_off(self, member: Member, prompt: SharedPrompt | None) -> None:
+        """Note that an engine broke off a stream.
+
+        `prompt` is None if the engine had gone on answering before.
+        """
+        is_checked = member.limit_key in self.lost
+        prompts = self.lost.setdefault(member.limit_key, [])
+        if prompt is not None and prompt.parts:
             prompts.append(prompt)
+        if is_checked:
             return
-        self.lost[member.limit_key] = [prompt]
         task = asyncio.ensure_future(self._check(member))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -312,9 +312,9 @@
             record.result = "complete" if loss is None else loss.reason
             if loss is not None:
                 loss.has_gone_on = relay.has_gone_on
-                if loss.is_broken_off and not relay.has_gone_on:
-                    detector = self.forwarder.crash_detector
-                    detector.note_broken_off(member, job.shared_prompt)
+                if loss.is_broken_off:
+                    suspect = None if relay.has_gone_on else job.shared_prompt
+                    self.forwarder.crash_detector.note_broken_off(member, suspect)
             elif relay.began_at is not None and not relay.has_gone_on:
                 self.guard.note_sound(job.shared_prompt, relay.began_at)
             job.may_have_run |= loss is None or not loss.not_run
