Check in the soak that deadly prompt parts end few engines

Callers of the soak now send prompts with a shared part, and for some time with one that ends the engines which begin to answer it, beside all other faults. Checked: no request ends more than two engines, and after five crashes a part is sent at most three times by gateways that got no signal in the 4 s before.

An engine that started again before its connections were seen to break was not known to have crashed; its new start now shows it (unit test of the detector, failed before).

--- a/monsoontack/gateway/crashdetector.py
+++ b/monsoontack/gateway/crashdetector.py
@@ -1,7 +1,8 @@
 """Finds out whether an engine's process ended under the streams that it broke off.
 
 A broken connection alone says little: a link, a proxy or the engine itself may have
-closed it. The engine's process has ended if a new connection is refused at once.
+closed it. The engine's process has ended if a new connection is refused at once, or if
+the engine has started again.
 Engines that leave by plan, and those of a failure domain that was lost as a whole, are
 left out.
 """
@@ -75,7 +76,8 @@
             prompts = self.lost.pop(member.limit_key)
         now = self.sender.now()
         reason = self._reason_against(member, lost_at, now)
-        has_ended = failure is not None and failure.is_refused
+        is_refused = failure is not None and failure.is_refused
+        has_ended = is_refused or member.restarted
         log.info(
             "engine broke off streams",
             server=member.server.incarnation,
@@ -90,7 +92,7 @@
     def _reason_against(self, member: Member, lost_at: float, now: float) -> str | None:
         """Return why the end of an engine is no crash of its own, if it is none."""
         fleet = self.sender.fleet
-        if not fleet.is_current(member):
+        if not (fleet.is_current(member) or member.restarted):
             return "the engine left"
         if member.last_byte_at > lost_at:
             return "the engine went on answering"
--- a/monsoontack/gateway/crashdetector_test.py
+++ b/monsoontack/gateway/crashdetector_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from monsoontack.admission.sharedprompt import SharedPrompt
 from monsoontack.core.virtualtime import run_in_virtual_time
@@ -57,6 +58,18 @@
         found = self.crashes(REFUSED, [FIRST], lambda fleet: fleet.remove("s1"))
         self.assertEqual([], found)
 
+    def test_engine_that_started_again_has_crashed(self):
+        """Guards against a crash that is missed since the engine is back at once."""
+
+        def restart(fleet):
+            server = fleet.members["s1"].server
+            fleet.put(
+                replace(server, started_unix_ms=server.started_unix_ms + 1), False
+            )
+
+        found = self.crashes(serves, [FIRST], restart)
+        self.assertEqual([(FIRST,)], [crash.prompts for crash in found])
+
     def test_loss_of_a_failure_domain_is_no_crash(self):
         """Guards against blame for what ran when a failure domain was lost."""
 
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -125,7 +125,7 @@
             reason = self._reason_to_give_up()
             if reason is not None:
                 exchange.abort()
-                return StreamLoss(reason)
+                return StreamLoss(reason, is_broken_off=self.member.restarted)
             silence = await self._detect_silence()
             if silence is not None:
                 run.forwarder.fleet.note_unreachable(self.member, run.now())
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,7 @@
 KINDS = ("once", "look", "stream")
 CALL_TIMEOUT_S = 8.0
 MAX_REQUEST_GAP_S = 0.15
+DEADLY_SHARE = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,10 +34,14 @@
 
 @dataclass(slots=True)
 class Callers:
-    """Callers of all gateways; `observed` lists all requests they have sent."""
+    """Callers of all gateways; `observed` lists all requests they have sent.
+
+    `prompt_rng` decides which streams have a part that crashes engines.
+    """
 
     environment: SoakEnvironment
     rng: random.Random
+    prompt_rng: random.Random
     observed: list[ObservedRequest] = field(default_factory=list)
     request_count: int = 0
     stopping: bool = False
@@ -55,12 +60,17 @@
         """Send one request, then record and return its observed result."""
         self.request_count += 1
         request_id = f"{kind}-{self.request_count}"
+        deadly_part = None
+        if kind == "stream" and self.prompt_rng.random() < DEADLY_SHARE:
+            deadly_part = self.environment.deadly_part
+        parts = ["instructions", deadly_part, request_id]
+        prompt = ",".join(f"{part}:400" for part in parts if part is not None)
         sent_at = asyncio.get_running_loop().time()
         status, complete, body = 0, False, b""
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 status, body, complete = await self._read(
-                    gateway, kind, key, request_id
+                    gateway, kind, key, request_id, prompt
                 )
         except (aiohttp.ClientError, TimeoutError, OSError):
             complete = False
@@ -69,14 +79,19 @@
         return found
 
     async def _read(
-        self, gateway: GatewayProcess, kind: str, key: str, request_id: str
+        self,
+        gateway: GatewayProcess,
+        kind: str,
+        key: str,
+        request_id: str,
+        prompt: str,
     ) -> tuple[int, bytes, bool]:
         headers = {
             "Host": "desk.example",
             "X-Monsoontack-Request-Id": request_id,
             "X-Monsoontack-Deadline-Ms": "6000",
             "X-Monsoontack-Token-Usage": "800,300",
-            "X-Monsoontack-Prefix-Hash": f"{request_id}:800",
+            "X-Monsoontack-Prefix-Hash": prompt,
             "Authorization": f"Token {key}",
         }
         url = f"{gateway.front}/{kind}/x"
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -9,6 +9,7 @@
 import signal
 import tempfile
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -45,11 +46,12 @@
     engine: DirectEngine
     proxy: FaultProxy
     listener: asyncio.Server
+    address: str = ""
+    on_new_engine: Callable[["ProxiedEngine"], None] = lambda proxied: None
 
-    @property
-    def address(self) -> str:
-        """Return the proxy's address, which gateways connect to."""
-        return f"127.0.0.1:{self.listener.sockets[0].getsockname()[1]}"
+    def __post_init__(self) -> None:
+        """Keep the proxy's address, which gateways connect to."""
+        self.address = f"127.0.0.1:{self.listener.sockets[0].getsockname()[1]}"
 
     def entry(self, state: str = "ready") -> dict:
         """Return the engine's entry in the store."""
@@ -73,7 +75,9 @@
     `blocked_intervals` lists the intervals, in the event loop's time, in which a link
     fault or a paused gateway may have kept an engine's bytes from the gateway that
     would have closed the connection. `limit_spans` lists engines that stated a limit:
-    engine, requests a second, and the times of the beginning and end.
+    engine, requests a second, and the times of the beginning and end. `deadly_part` is
+    the part of prompts that crashes engines at present, `disturbed_at` lists when a
+    gateway got a signal or was started.
     """
 
     store: SimulatedPlatformStore = field(default_factory=SimulatedPlatformStore)
@@ -90,6 +94,8 @@
     limit_spans: list[tuple[DirectEngine, float, float, float]] = field(
         default_factory=list
     )
+    deadly_part: str | None = None
+    disturbed_at: list[float] = field(default_factory=list)
     engine_count: int = 0
     folder: tempfile.TemporaryDirectory = field(
         default_factory=tempfile.TemporaryDirectory
@@ -163,6 +169,7 @@
         await old.close()
         await asyncio.sleep(down_s)
         proxied.engine = await self._new_engine()
+        proxied.on_new_engine(proxied)
         proxied.proxy.port = int(proxied.engine.address.rpartition(":")[2])
         self.store.put("servers", proxied.engine.name, proxied.entry())
         await asyncio.sleep(ENTRY_EXPIRY_S)
@@ -183,6 +190,7 @@
             await asyncio.sleep(RESTART_DELAY_S)
             if not self.closing:
                 await gateway.spawn()
+                self.disturbed_at.append(asyncio.get_running_loop().time())
                 self.spawned_at[gateway.process.pid] = time.monotonic()
 
     def signal(self, gateway: GatewayProcess, number: signal.Signals) -> None:
@@ -191,6 +199,7 @@
         if number is signal.SIGHUP and process_age_s < INTERPRETER_START_S:
             return
         if gateway.process.returncode is None:
+            self.disturbed_at.append(asyncio.get_running_loop().time())
             if number in (signal.SIGKILL, signal.SIGTERM):
                 self.expected_exit_pids.add(gateway.process.pid)
             gateway.process.send_signal(number)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -1,6 +1,6 @@
 """Documented guarantees, checked against the observations of callers and engines."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from bench.limitmodel import (
     SETTLE_S,
@@ -8,6 +8,8 @@
     allowed_arrivals,
     most_arrivals,
 )
+from bench.promptmodel import CRASHES_TO_LEARN, MAX_LATE_ARRIVALS
+from monsoontack.admission.promptguard import MAX_BROKEN_OFF
 from soak.callers import ObservedRequest
 from soak.environment import MEMORY_LIMIT_MB, SoakEnvironment
 from standins.directengine import SSE_COMMENT, EndlessResponse, make_event
@@ -49,6 +51,17 @@
         violations += _check_key(environment, item, runs[item.request_id])
     for engine, limit, began_at, ended_at in environment.limit_spans:
         violations += _check_limit(engine, limit, began_at, ended_at)
+    violations += _check_late_arrivals(environment)
+    crashes = Counter(
+        request_id
+        for engine in environment.engines
+        for *_, request_id in engine.crashes
+    )
+    violations += [
+        f"{request_id} crashed {count} engines"
+        for request_id, count in crashes.items()
+        if count > MAX_BROKEN_OFF
+    ]
     known = {item.request_id for item in observed}
     violations += [
         f"{name} ran, but nobody sent it" for name in set(runs) - known if runs[name]
@@ -56,6 +69,32 @@
     return violations
 
 
+def _check_late_arrivals(environment: SoakEnvironment) -> list[str]:
+    """Return the deadly parts that were sent too often after five crashes on them.
+
+    What a gateway sends soon after a signal or a start does not count: it may not have
+    heard of the crashes.
+    """
+    arrivals, crashes = defaultdict(list), defaultdict(list)
+    for engine in environment.engines:
+        for part, at in engine.deadly_arrivals:
+            arrivals[part].append(at)
+        for part, at, _ in engine.crashes:
+            crashes[part].append(at)
+    violations = []
+    for part, times in crashes.items():
+        since = sorted(times)[:CRASHES_TO_LEARN][-1] + WINDOW_S
+        late = [
+            at
+            for at in arrivals[part]
+            if at > since
+            and not any(at - WINDOW_S < x <= at for x in environment.disturbed_at)
+        ]
+        if len(times) >= CRASHES_TO_LEARN and len(late) > MAX_LATE_ARRIVALS:
+            violations.append(f"{part} was sent {len(late)} times after five crashes")
+    return violations
+
+
 def _check_limit(engine, limit: float, began_at: float, ended_at: float) -> list[str]:
     """Return a violation if the engine got more requests than its limit allows."""
     arrivals = [at for at in engine.arrivals if at < ended_at]
--- a/soak/invariants_test.py
+++ b/soak/invariants_test.py
@@ -17,11 +17,16 @@
     memory=(),
     blocked_intervals=(),
     limit_spans=(),
+    deadly_arrivals=(),
+    crashes=(),
+    disturbed_at=(),
 ):
     engine = SimpleNamespace(
         name="e1",
         runs=[(r, {}, b"") for r in runs],
         endless_responses=list(endless_responses),
+        deadly_arrivals=list(deadly_arrivals),
+        crashes=list(crashes),
     )
     return SimpleNamespace(
         engines=[engine],
@@ -30,6 +35,7 @@
         memory_mb=lambda: list(memory),
         blocked_intervals=list(blocked_intervals),
         limit_spans=list(limit_spans),
+        disturbed_at=list(disturbed_at),
     )
 
 
@@ -123,6 +129,28 @@
         self.assertEqual(1, len(found))
         self.assertIn("got 18 requests in 4 s; allowed 17.0", found[0])
 
+    def test_request_that_crashes_a_third_engine(self):
+        """Guards against a check that misses repeats of a deadly request."""
+        crashes = [("p", 10.0 + number, "stream-1") for number in range(2)]
+        self.assertEqual([], find_violations(environment(crashes=crashes), []))
+        crashes.append(("p", 12.0, "stream-1"))
+        self.assertEqual(1, len(find_violations(environment(crashes=crashes), [])))
+
+    def test_deadly_part_that_is_sent_on_after_five_crashes(self):
+        """Guards against a check that misses late sends, or counts those of a gateway
+        that has just started."""
+        crashes = [("p", 10.0 + number, f"stream-{number}") for number in range(5)]
+        arrivals = [("p", at) for at in (17.9, 18.1, 18.2, 18.3)]
+        found = environment(deadly_arrivals=arrivals, crashes=crashes)
+        self.assertEqual([], find_violations(found, []))
+        arrivals.append(("p", 18.4))
+        found = environment(deadly_arrivals=arrivals, crashes=crashes)
+        self.assertEqual(1, len(find_violations(found, [])))
+        found = environment(
+            deadly_arrivals=arrivals, crashes=crashes, disturbed_at=[15.0]
+        )
+        self.assertEqual([], find_violations(found, []))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 from soak.faults import Faults
 from soak.invariants import find_violations
 from soak.limitfaults import LimitFaults
+from soak.promptfaults import PromptFaults
 from soak.responsefaults import ResponseFaults
 
 CALLER_COUNT = 12
@@ -40,15 +41,19 @@
     try:
         await environment.start()
         rng = random.Random(seed)
-        callers = Callers(environment, random.Random(rng.random()))
+        callers = Callers(environment, random.Random(rng.random()), random.Random(seed))
         faults = Faults(environment, random.Random(rng.random()))
         response_faults = ResponseFaults(environment, random.Random(rng.random()))
         tasks = [
             asyncio.ensure_future(callers.run_caller()) for _ in range(CALLER_COUNT)
         ]
         limit_faults = LimitFaults(environment, random.Random(rng.random()))
+        prompt_faults = PromptFaults(environment, random.Random(rng.random()))
         await asyncio.gather(
-            faults.run(seconds), response_faults.run(seconds), limit_faults.run(seconds)
+            faults.run(seconds),
+            response_faults.run(seconds),
+            limit_faults.run(seconds),
+            prompt_faults.run(seconds),
         )
         unserved = await _unrecovered_routes(environment, callers)
         callers.stopping = True
@@ -57,6 +62,7 @@
         statuses = Counter(item.status for item in callers.observed)
         violations = find_violations(environment, callers.observed)
         counts = faults.counts + response_faults.counts + limit_faults.counts
+        counts += prompt_faults.counts
         return SoakResult(seed, counts, statuses, violations, unserved)
     finally:
         await environment.close()
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -13,8 +13,8 @@
 A prompt with one of the `deadly_parts` ends the process once the prompt was read: the
 engine resets all connections and refuses new ones for `restart_s`, then it starts again
 under a new name. `deadly_arrivals` lists the part and time of such prompts that
-arrived, `crashes` of those that ended the process; `on_restart` is called after each
-new start.
+arrived, `crashes` the part, time and request of those that ended the process.
+`on_crash` is called before the process ends, `on_restart` after each new start.
 """
 
 import asyncio
@@ -72,9 +72,10 @@
     arrivals: list[float] = field(default_factory=list)
     deadly_parts: frozenset[str] = frozenset()
     deadly_arrivals: list[tuple[str, float]] = field(default_factory=list)
-    crashes: list[tuple[str, float]] = field(default_factory=list)
+    crashes: list[tuple[str, float, str]] = field(default_factory=list)
     read_prompt_s: float = 0.0
     restart_s: float = 1.0
+    on_crash: Callable[["DirectEngine"], None] = lambda engine: None
     on_restart: Callable[["DirectEngine"], None] = lambda engine: None
     tasks: set[asyncio.Task] = field(default_factory=set)
     address: str = ""
@@ -102,11 +103,13 @@
         self.listener.close()
         self.server.abort_all()
 
-    def crash(self, part: str = "") -> None:
+    def crash(self, part: str = "", request_id: str = "") -> None:
         """End the process, and start it anew under another name after a while."""
         if not self.listener.is_serving():
             return
-        self.crashes.append((part, asyncio.get_running_loop().time()))
+        now = asyncio.get_running_loop().time()
+        self.crashes.append((part, now, request_id))
+        self.on_crash(self)
         self.listener.close()
         self.server.abort_all()
         task = asyncio.ensure_future(self._restart())
@@ -215,7 +218,7 @@
             self.disconnected_requests.append(headers[REQUEST_ID_HEADER].decode())
             return
         if deadly_part is not None:
-            self.crash(deadly_part)
+            self.crash(deadly_part, headers[REQUEST_ID_HEADER].decode())
             return
         responder.begin(
             200, (*response_headers, (b"content-type", b"text/event-stream"))
--- a/tests/crashingparts_test.py
+++ b/tests/crashingparts_test.py
@@ -121,7 +121,7 @@
     def learned_at(self, part):
         """Return when the fifth engine crashed on a part, or the last if fewer did."""
         crashes = [c for engine in self.engines for c in engine.crashes]
-        times = sorted(at for found, at in crashes if found == part)
+        times = sorted(at for found, at, _ in crashes if found == part)
         return times[min(CRASHES_TO_LEARN, len(times)) - 1]
 
     def late_arrivals(self, part):
