Do not end a stream as whole when its engine fell before the first event

An answer may have neither a length nor chunks and end with its connection. If the engine ended after the head of such an answer, the caller got an empty success: nothing but the end of the connection marked the end of the answer. Such a stream is now lost and goes on elsewhere, unless it continues an earlier one, which may have nothing left.

streams_test: the end before the first event gave status 200 before and 502 now. The other three cases passed before and after: an end after a whole event completes the stream, an end inside an event and a reset after one are losses.

--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -76,7 +76,8 @@
     """One request and its response.
 
     `has_head` is true once the head of the response has arrived. Body data collects in
-    `parts`. `wait` returns at the next change of state or after its timeout. `on_head`
+    `parts`. `ends_with_connection` marks a response without length or chunks. `wait`
+    returns at the next change of state or after its timeout. `on_head`
     is called once when the head arrives, even if nobody waits for the response.
     """
 
@@ -85,6 +86,7 @@
         self.status = 0
         self.headers: Headers = ()
         self.has_head = False
+        self.ends_with_connection = False
         self.parts: deque[bytes] = deque()
         self.buffered_bytes = 0
         self.is_complete = False
@@ -289,6 +291,7 @@
         self.is_skipping_response = False
         self._set_framing(status)
         exchange.status, exchange.headers = status, self.headers
+        exchange.ends_with_connection = self.is_close_delimited
         exchange.has_head = True
         if exchange.on_head is not None:
             exchange.on_head(exchange)
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -303,6 +303,9 @@
             return StreamLoss(str(FailureKind.CLOSED), is_broken_off=True)
         if self.splitter.buffer:
             return StreamLoss("stopped inside an event", is_broken_off=True)
+        if exchange.ends_with_connection and self.run.last_id is None:
+            # Without length, chunks or events, nothing tells an answer from a crash.
+            return StreamLoss("ended before the first event", is_broken_off=True)
         if not self.job.responder.head_sent:
             self.job.responder.begin(
                 self.response_head.status, self.response_head.forwarded
--- a/monsoontack/gateway/streams_test.py
+++ b/monsoontack/gateway/streams_test.py
@@ -97,6 +97,60 @@
     return run_in_virtual_time(scenario())
 
 
+def unframed_script(parts, failure=None):
+    """Return the script of an engine whose answer ends with its connection."""
+
+    async def play(exchange, attempt):
+        await asyncio.sleep(0.1)
+        exchange.ends_with_connection = True
+        exchange.answer(200)
+        for part in parts if attempt.last_event_id is None else ():
+            exchange.add_body(part)
+            await asyncio.sleep(GAP_S)
+        if attempt.last_event_id is not None:
+            for number in range(int(attempt.last_event_id) + 1, EVENTS + 1):
+                exchange.add_body(make_event(number))
+        if failure is not None and attempt.last_event_id is None:
+            exchange.fail(failure, True, "reset")
+            return
+        exchange.end()
+
+    return play
+
+
+class UnframedAnswerTest(unittest.TestCase):
+    """Streams with neither a length nor chunks."""
+
+    def serve(self, parts, failure=None):
+        script = unframed_script(parts, failure)
+        _, job = serve_stream(dict.fromkeys(("s1", "s2", "s3"), script))
+        return job
+
+    def test_end_of_the_connection_after_an_event_completes_the_stream(self):
+        """Guards against whole answers without a length that count as broken off."""
+        job = self.serve([ALL_EVENTS])
+        self.assertEqual(ALL_EVENTS, job.responder.body)
+        self.assertTrue(job.responder.finished)
+        self.assertEqual(1, len(job.tries))
+
+    def test_end_inside_an_event_is_a_loss(self):
+        """Guards against a stream that ends as whole although its engine fell."""
+        job = self.serve([make_event(1), make_event(2)[:8]])
+        self.assertEqual(ALL_EVENTS, job.responder.body)
+        self.assertGreater(len(job.tries), 1)
+
+    def test_reset_after_an_event_is_a_loss(self):
+        """Guards against a reset that is taken for the end of the answer."""
+        job = self.serve([make_event(1)], FailureKind.RESET)
+        self.assertEqual(ALL_EVENTS, job.responder.body)
+        self.assertGreater(len(job.tries), 1)
+
+    def test_end_before_the_first_event_is_a_loss(self):
+        """Guards against an empty success for an engine that ended at once."""
+        job = self.serve([])
+        self.assertEqual(502, job.responder.status)
+
+
 class EngineLossTest(unittest.TestCase):
     """Loss of the engine during a stream."""
 
