Log and count restorations of the store, and lists that a feed refuses

The logs of the incident could not say that the store was restored, nor why a list was not taken: only the first failure of an outage is logged with its reason. The client of the store now logs and counts each rise of the era that the store states, and a feed logs the revisions when it refuses a list. Nothing is decided by it yet.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -270,6 +270,10 @@
             relayed.set_peers(reachable)
         self.gateway.streams.load_exchange.set_peers(entries)
 
+    def store_restored(self, era: int) -> None:
+        """Count that the store was restored from a copy."""
+        self.metrics.store_restorations.inc()
+
     def _on_engine_crash(self, crash: EngineCrash) -> None:
         self.metrics.engine_crashes.inc()
         self.gateway.guard.note_crash(crash.server, crash.prompts, crash.at)
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -38,6 +38,7 @@
     blocked_prompt_parts: Gauge = None
     servers: Gauge = None
     store_feed_up: Gauge = None
+    store_restorations: Counter = None
     log_lines_dropped: Gauge = None
 
     @classmethod
@@ -74,6 +75,11 @@
             "Engines whose process ended before they went on answering a prompt",
             registry=registry,
         )
+        metrics.store_restorations = Counter(
+            "monsoontack_store_restorations",
+            "Times at which the store was found to be restored from a copy",
+            registry=registry,
+        )
         metrics.answer_s = Histogram(
             "monsoontack_answer_seconds",
             "Time from a request to the end of its answer",
--- a/monsoontack/platform/app.py
+++ b/monsoontack/platform/app.py
@@ -141,6 +141,7 @@
     )
     daemon.log_writer = writer
     store = PlatformStore(settings.store_address)
+    store.lineage.on_restored = daemon.store_restored
     servers = ServersListener(daemon.fleet, regions)
     config = ConfigListener(daemon.config_state)
     daemon.follow_kind(store, CONFIG_KIND, config)
--- a/monsoontack/platform/store.py
+++ b/monsoontack/platform/store.py
@@ -8,15 +8,18 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import quote
 
 import msgspec
+import structlog
 from returns.result import Failure, Result, Success
 
 from monsoontack.gateway.outbound import ExchangeFailure, HttpExchange
 from monsoontack.gateway.pool import ConnectionPool
+from monsoontack.gateway.records import Headers
 from monsoontack.gateway.responsebody import read_response_body
 from monsoontack.platform.wire import keep_alive_s
 from monsoontack.store.api import (
@@ -33,6 +36,11 @@
     Unavailable,
 )
 
+log = structlog.get_logger("platform.store")
+
+# The era of the store's data, in each of its responses.
+ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 4
 OBJECTS_PATH = "/api/objects"
 # A response takes 4 ms, and up to 60 times as long when the store is slow.
 CALL_TIMEOUT_S = 1.0
@@ -86,6 +94,28 @@
     retry_after_s: float | None
 
 
+@dataclass(slots=True)
+class StoreLineage:
+    """Which copy of its data the store serves.
+
+    `era` is the highest one that the store has stated; it rises when the store comes
+    back from a copy and has lost its latest writes. `on_restored` is called then.
+    """
+
+    era: int | None = None
+    on_restored: Callable[[int], None] = lambda era: None
+
+    def note(self, headers: Headers) -> None:
+        """Record the era that a response states."""
+        era = _parse_era(headers)
+        if era is None or (self.era is not None and era <= self.era):
+            return
+        before, self.era = self.era, era
+        if before is not None:
+            log.warning("store was restored from a copy", era=era, before=before)
+            self.on_restored(era)
+
+
 @dataclass(slots=True)
 class PlatformStore:
     """Calls to the store at `address` (`ip:port`).
@@ -100,6 +130,7 @@
     )
     allow_stale_reads: bool = False
     calls: int = 0
+    lineage: StoreLineage = field(default_factory=StoreLineage)
 
     async def list_kind(self, kind: str) -> Result[KindList, StoreError]:
         """Read all objects of a kind, page by page.
@@ -232,7 +263,9 @@
         )
         connection.start(exchange, head.encode() + body)
         try:
-            return await _read_response(exchange, deadline, reused)
+            response = await _read_response(exchange, deadline, reused)
+            self.lineage.note(exchange.headers)
+            return response
         finally:
             exchange.abort()
 
@@ -256,6 +289,14 @@
     return _Response(exchange.status, body, _parse_retry_after_s(retry_after))
 
 
+def _parse_era(headers: Headers) -> int | None:
+    """Return the era in the headers of a response, None if there is none."""
+    value = dict(headers).get(ERA_HEADER)
+    if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return None
+    return int(value)
+
+
 def _parse_retry_after_s(value: bytes | None) -> float | None:
     try:
         return None if value is None else float(value)
--- a/monsoontack/store/feed.py
+++ b/monsoontack/store/feed.py
@@ -125,6 +125,12 @@
             return result.failure()
         listed = result.unwrap()
         if listed.revision < self.newest_revision:
+            log.warning(
+                "list of the store refused, it is older than the one in use",
+                kind=self.kind,
+                revision=listed.revision,
+                in_use=self.newest_revision,
+            )
             return Unavailable(self.kind, f"revision {listed.revision} is too old")
         self._note_success()
         self.listener.replace_all(listed.objects, listed.revision)
