--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -8,10 +8,13 @@
   response, because the connection breaks;
 * `expire_history`: the next watch fails with status 410.
 
-`calls` is the number of calls.
+`restore` puts back an earlier copy of everything, as after a lost disk: revisions
+go back, and `era`, which each response states, rises. `calls` is the number of calls,
+`write_times` lists when write calls came.
 """
 
 import asyncio
+import copy
 import json
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -25,6 +28,14 @@
 MAX_WATCH_S = 30.0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A copy of the store's objects at a revision."""
+
+    kinds: dict[str, dict[str, dict]]
+    revision: int
+
+
 @dataclass(slots=True)
 class SimulatedPlatformStore:
     """Objects by kind and name; each change raises `revision`."""
@@ -37,6 +48,8 @@
     serializable_reads: int = 0
     expire_history: bool = False
     calls: int = 0
+    era: int = 1
+    write_times: list[float] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     address: str = ""
     listener: asyncio.Server | None = None
@@ -58,6 +71,17 @@
         self.listener.close()
         self.server.abort_all()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all objects."""
+        return StoreCopy(copy.deepcopy(self.kinds), self.revision)
+
+    def restore(self, stored: StoreCopy) -> None:
+        """Go back to a copy; watches from later revisions fail with status 410."""
+        self.kinds, self.revision = copy.deepcopy(stored.kinds), stored.revision
+        self.changes = [c for c in self.changes if c[0] <= stored.revision]
+        self.era += 1
+        self.server.abort_all()
+
     def put(self, kind: str, name: str, spec, status=None) -> None:
         """Write an object, as its owner does, without a version check."""
         objects = self.kinds.setdefault(kind, {})
@@ -94,9 +118,12 @@
     async def handle(self, raw: RawRequest, responder: Responder) -> None:
         """Handle one call."""
         self.calls += 1
+        era_header = ((b"store-era", b"%d" % self.era),)
         if self.error_status is not None:
-            responder.send(self.error_status, ())
+            responder.send(self.error_status, era_header)
             return
+        if raw.method != b"GET":
+            self.write_times.append(asyncio.get_running_loop().time())
         parts = urlsplit(raw.target.decode())
         path = [unquote(p) for p in parts.path.removeprefix(PATH_PREFIX).split("/")]
         query = {k: v[0] for k, v in parse_qs(parts.query).items()}
@@ -109,7 +136,8 @@
                 responder.abort()
                 return
         body = json.dumps(document).encode()
-        responder.send(status, ((b"content-type", b"application/json"),), body)
+        headers = ((b"content-type", b"application/json"), *era_header)
+        responder.send(status, headers, body)
 
     async def _read(self, path: list[str], query: dict) -> tuple[int, object]:
         self.serializable_reads += query.get("serializable") == "1"
@@ -132,6 +160,8 @@
             self.expire_history = False
             return 410, {}
         after_revision, wait_s = int(query["watch"]), int(query["wait_ms"]) / 1000
+        if self.era > 1 and after_revision > self.revision:
+            return 410, {}
         loop = asyncio.get_running_loop()
         until = loop.time() + min(wait_s, MAX_WATCH_S)
         while True:
