Keep in force what a restored store has lost

A gateway that started after the store had come back from a copy read the former configuration: it accepted a key that had been revoked and refused a route that had been added, as long as the operator had not written again. Others served what was in force, but passed the copy's configuration on to their readers.

The cache of the configuration keeps a state in use against former ones, in lists and in changes, and every list asks three random peers what they have in use, whatever its age, and takes the newest. Unknown remains an entry whose peers are all unknown or have all started since.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -29,6 +29,7 @@
 from monsoontack.gateway.loadexchange import PATH as LOAD_PATH
 from monsoontack.gateway.loadexchange import LoadExchange
 from monsoontack.gateway.metrics import GatewayMetrics
+from monsoontack.gateway.newestlist import NewestList, Rank, is_newer
 from monsoontack.gateway.peers import PeerEntry, call_peer, peer_pool
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.ports import WireFormat
@@ -175,16 +176,26 @@
         """Pass the service traits of a new configuration to the stream forwarder."""
         self.gateway.streams.traits = dict(config.services)
 
-    def follow_kind(self, store: KindStore, kind: str, listener: KindListener) -> None:
+    def follow_kind(
+        self,
+        store: KindStore,
+        kind: str,
+        listener: KindListener,
+        rank: Rank | None = None,
+    ) -> None:
         """Follow a kind of objects that the entry needs to be ready.
 
         The objects are read through other entries, provided their data is fresh enough.
+        With a `rank`, an object in use is replaced only by one that ranks as high.
         """
         watch_s = self.settings.watch_timeout_s
         cache = KindCache(listener, max_age_s=watch_s + AGE_SLACK_S)
+        if rank is not None:
+            cache.is_newer = partial(is_newer, rank)
         relayed = self._relayed_store(store, kind, cache, watch_s)
         relayed.on_stale_peer = self.config_state.note_stale_peer
-        self._add_feed(KindFeed(relayed, kind, cache, watch_s))
+        source = relayed if rank is None else NewestList(relayed, rank)
+        self._add_feed(KindFeed(source, kind, cache, watch_s))
 
     def _relayed_store(
         self, store: KindStore, kind: str, cache: KindCache, watch_s: float
--- a/monsoontack/gateway/relay.py
+++ b/monsoontack/gateway/relay.py
@@ -58,6 +58,10 @@
 LIST_RESPONSE_SLACK_S = 3.0
 # Number of other peers that are asked for a whole list if the parent has none.
 MAX_LIST_PEERS = 2
+# Peers that are asked what they have in use, and the time for their answers. Three
+# random ones know what is in force unless most entries have started just now.
+MAX_ASKED_FOR_USE = 3
+IN_USE_TIMEOUT_S = 0.6
 # Pause before another request to a peer after a failed call or an unusable response.
 FAILED_PEER_PAUSE_S = 4.0
 # Pause before another request to a fallback peer that had no fresh data.
@@ -76,13 +80,15 @@
     """Request of a peer for the changes of a kind after a revision.
 
     If `after` is None it asks for all objects. The serving entry waits up to `wait_s`
-    for an update; with `waits_while_stale` it also waits while its own data is stale.
+    for an update; with `waits_while_stale` it also waits while its own data is stale,
+    and with `accepts_stale` it answers with stale data.
     """
 
     kind: str
     after: int | None = None
     wait_s: float = 0.0
     waits_while_stale: bool = False
+    accepts_stale: bool = False
 
     @classmethod
     def from_target(cls, target: bytes) -> "FeedRequest":
@@ -93,13 +99,16 @@
         wait_s = int(fields.get("wait_ms", "0")) / 1000
         kind = path.removeprefix(FEEDS_PATH).decode("latin-1")
         wait_s = min(max(wait_s, 0.0), MAX_REQUEST_WAIT_S)
-        return cls(kind, after, wait_s, fields.get("hold") == "1")
+        accepts_stale = fields.get("stale") == "1"
+        return cls(kind, after, wait_s, fields.get("hold") == "1", accepts_stale)
 
     def target(self) -> str:
         """Return the request target: path and query."""
         query = f"wait_ms={int(self.wait_s * 1000)}&hold={int(self.waits_while_stale)}"
         if self.after is not None:
             query = f"after={self.after}&{query}"
+        if self.accepts_stale:
+            query += "&stale=1"
         return f"{FEEDS_PATH.decode()}{self.kind}?{query}"
 
 
@@ -137,6 +146,8 @@
         """Wait for an update or the end of the wait; return the response status."""
         now = asyncio.get_running_loop().time
         deadline, last_confirmed_at = now() + request.wait_s, cache.confirmed_at
+        if request.accepts_stale and cache.is_loaded and request.after is None:
+            return OK
         while True:
             left_s = deadline - now()
             # A child that has heard of a restoration first learns nothing from here.
@@ -209,6 +220,26 @@
 
         return await self._read(kind, revision, read_store, decode_changes)
 
+    async def lists_of_peers(self, kind: str) -> list[KindList]:
+        """Return what some peers have in use, at any age; empty if none answers."""
+        peers = self.plan.all_peers
+        chosen = self.rng.sample(peers, min(MAX_ASKED_FOR_USE, len(peers)))
+        target = FeedRequest(kind, accepts_stale=True).target()
+        responses = await asyncio.gather(
+            *(self.call(self.pool, p.address, target, IN_USE_TIMEOUT_S) for p in chosen)
+        )
+        lists = []
+        for peer, response in zip(chosen, responses, strict=True):
+            if response is None or response.status != OK:
+                continue
+            try:
+                lists.append(decode_list(response))
+            except CodecError as error:
+                log.warning(
+                    "peer sent a malformed list", peer=peer.name, detail=str(error)
+                )
+        return lists
+
     async def _read(self, kind: str, after: int | None, read_store, decode):
         """Read from the parent, then the store and the fallback peers.
 
--- a/monsoontack/platform/app.py
+++ b/monsoontack/platform/app.py
@@ -21,6 +21,7 @@
     CONFIG_NAME,
     ROLLOUTS_KIND,
     SERVERS_KIND,
+    config_rank,
     decode_config,
     decode_order,
     decode_server,
@@ -144,7 +145,7 @@
     store.lineage.on_restored = daemon.store_restored
     servers = ServersListener(daemon.fleet, regions)
     config = ConfigListener(daemon.config_state)
-    daemon.follow_kind(store, CONFIG_KIND, config)
+    daemon.follow_kind(store, CONFIG_KIND, config, config_rank)
     daemon.follow_kind(store, SERVERS_KIND, servers)
     rollouts = RolloutManager(
         settings.name,
--- a/monsoontack/platform/objects.py
+++ b/monsoontack/platform/objects.py
@@ -141,6 +141,12 @@
     )
 
 
+def config_rank(item: KindObject) -> int | None:
+    """Return the version of a configuration object, None if it cannot be used."""
+    config = decode_config(item.spec) if item.name == CONFIG_NAME else None
+    return None if config is None else config.version
+
+
 def _decode_route(route: _Route) -> Route:
     if route.split:
         targets = tuple(Target(item.service, item.weight) for item in route.split)
--- a/monsoontack/store/cache.py
+++ b/monsoontack/store/cache.py
@@ -23,12 +23,14 @@
 
     Readers that have a revision of at least `oldest_revision` need only the
     changes. Content that was last confirmed more than `max_age_s` ago is not
-    served to peers.
+    served to peers. An object for which `is_newer` says that the state in the cache is
+    newer than a written one stays as it is: a restored store has former states.
     """
 
     listener: KindListener
     max_age_s: float = float("inf")
     boot_clock: Callable[[], float] = boot_time
+    is_newer: Callable[[KindObject, KindObject | None], bool] = lambda one, other: False
     objects: dict[str, KindObject] = field(default_factory=dict)
     changes: deque[KindChange] = field(default_factory=deque)
     revision: int = 0
@@ -39,6 +41,7 @@
 
     def replace_all(self, objects: tuple[KindObject, ...], revision: int) -> None:
         """Replace all objects with a complete list."""
+        objects = self._with_newer_ones(objects)
         self.objects = {item.name: item for item in objects}
         self.changes.clear()
         self.revision = self.oldest_revision = revision
@@ -48,6 +51,9 @@
 
     def changed(self, item: KindObject) -> None:
         """Add or replace an object."""
+        known = self.objects.get(item.name)
+        if known is not None and self.is_newer(known, item):
+            return
         self.objects[item.name] = item
         self._append(KindChange(item, False))
         self.listener.changed(item)
@@ -58,6 +64,16 @@
         self._append(KindChange(KindObject(name, revision, None, None), True))
         self.listener.removed(name, revision)
 
+    def _with_newer_ones(
+        self, objects: tuple[KindObject, ...]
+    ) -> tuple[KindObject, ...]:
+        """Return the objects of a list, or the newer states of them in the cache."""
+        listed = {item.name: item for item in objects}
+        for name, known in self.objects.items():
+            if self.is_newer(known, listed.get(name)):
+                listed[name] = known
+        return tuple(listed.values())
+
     def confirmed(self, at: float) -> None:
         """Record that the objects were current at `at` (seconds since boot)."""
         self.confirmed_at = max(self.confirmed_at, at)
