Let entries and servers that a restored store has lost be written again

A store that came back from a copy of before the entries had registered left the fleet without a list: entries noticed it up to 10 s later, when a watch of the list at another entry ended, took the others for gone, so that bounds of the whole fleet were divided by four at the least, and would all have written at the same moment. Servers were given up at once if the store had been away for less than 1.5 s.

A feed that learns of the restoration ends the watches of the others' former era. Entries that were known stay known for 30 s, each writes itself again at a random moment of the time that the fleet takes at 100 a second, and servers get the 2.2 s to write their records again that they get after an outage.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -220,6 +220,7 @@
 
     def _add_feed(self, feed: KindFeed) -> None:
         feed.on_store_status = self._on_store_status
+        feed.on_restored = self._on_feed_restored
         self.feeds.append(feed)
 
     def join_cluster(self, store: ObjectStore, kinds: KindStore) -> None:
@@ -260,9 +261,14 @@
         self.background_jobs.append(lambda: rollouts.report_evidence(store))
         self.background_jobs.append(lambda: rollouts.run_controller(store, kinds))
 
-    def _entries_changed(self, entries: dict[str, PeerEntry]) -> None:
-        log.info("list of entries changed", entries=len(entries))
-        self.registration.entries_changed(entries)
+    def _entries_changed(self, found: EntryList) -> None:
+        entries = found.entries
+        log.info(
+            "list of entries changed",
+            entries=len(entries),
+            lost_by_store=len(entries) - len(found.listed),
+        )
+        self.registration.entries_changed(found.listed, len(entries))
         self.entry_remover.set_entries(entries)
         self.entries_listed.set()
         self.gateway.calls.budgets.set_entry_count(
@@ -282,8 +288,15 @@
         self.gateway.streams.load_exchange.set_peers(entries)
 
     def store_restored(self, era: int) -> None:
-        """Count that the store was restored from a copy."""
+        """Count that the store was restored from a copy, and list all kinds again."""
         self.metrics.store_restorations.inc()
+        self._on_feed_restored("", era)
+
+    def _on_feed_restored(self, kind: str, era: int) -> None:
+        """Keep lost servers for a while, and tell the feeds that watch a former era."""
+        self.fleet.note_store_recovered(self.gateway.now())
+        for feed in self.feeds:
+            feed.list_again(era)
 
     def _on_engine_crash(self, crash: EngineCrash) -> None:
         self.metrics.engine_crashes.inc()
--- a/monsoontack/gateway/daemon_test.py
+++ b/monsoontack/gateway/daemon_test.py
@@ -13,7 +13,7 @@
     FIRST_START_DELAY_S,
     GatewayDaemon,
 )
-from monsoontack.gateway.entryregistry import ENTRIES_KIND
+from monsoontack.gateway.entryregistry import ENTRIES_KIND, EntryList
 from monsoontack.gateway.peers import PeerEntry
 from monsoontack.gateway.settings import GatewaySettings
 from monsoontack.routing.linkbudget import LINK_BYTES_PER_S
@@ -113,9 +113,11 @@
             )
             daemon.join_cluster(TimedStore(), TimedStore())
             regions = [HOME.region] * 30 + ["elsewhere"] * 20
-            daemon._entries_changed(
-                {f"e{n}": PeerEntry(f"e{n}", r, "") for n, r in enumerate(regions)}
-            )
+            found = EntryList(daemon._entries_changed)
+            found.listed = {
+                f"e{n}": PeerEntry(f"e{n}", r, "") for n, r in enumerate(regions)
+            }
+            daemon._entries_changed(found)
             return daemon.gateway.calls.picker.link_budget
 
         budget = run_in_virtual_time(scenario())
--- a/monsoontack/gateway/entryregistry.py
+++ b/monsoontack/gateway/entryregistry.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -16,37 +17,76 @@
 
 from monsoontack.gateway.peers import PeerEntry
 from monsoontack.store.api import Conflict, KindObject, ObjectStore
+from monsoontack.store.eras import era_of
 
 log = structlog.get_logger("gateway.census")
 
 ENTRIES_KIND = "entries"
 REGISTRATION_RETRY_S = 2.0
+# Entries that a restored store has lost write themselves again at this rate, all
+# together: a quarter of what the smallest store takes.
+REGISTRATIONS_PER_S = 100.0
+# Entries that were known before a restoration count as known for this time: they
+# notice it within a watch of the list, and write themselves again in their turn.
+KEPT_AFTER_RESTORATION_S = 30.0
 
 
 @dataclass(slots=True)
 class EntryList:
-    """Listener that holds all entries by name and calls `on_change` at each change."""
+    """Listener that holds all entries by name and calls `on_change` at each change.
 
-    on_change: Callable[[dict[str, PeerEntry]], None]
-    entries: dict[str, PeerEntry] = field(default_factory=dict)
+    `listed` are the entries in the store. `kept` are those that a restored store has
+    lost; they count as known until `kept_until` (event loop's clock), since they are
+    most likely alive and bounds are divided by their number.
+    """
+
+    on_change: Callable[["EntryList"], None]
+    listed: dict[str, PeerEntry] = field(default_factory=dict)
+    kept: dict[str, PeerEntry] = field(default_factory=dict)
+    kept_until: float = 0.0
+    era: int = 0
+
+    @property
+    def entries(self) -> dict[str, PeerEntry]:
+        """Return all entries that count as known."""
+        return self.kept | self.listed
+
+    def now(self) -> float:
+        """Return the event loop's time in seconds."""
+        return asyncio.get_running_loop().time()
 
     def replace_all(self, objects: tuple[KindObject, ...], revision: int) -> None:
         """Replace all entries with a complete list."""
-        self.entries = {item.name: _entry(item) for item in objects}
-        self.on_change(self.entries)
+        before, self.listed = (
+            self.entries,
+            {item.name: _entry(item) for item in objects},
+        )
+        if era_of(revision) > self.era and before:
+            self.kept = {n: e for n, e in before.items() if n not in self.listed}
+            self.kept_until = self.now() + KEPT_AFTER_RESTORATION_S
+        self.era = era_of(revision)
+        self._changed()
 
     def changed(self, item: KindObject) -> None:
         """Add or update an entry."""
-        self.entries[item.name] = _entry(item)
-        self.on_change(self.entries)
+        self.listed[item.name] = _entry(item)
+        self._changed()
 
     def removed(self, name: str, revision: int) -> None:
         """Remove an entry."""
-        self.entries.pop(name, None)
-        self.on_change(self.entries)
+        self.listed.pop(name, None)
+        self.kept.pop(name, None)
+        self._changed()
 
     def confirmed(self, at: float) -> None:
-        """Ignore the confirmation: an old list of entries may still be used."""
+        """Drop the kept entries in time; an old list of entries may still be used."""
+        if self.kept and self.now() >= self.kept_until:
+            self._changed()
+
+    def _changed(self) -> None:
+        if self.now() >= self.kept_until:
+            self.kept = {}
+        self.on_change(self)
 
 
 def _entry(item: KindObject) -> PeerEntry:
@@ -66,15 +106,21 @@
 class EntryRegistration:
     """Keeps this entry's object in the store.
 
-    `unlisted` is set when the entry disappears from a list that contained it.
+    `unlisted` is set when the entry disappears from a list that contained it. Then it
+    waits for a random part of the time that `fleet_size` entries may take together.
     """
 
     own_entry: PeerEntry
+    rng: random.Random = field(default_factory=random.Random)
+    fleet_size: int = 1
     unlisted: asyncio.Event = field(default_factory=asyncio.Event)
     was_listed: bool = False
 
-    def entries_changed(self, entries: Mapping[str, PeerEntry]) -> None:
-        """Set `unlisted` if another entry has removed this entry's object."""
+    def entries_changed(
+        self, entries: Mapping[str, PeerEntry], fleet_size: int
+    ) -> None:
+        """Set `unlisted` if this entry's object is no longer in the store."""
+        self.fleet_size = fleet_size
         if self.own_entry.name in entries:
             self.was_listed = True
         elif self.was_listed:
@@ -85,11 +131,16 @@
         """Register, and again whenever `unlisted` is set, until cancelled."""
         while True:
             self.unlisted.clear()
-            await register_entry(store, self.own_entry)
+            await register_entry(store, self.own_entry, self.rng)
             await self.unlisted.wait()
+            wait_s = self.rng.uniform(0.0, self.fleet_size / REGISTRATIONS_PER_S)
+            log.info("entry is not listed any more", registers_in_s=round(wait_s, 2))
+            await asyncio.sleep(wait_s)
 
 
-async def register_entry(store: ObjectStore, own_entry: PeerEntry) -> None:
+async def register_entry(
+    store: ObjectStore, own_entry: PeerEntry, rng: random.Random
+) -> None:
     """Write this entry's object unless the store has it; retry until it succeeds."""
     value = json.dumps({"region": own_entry.region, "peer": own_entry.address}).encode()
     key = f"{ENTRIES_KIND}/{own_entry.name}"
@@ -105,5 +156,5 @@
             # A replaced VM has another address under the same name.
             if isinstance(await store.update(key, value, current.version), Success):
                 break
-        await asyncio.sleep(REGISTRATION_RETRY_S)
+        await asyncio.sleep(REGISTRATION_RETRY_S * rng.uniform(0.5, 1.5))
     log.info("entry registered", name=own_entry.name, peer=own_entry.address)
--- a/monsoontack/gateway/entryremoval_test.py
+++ b/monsoontack/gateway/entryremoval_test.py
@@ -67,7 +67,9 @@
                 return is_alive(peer.name, loop.time())
 
             remover = SilentEntryRemover(name, "north", store, alive)
-            entry_list = EntryList(remover.set_entries)
+            entry_list = EntryList(
+                lambda found, remover=remover: remover.set_entries(found.entries)
+            )
             store.listeners.append(entry_list)
             entry_list.replace_all(tuple(store.objects.values()), store.revision)
             removers.append(remover)
@@ -134,7 +136,9 @@
         async def scenario():
             store = EntryStore(["e1"])
             registration = EntryRegistration(PeerEntry("e2", "north", "e2:1"))
-            entry_list = EntryList(registration.entries_changed)
+            entry_list = EntryList(
+                lambda found: registration.entries_changed(found.listed, 2)
+            )
             store.listeners.append(entry_list)
             task = asyncio.ensure_future(registration.run(store))
             await asyncio.sleep(1.0)
--- a/monsoontack/store/feed.py
+++ b/monsoontack/store/feed.py
@@ -5,6 +5,7 @@
 in use until a retry succeeds; `KindListener.confirmed` reports how fresh they are.
 """
 
+import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -22,6 +23,7 @@
     StoreError,
     Unavailable,
 )
+from monsoontack.store.eras import era_of
 
 log = structlog.get_logger("store.feed")
 
@@ -63,6 +65,8 @@
     kind is confirmed. If `is_required`, the feed must have loaded before the process
     is ready. `on_store_status` is called with the kind, whether the store responds and
     the reason of a failure, each time the store starts or stops responding.
+    `on_restored` is called with the kind and the era before the first list of a
+    restored store.
     `newest_revision` is the last revision that was applied: an older list would restore
     objects that have been removed since.
     """
@@ -76,18 +80,20 @@
     boot_clock: Callable[[], float] = boot_time
     is_required: bool = True
     on_store_status: Callable[[str, bool, str], None] = lambda kind, up, reason: None
+    on_restored: Callable[[str, int], None] = lambda kind, era: None
     coalesce_delay_s: float = COALESCE_DELAY_S
     revision: int | None = None
     consecutive_failures: int = 0
     is_loaded: bool = False
     received_changes: bool = False
     newest_revision: int = 0
+    reading: asyncio.Task | None = None
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
             self.received_changes = False
-            error = await (self._list() if self.revision is None else self._watch())
+            error = await self._read()
             if error is None:
                 if self.received_changes:
                     await self.clock.sleep(self.coalesce_delay_s)
@@ -101,6 +107,23 @@
             self._note_failure(error)
             await self.clock.sleep(self._retry_delay())
 
+    async def _read(self) -> StoreError | None:
+        """List or watch once; return the error, if any."""
+        read = self._list() if self.revision is None else self._watch()
+        self.reading = asyncio.ensure_future(read)
+        try:
+            await asyncio.wait((self.reading,))
+        finally:
+            self.reading.cancel()
+        if self.reading.cancelled():
+            return HistoryGone(self.kind)
+        return self.reading.result()
+
+    def list_again(self, era: int) -> None:
+        """End a watch of a former era, since the store is known to be restored."""
+        if self.revision is not None and era_of(self.revision) < era:
+            self.reading.cancel()
+
     def _note_success(self) -> None:
         if self.consecutive_failures:
             self.on_store_status(self.kind, True, "")
@@ -133,6 +156,9 @@
             )
             return Unavailable(self.kind, f"revision {listed.revision} is too old")
         self._note_success()
+        if self.is_loaded and era_of(listed.revision) > era_of(self.newest_revision):
+            log.warning("list of a restored store", kind=self.kind)
+            self.on_restored(self.kind, era_of(listed.revision))
         self.listener.replace_all(listed.objects, listed.revision)
         self.revision = self.newest_revision = listed.revision
         self.is_loaded = True
