--- a/monsoontack/gateway/rollouts.py
+++ b/monsoontack/gateway/rollouts.py
@@ -35,6 +35,7 @@
     Conflict,
     KindObject,
     KindStore,
+    NotFound,
     ObjectStore,
     StoredObject,
     StoreError,
@@ -293,6 +294,9 @@
         )
         if isinstance(error, Conflict) and error.current is not None:
             rollout.evidence_version = error.current.version
+        elif isinstance(error, NotFound):
+            # A restored store has lost the object.
+            rollout.evidence_version = 0
 
     def _evidence_key(self, rollout: ServiceRollout) -> str:
         return f"{EVIDENCE_KIND}/{self.name}-{self.incarnation}-{rollout.order.service}"
--- a/monsoontack/gateway/rollouts_test.py
+++ b/monsoontack/gateway/rollouts_test.py
@@ -5,7 +5,7 @@
 import unittest
 from dataclasses import asdict, replace
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.rollouts import (
@@ -16,7 +16,7 @@
 )
 from monsoontack.rollout.evidence import BUCKET_COUNT, Counts, EvidenceKey
 from monsoontack.rollout.order import Phase, RolloutOrder
-from monsoontack.store.api import KindList, KindObject, StoredObject
+from monsoontack.store.api import KindList, KindObject, NotFound, StoredObject
 from standins.gatewayfakes import HOME, SERVICE, make_fleet
 
 GOOD = {
@@ -123,6 +123,27 @@
 
         self.assertEqual(2, run_in_virtual_time(scenario())["old_open"])
 
+    def test_evidence_that_a_restored_store_lost_is_written_again(self):
+        """Guards against a bad version that nobody judges after a restoration."""
+
+        class LossyStore(EvidenceStore):
+            async def update(self, key, value, version):
+                if key not in self.objects:
+                    return Failure(NotFound(key))
+                return self._put(key, value)
+
+        async def scenario():
+            rollouts, store = make_manager(), LossyStore()
+            rollout = rollouts.by_service[SERVICE]
+            await rollouts._write_evidence(store, rollout)
+            store.objects.clear()
+            rollout.reported_text = ""
+            await rollouts._write_evidence(store, rollout)
+            await rollouts._write_evidence(store, rollout)
+            return len(store.objects)
+
+        self.assertEqual(1, run_in_virtual_time(scenario()))
+
     def test_evidence_is_removed_once_the_order_has_ended(self):
         """Guards against objects that accumulate with each rollout until listing the
         evidence takes longer than a fault may last."""
