Let stand-in servers fall silent and go on

While `silent_until` lies ahead, a server sends nothing and starts no request, and its connections stay open.

--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -15,7 +15,9 @@
 `runs` lists the requests that ran, each as id, headers and body; `endless_responses`
 lists the responses without end. A server with a `limit` states it in its responses;
 `arrivals` lists when requests arrived, in the event loop's time. A `service` that is
-set is that of the routes whose requests the server may run.
+set is that of the routes whose requests the server may run. Until `silent_until`, in the
+event loop's time, the server sends nothing and starts no request, while its connections
+stay open and new ones are accepted; then it goes on where it was.
 
 A prompt with one of the `deadly_parts` ends the process once the prompt was read: the
 engine resets all connections and refuses new ones for `restart_s`, then it starts again
@@ -142,6 +144,7 @@
     crashes: list[tuple[str, float, str]] = field(default_factory=list)
     read_prompt_s: float = 0.0
     restart_s: float = 1.0
+    silent_until: float = 0.0
     on_crash: Callable[["DirectEngine"], None] = lambda engine: None
     on_restart: Callable[["DirectEngine"], None] = lambda engine: None
     tasks: set[asyncio.Task] = field(default_factory=set)
@@ -212,8 +215,14 @@
             "seqno": 1,
         }
 
+    async def _wait_while_silent(self) -> None:
+        now = asyncio.get_running_loop().time
+        while now() < self.silent_until:
+            await asyncio.sleep(self.silent_until - now())
+
     async def handle(self, raw: RawRequest, responder: Responder) -> None:
         """Serve one request as `behavior` selects."""
+        await self._wait_while_silent()
         headers = dict(raw.headers)
         request_id = headers.get(REQUEST_ID_HEADER, b"")
         response_headers = (
@@ -242,6 +251,7 @@
             await self._stream(headers, responder, response_headers)
         else:
             await asyncio.sleep(self.work_s)
+            await self._wait_while_silent()
             text = b"done by " + self.name.encode() + b" for " + request_id
             responder.send(200, response_headers, text)
             if self.behavior == "twice":
@@ -337,6 +347,7 @@
             now = asyncio.get_running_loop().time()
             self.deadly_arrivals.append((deadly_part, now))
         await asyncio.sleep(self.read_prompt_s)
+        await self._wait_while_silent()
         if responder.is_disconnected:
             self.disconnected_requests.append(headers[REQUEST_ID_HEADER].decode())
             return
@@ -358,6 +369,7 @@
                 while self.behavior == "comments" and start == 1 and number > 5:
                     await responder.write(SSE_COMMENT)
                     await asyncio.sleep(self.event_gap_s)
+                await self._wait_while_silent()
                 await responder.write(make_event(number))
                 await asyncio.sleep(self.event_gap_s)
         except CallerDisconnectedError:
