Log why a stream does not go on after it has lost its engine

The line `stream lost its engine` said `next: end` for five different reasons, so a stream that ended with attempts and budget left could not be explained. It now has `ended_by` (attempts, not_repeatable, time, prompt, budget), and the explanation of a request names it.

--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -45,6 +45,14 @@
     "open": "still at work when the request ended",
     "complete": "whole stream",
 }
+# Meaning of `ended_by` in the line of a lost engine.
+END_CAUSES = {
+    "attempts": "no further attempt was allowed",
+    "not_repeatable": "the request may not run again",
+    "time": "too little time was left for another engine",
+    "prompt": "its prompt may crash further engines",
+    "budget": "the retry budget was used up",
+}
 # Log lines about the store and the process are relevant to a request if they were
 # written within this time before its last line.
 CONTEXT_WINDOW_S = 30.0
@@ -236,6 +244,9 @@
 
 
 def _find_end_reason(fields: dict) -> str:
+    cause = END_CAUSES.get(fields.get("ended_by"))
+    if cause is not None and fields["left_s"] > 0:
+        return cause
     if fields["left_s"] <= 0:
         return "no time was left"
     if fields.get("budget_left", 1) < 1:
--- a/monsoontack/gateway/explain_test.py
+++ b/monsoontack/gateway/explain_test.py
@@ -96,6 +96,26 @@
         )
         self.assertIn("i-2@7, which left; now i-3@9 of desk", str(explanation.lines()))
 
+    def test_stream_that_ended_for_lack_of_time_says_so(self):
+        """Guards against an aborted stream whose log does not tell why it ended."""
+        lost = {
+            "server": "i-1",
+            "reason": "silent",
+            "events": 93,
+            "copy": None,
+            "next": "end",
+            "ended_by": "time",
+            "left_s": 0.6,
+            "budget_left": 9.0,
+        }
+        tries = [["i-1", 0.0, 3.0, "silent"]]
+        explanation = self.explain(
+            "r1",
+            log_line(4, "request ended", **ended_fields("r1", "stream_cut", tries)),
+            log_line(3, "stream lost its engine", request="r1", **lost),
+        )
+        self.assertIn("too little time was left", explanation.cause)
+
     def test_error_of_the_backend_server_is_attributed_to_it(self):
         """Guards against attributing a 500 of a backend server to the entry."""
         tries = [["i-1", 0.0, 0.1, "500"], ["i-2", 0.1, 0.2, "500"]]
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -20,7 +20,13 @@
     StreamRelay,
 )
 from monsoontack.generation.continuation import StreamPosition
-from monsoontack.generation.failover import FailoverInput, NextStep, next_step
+from monsoontack.generation.failover import (
+    EndCause,
+    FailoverInput,
+    NextStep,
+    end_cause,
+    next_step,
+)
 from monsoontack.routing.placement import (
     PromptAffinity,
     choose_backup,
@@ -180,14 +186,14 @@
             ),
             left_s=job.left_s(now),
         )
-        step = next_step(state)
+        step, ended_by = next_step(state), end_cause(state)
         if loss.is_broken_off and not loss.has_gone_on:
             self.broken_off += 1
             if not self._may_repeat():
-                step = NextStep.END
+                step, ended_by = NextStep.END, EndCause.PROMPT
         if step is not NextStep.END and not loss.unsent:
             if not self.forwarder.budgets.take(job.service, now):
-                step = NextStep.END
+                step, ended_by = NextStep.END, EndCause.BUDGET
         log.info(
             "stream lost its engine",
             request=job.request.request_id,
@@ -202,6 +208,7 @@
             service=job.service,
             copy_usable=has_kv_copy,
             next=str(step),
+            ended_by=ended_by,
             left_s=round(state.left_s, 2),
             budget_left=round(
                 self.forwarder.budgets.for_service(job.service).left(now), 1
--- a/monsoontack/generation/failover.py
+++ b/monsoontack/generation/failover.py
@@ -22,6 +22,16 @@
     END = "end"
 
 
+class EndCause(StrEnum):
+    """Why a stream does not go on after a failed attempt."""
+
+    ATTEMPTS = "attempts"
+    NOT_REPEATABLE = "not_repeatable"
+    TIME = "time"
+    PROMPT = "prompt"
+    BUDGET = "budget"
+
+
 @dataclass(frozen=True, slots=True)
 class FailoverInput:
     """Input of the failover decision after an attempt of a stream has failed.
@@ -39,12 +49,18 @@
     left_s: float
 
 
-def next_step(loss: FailoverInput) -> NextStep:
-    """Return how a stream continues after a failed attempt."""
+def end_cause(loss: FailoverInput) -> EndCause | None:
+    """Return why a stream cannot go on after a failed attempt, None if it can."""
     if loss.attempts_left <= 0:
-        return NextStep.END
+        return EndCause.ATTEMPTS
     if not loss.resumable and not loss.known_not_run:
+        return EndCause.NOT_REPEATABLE
+    needed_s = MIN_RESUME_S if loss.has_kv_copy else MIN_RESTART_S
+    return EndCause.TIME if loss.left_s < needed_s else None
+
+
+def next_step(loss: FailoverInput) -> NextStep:
+    """Return how a stream continues after a failed attempt."""
+    if end_cause(loss) is not None:
         return NextStep.END
-    if loss.has_kv_copy and loss.left_s >= MIN_RESUME_S:
-        return NextStep.RESUME_COPY
-    return NextStep.RESTART if loss.left_s >= MIN_RESTART_S else NextStep.END
+    return NextStep.RESUME_COPY if loss.has_kv_copy else NextStep.RESTART
