--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -53,6 +53,26 @@
         self.assertEqual((200, COMPLETE_STREAM), (status, body))
         self.assertEqual(2, self.count_runs("r1"))
 
+    async def test_stream_waits_for_silent_engines_when_no_attempt_is_left(self):
+        """Guards against a stream that is cut before its deadline because all engines
+        fall silent for a second or two and go on."""
+        gateway = await self.start_gateway()
+        document = config(2)
+        for route in document["routes"]:
+            route["attempts"] = 1
+        gateway.store.put("config", "main", document)
+        await self.wait_until(
+            lambda: any(b'"version":2' in line for line in gateway.log)
+        )
+        stream = asyncio.ensure_future(gateway.stream("r1"))
+        await asyncio.sleep(0.5)
+        silent_until = asyncio.get_running_loop().time() + 1.8
+        for engine in gateway.engines.values():
+            engine.silent_until = silent_until
+        status, _, body = await stream
+        self.assertEqual((200, COMPLETE_STREAM), (status, body))
+        self.assertEqual(1, self.count_runs("r1"))
+
     async def test_non_idempotent_call_with_a_lost_answer_runs_once(self):
         """Guards against a call that runs twice, and a false run state "not_run"."""
         gateway = await self.start_gateway()
