Keep a stream at its silent engine unless another one is better

What callers saw: when all engines of a service were silent for a second or two and then went on, streams were cut, or got 502, up to a second before their deadline.

Cause: silence was taken for the end of the engine's work. The relay reset the connection first; whether an attempt, time or budget was left for another engine was decided after that. Even with all of these left, a stream moved to engines that were silent as well, and lost its progress each time.

Now the relay asks before it leaves: another attempt must be allowed, and the engine that it would get must not have been found silent by this entry. Otherwise the stream stays, looks again every 0.5 s, and goes on with its engine. Two log lines say when a stream begins to wait, and for what, and when its engine goes on. An engine that sends something during the check of a new connection no longer counts as silent.

--- /dev/null
+++ b/monsoontack/gateway/streamattempt.py
@@ -0,0 +1,46 @@
+"""Engines of one attempt of a stream, and the reason for which an attempt ended."""
+
+from dataclasses import dataclass
+
+from monsoontack.gateway.fleet import Member
+from monsoontack.gateway.records import KvCacheCopy, ResponseHead
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Engines of one attempt.
+
+    The attempt is sent to `member` and resumes from `copy` if that is set; `backup` is
+    the engine that gets the next copy. `tokens_ahead` are prompt tokens of other runs
+    that the engine has yet to read.
+    """
+
+    member: Member
+    copy: KvCacheCopy | None
+    backup: Member | None
+    tokens_ahead: int
+
+
+@dataclass(slots=True)
+class StreamLoss:
+    """Reason for which an attempt ended before the stream was complete.
+
+    `not_run` means that the engine did not run the request, `unsent` that it was
+    not even sent. `response_head` and `body` hold an error response of the engine, if
+    any. `events` is the number of events that the attempt delivered, 0 if its answer
+    turned out to be another one. `is_broken_off` means that the engine's side closed or
+    reset the connection, `has_gone_on` that events had come for some time before.
+    `is_foreign` means that an engine which can be reached gave another answer,
+    `is_silent` that the engine was left, although it might have gone on.
+    """
+
+    reason: str
+    not_run: bool = False
+    unsent: bool = False
+    response_head: ResponseHead | None = None
+    body: bytes = b""
+    events: int = 0
+    is_broken_off: bool = False
+    has_gone_on: bool = False
+    is_foreign: bool = False
+    is_silent: bool = False
--- a/monsoontack/gateway/streamerrors.py
+++ b/monsoontack/gateway/streamerrors.py
@@ -4,7 +4,7 @@
 
 from monsoontack.admission.promptguard import crash_error
 from monsoontack.core.errors import RequestError, RunState
-from monsoontack.gateway.streamrelay import StreamLoss
+from monsoontack.gateway.streamattempt import StreamLoss
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
--- /dev/null
+++ b/monsoontack/gateway/streammove.py
@@ -0,0 +1,53 @@
+"""Decides whether a stream leaves a silent engine, which may still go on.
+
+To leave an engine resets the connection and ends the engine's work, so a stream stays
+until its deadline unless another attempt is allowed and the engine that it would get
+has not itself been found silent.
+"""
+
+from typing import TYPE_CHECKING
+
+from monsoontack.gateway.fleet import Member
+from monsoontack.generation.failover import EndCause, end_cause
+
+if TYPE_CHECKING:
+    from monsoontack.gateway.streamrun import StreamRun
+
+# Value of `waits_for` in the log if no engine is better than the silent one.
+NO_BETTER_ENGINE = "engine"
+
+
+def is_doubtful(member: Member, now: float) -> bool:
+    """Whether this entry lately failed to hear from a server.
+
+    A server that is only suspected, for its failure domain or by a peer, is not.
+    """
+    is_unheard = member.consecutive_failures > 0 and member.is_suspect(now)
+    return is_unheard or now < member.avoid_until
+
+
+def why_stay(
+    run: "StreamRun", member: Member, backup: Member | None, events: int
+) -> str | None:
+    """Return what keeps a stream at its silent engine, None if it may leave.
+
+    `backup` is the engine that gets the copy of this attempt, `events` the number of
+    events that the attempt has brought.
+    """
+    now, service = run.now(), run.job.service
+    copy_member = run.usable_copy(backup, events)
+    if copy_member is not None and is_doubtful(copy_member, now):
+        copy_member = None
+    cause = end_cause(run.failover_input(copy_member is not None))
+    if cause is not None:
+        return str(cause)
+    if run.forwarder.budgets.for_service(service).left(now) < 1:
+        return str(EndCause.BUDGET)
+    if copy_member is not None:
+        return None
+    excluded = {member.server.incarnation}
+    chosen = run.choose(run.forwarder.engine_loads(run.job, excluded))
+    if chosen is None or chosen.traffic_share <= 0:
+        return NO_BETTER_ENGINE
+    is_better = not is_doubtful(run.forwarder.fleet.members[chosen.key], now)
+    return None if is_better else NO_BETTER_ENGINE
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -1,19 +1,17 @@
 """Relays the response of one attempt of a stream and reports why it ended."""
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import structlog
 
 from monsoontack.gateway.crashdetector import BROKEN_OFF_KINDS
-from monsoontack.gateway.fleet import Member
 from monsoontack.gateway.outbound import FailureKind, HttpExchange
-from monsoontack.gateway.records import (
-    ResponseHead,
-)
+from monsoontack.gateway.records import ResponseHead
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.sse import EventSplitter, EventTooLongError, parse_events
+from monsoontack.gateway.streamattempt import Placement, StreamLoss
+from monsoontack.gateway.streammove import why_stay
 from monsoontack.generation.continuation import (
     AnswerEvents,
     AnswerHead,
@@ -35,6 +33,9 @@
 # Connection timeout if another stream found the engine silent. Without such a sign, a
 # slow connection is more often caused by a busy link of this VM.
 SUSPECT_CHECK_TIMEOUT_S = 0.25
+# Interval at which a stream at a silent engine looks for a better one. The search costs
+# about as much as a placement.
+MOVE_CHECK_INTERVAL_S = 0.5
 # Factor on the silence limit, since the engine of a copy has to admit the run first.
 RESUME_LIMIT_FACTOR = 1.5
 # Share of the silence limit after which a new connection tests the engine.
@@ -47,52 +48,30 @@
 MAX_ERROR_BYTES = 65_536
 
 
-@dataclass(slots=True)
-class StreamLoss:
-    """Reason for which an attempt ended before the stream was complete.
-
-    `not_run` means that the engine did not run the request, `unsent` that it was
-    not even sent. `response_head` and `body` hold an error response of the engine, if
-    any. `events` is the number of events that the attempt delivered, 0 if its answer
-    turned out to be another one. `is_broken_off` means that the engine's side closed or
-    reset the connection, `has_gone_on` that events had come for some time before.
-    `is_foreign` means that an engine which can be reached gave another answer.
-    """
-
-    reason: str
-    not_run: bool = False
-    unsent: bool = False
-    response_head: ResponseHead | None = None
-    body: bytes = b""
-    events: int = 0
-    is_broken_off: bool = False
-    has_gone_on: bool = False
-    is_foreign: bool = False
-
-
 class StreamRelay:
     """Relays the response of one attempt.
 
     `tokens_to_read` are the prompt tokens that the engine reads before the first
     event: those of runs ahead and the attempt's own. `resumed` attempts start from a
     copy of the KV cache. `began_at` is the time of the attempt's first event;
-    `has_gone_on` is set once events have come for some time after it.
+    `has_gone_on` is set once events have come for some time after it. `waits_for` is
+    what keeps the stream at an engine that is silent, if it is.
     """
 
     def __init__(
         self,
         run: "StreamRun",
-        member: Member,
+        placement: Placement,
         exchange: HttpExchange,
         tokens_to_read: int,
-        resumed: bool,
     ) -> None:
         self.run = run
         self.job = run.job
-        self.member = member
+        self.member = placement.member
+        self.backup = placement.backup
         self.exchange = exchange
         self.sent_at = run.now()
-        self.resumed = resumed
+        self.resumed = placement.copy is not None
         self.splitter = EventSplitter()
         self.answer = AnswerEvents(run.position, self.job.route.is_repeatable)
         self.tokens_to_read = tokens_to_read
@@ -106,6 +85,8 @@
         self.liveness_check: asyncio.Task | None = None
         self.began_at: float | None = None
         self.has_gone_on = False
+        self.waits_for: str | None = None
+        self.next_move_check_at = 0.0
 
     async def relay(self) -> StreamLoss | None:
         """Relay events; return None if the stream is complete, else the loss."""
@@ -153,11 +134,13 @@
             if reason is not None:
                 exchange.abort()
                 return StreamLoss(reason, is_broken_off=self.member.restarted)
-            silence = None if has_unread else await self._detect_silence()
-            if silence is not None:
-                run.forwarder.fleet.note_unreachable(self.member, run.now())
+            if has_unread or run.now() < self.next_move_check_at:
+                continue
+            silence = await self._detect_silence()
+            has_news = bool(exchange.parts) or exchange.is_finished
+            if silence is not None and not has_news and self._may_leave(silence):
                 exchange.abort()
-                return StreamLoss(f"{FailureKind.SILENT}: {silence}")
+                return StreamLoss(f"{FailureKind.SILENT}: {silence}", is_silent=True)
 
     def _reason_to_give_up(self) -> str | None:
         """Return why the attempt is no longer of use, if it is not."""
@@ -167,6 +150,39 @@
             return BLOCKED_REASON
         return "its engine started anew" if self.member.restarted else None
 
+    def _may_leave(self, silence: str) -> bool:
+        """Whether the stream leaves its silent engine; otherwise it waits there."""
+        run, now = self.run, self.run.now()
+        if self.waits_for is None:
+            run.forwarder.fleet.note_unreachable(self.member, now)
+        waits_for = why_stay(run, self.member, self.backup, self.answer.count)
+        if waits_for is None:
+            return True
+        self.next_move_check_at = now + MOVE_CHECK_INTERVAL_S
+        if waits_for != self.waits_for:
+            log.info(
+                "stream waits for its silent engine",
+                request=self.job.request.request_id,
+                server=self.member.server.incarnation,
+                silence=silence,
+                waits_for=waits_for,
+                events=run.events,
+                left_s=round(self.job.left_s(now), 2),
+            )
+        self.waits_for = waits_for
+        return False
+
+    def _note_going_on(self, now: float) -> None:
+        """End the wait for a silent engine, whose events come again."""
+        self.waits_for, self.next_move_check_at = None, 0.0
+        self.run.forwarder.fleet.note_alive(self.member, now)
+        log.info(
+            "silent engine goes on",
+            request=self.job.request.request_id,
+            server=self.member.server.incarnation,
+            gap_s=round(now - max(self.run.last_event_at, self.sent_at), 2),
+        )
+
     def _poll_timeout_s(self) -> float:
         now = self.run.now()
         left_s = self.job.left_s(now)
@@ -243,6 +259,8 @@
     def _record_progress(self, now: float, is_first: bool) -> None:
         """Record the arrival of events; comments keep no stalled stream alive."""
         run = self.run
+        if self.waits_for is not None:
+            self._note_going_on(now)
         if run.events == 0 or is_first and run.last_event_at == 0.0:
             self._record_first_event(now)
         else:
@@ -302,6 +320,7 @@
         timeout_s = (
             SUSPECT_CHECK_TIMEOUT_S if is_suspect else CONNECTION_CHECK_TIMEOUT_S
         )
+        timeout_s = min(timeout_s, self.job.left_s(now))
         failure = await run.forwarder.sender.check_connection(member, timeout_s)
         return None if failure is None else f"no new connection, {failure.detail}"
 
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -1,6 +1,5 @@
 """Serves one stream by attempts in sequence until the stream is complete."""
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import structlog
@@ -13,12 +12,10 @@
 from monsoontack.gateway.records import Attempt, KvCacheCopy
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.rollouts import RolloutManager
+from monsoontack.gateway.streamattempt import Placement, StreamLoss
 from monsoontack.gateway.streamerrors import loss_error
-from monsoontack.gateway.streamrelay import (
-    BLOCKED_REASON,
-    StreamLoss,
-    StreamRelay,
-)
+from monsoontack.gateway.streammove import is_doubtful
+from monsoontack.gateway.streamrelay import BLOCKED_REASON, StreamRelay
 from monsoontack.generation.continuation import StreamPosition
 from monsoontack.generation.failover import (
     EndCause,
@@ -28,6 +25,7 @@
     next_step,
 )
 from monsoontack.routing.placement import (
+    EngineCandidate,
     PromptAffinity,
     choose_backup,
     choose_engine,
@@ -45,21 +43,6 @@
 MAX_TOTAL_ATTEMPTS = 12
 
 
-@dataclass(frozen=True, slots=True)
-class Placement:
-    """Engines of one attempt.
-
-    The attempt is sent to `member` and resumes from `copy` if that is set; `backup` is
-    the engine that gets the next copy. `tokens_ahead` are prompt tokens of other runs
-    that the engine has yet to read.
-    """
-
-    member: Member
-    copy: KvCacheCopy | None
-    backup: Member | None
-    tokens_ahead: int
-
-
 class StreamRun:
     """State of one stream while it is served.
 
@@ -175,17 +158,11 @@
         # A copy can be used only once, and exists only if the run has made events.
         has_events = backup is not None and loss.events >= MIN_EVENTS_FOR_COPY
         self.copy_holder = backup if has_events else None
-        has_kv_copy = self._copy_member() is not None
-        state = FailoverInput(
-            has_kv_copy=has_kv_copy,
-            resumable=job.route.is_repeatable and self.position.can_go_on,
-            known_not_run=not job.may_have_run,
-            attempts_left=min(
-                job.route.attempts - self.counted_attempts,
-                MAX_TOTAL_ATTEMPTS - self.total_attempts,
-            ),
-            left_s=job.left_s(now),
-        )
+        copy_member = self._copy_member()
+        if loss.is_silent and copy_member and is_doubtful(copy_member, now):
+            self.copy_holder = copy_member = None
+        has_kv_copy = copy_member is not None
+        state = self.failover_input(has_kv_copy)
         step, ended_by = next_step(state), end_cause(state)
         if loss.is_broken_off and not loss.has_gone_on:
             self.broken_off += 1
@@ -216,6 +193,20 @@
         )
         return step
 
+    def failover_input(self, has_kv_copy: bool) -> FailoverInput:
+        """Return the state on which the next step of the stream depends."""
+        job = self.job
+        return FailoverInput(
+            has_kv_copy=has_kv_copy,
+            resumable=job.route.is_repeatable and self.position.can_go_on,
+            known_not_run=not job.may_have_run,
+            attempts_left=min(
+                job.route.attempts - self.counted_attempts,
+                MAX_TOTAL_ATTEMPTS - self.total_attempts,
+            ),
+            left_s=job.left_s(self.now()),
+        )
+
     def is_blocked(self) -> bool:
         """Whether a part of the prompt has been blocked since the request arrived."""
         job = self.job
@@ -236,10 +227,16 @@
         return [[member.limit_key, member.server.service] for member in found]
 
     def _copy_member(self) -> Member | None:
-        """Return the engine that got the copy if that start accepts requests."""
-        if self.copy_holder is None:
+        return self.usable_copy(self.copy_holder, MIN_EVENTS_FOR_COPY)
+
+    def usable_copy(self, holder: Member | None, events: int) -> Member | None:
+        """Return the engine that got the copy if that start accepts requests.
+
+        `events` is the number of events of the run that was copied.
+        """
+        if holder is None or events < MIN_EVENTS_FOR_COPY:
             return None
-        member, now = self.forwarder.fleet.find_current(self.copy_holder), self.now()
+        member, now = self.forwarder.fleet.find_current(holder), self.now()
         if member is None or now < member.avoid_until:
             return None
         gate = self.forwarder.sender.gate
@@ -257,13 +254,7 @@
             chosen = loads.get(member.server.incarnation)
         else:
             usable = [e for k, e in loads.items() if k not in self.excluded]
-            chosen = choose_engine(
-                usable or list(loads.values()),
-                forwarder.place,
-                self.needed_tokens,
-                forwarder.rng,
-                self._affinity(),
-            )
+            chosen = self.choose({e.key: e for e in usable} or loads)
             if chosen is None:
                 return None
             member = members[chosen.key]
@@ -276,6 +267,16 @@
         ahead = chosen.waiting_tokens if chosen is not None else 0
         return Placement(member, copy, backup, ahead)
 
+    def choose(self, loads: dict[str, EngineCandidate]) -> EngineCandidate | None:
+        """Return the best of these engines for a new start of the stream."""
+        return choose_engine(
+            list(loads.values()),
+            self.forwarder.place,
+            self.needed_tokens,
+            self.forwarder.rng,
+            self._affinity(),
+        )
+
     def _record_prompt(self, member: Member) -> None:
         """Record the engine of the prompt, here and at the other entries."""
         if not self.segment_id:
@@ -322,7 +323,7 @@
                 record.result = str(sent.kind)
                 return StreamLoss(sent.detail, not_run=True, unsent=True)
             tokens_to_read = placement.tokens_ahead + waiting_tokens
-            relay = StreamRelay(self, member, sent, tokens_to_read, copy is not None)
+            relay = StreamRelay(self, placement, sent, tokens_to_read)
             loss = await relay.relay()
             record.result = "complete" if loss is None else loss.reason
             if loss is not None:
