Let a stream that left a silent engine outlast refusals

What callers saw: a stream that had left a silent engine was cut, or got 502, when the other engines had no room or the retry budget was used up by their refusals. The engine it had left might have gone on.

Cause: a refused attempt goes on at once at another engine until the attempts, the bounded number of sends or the budget are used up, which takes milliseconds if all engines refuse, and then the stream ends.

Now each engine is asked once; after that the stream waits as long as a refused caller is told to wait, and ends at its deadline. Losses of other kinds end as before.

--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -2,13 +2,17 @@
 
 To leave an engine resets the connection and ends the engine's work, so a stream stays
 until its deadline unless another attempt is allowed and the engine that it would get
-has not itself been found silent.
+has not itself been found silent. A stream that has left a silent engine and is refused
+by the others goes on trying until its deadline.
 """
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from monsoontack.gateway.fleet import Member
-from monsoontack.generation.failover import EndCause, end_cause
+from monsoontack.gateway.responder import CallerDisconnectedError
+from monsoontack.gateway.streamerrors import FULL_RETRY_AFTER_S
+from monsoontack.generation.failover import EndCause, NextStep, end_cause
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
@@ -51,3 +55,30 @@
         return NO_BETTER_ENGINE
     is_better = not is_doubtful(run.forwarder.fleet.members[chosen.key], now)
     return None if is_better else NO_BETTER_ENGINE
+
+
+async def wait_after_refusal(run: "StreamRun", step: NextStep) -> NextStep:
+    """Return the step after a refusal that followed a silent engine, with a pause.
+
+    There is no pause while an engine is left that has not refused the stream. The
+    result is `END` at the deadline or if the caller gets an engine's error.
+    """
+    loads, job = run.forwarder.engine_loads, run.job
+    is_granted = step is not NextStep.END
+    if is_granted and (step is NextStep.RESUME_COPY or loads(job, run.excluded)):
+        return step
+    if run.engine_error is not None and not job.responder.head_sent:
+        return NextStep.END
+    while (left_s := job.left_s(run.now())) > 0:
+        pause_s = min(FULL_RETRY_AFTER_S, left_s)
+        await asyncio.wait([job.responder.disconnected], timeout=pause_s)
+        if job.responder.is_disconnected:
+            raise CallerDisconnectedError
+        if is_granted or run.is_blocked():
+            return NextStep.RESTART
+        has_attempt = run.failover_input(has_kv_copy=False).attempts_left > 0
+        if not has_attempt or not loads(job, set()):
+            continue
+        if run.forwarder.budgets.take(job.service, run.now()):
+            return NextStep.RESTART
+    return NextStep.END
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -14,7 +14,7 @@
 from monsoontack.gateway.rollouts import RolloutManager
 from monsoontack.gateway.streamattempt import Placement, StreamLoss
 from monsoontack.gateway.streamerrors import loss_error
-from monsoontack.gateway.streammove import is_doubtful
+from monsoontack.gateway.streammove import is_doubtful, wait_after_refusal
 from monsoontack.gateway.streamrelay import BLOCKED_REASON, StreamRelay
 from monsoontack.generation.continuation import StreamPosition
 from monsoontack.generation.failover import (
@@ -53,6 +53,9 @@
     the KV cache.
     `engine_error` is the last error response of an engine. `broken_off` counts the
     engines that broke off the stream before they went on answering.
+    `has_left_silent_engine` is set while only refusals have followed an engine that was
+    left for its silence. That engine might have gone on, so the stream goes on trying
+    until its deadline.
     """
 
     def __init__(self, forwarder: "StreamForwarder", job: Job) -> None:
@@ -74,6 +77,7 @@
         self.engine_error: StreamLoss | None = None
         self.guard = forwarder.sender.guard
         self.broken_off = 0
+        self.has_left_silent_engine = False
         request = job.request
         self.segment_id = (
             request.prompt_segments[-1].segment_id if request.prompt_segments else ""
@@ -132,24 +136,33 @@
                 return StreamLoss(BLOCKED_REASON, not_run=True)
             placement = self._place(step)
             if placement is None:
-                return StreamLoss("no engine can be reached", not_run=True, unsent=True)
-            loss = await self._run_attempt(placement)
-            if loss is None:
-                return None
-            if loss.response_head is not None and not loss.not_run:
-                self.engine_error = loss
-                if loss.response_head.status < 500 and not self.position.has_begun:
+                loss = StreamLoss("no engine can be reached", not_run=True, unsent=True)
+                step = NextStep.END
+            else:
+                loss = await self._run_attempt(placement)
+                if loss is None or self._is_final_error(loss):
                     return loss
-            step = self._step_after_loss(loss, placement.member, placement.backup)
+                step = self._step_after_loss(loss, placement.member, placement.backup)
+            if self.has_left_silent_engine:
+                step = await wait_after_refusal(self, step)
             if step is NextStep.END:
                 return loss
 
+    def _is_final_error(self, loss: StreamLoss) -> bool:
+        """Whether the caller gets this answer of an engine at once."""
+        if loss.response_head is None or loss.not_run:
+            return False
+        self.engine_error = loss
+        return loss.response_head.status < 500 and not self.position.has_begun
+
     def _step_after_loss(
         self, loss: StreamLoss, member: Member, backup: Member | None
     ) -> NextStep:
         """Return the next step of the stream after a failed attempt."""
         job, now = self.job, self.now()
-        if loss.unsent:
+        if loss.is_silent or not loss.not_run:
+            self.has_left_silent_engine = loss.is_silent
+        if loss.unsent or loss.not_run and self.has_left_silent_engine:
             self.excluded.add(member.server.incarnation)
         else:
             self.excluded = {member.server.incarnation}
