Wait for the error of an engine that is silent inside its body

What callers saw: 502 of the entry in place of an engine's own error, if the engine was silent for more than a second inside the body and no other engine could take the stream.

Cause: the body of an error response was given up after one second in all cases.

Now it is given up only if the stream may go on at a better engine, as for events, or at the deadline. A refusal's body, which no caller gets, keeps the bound.

--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -44,6 +44,8 @@
 # An engine that crashes when it begins an answer does so within tens of milliseconds of
 # the first event. After this time it has gone on answering.
 GO_ON_S = 0.5
+# Wait for the body of an error response before another engine is considered.
+ERROR_BODY_TIMEOUT_S = 1.0
 # Limit on the body of an error response, which is buffered for the caller.
 MAX_ERROR_BYTES = 65_536
 
@@ -194,7 +196,7 @@
         wire = self.run.forwarder.sender.wire
         response_head = wire.parse_response_head(exchange.status, exchange.headers)
         if response_head.not_run:
-            await self._read_error_body()
+            await self._read_error_body(is_used=False)
             return StreamLoss(
                 f"not_run {response_head.status}",
                 not_run=True,
@@ -206,7 +208,7 @@
             status = response_head.status
             return StreamLoss(f"status {status}, but the request may have run")
         if response_head.status >= 300:
-            body = await self._read_error_body()
+            body = await self._read_error_body(is_used=True)
             if exchange.failure is not None:
                 return StreamLoss(str(exchange.failure))
             return StreamLoss(
@@ -222,16 +224,24 @@
         self.response_head = response_head
         return None
 
-    async def _read_error_body(self) -> bytes:
-        """Return the body of an error response."""
-        exchange, parts, size = self.exchange, [], 0
-        deadline_at = min(self.run.now() + 1.0, self.job.deadline_at)
+    async def _read_error_body(self, is_used: bool) -> bytes:
+        """Return the body of an error response; `is_used` if the caller may get it."""
+        exchange, run, parts, size = self.exchange, self.run, [], 0
+        until = min(run.now() + ERROR_BODY_TIMEOUT_S, self.job.deadline_at)
         while not exchange.is_finished or exchange.parts:
-            await exchange.wait(deadline_at - self.run.now())
+            await exchange.wait(min(until - run.now(), SILENCE_POLL_S))
+            if self.job.responder.is_disconnected:
+                raise CallerDisconnectedError
             parts.append(exchange.take_body())
             size += len(parts[-1])
-            if self.run.now() >= deadline_at or size > MAX_ERROR_BYTES:
+            if size > MAX_ERROR_BYTES:
                 exchange.abort()
+            elif run.now() >= until:
+                waits_for = why_stay(run, self.member, self.backup, 0)
+                if is_used and waits_for and self.job.left_s(run.now()) > 0:
+                    until = min(until + MOVE_CHECK_INTERVAL_S, self.job.deadline_at)
+                else:
+                    exchange.abort()
         return b"".join(parts)
 
     async def _forward_events(self, data: bytes) -> None:
