Take requests in a planned stop only if they can end, and answer the rest

What callers saw: in a planned stop of a gateway, requests that came late in the grace were passed on, and at its end their connections were closed without an answer, also those of requests that may not be repeated.

Cause: a draining entry took every call until 1.5 s before the end of the drain, however long the calls of its route take, and at the end aborted all connections. Streams were judged by one mean of all routes.

Why it works: the rule for streams becomes that for all requests (admission/drainadmission): a request is taken if the recent times of its route fit into the rest of the drain. Resumable streams need the mean as before, idempotent calls nine tenths, what may run only once its longest recent time and 0.5 s; the latter's whole time if nothing is known. What still runs at the end is ended like a request at its deadline, and gets 502 with run state unknown (503 if no server has got it) before connections are closed. A stream that has begun is reset, as before.

handler_test: the usual stream is now a resumable one, since another one is judged more strictly, for which there is a new test; the bounds are the same.

--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -234,7 +234,7 @@
         if self.hedge_at is not None:
             wait_until = min(wait_until, self.hedge_at)
         done, _ = await asyncio.wait(
-            [*self.tasks, job.responder.disconnected],
+            [*self.tasks, job.responder.disconnected, job.ending],
             timeout=max(wait_until - now, 0.0),
             return_when=asyncio.FIRST_COMPLETED,
         )
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -62,10 +62,14 @@
 # failed checks. Until then, a draining entry accepts connections.
 UNREADY_PROPAGATION_S = 3.0
 DRAIN_CHECK_INTERVAL_S = 0.05
+# Wait for the answers of the requests that run at the end of the drain; streams check
+# every 0.1 s whether they are still wanted.
+ANSWER_WAIT_S = 0.15
 # Wait between closing the connections whose answers were written and aborting the
 # others.
 FLUSH_WAIT_S = 0.1
-# Part of the grace period that is reserved for aborting the remaining requests.
+# Part of the grace period that is reserved for answering or aborting the remaining
+# requests.
 ABORT_MARGIN_S = 0.4
 TICK_INTERVAL_S = 0.25
 # The settings file is checked for changes at this interval, in addition to SIGHUP.
@@ -467,11 +471,11 @@
             metrics.log_lines_dropped.set(self.log_writer.dropped)
 
     async def _drain(self) -> None:
-        """Wait for requests to end, abort those left at the deadline, and close."""
+        """Wait for requests to end, end those left at the deadline, and close."""
         self.draining = True
         started = self.gateway.now()
         deadline = started + self.settings.grace_s - ABORT_MARGIN_S
-        self.gateway.drain_deadline_at = deadline
+        self.gateway.drain.ends_at = deadline
         log.info("draining", requests=self.gateway.in_progress)
         while self.gateway.now() < deadline:
             is_propagated = self.gateway.now() >= started + UNREADY_PROPAGATION_S
@@ -484,8 +488,18 @@
         for listener in self.listeners:
             listener.close()
         left = self.gateway.in_progress
+        await self._answer_remaining()
         self.front.close_idle()
         await asyncio.sleep(FLUSH_WAIT_S)
         self.front.abort_all()
         self.pool.close()
         log.info("drained", cut=left, took_s=round(self.gateway.now() - started, 2))
+
+    async def _answer_remaining(self) -> None:
+        """Answer the requests that still run before their connections end."""
+        self.gateway.end_running()
+        wait_until = self.gateway.now() + ANSWER_WAIT_S
+        while self.gateway.in_progress and self.gateway.now() < wait_until:
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        for task in list(self.front.tasks):
+            task.cancel()
--- a/monsoontack/gateway/drain_test.py
+++ b/monsoontack/gateway/drain_test.py
@@ -194,10 +194,10 @@
 
     def test_requests_that_can_end_are_served(self):
         """Guards against requests refused although there is time for them; a request
-        that may not be repeated needs a second more."""
+        that may not be repeated needs half a second more."""
         refused = []
         for work_s in (0.5, 1.0, 2.0):
-            for kind, spare_s in (("once", 1.2), ("idempotent", 0.3), ("stream", 1.2)):
+            for kind, spare_s in (("once", 0.7), ("idempotent", 0.3), ("stream", 0.7)):
                 sent, _, _ = drain(kind, work_s)
                 latest_s = GRACE_S - ANSWERED_WITHIN_S - work_s - spare_s
                 served_s = self.served_until_s(sent)
@@ -205,7 +205,7 @@
                     refused.append((kind, work_s, served_s, latest_s))
         self.assertEqual([], refused)
 
-    def test_calls_of_unknown_duration_are_not_repeated_in_vain(self):
+    def test_calls_of_unknown_duration_that_may_run_only_once_are_refused(self):
         """Guards against a call that may not be repeated, passed on late in a drain
         although nothing is known of how long it takes."""
         sent, ran, _ = drain("once", 2.5, prior=0)
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
+from monsoontack.admission.drainadmission import DrainAdmission, Work
 from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.calls import CallForwarder
@@ -24,23 +25,16 @@
 # Subtracted from the deadline, so that a response sent at the deadline reaches the
 # caller in time; the network takes a few ms.
 RESPONSE_MARGIN_S = 0.02
-# Factor on the usual time of a stream. A stream that outlasts the drain is aborted, and
-# its caller resumes within 0.3 s at the engine that has its prompt cached. With 1.3,
-# which also allows for streams longer than usual, an entry refused all streams from
-# the start of its drain.
-EXPECTED_STREAM_TIME_FACTOR = 1.0
-# Calls that arrive within this time of the end of the drain are refused. While all
-# entries of a failure domain drain, the load balancer still sends to them until they
-# exit.
-EXPECTED_CALL_S = 1.5
+# Outcomes of requests that took as long as their route takes.
+COMPLETE_OUTCOMES = ("answered", "streamed")
 
 
 @dataclass(slots=True)
 class Gateway:
     """Serves the requests of one entry.
 
-    `drain_deadline_at` is the time at which a draining entry aborts the requests
-    that still run, or None if it is not draining.
+    `drain` decides on new requests while the entry drains. `running` has the requests
+    that are being served, by the identity of their job.
     """
 
     wire: WireFormat
@@ -49,13 +43,18 @@
     streams: StreamForwarder
     metrics: GatewayMetrics
     rng: random.Random
-    in_progress: int = 0
-    drain_deadline_at: float | None = None
+    drain: DrainAdmission = field(default_factory=DrainAdmission)
+    running: dict[int, Job] = field(default_factory=dict)
 
     def now(self) -> float:
         """Return the loop's time in seconds."""
         return asyncio.get_running_loop().time()
 
+    @property
+    def in_progress(self) -> int:
+        """Return the number of requests that are being served."""
+        return len(self.running)
+
     @property
     def guard(self) -> PromptGuard:
         """Return the parts of prompts that must not be sent."""
@@ -72,27 +71,35 @@
             self._refuse(authorized, responder, request.request_id, authorized.code)
             return
         route, account = authorized
-        if self._may_outlast_drain(route):
+        job = self._make_job(request, route, account, responder)
+        if self._may_outlast_drain(job):
             self._refuse(
                 self._draining_error(), responder, request.request_id, "draining"
             )
             return
-        job = self._make_job(request, route, account, responder)
         blocked = self._check_prompt(job)
         if blocked is not None:
             self._refuse(blocked, responder, request.request_id, blocked.code)
             return
-        self.in_progress += 1
+        self.running[id(job)] = job
         try:
             await self._serve(job)
+        except asyncio.CancelledError:
+            self._answer_cancelled(job)
+            raise
         except Exception:
             log.exception("request failed", request=request.request_id)
             job.outcome = "internal_error"
             self._send_internal_error(job)
         finally:
-            self.in_progress -= 1
+            del self.running[id(job)]
             self._record_end(job)
 
+    def end_running(self) -> None:
+        """End the requests that still run, because the process ends."""
+        for job in list(self.running.values()):
+            job.end_early(self.now())
+
     def _make_job(self, request: CallerRequest, route, account, responder) -> Job:
         wait_s = route.timeout_s
         if request.deadline_s is not None:
@@ -118,14 +125,10 @@
         job.is_trial = self.guard.take_trial(job.shared_prompt, self.now())
         return None if job.is_trial else refusal
 
-    def _may_outlast_drain(self, route: Route) -> bool:
+    def _may_outlast_drain(self, job: Job) -> bool:
         """Whether a new request might still be running at the end of the drain."""
-        if self.drain_deadline_at is None:
-            return False
-        expected_s = EXPECTED_CALL_S
-        if route.kind is RequestKind.STREAM:
-            expected_s = self.streams.smoothed_duration_s * EXPECTED_STREAM_TIME_FACTOR
-        return self.now() + min(expected_s, route.timeout_s) > self.drain_deadline_at
+        now = self.now()
+        return not self.drain.may_take(_work_of(job.route), job.left_s(now), now)
 
     def _draining_error(self) -> RequestError:
         message = "this entry is leaving; another one serves"
@@ -137,6 +140,15 @@
         else:
             await self.calls.serve(job)
 
+    def _answer_cancelled(self, job: Job) -> None:
+        """Answer a request whose handling was cancelled at the end of the drain."""
+        job.may_have_run |= bool(job.tries)
+        error = job.timeout_error()
+        job.outcome = error.code
+        if not job.responder.head_sent:
+            job.status = error.status
+            job.responder.send(*error_response(error, job.request.request_id))
+
     def _send_internal_error(self, job: Job) -> None:
         error = RequestError(
             500, "internal_error", "the entry failed", RunState.UNKNOWN
@@ -166,6 +178,9 @@
 
     def _record_end(self, job: Job) -> None:
         took_s = self.now() - job.started_at
+        is_whole = job.outcome in COMPLETE_OUTCOMES and job.status < 500
+        is_resumed = job.request.last_event_id is not None
+        self.drain.record(_work_of(job.route), took_s, is_whole and not is_resumed)
         kind = str(job.route.kind)
         self.metrics.requests.labels(kind, job.outcome).inc()
         self.metrics.answer_s.labels(kind).observe(took_s)
@@ -202,3 +217,7 @@
             config_version=job.config_version,
             config_age_s=round(job.config_age_s, 2),
         )
+
+
+def _work_of(route: Route) -> Work:
+    return Work(route.name, route.kind is RequestKind.STREAM, route.is_repeatable)
--- a/monsoontack/gateway/handler_test.py
+++ b/monsoontack/gateway/handler_test.py
@@ -2,13 +2,21 @@
 
 import unittest
 
+from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.configstate import ConfigState
-from monsoontack.gateway.handler import Gateway
+from monsoontack.gateway.handler import Gateway, _work_of
 from monsoontack.gateway.metrics import GatewayMetrics
 from monsoontack.gateway.records import RequestKind
 from monsoontack.gateway.streams import StreamForwarder
-from standins.gatewayfakes import HOME, ScriptedSender, make_fleet, make_rng, make_route
+from standins.gatewayfakes import (
+    HOME,
+    ScriptedSender,
+    make_fleet,
+    make_job,
+    make_rng,
+    make_route,
+)
 
 GRACE_S = 7.6
 
@@ -31,30 +39,45 @@
         fleet = make_fleet({"s1": HOME})
         sender = ScriptedSender(fleet, {})
         budgets = RetryBudgets(0.8, 50.0, 10.0)
-        self.streams = StreamForwarder(HOME, fleet, sender, budgets, make_rng())
+        streams = StreamForwarder(HOME, fleet, sender, budgets, make_rng())
         config_state, metrics = ConfigState(5.0), GatewayMetrics.create()
         self.gateway = TimedGateway(
-            None, config_state, None, self.streams, metrics, make_rng()
+            None, config_state, None, streams, metrics, make_rng()
         )
-        self.gateway.drain_deadline_at = GRACE_S
+        self.gateway.drain.ends_at = GRACE_S
 
-    def accepts(self, after_s, kind=RequestKind.STREAM):
-        self.gateway.time = after_s
-        route = make_route(kind, timeout_s=25.0)
-        return not self.gateway._may_outlast_drain(route)
+    def record_streams(self, took_s, resumable=True):
+        route = make_route(RequestKind.STREAM, resumable=resumable)
+        self.gateway.drain.record(_work_of(route), took_s, is_complete=True)
+
+    def accepts(self, after_s, kind=RequestKind.STREAM, resumable=True):
+        route = make_route(kind, timeout_s=25.0, resumable=resumable)
+
+        async def scenario():
+            job = make_job(route, deadline_s=after_s + 25.0)
+            self.gateway.time = after_s
+            return not self.gateway._may_outlast_drain(job)
+
+        return run_in_virtual_time(scenario())
 
     def test_usual_stream_is_accepted_early_in_a_drain(self):
         """Guards against streams refused from the start of a drain: the only retry of
         their callers went to the next draining entry."""
-        self.streams.smoothed_duration_s = 5.9
+        self.record_streams(5.9)
         self.assertTrue(self.accepts(0.0))
         self.assertTrue(self.accepts(1.5))
 
     def test_stream_that_cannot_end_in_time_is_refused(self):
         """Guards against accepting streams that the end of the drain will abort."""
-        self.streams.smoothed_duration_s = 5.9
+        self.record_streams(5.9)
         self.assertFalse(self.accepts(2.0))
 
+    def test_stream_that_may_run_only_once_needs_more_time(self):
+        """Guards against cutting a stream that no other entry can go on with."""
+        self.record_streams(5.9, resumable=False)
+        self.assertTrue(self.accepts(1.0, resumable=False))
+        self.assertFalse(self.accepts(1.5, resumable=False))
+
     def test_call_is_accepted_later_than_a_stream(self):
         """Guards against refusing calls for which enough time is left."""
         self.assertTrue(self.accepts(4.0, RequestKind.IDEMPOTENT))
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -32,6 +32,7 @@
     `deadline_at` is the earlier of the caller's and the route's deadline (event loop's
     clock). `may_have_run` is set once a backend server may have run the request.
     `is_trial` marks the one request that tries a blocked part of a prompt again.
+    `ending` is done once the process ends and the request must be answered.
     """
 
     request: CallerRequest
@@ -51,9 +52,11 @@
     worst_gap_s: float = 0.0
     is_trial: bool = False
     shared_prompt: SharedPrompt = field(init=False)
+    ending: asyncio.Future = field(init=False)
 
     def __post_init__(self) -> None:
         """Derive the part of the prompt that other requests may share."""
+        self.ending = asyncio.get_running_loop().create_future()
         self.shared_prompt = SharedPrompt.from_ids(
             self.account.name if self.account else "",
             (part.segment_id for part in self.request.prompt_segments),
@@ -63,6 +66,12 @@
         """Return the time that is left until the deadline."""
         return self.deadline_at - now
 
+    def end_early(self, now: float) -> None:
+        """End the request now, because the process ends."""
+        if not self.ending.done() and self.left_s(now) > 0:
+            self.deadline_at = now
+            self.ending.set_result(None)
+
     def is_wanted(self) -> bool:
         """Whether the caller is still connected and the deadline has not passed."""
         now = asyncio.get_running_loop().time()
@@ -77,8 +86,17 @@
 
     def timeout_error(self) -> RequestError:
         """Return the error for a request whose deadline has passed."""
+        if self.ending.done():
+            return self._ending_error()
         if self.may_have_run:
             message = "no answer within the time of the request"
             return RequestError(504, "timeout", message, RunState.UNKNOWN)
         message = "no backend server could take the request in time"
         return RequestError(503, "no_backend_server", message, retry_after_s=0.5)
+
+    def _ending_error(self) -> RequestError:
+        if self.may_have_run:
+            message = "this entry left before the request ended"
+            return RequestError(502, "draining", message, RunState.UNKNOWN)
+        message = "this entry left before a backend server got the request"
+        return RequestError(503, "draining", message, retry_after_s=0.0)
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -29,9 +29,6 @@
     EngineCandidate,
 )
 
-# Assumed duration of a stream until the first one has been measured.
-INITIAL_DURATION_S = 6.0
-DURATION_WEIGHT = 0.1  # weight of the latest stream in the moving average
 # Under load, engines evict a prompt within seconds, so older ones are not needed.
 MAX_REMEMBERED_PROMPTS = 2000
 # Prompts sent to an entry that has just started: those of about the last 10 s.
@@ -44,7 +41,6 @@
 
     `traits` maps the names of services to their traits, `prompt_engines` the ids of
     prompt segments to the starts of the engines that got them last.
-    `smoothed_duration_s` is the moving average of the duration of complete streams.
     """
 
     place: Place
@@ -54,7 +50,6 @@
     rng: random.Random
     traits: dict[str, ServiceTraits] = field(default_factory=dict)
     stream_timeouts_by_service: dict[str, StreamTimeouts] = field(default_factory=dict)
-    smoothed_duration_s: float = INITIAL_DURATION_S
     rollouts: RolloutManager | None = None
     prompt_engines: dict[str, str] = field(default_factory=dict)
     load_exchange: LoadExchange | None = None
@@ -65,13 +60,8 @@
         self.crash_detector = CrashDetector(self.sender)
 
     async def serve(self, job: Job) -> None:
-        """Serve one stream and update the average duration."""
+        """Serve one stream."""
         await StreamRun(self, job).serve()
-        if job.outcome == "streamed":
-            took_s = self.sender.now() - job.started_at
-            self.smoothed_duration_s += DURATION_WEIGHT * (
-                took_s - self.smoothed_duration_s
-            )
 
     def stream_timeouts(self, service: str) -> StreamTimeouts:
         """Return the event timing statistics of a service's engines."""
--- a/tests/drain_test.py
+++ b/tests/drain_test.py
@@ -108,7 +108,7 @@
     async def test_short_calls_are_served_through_a_drain(self):
         """Guards against calls refused in a drain although there is time for them."""
         self.set_call_time(0.3)
-        self.check(await self.drain("/once/"), served_until_s=2.0)
+        self.check(await self.drain("/once/"), served_until_s=2.4)
 
     async def test_short_lookups_are_served_through_a_drain(self):
         """Guards against idempotent calls refused although there is time for them."""
