Let new connections in a planned stop send their request before they close

What callers saw: from 3 s after SIGTERM on, a new connection could be reset before its request was read, although the entry still accepted connections.

Cause: every 0.05 s the drain closed each connection without a request, also one that had been accepted a moment before.

Why it works: a connection is closed once it has been idle for 0.3 s. At the end, connections that were opened within the last 0.1 s may send their request while the answers are flushed; nothing new is taken then, so that they are refused as not run.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -62,6 +62,9 @@
 # failed checks. Until then, a draining entry accepts connections.
 UNREADY_PROPAGATION_S = 3.0
 DRAIN_CHECK_INTERVAL_S = 0.05
+# A draining entry closes connections that have been idle for this time. The request of
+# a new connection follows within a round trip, which takes 30 ms between regions.
+MIN_IDLE_S = 0.3
 # Wait for the answers of the requests that run at the end of the drain; streams check
 # every 0.1 s whether they are still wanted.
 ANSWER_WAIT_S = 0.15
@@ -480,7 +483,7 @@
         while self.gateway.now() < deadline:
             is_propagated = self.gateway.now() >= started + UNREADY_PROPAGATION_S
             if is_propagated:
-                self.front.close_idle()
+                self.front.close_idle(MIN_IDLE_S)
             busy = self.gateway.in_progress or self.front.tasks
             if is_propagated and not busy and not self.front.has_active_requests:
                 break
@@ -489,14 +492,16 @@
             listener.close()
         left = self.gateway.in_progress
         await self._answer_remaining()
-        self.front.close_idle()
+        self.front.close_idle(FLUSH_WAIT_S)
         await asyncio.sleep(FLUSH_WAIT_S)
+        self.front.close_idle()
         self.front.abort_all()
         self.pool.close()
         log.info("drained", cut=left, took_s=round(self.gateway.now() - started, 2))
 
     async def _answer_remaining(self) -> None:
         """Answer the requests that still run before their connections end."""
+        self.gateway.drain.ends_at = self.gateway.now()
         self.gateway.end_running()
         wait_until = self.gateway.now() + ANSWER_WAIT_S
         while self.gateway.in_progress and self.gateway.now() < wait_until:
--- a/monsoontack/gateway/inbound.py
+++ b/monsoontack/gateway/inbound.py
@@ -83,10 +83,11 @@
         """Whether a request is being received or served on any connection."""
         return any(not c.is_idle for c in self.connections)
 
-    def close_idle(self) -> None:
-        """Close the connections without an active request."""
+    def close_idle(self, min_idle_s: float = 0.0) -> None:
+        """Close the connections that have had no active request for some time."""
         for connection in list(self.connections):
-            if connection.is_idle:
+            idle_s = connection.now() - connection.idle_since
+            if connection.is_idle and idle_s >= min_idle_s:
                 connection.transport.close()
 
     def abort_all(self) -> None:
--- a/monsoontack/gateway/inbound_test.py
+++ b/monsoontack/gateway/inbound_test.py
@@ -96,6 +96,24 @@
         harness = run_connection(POST + b"Content-Length: 4\r\n\r\nab", wait_s=0.1)
         self.assertTrue(harness.server.has_active_requests)
 
+    def test_new_connection_is_not_closed_before_its_request(self):
+        """Guards against a shutdown that resets new connections whose request is on
+        its way, instead of refusing it."""
+
+        async def scenario():
+            harness = Harness(closing=True)
+            harness.server.close_idle(0.3)
+            self.assertFalse(harness.connection.transport.closed)
+            harness.connection.data_received(GET + b"\r\n")
+            await asyncio.sleep(0.1)
+            self.assertIn(b"HTTP/1.1 200", harness.written())
+            unused = harness.connect()
+            await asyncio.sleep(0.3)
+            harness.server.close_idle(0.3)
+            self.assertTrue(unused.transport.closed)
+
+        run_in_virtual_time(scenario())
+
 
 class RequestTest(unittest.TestCase):
     def test_ambiguous_requests_are_refused(self):
