Log a fingerprint of each request that has ended

A request that comes again under another id, at any gateway, can be recognised in the logs: `fingerprint` in `request ended` is a hash of method, host, path, account and body. Without it, the logs of the incident of crashing requests do not tell one recurrent request from many requests on one route.

--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -183,6 +183,7 @@
             route=job.route.name,
             kind=kind,
             account=job.account.name if job.account else None,
+            fingerprint=job.fingerprint,
             service=job.service,
             outcome=job.outcome,
             status=job.status,
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from monsoontack.admission.fingerprint import request_fingerprint
 from monsoontack.admission.sharedprompt import SharedPrompt
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.records import CallerRequest, GatewayAccount, Route
@@ -32,6 +33,7 @@
     `deadline_at` is the earlier of the caller's and the route's deadline (event loop's
     clock). `may_have_run` is set once a backend server may have run the request.
     `is_trial` marks the one request that tries a blocked part of a prompt again.
+    `fingerprint` is that of the method, host, path, account and body.
     """
 
     request: CallerRequest
@@ -51,12 +53,23 @@
     worst_gap_s: float = 0.0
     is_trial: bool = False
     shared_prompt: SharedPrompt = field(init=False)
+    fingerprint: str = field(init=False)
 
     def __post_init__(self) -> None:
-        """Derive the part of the prompt that other requests may share."""
+        """Derive what may recur: parts of the prompt, and the request as a whole."""
+        account = self.account.name if self.account else ""
         self.shared_prompt = SharedPrompt.from_ids(
-            self.account.name if self.account else "",
-            (part.segment_id for part in self.request.prompt_segments),
+            account, (part.segment_id for part in self.request.prompt_segments)
+        )
+        raw = self.request.raw
+        self.fingerprint = request_fingerprint(
+            (
+                raw.method,
+                self.request.host.encode(),
+                raw.target,
+                account.encode(),
+                raw.body,
+            )
         )
 
     def left_s(self, now: float) -> float:
