--- a/monsoontack/gateway/promptguard_test.py
+++ b/monsoontack/gateway/promptguard_test.py
@@ -71,7 +71,14 @@
         self.error = json.loads(job.responder.body)["error"] if is_error else {}
 
 
-def serve(script, kind=RequestKind.STREAM, before=None, later=None, is_trial=False):
+def serve(
+    script,
+    kind=RequestKind.STREAM,
+    before=None,
+    later=None,
+    is_trial=False,
+    parts=PARTS,
+):
     """Serve one request; `later` is called with the guard after half a second."""
 
     async def scenario():
@@ -101,7 +108,7 @@
         if later is not None:
             asyncio.get_running_loop().call_later(0.5, later, sender.guard)
         route = make_route(kind, resumable=True, timeout_s=25.0, attempts=5)
-        job = make_job(route, deadline_s=25.0, shared_parts=PARTS)
+        job = make_job(route, deadline_s=25.0, shared_parts=parts)
         job.is_trial = is_trial
         await forwarder.serve(job)
         await asyncio.sleep(1.0)
@@ -188,6 +195,12 @@
         self.assertEqual((0, 503), (served.sends, served.job.responder.status))
         self.assertEqual("prompt_blocked", served.error["code"])
 
+    def test_call_without_prompt_parts_ends_two_servers_at_most(self):
+        """Guards against plain calls that end as many servers as their route allows."""
+        served = serve(end_at_the_first_event, RequestKind.IDEMPOTENT, parts=())
+        self.assertLessEqual(served.sends, 2)
+        self.assertEqual(502, served.job.responder.status)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -21,6 +21,8 @@
 engine resets all connections and refuses new ones for `restart_s`, then it starts again
 under a new name. `deadly_arrivals` lists the part and time of such prompts that
 arrived, `crashes` the part, time and request of those that ended the process.
+A call of `deadly_calls` (`call_key`) does the same once it has worked for `work_s`; its
+key takes the place of the part in these lists.
 `on_crash` is called before the process ends, `on_restart` after each new start.
 """
 
@@ -41,6 +43,7 @@
 LIMIT_HEADER = b"server-limit"
 ORIGIN_STAMP_HEADER = b"x-monsoontack-origin-stamp"
 PROMPT_HEADER = b"x-monsoontack-prefix-hash"
+ACCOUNT_HEADER = b"x-monsoontack-tenant"
 EXPECTED_INSTANCE_HEADER = b"x-monsoontack-expect-instance"
 NOT_RUN_HEADERS = ((b"x-monsoontack-not-executed", b"1"),)
 EVENT_GAP_S = 0.02
@@ -111,6 +114,11 @@
     return []
 
 
+def call_key(account: str, target: str, body: bytes = b"") -> str:
+    """Return what makes a call the same one when it comes again."""
+    return f"{account} {target} {body.decode()}"
+
+
 @dataclass(frozen=True, slots=True)
 class EndlessResponse:
     """Number of bytes sent in a response without end, and when they were sent."""
@@ -138,6 +146,7 @@
     limit: str | None = None
     arrivals: list[float] = field(default_factory=list)
     deadly_parts: frozenset[str] = frozenset()
+    deadly_calls: frozenset[str] = frozenset()
     deadly_arrivals: list[tuple[str, float]] = field(default_factory=list)
     crashes: list[tuple[str, float, str]] = field(default_factory=list)
     read_prompt_s: float = 0.0
@@ -241,11 +250,31 @@
         elif b"/stream/" in raw.target:
             await self._stream(headers, responder, response_headers)
         else:
-            await asyncio.sleep(self.work_s)
-            text = b"done by " + self.name.encode() + b" for " + request_id
-            responder.send(200, response_headers, text)
-            if self.behavior == "twice":
-                self._send_duplicate(responder, response_headers, text)
+            await self._answer_call(raw, request_id, responder, response_headers)
+
+    async def _answer_call(
+        self, raw: RawRequest, request_id: bytes, responder: Responder, headers
+    ) -> None:
+        """Answer a call after some work, or crash on one that is deadly."""
+        account = dict(raw.headers).get(ACCOUNT_HEADER, b"").decode()
+        key = call_key(account, raw.target.decode(), raw.body)
+        if key in self.deadly_calls:
+            await self._end_under_call(key, request_id.decode(), responder)
+            return
+        await asyncio.sleep(self.work_s)
+        text = b"done by " + self.name.encode() + b" for " + request_id
+        responder.send(200, headers, text)
+        if self.behavior == "twice":
+            self._send_duplicate(responder, headers, text)
+
+    async def _end_under_call(
+        self, key: str, request_id: str, responder: Responder
+    ) -> None:
+        """End the process once the call has worked, unless its sender left before."""
+        self.deadly_arrivals.append((key, asyncio.get_running_loop().time()))
+        await asyncio.sleep(self.work_s)
+        if not responder.is_disconnected:
+            self.crash(key, request_id)
 
     def _refuses(self, request_id: bytes, responder: Responder, headers) -> bool:
         """Refuse a request if `behavior` says so; return whether it was refused.
