Name the guard against crashes after requests instead of prompts

It is going to hold for whole requests as well as for parts of prompts: SharedPrompt becomes RequestContent, PromptGuard CrashGuard, promptblame crashblame, EngineCrash ServerCrash. No logic is changed; names in logs, metrics, answers and messages stay.

--- a/bench/entrymodel.py
+++ b/bench/entrymodel.py
@@ -1,6 +1,6 @@
 """Entries in virtual time that exchange messages as the product's entries do.
 
-Each entry runs the product's `EntryExchange`, `LimitGate` and `PromptGuard`; the
+Each entry runs the product's `EntryExchange`, `LimitGate` and `CrashGuard`; the
 network between them is simulated.
 """
 
@@ -8,8 +8,8 @@
 import random
 from dataclasses import dataclass, field
 
+from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.admission.limitgate import LimitGate
-from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.gateway.entryexchange import CALL_TIMEOUT_S, EntryExchange
 from monsoontack.gateway.peers import PeerEntry, PeerResponse
 from monsoontack.gateway.records import RawRequest
@@ -74,7 +74,7 @@
         gate.servers = lambda service: self.server_keys
         gate.permits.fleet_size = len(self.peers)
         exchange = EntryExchange(
-            name, self.peers[name].region, gate, PromptGuard(name), None, rng
+            name, self.peers[name].region, gate, CrashGuard(name), None, rng
         )
         entry = ModelEntry(exchange)
         exchange.call = lambda peer, body: self._call(entry, peer, body)
--- a/bench/promptmodel.py
+++ b/bench/promptmodel.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 
 from bench.entrymodel import ModelEntry, ModelFleet
-from monsoontack.admission.promptguard import PromptGuard
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.crashguard import CrashGuard
+from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.core.errors import RequestError
 
 # As in the users' deployments: a prompt is read in about a second, a crashed engine is
@@ -126,7 +126,7 @@
 
     async def _send_deadly(self) -> None:
         account = self.rng.choice(self.deadly_accounts)
-        prompt = SharedPrompt(
+        prompt = RequestContent(
             account, (self._first_part(account), self.rng.choice(self.deadly_parts))
         )
         for _ in range(CALLER_ATTEMPTS):
@@ -135,7 +135,7 @@
 
     async def _send_sound(self) -> None:
         account = f"account-{self.rng.randrange(ACCOUNTS)}"
-        prompt = SharedPrompt(account, (self._first_part(account),))
+        prompt = RequestContent(account, (self._first_part(account),))
         second = int(self.now())
         outcome = await self._serve(self._any_entry(), prompt)
         self.sound[second][outcome] += 1
@@ -146,7 +146,7 @@
     def _any_entry(self) -> ModelEntry:
         return self.entries[self.rng.choice(list(self.entries))]
 
-    async def _serve(self, entry: ModelEntry, prompt: SharedPrompt) -> str:
+    async def _serve(self, entry: ModelEntry, prompt: RequestContent) -> str:
         """Serve a request as an entry does; return its outcome."""
         guard, broken_off = entry.exchange.guard, 0
         refusal = guard.refusal(prompt, self.now())
@@ -163,7 +163,7 @@
                 return "failed"
         return "failed"
 
-    async def _run(self, entry: ModelEntry, prompt: SharedPrompt) -> bool:
+    async def _run(self, entry: ModelEntry, prompt: RequestContent) -> bool:
         """Run a request at one engine; return whether the engine went on answering."""
         engine = self.rng.choice([e for e in self.engines if e.is_up])
         key, guard = engine.key, entry.exchange.guard
@@ -188,7 +188,7 @@
         guard.note_crash(key, [prompt], lost_at)
         return False
 
-    async def _go_on(self, engine: ModelEngine, key: str, guard: PromptGuard) -> None:
+    async def _go_on(self, engine: ModelEngine, key: str, guard: CrashGuard) -> None:
         """Stream the rest of an answer; report if its engine crashes meanwhile."""
         end = engine.end
         await asyncio.wait((end,), timeout=ANSWER_S)
--- a/monsoontack/admission/promptblame.py
+++ b/monsoontack/admission/crashblame.py
@@ -144,7 +144,7 @@
     frequent = [s for s in records.crashes_by_part.values() if len(s) >= MIN_CRASHES]
     for server in set().union(*frequent):
         crash = records.crashes[server]
-        for prompt in crash.prompts:
+        for prompt in crash.requests:
             candidates = records.candidates(prompt, crash.at)
             for number, part in enumerate(candidates):
                 later = set(candidates[number + 1 :])
--- a/monsoontack/admission/promptguard.py
+++ b/monsoontack/admission/crashguard.py
@@ -1,7 +1,7 @@
 """Decides whether a request may be sent although a part of its prompt crashes engines.
 
-`PromptGuard` joins what all entries know of crashes (`crashrecords`) with the search
-for the parts that explain them (`promptblame`). It refuses requests with a blocked
+`CrashGuard` joins what all entries know of crashes (`crashrecords`) with the search
+for the parts that explain them (`crashblame`). It refuses requests with a blocked
 part, lets one entry at a time try a part whose block has ended, and bounds how many
 engines a request may take down before any part is blamed. Accounts whose requests have
 not crashed an engine on a blamed part may try it at once, also one at a time.
@@ -13,14 +13,14 @@
 
 import structlog
 
+from monsoontack.admission.crashblame import Blame, find_blamed
 from monsoontack.admission.crashrecords import (
     NO_RECORD,
     SOUND_BEFORE_CRASH_S,
     CrashNews,
     CrashRecords,
 )
-from monsoontack.admission.promptblame import Blame, find_blamed
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.core.rendezvous import ranked, stable_hash
 
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class PromptGuard:
+class CrashGuard:
     """Blocked parts of prompts at one entry.
 
     `sound_at` holds when an engine here began the latest answer on a part that went
@@ -59,7 +59,7 @@
     decided_version: int = 0
 
     def note_crash(
-        self, server: str, prompts: Iterable[SharedPrompt], at: float
+        self, server: str, prompts: Iterable[RequestContent], at: float
     ) -> None:
         """Record that an engine crashed with these prompts not yet going on.
 
@@ -76,7 +76,7 @@
             self._decide()
             self.on_change()
 
-    def note_sound(self, prompt: SharedPrompt, began_at: float) -> None:
+    def note_sound(self, prompt: RequestContent, began_at: float) -> None:
         """Record that an engine began an answer on a prompt then, and went on."""
         changed = False
         for part in prompt.parts:
@@ -103,13 +103,13 @@
         if self.records.version != self.decided_version:
             self._decide()
 
-    def is_blocked(self, prompt: SharedPrompt) -> bool:
+    def is_blocked(self, prompt: RequestContent) -> bool:
         """Whether a request must not be sent, or be given up if it was sent."""
         if not self.blamed:
             return False
         return any(b.concerns(prompt.account) for _, b in self._blames(prompt))
 
-    def refusal(self, prompt: SharedPrompt, now: float) -> RequestError | None:
+    def refusal(self, prompt: RequestContent, now: float) -> RequestError | None:
         """Return the error of a request that was not sent and must not be."""
         waits = self._waits(prompt, now)
         if not waits:
@@ -118,7 +118,7 @@
         retry_after_s = max(*waits, MIN_RETRY_AFTER_S)
         return RequestError(503, "prompt_blocked", message, retry_after_s=retry_after_s)
 
-    def take_trial(self, prompt: SharedPrompt, now: float) -> bool:
+    def take_trial(self, prompt: RequestContent, now: float) -> bool:
         """Whether this request may be the one that tries its blocked parts again."""
         waits = self._waits(prompt, now)
         if not waits or max(waits) > 0:
@@ -135,7 +135,7 @@
         self.on_change()
         return True
 
-    def may_repeat(self, prompt: SharedPrompt, broken_off: int) -> bool:
+    def may_repeat(self, prompt: RequestContent, broken_off: int) -> bool:
         """Whether a request may go to another engine after some broke it off.
 
         `broken_off` counts the engines that broke off before they went on answering.
@@ -146,13 +146,13 @@
             return True
         return all(part in self.sound_at for part in prompt.parts)
 
-    def _blames(self, prompt: SharedPrompt) -> Iterable[tuple[str, Blame]]:
+    def _blames(self, prompt: RequestContent) -> Iterable[tuple[str, Blame]]:
         for part in prompt.parts:
             blame = self.blamed.get(part)
             if blame is not None:
                 yield part, blame
 
-    def _waits(self, prompt: SharedPrompt, now: float) -> list[float]:
+    def _waits(self, prompt: RequestContent, now: float) -> list[float]:
         """Return how long this entry has to wait to try each blamed part again."""
         return [
             self._wait_s(part, blame, now)
--- a/monsoontack/admission/promptguard_test.py
+++ b/monsoontack/admission/crashguard_test.py
@@ -3,32 +3,32 @@
 import random
 import unittest
 
-from monsoontack.admission.crashrecords import MAX_CRASHES
-from monsoontack.admission.promptblame import (
+from monsoontack.admission.crashblame import (
     BLOCK_S,
     MAX_BLOCK_S,
     MIN_CRASHES,
     MIN_CRASHES_AMONG_OTHERS,
 )
-from monsoontack.admission.promptguard import (
+from monsoontack.admission.crashguard import (
     MAX_BROKEN_OFF,
     MAX_SOUND_PARTS,
     TRIAL_S,
     TURN_S,
-    PromptGuard,
+    CrashGuard,
 )
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.crashrecords import MAX_CRASHES
+from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.core.changes import ChangeCounter
 
 SHARED = "instructions"
-DEADLY = SharedPrompt("shop", (SHARED, "deadly"))
-SOUND = SharedPrompt("shop", (SHARED, "subject"))
-OTHER_ACCOUNT = SharedPrompt("depot", (SHARED, "deadly"))
+DEADLY = RequestContent("shop", (SHARED, "deadly"))
+SOUND = RequestContent("shop", (SHARED, "subject"))
+OTHER_ACCOUNT = RequestContent("depot", (SHARED, "deadly"))
 NAMES = ("entry-1", "entry-2", "entry-3")
 
 
 def make_guard(name="entry-1"):
-    guard = PromptGuard(name)
+    guard = CrashGuard(name)
     guard.entries = lambda: NAMES
     return guard
 
@@ -56,7 +56,7 @@
         """Guards against a shared part or an account that is blamed with a part."""
         guard = make_guard()
         for number in range(MIN_CRASHES):
-            beside = SharedPrompt("shop", (SHARED, f"subject-{number}"))
+            beside = RequestContent("shop", (SHARED, f"subject-{number}"))
             guard.note_crash(f"engine-{number}", [DEADLY, beside], 10.0 + number)
         self.assertEqual({"deadly"}, set(guard.blamed))
         self.assertFalse(guard.is_blocked(SOUND))
@@ -88,7 +88,7 @@
     def test_part_on_which_an_engine_goes_on_answering_is_cleared(self):
         """Guards against blame for a hot part that ran at each crash."""
         guard = make_guard()
-        hot = SharedPrompt("shop", ("hot",))
+        hot = RequestContent("shop", ("hot",))
         for number in range(10):
             at = 10.0 + number
             guard.note_crash(f"engine-{number}", [hot], at)
@@ -115,7 +115,7 @@
         guard = make_guard()
         for wave in range(4):
             for number in range(5):
-                prompt = SharedPrompt("shop", (f"part-{wave}-{number}",))
+                prompt = RequestContent("shop", (f"part-{wave}-{number}",))
                 prompts = [SOUND] if number == 0 else [prompt]
                 at = 10.0 + 2.0 * wave + 0.01 * number
                 guard.note_crash(f"engine-{wave}-{number}", prompts, at)
@@ -125,7 +125,7 @@
         """Guards against a deadly part that kills of other engines hide."""
         guard = make_guard()
         for number in range(30):
-            prompt = SharedPrompt("shop", (f"part-{number}",))
+            prompt = RequestContent("shop", (f"part-{number}",))
             guard.note_crash(f"killed-{number}", [prompt], 10.0 + 0.1 * number)
         crash(guard, [DEADLY], 10.0, count=MIN_CRASHES_AMONG_OTHERS)
         self.assertEqual({"deadly"}, set(guard.blamed))
@@ -140,7 +140,7 @@
     def test_several_deadly_parts_are_found_at_once(self):
         """Guards against a deadly part that hides behind another one."""
         guard = make_guard()
-        second = SharedPrompt("shop", (SHARED, "deadly-2"))
+        second = RequestContent("shop", (SHARED, "deadly-2"))
         for number in range(MIN_CRASHES):
             guard.note_crash(f"first-{number}", [DEADLY, SOUND], 10.0 + number)
             guard.note_crash(f"second-{number}", [second, SOUND], 10.5 + number)
@@ -152,7 +152,7 @@
         guard = make_guard()
         for number in range(MIN_CRASHES):
             for part in ("deadly-1", "deadly-2"):
-                prompt = SharedPrompt("shop", (SHARED, part))
+                prompt = RequestContent("shop", (SHARED, part))
                 at = 10.0 + number + (0.5 if part == "deadly-2" else 0.0)
                 guard.note_crash(f"{part}-{number}", [prompt], at)
         self.assertEqual({"deadly-1", "deadly-2"}, set(guard.blamed))
@@ -160,7 +160,7 @@
     def test_shared_part_waits_for_the_verdict_on_the_part_after_it(self):
         """Guards against a first part blamed since the later one has fewer crashes."""
         guard = make_guard()
-        second = SharedPrompt("shop", (SHARED, "deadly-2"))
+        second = RequestContent("shop", (SHARED, "deadly-2"))
         crash(guard, [DEADLY], 10.0)
         crash(guard, [second], 20.0, count=MIN_CRASHES - 1)
         self.assertEqual({"deadly"}, set(guard.blamed))
@@ -168,7 +168,7 @@
     def test_part_stays_blamed_when_another_one_explains_some_crashes(self):
         """Guards against a block that ends since two deadly parts met at an engine."""
         guard = make_guard()
-        second = SharedPrompt("depot", ("other", "deadly-2"))
+        second = RequestContent("depot", ("other", "deadly-2"))
         crash(guard, [DEADLY], 10.0, count=MIN_CRASHES - 1)
         guard.note_crash("engine-both", [DEADLY, second], 12.5)
         crash(guard, [second], 13.0, count=MIN_CRASHES + 1)
@@ -178,7 +178,7 @@
         """Guards against a part that is never blamed since others follow it."""
         guard = make_guard()
         for number in range(MIN_CRASHES):
-            prompt = SharedPrompt("shop", ("deadly", f"subject-{number}"))
+            prompt = RequestContent("shop", ("deadly", f"subject-{number}"))
             guard.note_crash(f"engine-{number}", [prompt], 10.0 + number)
         self.assertEqual({"deadly"}, set(guard.blamed))
 
@@ -218,7 +218,7 @@
         guard = make_guard()
         crash(guard, [DEADLY], 10.0)
         crash(guard, [OTHER_ACCOUNT], 20.0, count=1)
-        self.assertTrue(guard.is_blocked(SharedPrompt("third", ("deadly",))))
+        self.assertTrue(guard.is_blocked(RequestContent("third", ("deadly",))))
 
 
 class TrialTest(unittest.TestCase):
@@ -301,10 +301,10 @@
         """Guards against callers that fill an entry's memory with new parts."""
         guard = make_guard()
         for number in range(2 * MAX_CRASHES):
-            prompt = SharedPrompt("shop", (f"part-{number}",))
+            prompt = RequestContent("shop", (f"part-{number}",))
             guard.note_crash(f"engine-{number}", [prompt], float(number))
         for number in range(2 * MAX_SOUND_PARTS):
-            guard.note_sound(SharedPrompt("shop", (f"other-{number}",)), 1.0)
+            guard.note_sound(RequestContent("shop", (f"other-{number}",)), 1.0)
         records = guard.records
         self.assertLessEqual(len(records.crashes), MAX_CRASHES)
         self.assertLessEqual(len(records.crashes_by_part), MAX_CRASHES)
@@ -316,7 +316,7 @@
         guard = make_guard()
         crash(guard, [DEADLY], 10.0)
         for number in range(2 * MAX_CRASHES):
-            prompt = SharedPrompt("shop", (f"part-{number}",))
+            prompt = RequestContent("shop", (f"part-{number}",))
             guard.note_crash(f"killed-{number}", [prompt], 14.0 + number / 1000)
         self.assertTrue(guard.is_blocked(DEADLY))
 
@@ -330,7 +330,7 @@
 
     def test_long_ids_are_replaced_by_hashes(self):
         """Guards against ids of any length that fill memory and messages."""
-        prompt = SharedPrompt.from_ids("shop", ("x" * 10_000, "y", "own"))
+        prompt = RequestContent.from_ids("shop", ("x" * 10_000, "y", "own"))
         self.assertLessEqual(max(map(len, prompt.parts)), 64)
         self.assertEqual(2, len(prompt.parts))
 
@@ -344,7 +344,7 @@
             for guard in guards:
                 guard.records.changes = ChangeCounter()
             prompts = [
-                SharedPrompt(account, (SHARED, f"part-{number}"))
+                RequestContent(account, (SHARED, f"part-{number}"))
                 for account in ("shop", "depot")
                 for number in range(3)
             ]
--- a/monsoontack/admission/crashrecords.py
+++ b/monsoontack/admission/crashrecords.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.core.changes import ChangeCounter
 
 log = structlog.get_logger("admission.crashes")
@@ -21,7 +21,7 @@
 # The deployment loses 15 VMs on an ordinary day; more crashes in an hour have a cause
 # that the newest ones show.
 MAX_CRASHES = 256
-MAX_PROMPTS_PER_CRASH = 64
+MAX_REQUESTS_PER_CRASH = 64
 FORGOTTEN_AT_ONCE = 32
 MAX_CRASHES_OF_A_MOMENT = 8
 # Crashes of one part above which a further one makes none of them more worth keeping.
@@ -39,7 +39,7 @@
 class CrashRecord:
     """A crash of an engine at the time `at` and the prompts that may have caused it."""
 
-    prompts: tuple[SharedPrompt, ...]
+    requests: tuple[RequestContent, ...]
     at: float
 
 
@@ -66,7 +66,7 @@
     `parts` the id of a part to the ages of its `sound_at` and `trial_at`.
     """
 
-    crashes: Mapping[str, tuple[float, tuple[SharedPrompt, ...]]]
+    crashes: Mapping[str, tuple[float, tuple[RequestContent, ...]]]
     parts: Mapping[str, tuple[float | None, float | None]]
 
 
@@ -89,7 +89,7 @@
     version: int = 0
 
     def add_crash(
-        self, server: str, prompts: Iterable[SharedPrompt], at: float
+        self, server: str, prompts: Iterable[RequestContent], at: float
     ) -> bool:
         """Record a crash, or further prompts of a known one; return if anything is new.
 
@@ -97,9 +97,9 @@
         any prompt shows that engines crash for other reasons.
         """
         known = self.crashes.get(server)
-        before = () if known is None else known.prompts
+        before = () if known is None else known.requests
         added = [p for p in prompts if p not in before and self.candidates(p, at)]
-        united = (*before, *dict.fromkeys(added))[:MAX_PROMPTS_PER_CRASH]
+        united = (*before, *dict.fromkeys(added))[:MAX_REQUESTS_PER_CRASH]
         if known is None:
             if self._is_mass_event(at):
                 return False
@@ -150,7 +150,7 @@
         self._note_change("part", part)
         return True
 
-    def candidates(self, prompt: SharedPrompt, crash_at: float) -> list[str]:
+    def candidates(self, prompt: RequestContent, crash_at: float) -> list[str]:
         """Return the parts of a prompt that may have caused a crash.
 
         A part on which an engine has ever gone on answering is a candidate only if
@@ -169,7 +169,7 @@
                 continue
             if table == "crash":
                 record = self.crashes[key]
-                crashes[key] = (now - record.at, record.prompts)
+                crashes[key] = (now - record.at, record.requests)
             else:
                 part = self.parts[key]
                 parts[key] = (_age(part.sound_at, now), _age(part.trial_at, now))
@@ -208,7 +208,7 @@
     def _weight(self, server: str) -> int:
         """Return the most crashes of any part that may have caused this one."""
         crash = self.crashes[server]
-        parts = {p for x in crash.prompts for p in self.candidates(x, crash.at)}
+        parts = {p for x in crash.requests for p in self.candidates(x, crash.at)}
         counts = [len(self.crashes_by_part[part]) for part in parts]
         return min(max(counts, default=0), MAX_WEIGHT)
 
@@ -219,7 +219,7 @@
         record = self.crashes.pop(server)
         self.change_numbers.pop(("crash", server), None)
         self.version += 1
-        for part in {p for prompt in record.prompts for p in prompt.parts}:
+        for part in {p for prompt in record.requests for p in prompt.parts}:
             servers = self.crashes_by_part[part]
             servers.discard(server)
             if not servers:
--- a/monsoontack/admission/sharedprompt.py
+++ b/monsoontack/admission/requestcontent.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SharedPrompt:
+class RequestContent:
     """The ids of the parts of a prompt, without the last one, and the client account.
 
     The last part belongs to the request alone. The account is empty on a route that
@@ -23,7 +23,7 @@
     parts: tuple[str, ...]
 
     @classmethod
-    def from_ids(cls, account: str, ids: Iterable[str]) -> "SharedPrompt":
+    def from_ids(cls, account: str, ids: Iterable[str]) -> "RequestContent":
         """Return the shared part of a prompt with these part ids, in their order."""
         shared = [_bounded(part) for part in ids][:-1]
         return cls(_bounded(account), tuple(dict.fromkeys(shared))[:MAX_PARTS])
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -223,7 +223,7 @@
 
     def _is_blocked(self) -> bool:
         job = self.job
-        return not job.is_trial and self.guard.is_blocked(job.shared_prompt)
+        return not job.is_trial and self.guard.is_blocked(job.content)
 
     async def _next_result(self) -> AttemptResult | RequestError | None:
         """Return the next result, an error at the deadline, or None for a hedge."""
@@ -276,17 +276,17 @@
             return False
         if not self.repeatable and not result.is_not_run:
             return False
-        if not self._prompt_may_repeat():
+        if not self._may_send_again():
             return False
         return self.forwarder.budgets.take(job.service, self.now())
 
-    def _prompt_may_repeat(self) -> bool:
+    def _may_send_again(self) -> bool:
         """Whether the call's prompt may be sent to a further server."""
         if self.job.is_trial:
             return False
         # A server that has the call now may break it off as well.
         at_risk = self.broken_off + len(self.tasks)
-        return self.guard.may_repeat(self.job.shared_prompt, at_risk)
+        return self.guard.may_repeat(self.job.content, at_risk)
 
     def _start_hedge(self) -> None:
         """Send a late idempotent call to a second server."""
@@ -294,7 +294,7 @@
         job, forwarder = self.job, self.forwarder
         if self.counted_attempts >= job.route.attempts:
             return
-        if not self._prompt_may_repeat():
+        if not self._may_send_again():
             return
         if forwarder.budgets.take(job.service, self.now()):
             forwarder.hedging.sent += 1
@@ -351,7 +351,7 @@
 
     def _record_prompt_evidence(self, result: AttemptResult, started_at: float) -> None:
         """Record whether the server ended under the call's prompt, if it has one."""
-        prompt, failure = self.job.shared_prompt, result.failure
+        prompt, failure = self.job.content, result.failure
         if result.is_success:
             self.guard.note_sound(prompt, started_at)
         elif failure is not None and failure.kind in BROKEN_OFF_KINDS:
@@ -436,7 +436,7 @@
             message = f"every backend server asked for {self.job.service!r} is full"
             return RequestError(503, "full", message, retry_after_s=FULL_RETRY_AFTER_S)
         if self._is_blocked():
-            return self.guard.refusal(self.job.shared_prompt, self.now())
+            return self.guard.refusal(self.job.content, self.now())
         gate = self.forwarder.sender.gate
         limited = gate.refusal(self.job.service, self.now())
         if limited is not None:
--- a/monsoontack/gateway/crashdetector.py
+++ b/monsoontack/gateway/crashdetector.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.gateway.fleet import Member
 from monsoontack.gateway.outbound import FailureKind
 from monsoontack.gateway.sender import Sender
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EngineCrash:
+class ServerCrash:
     """The process of an engine ended.
 
     `server` names this start of the engine. `prompts` are those on which the engine had
@@ -36,7 +36,7 @@
     """
 
     server: str
-    prompts: tuple[SharedPrompt, ...]
+    requests: tuple[RequestContent, ...]
     at: float
 
 
@@ -48,11 +48,11 @@
     """
 
     sender: Sender
-    on_crash: Callable[[EngineCrash], None] = lambda crash: None
-    lost: dict[str, list[SharedPrompt]] = field(default_factory=dict)
+    on_crash: Callable[[ServerCrash], None] = lambda crash: None
+    lost: dict[str, list[RequestContent]] = field(default_factory=dict)
     tasks: set[asyncio.Task] = field(default_factory=set)
 
-    def note_broken_off(self, member: Member, prompt: SharedPrompt | None) -> None:
+    def note_broken_off(self, member: Member, prompt: RequestContent | None) -> None:
         """Note that an engine broke off a stream.
 
         `prompt` is None if the engine had gone on answering before.
@@ -87,7 +87,7 @@
         )
         if has_ended and reason is None:
             unique = tuple(dict.fromkeys(prompts))
-            self.on_crash(EngineCrash(member.limit_key, unique, lost_at))
+            self.on_crash(ServerCrash(member.limit_key, unique, lost_at))
 
     def _reason_against(self, member: Member, lost_at: float, now: float) -> str | None:
         """Return why the end of an engine is no crash of its own, if it is none."""
--- a/monsoontack/gateway/crashdetector_test.py
+++ b/monsoontack/gateway/crashdetector_test.py
@@ -4,7 +4,7 @@
 import unittest
 from dataclasses import replace
 
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.crashdetector import CrashDetector
 from monsoontack.gateway.outbound import ExchangeFailure, FailureKind
@@ -13,8 +13,8 @@
 REFUSED = ExchangeFailure(FailureKind.CONNECT, False, "refused", is_refused=True)
 TIMEOUT = ExchangeFailure(FailureKind.CONNECT, False, "TimeoutError")
 PLACES = {"s1": HOME, "s2": HOME, "s3": HOME, "s4": NEAR, "s5": FAR}
-FIRST = SharedPrompt("shop", ("a", "b"))
-SECOND = SharedPrompt("desk", ("a", "c"))
+FIRST = RequestContent("shop", ("a", "b"))
+SECOND = RequestContent("desk", ("a", "c"))
 
 
 async def serves(exchange, attempt):
@@ -43,7 +43,7 @@
     def test_refused_connection_reports_all_prompts_once(self):
         """Guards against a crash that is missed, or counted once for each stream."""
         found = self.crashes(REFUSED, [FIRST, SECOND, FIRST])
-        self.assertEqual([(FIRST, SECOND)], [crash.prompts for crash in found])
+        self.assertEqual([(FIRST, SECOND)], [crash.requests for crash in found])
 
     def test_engine_that_accepts_connections_has_not_crashed(self):
         """Guards against blame for a connection that alone was reset."""
@@ -68,7 +68,7 @@
             )
 
         found = self.crashes(serves, [FIRST], restart)
-        self.assertEqual([(FIRST,)], [crash.prompts for crash in found])
+        self.assertEqual([(FIRST,)], [crash.requests for crash in found])
 
     def test_loss_of_a_failure_domain_is_no_crash(self):
         """Guards against blame for what ran when a failure domain was lost."""
@@ -81,8 +81,8 @@
 
     def test_crash_without_a_suspect_prompt_is_reported_as_such(self):
         """Guards against blame by kills that nobody knows to be kills."""
-        found = self.crashes(REFUSED, [None, SharedPrompt("shop", ())])
-        self.assertEqual([()], [crash.prompts for crash in found])
+        found = self.crashes(REFUSED, [None, RequestContent("shop", ())])
+        self.assertEqual([()], [crash.requests for crash in found])
 
 
 if __name__ == "__main__":
--- a/monsoontack/gateway/promptguard_test.py
+++ b/monsoontack/gateway/crashguard_test.py
@@ -5,7 +5,7 @@
 import unittest
 
 from monsoontack.admission.hedge import Hedging
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.calls import CallForwarder
@@ -30,7 +30,7 @@
 TRAITS = {SERVICE: ServiceTraits(SERVICE, 100, EngineTraits(8, 88_000, True, 4.0))}
 PLACES = (HOME, HOME, NEAR, NEAR, FAR, FAR)
 PARTS = ("instructions", "deadly")
-PROMPT = SharedPrompt("", PARTS)
+PROMPT = RequestContent("", PARTS)
 READ_PROMPT_S = 1.0
 
 
@@ -128,7 +128,7 @@
     def test_crashed_engines_are_reported_with_the_prompt(self):
         """Guards against crashes that no entry learns of."""
         served = serve(end_at_the_first_event)
-        self.assertEqual([(PROMPT,)] * 2, [c.prompts for c in served.crashes])
+        self.assertEqual([(PROMPT,)] * 2, [c.requests for c in served.crashes])
 
     def test_proven_prompt_is_sent_on_as_usual(self):
         """Guards against sound streams that fail since two engines were lost."""
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -10,15 +10,15 @@
 
 import structlog
 
+from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.admission.hedge import Hedging
 from monsoontack.admission.limitgate import LimitGate
-from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.core.boundedlog import LineWriter
 from monsoontack.core.supervise import run_with_restarts
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.calls import CallForwarder
 from monsoontack.gateway.configstate import ConfigState
-from monsoontack.gateway.crashdetector import EngineCrash
+from monsoontack.gateway.crashdetector import ServerCrash
 from monsoontack.gateway.entryexchange import PATH as EXCHANGE_PATH
 from monsoontack.gateway.entryexchange import EntryExchange, call_entry
 from monsoontack.gateway.entryregistry import ENTRIES_KIND, EntryList, EntryRegistration
@@ -147,7 +147,7 @@
         gate = LimitGate.for_entry(settings.name, rng)
         gate.servers = fleet.limit_keys
         gate.permits.fleet_size = settings.expected_max_entries
-        sender = Sender(pool, wire, fleet, gate, PromptGuard(settings.name))
+        sender = Sender(pool, wire, fleet, gate, CrashGuard(settings.name))
         budgets = RetryBudgets(
             settings.retry_ratio,
             settings.retry_extra,
@@ -167,7 +167,7 @@
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
         streams.share_load_with_peers(load_exchange)
         for forwarder in (calls, streams):
-            forwarder.crash_detector.on_crash = daemon._on_engine_crash
+            forwarder.crash_detector.on_crash = daemon._on_server_crash
         daemon.background_jobs.append(load_exchange.run)
         call = partial(call_entry, daemon.peer_pool)
         place = settings.place
@@ -304,9 +304,9 @@
         for feed in self.feeds:
             feed.list_again(era)
 
-    def _on_engine_crash(self, crash: EngineCrash) -> None:
+    def _on_server_crash(self, crash: ServerCrash) -> None:
         self.metrics.engine_crashes.inc()
-        self.gateway.guard.note_crash(crash.server, crash.prompts, crash.at)
+        self.gateway.guard.note_crash(crash.server, crash.requests, crash.at)
 
     def _on_store_status(self, kind: str, is_up: bool, reason: str) -> None:
         self.metrics.store_feed_up.labels(kind).set(is_up)
--- a/monsoontack/gateway/entrycodec.py
+++ b/monsoontack/gateway/entrycodec.py
@@ -10,7 +10,7 @@
 
 from monsoontack.admission.crashrecords import (
     MAX_CRASHES,
-    MAX_PROMPTS_PER_CRASH,
+    MAX_REQUESTS_PER_CRASH,
     NO_NEWS,
     CrashNews,
 )
@@ -19,7 +19,7 @@
     PermitGrant,
     PermitReport,
 )
-from monsoontack.admission.sharedprompt import MAX_PARTS, SharedPrompt
+from monsoontack.admission.requestcontent import MAX_PARTS, RequestContent
 from monsoontack.admission.statedlimits import (
     MAX_RATE_PER_S,
     MAX_RECORDS,
@@ -35,7 +35,7 @@
 # Ages of crash records in seconds; entries forget them far earlier.
 MAX_AGE_S = 1e6
 # Parts of all prompts in the records of one message.
-MAX_PART_RECORDS = MAX_CRASHES * MAX_PROMPTS_PER_CRASH
+MAX_PART_RECORDS = MAX_CRASHES * MAX_REQUESTS_PER_CRASH
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,22 +126,22 @@
         raise ValueError(repr(error)) from error
 
 
-def _decode_crashes(rows: dict) -> dict[str, tuple[float, tuple[SharedPrompt, ...]]]:
+def _decode_crashes(rows: dict) -> dict[str, tuple[float, tuple[RequestContent, ...]]]:
     if len(rows) > MAX_CRASHES:
         raise ValueError(f"{len(rows)} crashes")
     crashes = {}
     for server, (age_s, prompts) in rows.items():
-        if len(prompts) > MAX_PROMPTS_PER_CRASH:
+        if len(prompts) > MAX_REQUESTS_PER_CRASH:
             raise ValueError(f"{len(prompts)} prompts of a crash")
         found = tuple(_decode_prompt(account, parts) for account, parts in prompts)
         crashes[_text(server)] = (_number(age_s, 0.0, MAX_AGE_S), found)
     return crashes
 
 
-def _decode_prompt(account: str, parts: list) -> SharedPrompt:
+def _decode_prompt(account: str, parts: list) -> RequestContent:
     if not isinstance(parts, list) or len(parts) > MAX_PARTS:
         raise ValueError(f"no parts of a prompt: {parts!r:.40}")
-    return SharedPrompt(_text(account), tuple(_text(part) for part in parts))
+    return RequestContent(_text(account), tuple(_text(part) for part in parts))
 
 
 def _decode_parts(rows: dict) -> dict[str, tuple[float | None, float | None]]:
--- a/monsoontack/gateway/entryexchange.py
+++ b/monsoontack/gateway/entryexchange.py
@@ -16,8 +16,8 @@
 
 import structlog
 
+from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.admission.limitgate import LimitGate
-from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.core.changes import ChangeCounter
 from monsoontack.gateway.entrycodec import (
     EntryMessage,
@@ -95,7 +95,7 @@
     name: str
     region: str
     gate: LimitGate
-    guard: PromptGuard
+    guard: CrashGuard
     call: PeerCall
     rng: random.Random
     place: TreePlace = field(default_factory=TreePlace)
--- a/monsoontack/gateway/entryexchange_test.py
+++ b/monsoontack/gateway/entryexchange_test.py
@@ -5,11 +5,11 @@
 import random
 import unittest
 
+from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.admission.crashrecords import CrashNews
 from monsoontack.admission.limitgate import LimitGate
 from monsoontack.admission.permits import PERMIT_LIFETIME_S, PermitGrant, PermitReport
-from monsoontack.admission.promptguard import PromptGuard
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.admission.statedlimits import LimitRecord
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.entrycodec import (
@@ -30,7 +30,7 @@
     seen_boot="b2",
     seen_number=7,
     crashes=CrashNews(
-        {"e": (1.5, (SharedPrompt("shop", ("a", "b")), SharedPrompt("", ("c",))))},
+        {"e": (1.5, (RequestContent("shop", ("a", "b")), RequestContent("", ("c",))))},
         {"a": (0.25, None), "b": (None, 3.0)},
     ),
     report=PermitReport("entry-1", True, 4, {"s": 1.5}),
@@ -106,7 +106,7 @@
                 "entry-1",
                 "north",
                 gate,
-                PromptGuard("entry-1"),
+                CrashGuard("entry-1"),
                 call,
                 random.Random(1),
             )
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from monsoontack.admission.promptguard import PromptGuard
+from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.calls import CallForwarder
 from monsoontack.gateway.configstate import ConfigState
@@ -57,7 +57,7 @@
         return asyncio.get_running_loop().time()
 
     @property
-    def guard(self) -> PromptGuard:
+    def guard(self) -> CrashGuard:
         """Return the parts of prompts that must not be sent."""
         return self.streams.sender.guard
 
@@ -112,10 +112,10 @@
 
     def _check_prompt(self, job: Job) -> RequestError | None:
         """Return the refusal of a request with a blocked part, unless it is a trial."""
-        refusal = self.guard.refusal(job.shared_prompt, self.now())
+        refusal = self.guard.refusal(job.content, self.now())
         if refusal is None:
             return None
-        job.is_trial = self.guard.take_trial(job.shared_prompt, self.now())
+        job.is_trial = self.guard.take_trial(job.content, self.now())
         return None if job.is_trial else refusal
 
     def _may_outlast_drain(self, route: Route) -> bool:
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from monsoontack.admission.fingerprint import request_fingerprint
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.records import CallerRequest, GatewayAccount, Route
 from monsoontack.gateway.responder import Responder
@@ -52,13 +52,13 @@
     first_event_at: float | None = None
     worst_gap_s: float = 0.0
     is_trial: bool = False
-    shared_prompt: SharedPrompt = field(init=False)
+    content: RequestContent = field(init=False)
     fingerprint: str = field(init=False)
 
     def __post_init__(self) -> None:
         """Derive what may recur: parts of the prompt, and the request as a whole."""
         account = self.account.name if self.account else ""
-        self.shared_prompt = SharedPrompt.from_ids(
+        self.content = RequestContent.from_ids(
             account, (part.segment_id for part in self.request.prompt_segments)
         )
         raw = self.request.raw
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.admission.limitgate import LimitGate, unlimited_gate
-from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.outbound import (
     ExchangeFailure,
@@ -39,7 +39,7 @@
     wire: WireFormat
     fleet: BackendFleet
     gate: LimitGate = field(default_factory=unlimited_gate)
-    guard: PromptGuard = field(default_factory=partial(PromptGuard, ""))
+    guard: CrashGuard = field(default_factory=partial(CrashGuard, ""))
     on_sent: Callable[[str], None] = lambda service: None
     on_limited_send: Callable[[str], None] = lambda service: None
     on_limit_change: Callable[[], None] = lambda: None
--- a/monsoontack/gateway/streamerrors.py
+++ b/monsoontack/gateway/streamerrors.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from monsoontack.admission.promptguard import crash_error
+from monsoontack.admission.crashguard import crash_error
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.streamrelay import StreamLoss
 
@@ -21,7 +21,7 @@
     if run.is_blocked():
         if job.may_have_run:
             return crash_error()
-        return run.guard.refusal(job.shared_prompt, run.now())
+        return run.guard.refusal(job.content, run.now())
     if job.may_have_run:
         message = f"every engine broke off: {loss.reason}"
         return RequestError(502, "backend_failed", message, RunState.UNKNOWN)
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -261,7 +261,7 @@
             self.began_at = now
         elif now >= self.began_at + GO_ON_S:
             self.has_gone_on = True
-            run.guard.note_sound(self.job.shared_prompt, self.began_at)
+            run.guard.note_sound(self.job.content, self.began_at)
         run.note_prompt_read()
         self._cancel_liveness_check()
 
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -193,7 +193,7 @@
             request=job.request.request_id,
             server=member.server.incarnation,
             reason=loss.reason,
-            prompt=[job.shared_prompt.account, *job.shared_prompt.parts],
+            prompt=[job.content.account, *job.content.parts],
             events=self.events,
             last_id=self.position.last_id,
             copy=self.copy_holder and self.copy_holder.server.address,
@@ -212,14 +212,14 @@
     def is_blocked(self) -> bool:
         """Whether a part of the prompt has been blocked since the request arrived."""
         job = self.job
-        return not job.is_trial and self.guard.is_blocked(job.shared_prompt)
+        return not job.is_trial and self.guard.is_blocked(job.content)
 
     def _may_repeat(self) -> bool:
         """Whether the stream may go on at another engine after one broke it off."""
         job = self.job
         if job.is_trial:
             return False
-        return self.guard.may_repeat(job.shared_prompt, self.broken_off)
+        return self.guard.may_repeat(job.content, self.broken_off)
 
     def _servers_at_copy_address(self) -> list[list[str]]:
         """Return the start and the service of each server at the copy's address."""
@@ -321,10 +321,10 @@
             if loss is not None:
                 loss.has_gone_on = relay.has_gone_on
                 if loss.is_broken_off:
-                    suspect = None if relay.has_gone_on else job.shared_prompt
+                    suspect = None if relay.has_gone_on else job.content
                     self.forwarder.crash_detector.note_broken_off(member, suspect)
             elif relay.began_at is not None and not relay.has_gone_on:
-                self.guard.note_sound(job.shared_prompt, relay.began_at)
+                self.guard.note_sound(job.content, relay.began_at)
             job.may_have_run |= loss is None or not loss.not_run
             self._record_server_health(member, loss)
             return loss
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -9,7 +9,7 @@
     most_arrivals,
 )
 from bench.promptmodel import CRASHES_TO_LEARN, MAX_LATE_ARRIVALS
-from monsoontack.admission.promptguard import MAX_BROKEN_OFF
+from monsoontack.admission.crashguard import MAX_BROKEN_OFF
 from soak.callers import REFUSAL_STATUSES, ObservedRequest
 from soak.environment import MEMORY_LIMIT_MB, SoakEnvironment
 from standins.directengine import SSE_COMMENT, EndlessResponse, make_event
--- a/standins/gatewayfakes.py
+++ b/standins/gatewayfakes.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.admission.limitgate import LimitGate, unlimited_gate
-from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.core.records import BackendServer, Place
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.job import Job
@@ -200,7 +200,7 @@
     connect_s: float = 0.0
     wire: ScriptedWire = field(default_factory=ScriptedWire)
     gate: LimitGate = field(default_factory=unlimited_gate)
-    guard: PromptGuard = field(default_factory=lambda: PromptGuard(""))
+    guard: CrashGuard = field(default_factory=lambda: CrashGuard(""))
     sent: list[Attempt] = field(default_factory=list)
     exchanges: list[ScriptedExchange] = field(default_factory=list)
     tasks: list[asyncio.Task] = field(default_factory=list)
