Refuse a request that crashed three servers when it comes again

Callers saw 502 and 503 for sound calls of a plain service: one recurrent GET ended all three of its servers, and again each time they were back.

Cause: the decision on what crashes servers knew parts of prompts only. A plain call had none, so each time it came it was new, and its repeats were bounded by the route alone.

The decision now holds for requests as a whole: a fingerprint of method, host, path, account and body is the last and most specific part of what a request carries. Crashes are recorded with all calls in flight, a server's answer clears a request, and a request in three crashes over more than a second is refused at once at all entries. A call that was not answered before may end two servers, and one once it may have ended two.

--- a/monsoontack/admission/crashguard.py
+++ b/monsoontack/admission/crashguard.py
@@ -1,10 +1,11 @@
-"""Decides whether a request may be sent although a part of its prompt crashes engines.
+"""Decides whether a request may be sent although a part of it crashes servers.
 
+A part is one of the request's prompt, or the request itself as it comes again.
 `CrashGuard` joins what all entries know of crashes (`crashrecords`) with the search
 for the parts that explain them (`crashblame`). It refuses requests with a blocked
 part, lets one entry at a time try a part whose block has ended, and bounds how many
-engines a request may take down before any part is blamed. Accounts whose requests have
-not crashed an engine on a blamed part may try it at once, also one at a time.
+servers a request may take down before any part is blamed. Accounts whose requests have
+not crashed a server on a blamed part may try it at once, also one at a time.
 """
 
 import math
@@ -15,22 +16,28 @@
 
 from monsoontack.admission.crashblame import Blame, find_blamed
 from monsoontack.admission.crashrecords import (
+    MIN_CRASHES_OF_A_REQUEST,
     NO_RECORD,
     SOUND_BEFORE_CRASH_S,
     CrashNews,
     CrashRecords,
 )
-from monsoontack.admission.requestcontent import RequestContent
+from monsoontack.admission.requestcontent import RequestContent, is_request
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.core.rendezvous import ranked, stable_hash
 
 log = structlog.get_logger("admission.prompts")
 
-# Engines that may break off one request before they go on answering it. More only for
-# prompts all of whose parts were answered before.
+# Servers that may break off one request before they go on answering it. More only if
+# all parts of its prompt, and of a call the request itself, were answered before.
 MAX_BROKEN_OFF = 2
-# Parts remembered as sound, the latest ones: those of some minutes at the entry.
+# The same for a request that may have crashed servers when it came before.
+MAX_BROKEN_OFF_AGAIN = 1
+# Parts of prompts remembered as sound, the latest ones: those of some minutes at the
+# entry.
 MAX_SOUND_PARTS = 4096
+# The same for whole requests, which are more and recur less.
+MAX_SOUND_REQUESTS = 8192
 # A trial whose outcome nobody reported in this time is over; most end in the other.
 TRIAL_S = 20.0
 USUAL_TRIAL_S = 3.0
@@ -43,11 +50,11 @@
 
 @dataclass(slots=True)
 class CrashGuard:
-    """Blocked parts of prompts at one entry.
+    """Blocked parts of requests at one entry.
 
-    `sound_at` holds when an engine here began the latest answer on a part that went
-    on. `entries` returns the names of all entries. `on_change` is called after a change
-    that other entries have to know.
+    `sound_at` and `requests_sound_at` hold when a server began the latest answer here
+    on a part of a prompt, or on a request, that went on. `entries` returns the names of
+    all entries. `on_change` is called after a change that other entries have to know.
     """
 
     name: str
@@ -55,40 +62,59 @@
     entries: Callable[[], Iterable[str]] = lambda: ()
     on_change: Callable[[], None] = lambda: None
     sound_at: dict[str, float] = field(default_factory=dict)
+    requests_sound_at: dict[str, float] = field(default_factory=dict)
     blamed: dict[str, Blame] = field(default_factory=dict)
     decided_version: int = 0
 
     def note_crash(
-        self, server: str, prompts: Iterable[RequestContent], at: float
+        self, server: str, requests: Iterable[RequestContent], at: float
     ) -> None:
-        """Record that an engine crashed with these prompts not yet going on.
+        """Record that a server crashed with these requests not yet going on.
 
-        Without prompts, the crash had another cause.
+        Without requests, the crash had another cause.
         """
         since = at - SOUND_BEFORE_CRASH_S
-        prompts = [
-            prompt
-            for prompt in prompts
-            if any(self.sound_at.get(part, -math.inf) < since for part in prompt.parts)
+        requests = [
+            request
+            for request in requests
+            if any(self._sound_at(part) < since for part in request.parts)
         ]
-        if self.records.add_crash(server, prompts, at):
-            self._share_sound_parts(p for prompt in prompts for p in prompt.parts)
+        if self.records.add_crash(server, requests, at):
+            self._share_sound_parts(p for request in requests for p in request.parts)
             self._decide()
             self.on_change()
 
-    def note_sound(self, prompt: RequestContent, began_at: float) -> None:
-        """Record that an engine began an answer on a prompt then, and went on."""
+    def note_sound(self, request: RequestContent, began_at: float) -> None:
+        """Record that a server began an answer on a request then, and went on."""
+        self._note_sound(request.parts, began_at)
+
+    def note_survived(self, request: RequestContent, began_at: float) -> None:
+        """Record that a server answered a request with an error of its own.
+
+        That says nothing on the parts of the prompt, which it may not have read.
+        """
+        if request.request is not None:
+            self._note_sound((request.request,), began_at)
+
+    def _note_sound(self, parts: Iterable[str], began_at: float) -> None:
         changed = False
-        for part in prompt.parts:
-            latest = max(began_at, self.sound_at.pop(part, began_at))
-            self.sound_at[part] = latest
+        for part in parts:
+            is_whole = is_request(part)
+            times = self.requests_sound_at if is_whole else self.sound_at
+            latest = max(began_at, times.pop(part, began_at))
+            times[part] = latest
+            if len(times) > (MAX_SOUND_REQUESTS if is_whole else MAX_SOUND_PARTS):
+                del times[next(iter(times))]
             changed |= self.records.add_sound(part, latest)
-        while len(self.sound_at) > MAX_SOUND_PARTS:
-            del self.sound_at[next(iter(self.sound_at))]
         if changed:
             self._decide()
             self.on_change()
 
+    def _sound_at(self, part: str) -> float:
+        """Return when the latest sound answer on a part began here."""
+        times = self.requests_sound_at if is_request(part) else self.sound_at
+        return times.get(part, -math.inf)
+
     def merge(self, news: CrashNews, now: float) -> bool:
         """Adopt the news of another entry; return whether anything was new."""
         changed = self.records.merge(news, now)
@@ -103,62 +129,90 @@
         if self.records.version != self.decided_version:
             self._decide()
 
-    def is_blocked(self, prompt: RequestContent) -> bool:
+    def is_blocked(self, request: RequestContent) -> bool:
         """Whether a request must not be sent, or be given up if it was sent."""
         if not self.blamed:
             return False
-        return any(b.concerns(prompt.account) for _, b in self._blames(prompt))
+        return any(b.concerns(request.account) for _, b in self._blames(request))
 
-    def refusal(self, prompt: RequestContent, now: float) -> RequestError | None:
+    def refusal(self, request: RequestContent, now: float) -> RequestError | None:
         """Return the error of a request that was not sent and must not be."""
-        waits = self._waits(prompt, now)
+        waits = self._waits(request, now)
         if not waits:
             return None
-        message = "a part of the prompt crashes the engines that answer it"
+        code, subject = self._blocked_subject(request)
+        message = f"{subject} crashes the servers that answer it"
         retry_after_s = max(*waits, MIN_RETRY_AFTER_S)
-        return RequestError(503, "prompt_blocked", message, retry_after_s=retry_after_s)
+        return RequestError(503, code, message, retry_after_s=retry_after_s)
+
+    def crash_error(self, request: RequestContent) -> RequestError:
+        """Return the error of a request that was sent and must not be sent again."""
+        code, subject = self._blocked_subject(request)
+        message = f"servers crashed or were given up on it: {subject} crashes them"
+        return RequestError(502, code, message, RunState.UNKNOWN)
 
-    def take_trial(self, prompt: RequestContent, now: float) -> bool:
+    def _blocked_subject(self, request: RequestContent) -> tuple[str, str]:
+        """Return the error code of a blocked request, and what is blocked."""
+        if all(is_request(part) for part, _ in self._blames(request)):
+            return "request_blocked", "this request"
+        return "prompt_blocked", "a part of the prompt"
+
+    def take_trial(self, request: RequestContent, now: float) -> bool:
         """Whether this request may be the one that tries its blocked parts again."""
-        waits = self._waits(prompt, now)
+        waits = self._waits(request, now)
         if not waits or max(waits) > 0:
             return False
-        for part, blame in self._blames(prompt):
+        for part, blame in self._blames(request):
             self.records.add_trial(part, now)
+            subject = "request" if is_request(part) else "part of prompts"
             log.warning(
-                "blocked part of prompts tried again",
+                f"blocked {subject} tried again",
                 part=part,
-                account=prompt.account,
+                account=request.account,
                 crashes=blame.crashes,
             )
         self._decide()
         self.on_change()
         return True
 
-    def may_repeat(self, prompt: RequestContent, broken_off: int) -> bool:
-        """Whether a request may go to another engine after some broke it off.
+    def may_repeat(
+        self, request: RequestContent, broken_off: int, is_call: bool = False
+    ) -> bool:
+        """Whether a request may go to another server after some broke it off.
 
-        `broken_off` counts the engines that broke off before they went on answering.
+        `broken_off` counts the servers that broke off before they went on answering. A
+        stream that breaks off is continued, so only a call has to be proven as a whole.
         """
-        if any(True for _ in self._blames(prompt)):
+        if any(True for _ in self._blames(request)):
             return False
+        if self._is_suspect(request):
+            return broken_off < MAX_BROKEN_OFF_AGAIN
         if broken_off < MAX_BROKEN_OFF:
             return True
-        return all(part in self.sound_at for part in prompt.parts)
+        parts = request.parts if is_call else request.prompt_parts
+        return all(self._sound_at(part) > -math.inf for part in parts)
+
+    def _is_suspect(self, request: RequestContent) -> bool:
+        """Whether a request may have crashed servers before and was not answered."""
+        own = request.request
+        if own not in self.records.crashes_by_part:
+            return False
+        crashes = self.records.uncleared_crashes(own, self._sound_at(own))
+        return crashes >= MIN_CRASHES_OF_A_REQUEST
 
-    def _blames(self, prompt: RequestContent) -> Iterable[tuple[str, Blame]]:
-        for part in prompt.parts:
+    def _blames(self, request: RequestContent) -> Iterable[tuple[str, Blame]]:
+        for part in request.parts:
             blame = self.blamed.get(part)
             if blame is not None:
                 yield part, blame
 
-    def _waits(self, prompt: RequestContent, now: float) -> list[float]:
+    def _waits(self, request: RequestContent, now: float) -> list[float]:
         """Return how long this entry has to wait to try each blamed part again."""
         return [
             self._wait_s(part, blame, now)
-            if blame.concerns(prompt.account)
+            if blame.concerns(request.account)
             else min(self._trial_ends_at(part) - now, USUAL_TRIAL_S)
-            for part, blame in self._blames(prompt)
+            for part, blame in self._blames(request)
         ]
 
     def _trial_ends_at(self, part: str) -> float:
@@ -180,8 +234,9 @@
     def _share_sound_parts(self, parts: Iterable[str]) -> None:
         """Put what this entry knows of parts into the records."""
         for part in dict.fromkeys(parts):
-            if part in self.sound_at:
-                self.records.add_sound(part, self.sound_at[part])
+            sound_at = self._sound_at(part)
+            if sound_at > -math.inf:
+                self.records.add_sound(part, sound_at)
 
     def _decide(self) -> None:
         """Find the blamed parts anew and log what changed."""
@@ -191,16 +246,13 @@
             former = before.get(part)
             if former is None or former.accounts != blame.accounts:
                 log.warning(
-                    "part of prompts blocked",
+                    "request blocked"
+                    if is_request(part)
+                    else "part of prompts blocked",
                     part=part,
                     accounts=None if blame.accounts is None else sorted(blame.accounts),
                     crashes=blame.crashes,
                 )
         for part in before.keys() - self.blamed.keys():
-            log.info("part of prompts no longer blocked", part=part)
-
-
-def crash_error() -> RequestError:
-    """Return the error of a request that was sent and must not be sent again."""
-    message = "the engines crashed or were given up on a part of the prompt"
-    return RequestError(502, "prompt_blocked", message, RunState.UNKNOWN)
+            subject = "request" if is_request(part) else "part of prompts"
+            log.info(f"{subject} no longer blocked", part=part)
--- a/monsoontack/admission/crashguard_test.py
+++ b/monsoontack/admission/crashguard_test.py
@@ -8,22 +8,31 @@
     MAX_BLOCK_S,
     MIN_CRASHES,
     MIN_CRASHES_AMONG_OTHERS,
+    REQUEST_BLOCK_S,
 )
 from monsoontack.admission.crashguard import (
     MAX_BROKEN_OFF,
+    MAX_BROKEN_OFF_AGAIN,
     MAX_SOUND_PARTS,
+    MAX_SOUND_REQUESTS,
     TRIAL_S,
     TURN_S,
     CrashGuard,
 )
-from monsoontack.admission.crashrecords import MAX_CRASHES
-from monsoontack.admission.requestcontent import RequestContent
+from monsoontack.admission.crashrecords import (
+    MAX_CRASHES,
+    MAX_REQUESTS,
+    MAX_REQUESTS_PER_CRASH,
+)
+from monsoontack.admission.requestcontent import MAX_PARTS, RequestContent
 from monsoontack.core.changes import ChangeCounter
 
 SHARED = "instructions"
 DEADLY = RequestContent("shop", (SHARED, "deadly"))
 SOUND = RequestContent("shop", (SHARED, "subject"))
 OTHER_ACCOUNT = RequestContent("depot", (SHARED, "deadly"))
+CALL = RequestContent.from_ids("shop", (), "call")
+POLL = RequestContent.from_ids("shop", (), "poll")
 NAMES = ("entry-1", "entry-2", "entry-3")
 
 
@@ -221,6 +230,135 @@
         self.assertTrue(guard.is_blocked(RequestContent("third", ("deadly",))))
 
 
+class RequestTest(unittest.TestCase):
+    """Requests without any prompt, of which the whole recurs."""
+
+    def test_request_in_each_crash_is_blocked_and_those_beside_it_are_not(self):
+        """Guards against a call that crashes servers for ever, and against calls of the
+        same account that are refused with it."""
+        guard = make_guard()
+        for number in range(MIN_CRASHES):
+            beside = RequestContent.from_ids("shop", (), f"beside-{number}")
+            guard.note_crash(f"server-{number}", [beside, CALL], 10.0 + 10.0 * number)
+        self.assertEqual(set(CALL.parts), set(guard.blamed))
+        error = guard.refusal(CALL, 31.0)
+        self.assertEqual((503, "request_blocked"), (error.status, error.code))
+        self.assertEqual("not_run", str(error.run_state))
+        self.assertAlmostEqual(REQUEST_BLOCK_S - 1.0, error.retry_after_s)
+
+    def test_all_servers_lost_within_a_second_blame_no_request(self):
+        """Guards against blame for a call that was repeated while all servers fell."""
+        guard = make_guard()
+        crash(guard, [CALL], 10.0, count=5, gap_s=0.2)
+        self.assertEqual({}, guard.blamed)
+
+    def test_request_that_takes_all_servers_at_once_is_blamed_when_it_returns(self):
+        """Guards against a call whose crashes count as one event each time it comes."""
+        guard = make_guard()
+        crash(guard, [CALL], 10.0, gap_s=0.05)
+        crash(guard, [CALL], 15.0, count=1)
+        self.assertTrue(guard.is_blocked(CALL))
+
+    def test_request_answered_between_the_crashes_is_not_blamed(self):
+        """Guards against blame for a poll that was in flight at each kill."""
+        guards = [make_guard(name) for name in NAMES]
+        for number in range(6):
+            at = 10.0 + 3.0 * number
+            guards[number % 3].note_crash(f"server-{number}", [POLL], at)
+            exchange(guards, at + 0.2)
+            guards[(number + 1) % 3].note_sound(POLL, at + 1.0)
+            exchange(guards, at + 1.2)
+            self.assertFalse(any(guard.blamed for guard in guards))
+
+    def test_error_of_a_server_clears_a_request_and_no_prompt_part(self):
+        """Guards against blame for a call whose service answers with errors, and
+        against an error that hides a deadly part."""
+        guard = make_guard()
+        crash(guard, [CALL], 10.0)
+        self.assertTrue(guard.is_blocked(CALL))
+        guard.note_survived(CALL, 15.0)
+        self.assertFalse(guard.is_blocked(CALL))
+        request = RequestContent.from_ids("shop", ("deadly", "own"), "request")
+        crash(guard, [request], 20.0)
+        self.assertEqual({request.request}, set(guard.blamed))
+        guard.note_survived(request, 25.0)
+        self.assertEqual({"deadly"}, set(guard.blamed))
+
+    def test_two_requests_that_crash_servers_beside_each_other(self):
+        """Guards against a second call that hides behind the first."""
+        guard = make_guard()
+        crash(guard, [CALL, POLL], 10.0)
+        crash(guard, [CALL], 20.0, count=1)
+        self.assertEqual(set(CALL.parts), set(guard.blamed))
+        crash(guard, [POLL], 30.0, count=1)
+        self.assertEqual({*CALL.parts, *POLL.parts}, set(guard.blamed))
+
+    def test_request_is_found_among_kills(self):
+        """Guards against a call that kills of other servers hide."""
+        guard = make_guard()
+        for number in range(30):
+            guard.note_crash(f"killed-{number}", [], 10.0 + 0.2 * number)
+        crash(guard, [CALL], 10.0, gap_s=0.05)
+        self.assertFalse(guard.is_blocked(CALL))
+        crash(guard, [CALL], 15.0, count=2, gap_s=0.05)
+        self.assertTrue(guard.is_blocked(CALL))
+
+    def test_long_call_that_waves_of_kills_break_off_is_not_blamed(self):
+        """Guards against blame for a sound call that no server lived to answer."""
+        guard = make_guard()
+        for wave in range(4):
+            for number in range(6):
+                at = 10.0 + 2.0 * wave + 0.01 * number
+                requests = [CALL] if number == 0 else []
+                guard.note_crash(f"server-{wave}-{number}", requests, at)
+        self.assertEqual({}, guard.blamed)
+
+    def test_request_is_found_among_hundreds_in_flight(self):
+        """Guards against a call that is left out of the records of a busy server."""
+        guards = [make_guard(name) for name in NAMES]
+        for number in range(MIN_CRASHES):
+            at = 10.0 + 2.0 * number
+            for guard in guards:
+                calls = [
+                    RequestContent.from_ids("shop", (), f"{guard.name}-{number}-{n}")
+                    for n in range(MAX_REQUESTS_PER_CRASH // 4)
+                ]
+                found = [*calls, CALL] if guard is guards[number] else calls
+                guard.note_crash(f"server-{number}", found, at)
+            exchange(guards, at + 0.2)
+        for guard in guards:
+            self.assertTrue(guard.is_blocked(CALL))
+            self.assertEqual(1, len(guard.blamed))
+
+    def test_request_that_recurs_is_blamed_before_its_prompt(self):
+        """Guards against prompt parts of others that one request takes with it."""
+        guard = make_guard()
+        request = RequestContent.from_ids("shop", (SHARED, "own"), "request")
+        crash(guard, [request], 10.0)
+        self.assertEqual({request.request}, set(guard.blamed))
+        other = RequestContent.from_ids("shop", (SHARED, "other"), "other")
+        self.assertFalse(guard.is_blocked(other))
+
+    def test_deadly_part_is_found_under_requests_that_recur(self):
+        """Guards against a deadly part that is never blamed since each request with it
+        is blamed first."""
+        guard = make_guard()
+        for number in range(2):
+            request = RequestContent.from_ids("shop", ("deadly", "own"), f"r-{number}")
+            crash(guard, [request], 10.0 + 10.0 * number, count=MIN_CRASHES)
+        self.assertIn("deadly", guard.blamed)
+
+    def test_request_in_two_crashes_goes_to_one_server(self):
+        """Guards against a call that ends two servers each time it comes."""
+        guard = make_guard()
+        self.assertTrue(guard.may_repeat(CALL, MAX_BROKEN_OFF_AGAIN, is_call=True))
+        self.assertFalse(guard.may_repeat(CALL, MAX_BROKEN_OFF, is_call=True))
+        crash(guard, [CALL], 10.0, count=2, gap_s=0.05)
+        self.assertFalse(guard.may_repeat(CALL, MAX_BROKEN_OFF_AGAIN, is_call=True))
+        guard.note_sound(CALL, 15.0)
+        self.assertTrue(guard.may_repeat(CALL, MAX_BROKEN_OFF, is_call=True))
+
+
 class TrialTest(unittest.TestCase):
     def setUp(self):
         self.guards = [make_guard(name) for name in NAMES]
@@ -320,6 +458,33 @@
             guard.note_crash(f"killed-{number}", [prompt], 14.0 + number / 1000)
         self.assertTrue(guard.is_blocked(DEADLY))
 
+    def test_requests_in_flight_at_many_crashes_are_kept_within_bounds(self):
+        """Guards against busy servers whose crashes fill memory and messages."""
+        guard = make_guard()
+        for number in range(2 * MAX_REQUESTS // MAX_REQUESTS_PER_CRASH):
+            calls = [
+                RequestContent.from_ids("shop", (), f"call-{number}-{n}")
+                for n in range(2 * MAX_REQUESTS_PER_CRASH)
+            ]
+            guard.note_crash(f"server-{number}", calls, 10.0 * number)
+        for number in range(2 * MAX_SOUND_REQUESTS):
+            guard.note_sound(RequestContent.from_ids("shop", (), f"{number}"), 1.0)
+        records = guard.records
+        counted = sum(len(crash.requests) for crash in records.crashes.values())
+        self.assertEqual(records.request_count, counted)
+        self.assertLessEqual(counted, MAX_REQUESTS)
+        self.assertLessEqual(len(records.crashes_by_part), MAX_REQUESTS)
+        self.assertEqual(MAX_SOUND_REQUESTS, len(guard.requests_sound_at))
+        self.assertEqual({}, guard.sound_at)
+
+    def test_parts_of_callers_cannot_name_a_request(self):
+        """Guards against a caller that blocks the request of another one."""
+        found = RequestContent.from_ids("shop", (CALL.request, "own"), "fingerprint")
+        self.assertNotIn(CALL.request, found.parts)
+        long = RequestContent.from_ids("shop", map(str, range(99)), "fingerprint")
+        self.assertEqual(MAX_PARTS, len(long.parts))
+        self.assertEqual("request:fingerprint", long.request)
+
     def test_old_records_are_forgotten(self):
         """Guards against records and blocks that stay for ever."""
         guard = make_guard()
--- a/monsoontack/admission/crashrecords.py
+++ b/monsoontack/admission/crashrecords.py
@@ -1,9 +1,9 @@
-"""Crashes of engines and the prompts that they ran, as all entries report them.
+"""Crashes of servers and the requests that they ran, as all entries report them.
 
-No entry sees all requests that an engine ran, and none sees all crashes. So entries
-exchange a record of each crash with the prompts on which the engine had not gone on
-answering, and for each part of these prompts when an engine last began an answer on it
-and went on. Records merge in any order: prompts are united, and later times replace
+No entry sees all requests that a server ran, and none sees all crashes. So entries
+exchange a record of each crash with the requests on which the server had not gone on
+answering, and for each part of these requests when a server last began an answer on it
+and went on. Records merge in any order: requests are united, and later times replace
 earlier ones. Times are seconds of the event loop's clock; between entries, records
 carry ages.
 """
@@ -13,7 +13,7 @@
 
 import structlog
 
-from monsoontack.admission.requestcontent import RequestContent
+from monsoontack.admission.requestcontent import RequestContent, is_request
 from monsoontack.core.changes import ChangeCounter
 
 log = structlog.get_logger("admission.crashes")
@@ -21,23 +21,29 @@
 # The deployment loses 15 VMs on an ordinary day; more crashes in an hour have a cause
 # that the newest ones show.
 MAX_CRASHES = 256
-MAX_REQUESTS_PER_CRASH = 64
+# Several hundred calls may be in flight at a server of a plain service.
+MAX_REQUESTS_PER_CRASH = 512
+# Requests of all crashes, which bounds memory and the largest message: about 1 MB.
+MAX_REQUESTS = 16_384
 FORGOTTEN_AT_ONCE = 32
 MAX_CRASHES_OF_A_MOMENT = 8
 # Crashes of one part above which a further one makes none of them more worth keeping.
 MAX_WEIGHT = 4
-# Crashes within this time count as one: a power loss or a kill takes many engines at
+# Crashes within this time count as one: a power loss or a kill takes many servers at
 # the same moment, whatever they run.
 SAME_MOMENT_S = 0.3
 RETENTION_S = 3600.0
 # An answer that began this long before a crash still clears its parts: a part that
-# crashes engines does so each time, and reports of other entries arrive late.
+# crashes servers does so each time, and reports of other entries arrive late.
 SOUND_BEFORE_CRASH_S = 2.0
+# Crashes from which on a whole request is looked at. Most requests do not recur, so
+# entries tell each other only of these that they were answered.
+MIN_CRASHES_OF_A_REQUEST = 2
 
 
 @dataclass(frozen=True, slots=True)
 class CrashRecord:
-    """A crash of an engine at the time `at` and the prompts that may have caused it."""
+    """A crash of a server at the time `at` and the requests that may have caused it."""
 
     requests: tuple[RequestContent, ...]
     at: float
@@ -45,9 +51,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PartRecord:
-    """What is known of a part of the prompts in crash records; None if nothing is.
+    """What is known of a part of the requests in crash records; None if nothing is.
 
-    `sound_at` is when an engine began the latest answer on it that went on, `trial_at`
+    `sound_at` is when a server began the latest answer on it that went on, `trial_at`
     when an entry last sent a request with it although it was blocked.
     """
 
@@ -62,7 +68,7 @@
 class CrashNews:
     """Records for another entry, with ages in seconds instead of times.
 
-    `crashes` maps the start of an engine to the age and the prompts of its crash,
+    `crashes` maps the start of a server to the age and the requests of its crash,
     `parts` the id of a part to the ages of its `sound_at` and `trial_at`.
     """
 
@@ -75,10 +81,10 @@
 
 @dataclass(slots=True)
 class CrashRecords:
-    """All crash records by the start of the engine, and the records of their parts.
+    """All crash records by the start of the server, and the records of their parts.
 
     `crashes_by_part` names the crashes with a part. `version` counts the changes that
-    may alter a decision.
+    may alter a decision, `request_count` the requests of all crashes.
     """
 
     changes: ChangeCounter = field(default_factory=ChangeCounter)
@@ -87,19 +93,19 @@
     crashes_by_part: dict[str, set[str]] = field(default_factory=dict)
     change_numbers: dict[tuple[str, str], int] = field(default_factory=dict)
     version: int = 0
+    request_count: int = 0
 
     def add_crash(
-        self, server: str, prompts: Iterable[RequestContent], at: float
+        self, server: str, requests: Iterable[RequestContent], at: float
     ) -> bool:
-        """Record a crash, or further prompts of a known one; return if anything is new.
+        """Record a crash, or further requests of a known one; return if any is new.
 
-        Prompts of which no part can have caused the crash are left out. A crash without
-        any prompt shows that engines crash for other reasons.
+        Requests of which no part can have caused the crash are left out. A crash
+        without any request shows that servers crash for other reasons.
         """
         known = self.crashes.get(server)
         before = () if known is None else known.requests
-        added = [p for p in prompts if p not in before and self.candidates(p, at)]
-        united = (*before, *dict.fromkeys(added))[:MAX_REQUESTS_PER_CRASH]
+        united = self._unite(before, requests, at)
         if known is None:
             if self._is_mass_event(at):
                 return False
@@ -107,25 +113,52 @@
             return False
         at = at if known is None else min(at, known.at)
         self.crashes[server] = CrashRecord(united, at)
-        for prompt in united:
-            for part in prompt.parts:
+        self.request_count += len(united) - len(before)
+        for request in united:
+            for part in request.parts:
                 self.crashes_by_part.setdefault(part, set()).add(server)
         self._note_change("crash", server)
         self._limit_count()
         return server in self.crashes
 
+    def _unite(
+        self,
+        before: tuple[RequestContent, ...],
+        requests: Iterable[RequestContent],
+        at: float,
+    ) -> tuple[RequestContent, ...]:
+        """Return the requests of a crash with further ones, within the bound.
+
+        If there are too many, those of other crashes stay: a cause recurs.
+        """
+        seen = set(before)
+        added = [
+            request
+            for request in dict.fromkeys(requests)
+            if request not in seen and self.candidates(request, at)
+        ]
+        if len(before) + len(added) > MAX_REQUESTS_PER_CRASH:
+            added.sort(key=self._is_new)
+        return (*before, *added)[:MAX_REQUESTS_PER_CRASH]
+
+    def _is_new(self, request: RequestContent) -> bool:
+        """Whether no crash has the most specific part of a request."""
+        return request.parts[-1] not in self.crashes_by_part
+
     def _is_mass_event(self, at: float) -> bool:
-        """Whether so many engines crashed at this moment that more tell nothing."""
+        """Whether so many servers crashed at this moment that more tell nothing."""
         same = sum(abs(c.at - at) < SAME_MOMENT_S for c in self.crashes.values())
         return same >= MAX_CRASHES_OF_A_MOMENT
 
     def add_sound(self, part: str, began_at: float) -> bool:
-        """Record that an engine began an answer on a part and went on.
+        """Record that a server began an answer on a part and went on.
 
         Returns whether that is new, which it is only if it clears the part of a crash.
         """
         record = self.parts.get(part, NO_RECORD)
         servers = self.crashes_by_part.get(part, ())
+        if is_request(part) and len(servers) < MIN_CRASHES_OF_A_REQUEST:
+            return False
         is_first = record.sound_at is None and bool(servers)
         clears = any(
             not is_sound(record, self.crashes[server].at)
@@ -150,16 +183,29 @@
         self._note_change("part", part)
         return True
 
-    def candidates(self, prompt: RequestContent, crash_at: float) -> list[str]:
-        """Return the parts of a prompt that may have caused a crash.
+    def candidates(self, request: RequestContent, crash_at: float) -> list[str]:
+        """Return the parts of a request that may have caused a crash.
 
-        A part on which an engine has ever gone on answering is a candidate only if
-        that is true of all parts that the crash leaves open.
+        A part of a prompt on which a server has ever gone on answering is a candidate
+        only if that is true of all its parts that the crash leaves open.
         """
-        records = {part: self.parts.get(part, NO_RECORD) for part in prompt.parts}
+        records = {part: self.parts.get(part, NO_RECORD) for part in request.parts}
         left = [p for p, record in records.items() if not is_sound(record, crash_at)]
         unproven = [part for part in left if records[part].sound_at is None]
-        return unproven or left
+        if all(is_request(part) for part in unproven):
+            return left
+        return unproven
+
+    def uncleared_crashes(self, part: str, sound_at: float) -> int:
+        """Return the crashes with a part that no answer has cleared it of.
+
+        `sound_at` is when the latest answer on it began, as far as this entry knows.
+        """
+        record = self.parts.get(part, NO_RECORD)
+        if record.sound_at is not None:
+            sound_at = max(sound_at, record.sound_at)
+        since = sound_at + SOUND_BEFORE_CRASH_S
+        return sum(self._at(s) > since for s in self.crashes_by_part.get(part, ()))
 
     def news_since(self, number: int, now: float) -> CrashNews:
         """Return the records that changed after the change with this number."""
@@ -178,9 +224,9 @@
     def merge(self, news: CrashNews, now: float) -> list[str]:
         """Adopt the news of another entry; return the parts whose records are new."""
         changed = []
-        for server, (age_s, prompts) in news.crashes.items():
-            if age_s < RETENTION_S and self.add_crash(server, prompts, now - age_s):
-                changed += [p for prompt in prompts for p in prompt.parts]
+        for server, (age_s, requests) in news.crashes.items():
+            if age_s < RETENTION_S and self.add_crash(server, requests, now - age_s):
+                changed += [p for request in requests for p in request.parts]
         for part, (sound_age_s, trial_age_s) in news.parts.items():
             if sound_age_s is not None and self.add_sound(part, now - sound_age_s):
                 changed.append(part)
@@ -196,7 +242,7 @@
 
     def _limit_count(self) -> None:
         """Forget some crashes if there are too many, the least telling ones first."""
-        if len(self.crashes) <= MAX_CRASHES:
+        if len(self.crashes) <= MAX_CRASHES and self.request_count <= MAX_REQUESTS:
             return
         by_weight = sorted(
             self.crashes, key=lambda server: (self._weight(server), self._at(server))
@@ -217,9 +263,10 @@
 
     def _forget(self, server: str) -> None:
         record = self.crashes.pop(server)
+        self.request_count -= len(record.requests)
         self.change_numbers.pop(("crash", server), None)
         self.version += 1
-        for part in {p for prompt in record.requests for p in prompt.parts}:
+        for part in {p for request in record.requests for p in request.parts}:
             servers = self.crashes_by_part[part]
             servers.discard(server)
             if not servers:
@@ -233,7 +280,7 @@
 
 
 def is_sound(record: PartRecord, crash_at: float) -> bool:
-    """Whether an engine went on answering on a part too late for a crash to be its."""
+    """Whether a server went on answering on a part too late for a crash to be its."""
     sound_at = record.sound_at
     return sound_at is not None and sound_at >= crash_at - SOUND_BEFORE_CRASH_S
 
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -157,7 +157,9 @@
             self.fleet.note_alive(member, now)
             self.fleet.ejection.record_success(start_key, latency_s, now, self.rng)
             return
-        response_head = result.response_head
+        response_head, failure = result.response_head, result.failure
+        if failure is not None and failure.kind is FailureKind.UNWANTED:
+            return
         if response_head is not None and response_head.not_run:
             if response_head.status == 421:
                 self.fleet.note_misdirected(member)
@@ -221,6 +223,9 @@
             if final_result is not None:
                 return final_result
 
+    def _is_wanted(self) -> bool:
+        return self.job.is_wanted() and not self._is_blocked()
+
     def _is_blocked(self) -> bool:
         job = self.job
         return not job.is_trial and self.guard.is_blocked(job.content)
@@ -281,12 +286,12 @@
         return self.forwarder.budgets.take(job.service, self.now())
 
     def _may_send_again(self) -> bool:
-        """Whether the call's prompt may be sent to a further server."""
+        """Whether the call may be sent to a further server as well."""
         if self.job.is_trial:
             return False
         # A server that has the call now may break it off as well.
         at_risk = self.broken_off + len(self.tasks)
-        return self.guard.may_repeat(self.job.content, at_risk)
+        return self.guard.may_repeat(self.job.content, at_risk, is_call=True)
 
     def _start_hedge(self) -> None:
         """Send a late idempotent call to a second server."""
@@ -328,7 +333,7 @@
         if rollouts is not None:
             rollouts.note_sent(member)
         try:
-            exchange = await sender.send(member, job.request, attempt, job.is_wanted)
+            exchange = await sender.send(member, job.request, attempt, self._is_wanted)
             if isinstance(exchange, ExchangeFailure):
                 result.failure = exchange
             else:
@@ -344,19 +349,23 @@
                 rollouts.note_ended(member, job.route.name, result.is_failure, took_s)
         record.result = result_label(result)
         self.forwarder.record_result(result, started_at)
-        self._record_prompt_evidence(result, started_at)
+        self._record_crash_evidence(result, started_at)
         if self.repeatable:
             self.forwarder.hedging.record(job.service, self.now() - started_at)
         return result
 
-    def _record_prompt_evidence(self, result: AttemptResult, started_at: float) -> None:
-        """Record whether the server ended under the call's prompt, if it has one."""
-        prompt, failure = self.job.content, result.failure
+    def _record_crash_evidence(self, result: AttemptResult, started_at: float) -> None:
+        """Record whether the server answered the call or may have ended under it."""
+        content, failure = self.job.content, result.failure
+        response_head = result.response_head
         if result.is_success:
-            self.guard.note_sound(prompt, started_at)
+            self.guard.note_sound(content, started_at)
         elif failure is not None and failure.kind in BROKEN_OFF_KINDS:
             self.broken_off += 1
-            self.forwarder.crash_detector.note_broken_off(result.member, prompt)
+            self.forwarder.crash_detector.note_broken_off(result.member, content)
+        elif response_head is not None and response_head.signed:
+            if not response_head.not_run:
+                self.guard.note_survived(content, started_at)
 
     async def _read_response(
         self, exchange: HttpExchange, result: AttemptResult
--- a/monsoontack/gateway/crashdetector.py
+++ b/monsoontack/gateway/crashdetector.py
@@ -1,9 +1,9 @@
-"""Finds out whether an engine's process ended under the streams that it broke off.
+"""Finds out whether a server's process ended under the requests that it broke off.
 
-A broken connection alone says little: a link, a proxy or the engine itself may have
-closed it. The engine's process has ended if a new connection is refused at once, or if
-the engine has started again.
-Engines that leave by plan, and those of a failure domain that was lost as a whole, are
+A broken connection alone says little: a link, a proxy or the server itself may have
+closed it. The server's process has ended if a new connection is refused at once, or if
+the server has started again.
+Servers that leave by plan, and those of a failure domain that was lost as a whole, are
 left out.
 """
 
@@ -20,10 +20,12 @@
 
 log = structlog.get_logger("gateway.crashes")
 
-# Streams of one engine end together; their losses are collected for this time. The
-# news that an engine leaves, or that its domain was lost, arrives in it as well.
+# Requests of one server end together; their losses are collected for this time. The
+# news that a server leaves, or that its domain was lost, arrives in it as well.
 COLLECT_S = 0.1
 CHECK_TIMEOUT_S = 0.35
+# Requests named in a log line. Several hundred calls may be in flight at a server.
+MAX_LOGGED_REQUESTS = 32
 BROKEN_OFF_KINDS = frozenset((FailureKind.CLOSED, FailureKind.RESET))
 
 
@@ -42,25 +44,25 @@
 
 @dataclass(slots=True)
 class CrashDetector:
-    """Checks the engines that broke off streams; `on_crash` is called for crashes.
+    """Checks the servers that broke off requests; `on_crash` is called for crashes.
 
-    `lost` holds the prompts of the engines that are being checked.
+    `lost` holds the requests of the servers that are being checked.
     """
 
     sender: Sender
     on_crash: Callable[[ServerCrash], None] = lambda crash: None
-    lost: dict[str, list[RequestContent]] = field(default_factory=dict)
+    lost: dict[str, dict[RequestContent, None]] = field(default_factory=dict)
     tasks: set[asyncio.Task] = field(default_factory=set)
 
-    def note_broken_off(self, member: Member, prompt: RequestContent | None) -> None:
-        """Note that an engine broke off a stream.
+    def note_broken_off(self, member: Member, request: RequestContent | None) -> None:
+        """Note that a server broke off a request.
 
-        `prompt` is None if the engine had gone on answering before.
+        `request` is None if the server had gone on answering before.
         """
         is_checked = member.limit_key in self.lost
-        prompts = self.lost.setdefault(member.limit_key, [])
-        if prompt is not None and prompt.parts:
-            prompts.append(prompt)
+        requests = self.lost.setdefault(member.limit_key, {})
+        if request is not None and request.parts:
+            requests[request] = None
         if is_checked:
             return
         task = asyncio.ensure_future(self._check(member))
@@ -73,7 +75,7 @@
             failure = await self.sender.check_connection(member, CHECK_TIMEOUT_S)
             await asyncio.sleep(COLLECT_S)
         finally:
-            prompts = self.lost.pop(member.limit_key)
+            requests = tuple(self.lost.pop(member.limit_key))
         now = self.sender.now()
         reason = self._reason_against(member, lost_at, now)
         is_refused = failure is not None and failure.is_refused
@@ -83,14 +85,17 @@
             server=member.server.incarnation,
             process_ended=has_ended,
             not_a_crash=reason,
-            prompts=[[prompt.account, *prompt.parts] for prompt in prompts],
+            prompts=[
+                [request.account, *request.parts]
+                for request in requests[:MAX_LOGGED_REQUESTS]
+            ],
+            requests=len(requests),
         )
         if has_ended and reason is None:
-            unique = tuple(dict.fromkeys(prompts))
-            self.on_crash(ServerCrash(member.limit_key, unique, lost_at))
+            self.on_crash(ServerCrash(member.limit_key, requests, lost_at))
 
     def _reason_against(self, member: Member, lost_at: float, now: float) -> str | None:
-        """Return why the end of an engine is no crash of its own, if it is none."""
+        """Return why the end of a server is no crash of its own, if it is none."""
         fleet = self.sender.fleet
         if not (fleet.is_current(member) or member.restarted):
             return "the engine left"
--- a/monsoontack/gateway/crashguard_test.py
+++ b/monsoontack/gateway/crashguard_test.py
@@ -128,7 +128,9 @@
     def test_crashed_engines_are_reported_with_the_prompt(self):
         """Guards against crashes that no entry learns of."""
         served = serve(end_at_the_first_event)
-        self.assertEqual([(PROMPT,)] * 2, [c.requests for c in served.crashes])
+        content = served.job.content
+        self.assertEqual(("", PARTS), (content.account, content.prompt_parts))
+        self.assertEqual([(content,)] * 2, [c.requests for c in served.crashes])
 
     def test_proven_prompt_is_sent_on_as_usual(self):
         """Guards against sound streams that fail since two engines were lost."""
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -13,6 +13,7 @@
 from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.admission.hedge import Hedging
 from monsoontack.admission.limitgate import LimitGate
+from monsoontack.admission.requestcontent import is_request
 from monsoontack.core.boundedlog import LineWriter
 from monsoontack.core.supervise import run_with_restarts
 from monsoontack.gateway.budgets import RetryBudgets
@@ -460,7 +461,10 @@
         limits.forget_old(known, self.gateway.now())
         metrics.limited_servers.set(len(limits.limited()))
         self.gateway.guard.forget_old(self.gateway.now())
-        metrics.blocked_prompt_parts.set(len(self.gateway.guard.blamed))
+        blamed = self.gateway.guard.blamed
+        blocked_requests = sum(map(is_request, blamed))
+        metrics.blocked_requests.set(blocked_requests)
+        metrics.blocked_prompt_parts.set(len(blamed) - blocked_requests)
         for service, members in self.fleet.by_service.items():
             metrics.servers.labels(service).set(len(members))
         if self.log_writer is not None:
--- a/monsoontack/gateway/entrycodec.py
+++ b/monsoontack/gateway/entrycodec.py
@@ -1,4 +1,4 @@
-"""JSON messages in which entries exchange limits, permits and crashes of engines.
+"""JSON messages in which entries exchange limits, permits and crashes of servers.
 
 `MAX_LIFETIMES` and the ranges of numbers bound what a message of a faulty entry can do.
 """
@@ -10,6 +10,7 @@
 
 from monsoontack.admission.crashrecords import (
     MAX_CRASHES,
+    MAX_REQUESTS,
     MAX_REQUESTS_PER_CRASH,
     NO_NEWS,
     CrashNews,
@@ -34,8 +35,11 @@
 LIFETIME_DIGITS = 3
 # Ages of crash records in seconds; entries forget them far earlier.
 MAX_AGE_S = 1e6
-# Parts of all prompts in the records of one message.
-MAX_PART_RECORDS = MAX_CRASHES * MAX_REQUESTS_PER_CRASH
+# Parts of all requests in the records of one message.
+MAX_PART_RECORDS = 2 * MAX_REQUESTS
+# Entries of former versions refuse messages with more requests of a crash. The others
+# are in a field of their own, which they ignore.
+MAX_REQUESTS_IN_CRASH_ROW = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,8 +76,13 @@
     }
     if message.crashes.crashes:
         document["crashes"] = {
-            server: [round(age_s, 3), [[p.account, list(p.parts)] for p in prompts]]
-            for server, (age_s, prompts) in message.crashes.crashes.items()
+            server: [round(age_s, 3), _request_rows(found[:MAX_REQUESTS_IN_CRASH_ROW])]
+            for server, (age_s, found) in message.crashes.crashes.items()
+        }
+        document["more"] = {
+            server: _request_rows(found[MAX_REQUESTS_IN_CRASH_ROW:])
+            for server, (_, found) in message.crashes.crashes.items()
+            if len(found) > MAX_REQUESTS_IN_CRASH_ROW
         }
     if message.crashes.parts:
         document["parts"] = {
@@ -108,7 +117,7 @@
             since=_count(document["since"], MAX_VERSION),
             limits=_decode_limits(document["news"]),
             crashes=CrashNews(
-                _decode_crashes(document.get("crashes", {})),
+                _decode_crashes(document.get("crashes", {}), document.get("more", {})),
                 _decode_parts(document.get("parts", {})),
             ),
             seen_boot=_text(seen_boot),
@@ -126,27 +135,34 @@
         raise ValueError(repr(error)) from error
 
 
-def _decode_crashes(rows: dict) -> dict[str, tuple[float, tuple[RequestContent, ...]]]:
+def _request_rows(requests: tuple[RequestContent, ...]) -> list:
+    return [[request.account, list(request.parts)] for request in requests]
+
+
+def _decode_crashes(
+    rows: dict, more: dict
+) -> dict[str, tuple[float, tuple[RequestContent, ...]]]:
     if len(rows) > MAX_CRASHES:
         raise ValueError(f"{len(rows)} crashes")
     crashes = {}
-    for server, (age_s, prompts) in rows.items():
-        if len(prompts) > MAX_REQUESTS_PER_CRASH:
-            raise ValueError(f"{len(prompts)} prompts of a crash")
-        found = tuple(_decode_prompt(account, parts) for account, parts in prompts)
+    for server, (age_s, requests) in rows.items():
+        requests = [*requests, *more.get(server, ())]
+        if len(requests) > MAX_REQUESTS_PER_CRASH:
+            raise ValueError(f"{len(requests)} requests of a crash")
+        found = tuple(_decode_request(account, parts) for account, parts in requests)
         crashes[_text(server)] = (_number(age_s, 0.0, MAX_AGE_S), found)
     return crashes
 
 
-def _decode_prompt(account: str, parts: list) -> RequestContent:
+def _decode_request(account: str, parts: list) -> RequestContent:
     if not isinstance(parts, list) or len(parts) > MAX_PARTS:
-        raise ValueError(f"no parts of a prompt: {parts!r:.40}")
+        raise ValueError(f"no parts of a request: {parts!r:.40}")
     return RequestContent(_text(account), tuple(_text(part) for part in parts))
 
 
 def _decode_parts(rows: dict) -> dict[str, tuple[float | None, float | None]]:
     if len(rows) > MAX_PART_RECORDS:
-        raise ValueError(f"{len(rows)} parts of prompts")
+        raise ValueError(f"{len(rows)} parts of requests")
     return {
         _text(part): (_age(sound_age_s), _age(trial_age_s))
         for part, (sound_age_s, trial_age_s) in rows.items()
--- a/monsoontack/gateway/entryexchange_test.py
+++ b/monsoontack/gateway/entryexchange_test.py
@@ -4,15 +4,20 @@
 import json
 import random
 import unittest
+from dataclasses import replace
 
 from monsoontack.admission.crashguard import CrashGuard
-from monsoontack.admission.crashrecords import CrashNews
+from monsoontack.admission.crashrecords import (
+    MAX_REQUESTS_PER_CRASH,
+    CrashNews,
+)
 from monsoontack.admission.limitgate import LimitGate
 from monsoontack.admission.permits import PERMIT_LIFETIME_S, PermitGrant, PermitReport
 from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.admission.statedlimits import LimitRecord
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.entrycodec import (
+    MAX_REQUESTS_IN_CRASH_ROW,
     EntryMessage,
     decode_message,
     encode_message,
@@ -48,6 +53,21 @@
         """Guards against news, reports or grants that get lost on the way."""
         self.assertEqual(MESSAGE, decode_message(encode_message(MESSAGE)))
 
+    def test_many_requests_of_a_crash_survive_encoding(self):
+        """Guards against requests in flight that are lost on the way, and against
+        messages that entries of former versions refuse as a whole."""
+        requests = tuple(
+            RequestContent.from_ids("shop", (), str(number))
+            for number in range(MAX_REQUESTS_PER_CRASH)
+        )
+        message = replace(MESSAGE, crashes=CrashNews({"e": (1.5, requests)}, {}))
+        document = json.loads(encode_message(message))
+        self.assertEqual(MAX_REQUESTS_IN_CRASH_ROW, len(document["crashes"]["e"][1]))
+        self.assertEqual(message, decode_message(encode_message(message)))
+        document["more"]["e"].append(["shop", ["one too many"]])
+        with self.assertRaises(ValueError):
+            decode_message(json.dumps(document).encode())
+
     def test_permits_do_not_live_longer_by_rounding(self):
         """Guards against permits that outlive those their grantor counts."""
         grant = PermitGrant({"s": (1.2399999,)}, {})
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -58,7 +58,7 @@
 
     @property
     def guard(self) -> CrashGuard:
-        """Return the parts of prompts that must not be sent."""
+        """Return the decision on requests that crash servers."""
         return self.streams.sender.guard
 
     async def handle(self, raw: RawRequest, responder: Responder) -> None:
@@ -78,7 +78,7 @@
             )
             return
         job = self._make_job(request, route, account, responder)
-        blocked = self._check_prompt(job)
+        blocked = self._check_content(job)
         if blocked is not None:
             self._refuse(blocked, responder, request.request_id, blocked.code)
             return
@@ -110,8 +110,8 @@
             config_age_s=self.config_state.age_s(),
         )
 
-    def _check_prompt(self, job: Job) -> RequestError | None:
-        """Return the refusal of a request with a blocked part, unless it is a trial."""
+    def _check_content(self, job: Job) -> RequestError | None:
+        """Return the refusal of a blocked request, unless it is a trial."""
         refusal = self.guard.refusal(job.content, self.now())
         if refusal is None:
             return None
@@ -183,7 +183,7 @@
             route=job.route.name,
             kind=kind,
             account=job.account.name if job.account else None,
-            fingerprint=job.fingerprint,
+            fingerprint=job.content.request,
             service=job.service,
             outcome=job.outcome,
             status=job.status,
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -32,8 +32,8 @@
 
     `deadline_at` is the earlier of the caller's and the route's deadline (event loop's
     clock). `may_have_run` is set once a backend server may have run the request.
-    `is_trial` marks the one request that tries a blocked part of a prompt again.
-    `fingerprint` is that of the method, host, path, account and body.
+    `is_trial` marks the one request that tries again what is blocked.
+    `content` is what may recur in other requests.
     """
 
     request: CallerRequest
@@ -53,23 +53,22 @@
     worst_gap_s: float = 0.0
     is_trial: bool = False
     content: RequestContent = field(init=False)
-    fingerprint: str = field(init=False)
 
     def __post_init__(self) -> None:
-        """Derive what may recur: parts of the prompt, and the request as a whole."""
+        """Derive what may recur: parts of the prompt, and the request as a whole.
+
+        The body has been read whole. A key against repeated runs does not belong to the
+        fingerprint, since it differs when a caller asks for the same thing again.
+        """
         account = self.account.name if self.account else ""
-        self.content = RequestContent.from_ids(
-            account, (part.segment_id for part in self.request.prompt_segments)
-        )
         raw = self.request.raw
-        self.fingerprint = request_fingerprint(
-            (
-                raw.method,
-                self.request.host.encode(),
-                raw.target,
-                account.encode(),
-                raw.body,
-            )
+        host = self.request.host.encode()
+        self.content = RequestContent.from_ids(
+            account,
+            (part.segment_id for part in self.request.prompt_segments),
+            request_fingerprint(
+                (raw.method, host, raw.target, account.encode(), raw.body)
+            ),
         )
 
     def left_s(self, now: float) -> float:
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -36,6 +36,7 @@
     engine_crashes: Counter = None
     limited_servers: Gauge = None
     blocked_prompt_parts: Gauge = None
+    blocked_requests: Gauge = None
     servers: Gauge = None
     store_feed_up: Gauge = None
     store_restorations: Counter = None
@@ -72,7 +73,7 @@
         )
         metrics.engine_crashes = Counter(
             "monsoontack_engine_crashes",
-            "Engines whose process ended before they went on answering a prompt",
+            "Servers whose process ended before they went on answering",
             registry=registry,
         )
         metrics.store_restorations = Counter(
@@ -117,6 +118,9 @@
         self.blocked_prompt_parts = gauge(
             "blocked_prompt_parts", "Parts of prompts that crash engines"
         )
+        self.blocked_requests = gauge(
+            "blocked_requests", "Requests that crash servers when they come again"
+        )
         self.servers = gauge("servers", "Backend servers in use", ("service",))
         self.store_feed_up = gauge(
             "store_feed_up", "Whether the store answers a feed", ("feed",)
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -30,7 +30,7 @@
     """Sends requests; `on_sent` is called with the service of each one sent.
 
     `gate` has the request rates that servers state in their responses, and this entry's
-    permits. `guard` has the parts of prompts that crash engines. `on_limited_send` is
+    permits. `guard` has the requests that crash servers. `on_limited_send` is
     called with the service of each request sent to a server that has stated a limit,
     `on_limit_change` after a response that changed a limit.
     """
--- a/monsoontack/gateway/statedump.py
+++ b/monsoontack/gateway/statedump.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+from monsoontack.admission.crashblame import Blame
+from monsoontack.admission.requestcontent import is_request
 from monsoontack.gateway.fleet import Member
 
 if TYPE_CHECKING:
@@ -14,6 +16,7 @@
     gate = daemon.entry_exchange.gate
     limits, permits = gate.limits, gate.permits
     config_state, relayed = daemon.config_state, daemon.relayed_stores
+    blamed = daemon.gateway.guard.blamed
     return {
         "name": daemon.settings.name,
         "ready": daemon.is_ready,
@@ -32,12 +35,14 @@
             key: [record.rate, record.version] for key, record in limits.records.items()
         },
         "blocked_prompt_parts": {
-            part: {
-                "accounts": None if blame.accounts is None else sorted(blame.accounts),
-                "crashes": blame.crashes,
-                "blocked_s": round(blame.until - now, 1),
-            }
-            for part, blame in daemon.gateway.guard.blamed.items()
+            part: _blame_state(blame, now)
+            for part, blame in blamed.items()
+            if not is_request(part)
+        },
+        "blocked_requests": {
+            part: _blame_state(blame, now)
+            for part, blame in blamed.items()
+            if is_request(part)
         },
         "limit_parent": permits.parent,
         "permits_expired": permits.expired_permits,
@@ -48,6 +53,14 @@
     }
 
 
+def _blame_state(blame: Blame, now: float) -> dict:
+    return {
+        "accounts": None if blame.accounts is None else sorted(blame.accounts),
+        "crashes": blame.crashes,
+        "blocked_s": round(blame.until - now, 1),
+    }
+
+
 def _server_state(daemon: "GatewayDaemon", member: Member, now: float) -> dict:
     server = member.server
     return {
--- a/monsoontack/gateway/streamerrors.py
+++ b/monsoontack/gateway/streamerrors.py
@@ -2,7 +2,6 @@
 
 from typing import TYPE_CHECKING
 
-from monsoontack.admission.crashguard import crash_error
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.streamrelay import StreamLoss
 
@@ -20,7 +19,7 @@
         return job.timeout_error()
     if run.is_blocked():
         if job.may_have_run:
-            return crash_error()
+            return run.guard.crash_error(job.content)
         return run.guard.refusal(job.content, run.now())
     if job.may_have_run:
         message = f"every engine broke off: {loss.reason}"
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -69,6 +69,12 @@
     has_gone_on: bool = False
     is_foreign: bool = False
 
+    @property
+    def is_error_of_engine(self) -> bool:
+        """Whether the engine itself answered with an error, having run the request."""
+        head = self.response_head
+        return head is not None and head.signed and not self.not_run
+
 
 class StreamRelay:
     """Relays the response of one attempt.
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -193,7 +193,7 @@
             request=job.request.request_id,
             server=member.server.incarnation,
             reason=loss.reason,
-            prompt=[job.content.account, *job.content.parts],
+            content=[job.content.account, *job.content.parts],
             events=self.events,
             last_id=self.position.last_id,
             copy=self.copy_holder and self.copy_holder.server.address,
@@ -210,7 +210,7 @@
         return step
 
     def is_blocked(self) -> bool:
-        """Whether a part of the prompt has been blocked since the request arrived."""
+        """Whether the request has been blocked since it arrived."""
         job = self.job
         return not job.is_trial and self.guard.is_blocked(job.content)
 
@@ -323,6 +323,8 @@
                 if loss.is_broken_off:
                     suspect = None if relay.has_gone_on else job.content
                     self.forwarder.crash_detector.note_broken_off(member, suspect)
+                elif loss.is_error_of_engine:
+                    self.guard.note_survived(job.content, now)
             elif relay.began_at is not None and not relay.has_gone_on:
                 self.guard.note_sound(job.content, relay.began_at)
             job.may_have_run |= loss is None or not loss.not_run
