Find a crash that follows another lost connection within a moment

The check had found it alive 5 ms before, and all that broke off until its end counted as broken off by a living server, so the crash was in no record. An answer between the two losses hid the crash as well.

A server that breaks off more after a check began is checked again, and what it broke off before its latest answer no longer stands for the rest. Two of the three new tests failed on the code before (the crash was not reported).

--- a/monsoontack/gateway/crashdetector.py
+++ b/monsoontack/gateway/crashdetector.py
@@ -24,6 +24,8 @@
 # news that a server leaves, or that its domain was lost, arrives in it as well.
 COLLECT_S = 0.1
 CHECK_TIMEOUT_S = 0.35
+# Losses and answers of one moment may be read in any order.
+READ_SKEW_S = 0.05
 # Requests named in a log line. Several hundred calls may be in flight at a server.
 MAX_LOGGED_REQUESTS = 32
 BROKEN_OFF_KINDS = frozenset((FailureKind.CLOSED, FailureKind.RESET))
@@ -46,12 +48,13 @@
 class CrashDetector:
     """Checks the servers that broke off requests; `on_crash` is called for crashes.
 
-    `lost` holds the requests of the servers that are being checked.
+    `lost` holds the requests of the servers that are being checked, and when each was
+    broken off; None stands for those on which the server had gone on answering.
     """
 
     sender: Sender
     on_crash: Callable[[ServerCrash], None] = lambda crash: None
-    lost: dict[str, dict[RequestContent, None]] = field(default_factory=dict)
+    lost: dict[str, dict[RequestContent | None, float]] = field(default_factory=dict)
     tasks: set[asyncio.Task] = field(default_factory=set)
 
     def note_broken_off(self, member: Member, request: RequestContent | None) -> None:
@@ -60,9 +63,9 @@
         `request` is None if the server had gone on answering before.
         """
         is_checked = member.limit_key in self.lost
-        requests = self.lost.setdefault(member.limit_key, {})
-        if request is not None and request.parts:
-            requests[request] = None
+        losses = self.lost.setdefault(member.limit_key, {})
+        has_parts = request is not None and request.parts
+        losses[request if has_parts else None] = self.sender.now()
         if is_checked:
             return
         task = asyncio.ensure_future(self._check(member))
@@ -70,14 +73,29 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _check(self, member: Member) -> None:
-        lost_at = self.sender.now()
+        """Check a server, again if it broke off more after a check found it alive."""
+        losses = self.lost[member.limit_key]
         try:
-            failure = await self.sender.check_connection(member, CHECK_TIMEOUT_S)
-            await asyncio.sleep(COLLECT_S)
+            while losses:
+                began_at = self.sender.now()
+                if await self._has_crashed(member, losses):
+                    break
+                for request, at in list(losses.items()):
+                    if at <= began_at:
+                        del losses[request]
         finally:
-            requests = tuple(self.lost.pop(member.limit_key))
-        now = self.sender.now()
-        reason = self._reason_against(member, lost_at, now)
+            del self.lost[member.limit_key]
+
+    async def _has_crashed(
+        self, member: Member, losses: dict[RequestContent | None, float]
+    ) -> bool:
+        """Return whether the server's process has ended, and report a crash."""
+        failure = await self.sender.check_connection(member, CHECK_TIMEOUT_S)
+        await asyncio.sleep(COLLECT_S)
+        answered_at = member.last_byte_at - READ_SKEW_S
+        last = {request: at for request, at in losses.items() if at >= answered_at}
+        requests = tuple(request for request in last if request is not None)
+        reason = self._reason_against(member, not last)
         is_refused = failure is not None and failure.is_refused
         has_ended = is_refused or member.restarted
         log.info(
@@ -92,15 +110,16 @@
             requests=len(requests),
         )
         if has_ended and reason is None:
-            self.on_crash(ServerCrash(member.limit_key, requests, lost_at))
+            self.on_crash(ServerCrash(member.limit_key, requests, min(last.values())))
+        return has_ended
 
-    def _reason_against(self, member: Member, lost_at: float, now: float) -> str | None:
+    def _reason_against(self, member: Member, has_answered: bool) -> str | None:
         """Return why the end of a server is no crash of its own, if it is none."""
         fleet = self.sender.fleet
         if not (fleet.is_current(member) or member.restarted):
             return "the engine left"
-        if member.last_byte_at > lost_at:
+        if has_answered:
             return "the engine went on answering"
-        if fleet.is_domain_lost(member, now):
+        if fleet.is_domain_lost(member, self.sender.now()):
             return "the failure domain was lost"
         return None
--- a/monsoontack/gateway/crashdetector_test.py
+++ b/monsoontack/gateway/crashdetector_test.py
@@ -22,14 +22,21 @@
 
 
 class CrashDetectorTest(unittest.TestCase):
-    def crashes(self, script, prompts, meanwhile=lambda fleet: None, servers=("s1",)):
+    def crashes(
+        self,
+        script,
+        prompts,
+        meanwhile=lambda fleet: None,
+        servers=("s1",),
+        check_s=0.0,
+    ):
         """Return the crashes reported when the engines break off the prompts."""
 
         async def scenario():
             scripts = dict.fromkeys(PLACES, serves) | dict.fromkeys(servers, script)
-            sender = ScriptedSender(make_fleet(PLACES), scripts)
+            sender = ScriptedSender(make_fleet(PLACES), scripts, check_s=check_s)
             found = []
-            detector = CrashDetector(sender, found.append)
+            detector = self.detector = CrashDetector(sender, found.append)
             for server in servers:
                 for prompt in prompts:
                     member = sender.fleet.members[server]
@@ -79,6 +86,46 @@
 
         self.assertEqual([], self.crashes(REFUSED, [FIRST], lose_domain))
 
+    def test_crash_while_an_earlier_loss_is_checked(self):
+        """Guards against a crash that is missed since its server was found to be alive
+        for another connection just before."""
+
+        async def scenario():
+            sender = ScriptedSender(make_fleet(PLACES), dict.fromkeys(PLACES, serves))
+            member, found = sender.fleet.members["s1"], []
+            detector = CrashDetector(sender, found.append)
+            detector.note_broken_off(member, FIRST)
+            await asyncio.sleep(0.05)
+            sender.scripts["s1"] = REFUSED
+            detector.note_broken_off(member, SECOND)
+            await asyncio.sleep(1.0)
+            return found
+
+        found = run_in_virtual_time(scenario())
+        self.assertEqual([((SECOND,), 0.05)], [(c.requests, c.at) for c in found])
+
+    def test_answer_between_a_loss_and_a_crash_does_not_hide_the_crash(self):
+        """Guards against a crash that is missed since its server had gone on answering
+        after another connection was lost."""
+
+        def fall_later(fleet):
+            loop, member = asyncio.get_running_loop(), fleet.members["s1"]
+            loop.call_later(0.1, fleet.note_alive, member, loop.time() + 0.1)
+            note = self.detector.note_broken_off
+            loop.call_later(0.2, note, member, SECOND)
+
+        found = self.crashes(REFUSED, [FIRST], fall_later, check_s=0.3)
+        self.assertEqual([(SECOND,)], [crash.requests for crash in found])
+
+    def test_server_that_answers_after_the_loss_has_not_crashed(self):
+        """Guards against blame for a server that another cause ends later."""
+
+        def answer(fleet):
+            loop, member = asyncio.get_running_loop(), fleet.members["s1"]
+            loop.call_later(0.09, fleet.note_alive, member, loop.time() + 0.09)
+
+        self.assertEqual([], self.crashes(REFUSED, [FIRST], answer))
+
     def test_crash_without_a_suspect_prompt_is_reported_as_such(self):
         """Guards against blame by kills that nobody knows to be kills."""
         found = self.crashes(REFUSED, [None, RequestContent("shop", ())])
--- a/standins/gatewayfakes.py
+++ b/standins/gatewayfakes.py
@@ -191,7 +191,8 @@
     """Sender whose servers respond as scripted.
 
     `scripts` maps the incarnation of a server to a coroutine function that provides its
-    response, or to a connection failure. `connect_s` is the duration of connecting.
+    response, or to a connection failure. `connect_s` is the duration of connecting,
+    `check_s` that of a check of a connection.
     `sent` lists the attempts that reached a server.
     """
 
@@ -205,6 +206,7 @@
     exchanges: list[ScriptedExchange] = field(default_factory=list)
     tasks: list[asyncio.Task] = field(default_factory=list)
     checks: int = 0
+    check_s: float = 0.0
 
     def now(self) -> float:
         """Return the event loop's time in seconds."""
@@ -230,6 +232,7 @@
     ) -> ExchangeFailure | None:
         """Return the server's script if it is a connection failure."""
         self.checks += 1
+        await asyncio.sleep(self.check_s)
         script = self.scripts[member.server.incarnation]
         return script if isinstance(script, ExchangeFailure) else None
 
