--- a/monsoontack/admission/promptguard_test.py
+++ b/monsoontack/admission/crashguard_test.py
@@ -3,32 +3,41 @@
 import random
 import unittest
 
-from monsoontack.admission.crashrecords import MAX_CRASHES
-from monsoontack.admission.promptblame import (
+from monsoontack.admission.crashblame import (
     BLOCK_S,
     MAX_BLOCK_S,
     MIN_CRASHES,
     MIN_CRASHES_AMONG_OTHERS,
+    REQUEST_BLOCK_S,
 )
-from monsoontack.admission.promptguard import (
+from monsoontack.admission.crashguard import (
     MAX_BROKEN_OFF,
+    MAX_BROKEN_OFF_AGAIN,
     MAX_SOUND_PARTS,
+    MAX_SOUND_REQUESTS,
     TRIAL_S,
     TURN_S,
-    PromptGuard,
+    CrashGuard,
 )
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.crashrecords import (
+    MAX_CRASHES,
+    MAX_REQUESTS,
+    MAX_REQUESTS_PER_CRASH,
+)
+from monsoontack.admission.requestcontent import MAX_PARTS, RequestContent
 from monsoontack.core.changes import ChangeCounter
 
 SHARED = "instructions"
-DEADLY = SharedPrompt("shop", (SHARED, "deadly"))
-SOUND = SharedPrompt("shop", (SHARED, "subject"))
-OTHER_ACCOUNT = SharedPrompt("depot", (SHARED, "deadly"))
+DEADLY = RequestContent("shop", (SHARED, "deadly"))
+SOUND = RequestContent("shop", (SHARED, "subject"))
+OTHER_ACCOUNT = RequestContent("depot", (SHARED, "deadly"))
+CALL = RequestContent.from_ids("shop", (), "call")
+POLL = RequestContent.from_ids("shop", (), "poll")
 NAMES = ("entry-1", "entry-2", "entry-3")
 
 
 def make_guard(name="entry-1"):
-    guard = PromptGuard(name)
+    guard = CrashGuard(name)
     guard.entries = lambda: NAMES
     return guard
 
@@ -56,7 +65,7 @@
         """Guards against a shared part or an account that is blamed with a part."""
         guard = make_guard()
         for number in range(MIN_CRASHES):
-            beside = SharedPrompt("shop", (SHARED, f"subject-{number}"))
+            beside = RequestContent("shop", (SHARED, f"subject-{number}"))
             guard.note_crash(f"engine-{number}", [DEADLY, beside], 10.0 + number)
         self.assertEqual({"deadly"}, set(guard.blamed))
         self.assertFalse(guard.is_blocked(SOUND))
@@ -88,7 +97,7 @@
     def test_part_on_which_an_engine_goes_on_answering_is_cleared(self):
         """Guards against blame for a hot part that ran at each crash."""
         guard = make_guard()
-        hot = SharedPrompt("shop", ("hot",))
+        hot = RequestContent("shop", ("hot",))
         for number in range(10):
             at = 10.0 + number
             guard.note_crash(f"engine-{number}", [hot], at)
@@ -115,7 +124,7 @@
         guard = make_guard()
         for wave in range(4):
             for number in range(5):
-                prompt = SharedPrompt("shop", (f"part-{wave}-{number}",))
+                prompt = RequestContent("shop", (f"part-{wave}-{number}",))
                 prompts = [SOUND] if number == 0 else [prompt]
                 at = 10.0 + 2.0 * wave + 0.01 * number
                 guard.note_crash(f"engine-{wave}-{number}", prompts, at)
@@ -125,7 +134,7 @@
         """Guards against a deadly part that kills of other engines hide."""
         guard = make_guard()
         for number in range(30):
-            prompt = SharedPrompt("shop", (f"part-{number}",))
+            prompt = RequestContent("shop", (f"part-{number}",))
             guard.note_crash(f"killed-{number}", [prompt], 10.0 + 0.1 * number)
         crash(guard, [DEADLY], 10.0, count=MIN_CRASHES_AMONG_OTHERS)
         self.assertEqual({"deadly"}, set(guard.blamed))
@@ -140,7 +149,7 @@
     def test_several_deadly_parts_are_found_at_once(self):
         """Guards against a deadly part that hides behind another one."""
         guard = make_guard()
-        second = SharedPrompt("shop", (SHARED, "deadly-2"))
+        second = RequestContent("shop", (SHARED, "deadly-2"))
         for number in range(MIN_CRASHES):
             guard.note_crash(f"first-{number}", [DEADLY, SOUND], 10.0 + number)
             guard.note_crash(f"second-{number}", [second, SOUND], 10.5 + number)
@@ -152,7 +161,7 @@
         guard = make_guard()
         for number in range(MIN_CRASHES):
             for part in ("deadly-1", "deadly-2"):
-                prompt = SharedPrompt("shop", (SHARED, part))
+                prompt = RequestContent("shop", (SHARED, part))
                 at = 10.0 + number + (0.5 if part == "deadly-2" else 0.0)
                 guard.note_crash(f"{part}-{number}", [prompt], at)
         self.assertEqual({"deadly-1", "deadly-2"}, set(guard.blamed))
@@ -160,7 +169,7 @@
     def test_shared_part_waits_for_the_verdict_on_the_part_after_it(self):
         """Guards against a first part blamed since the later one has fewer crashes."""
         guard = make_guard()
-        second = SharedPrompt("shop", (SHARED, "deadly-2"))
+        second = RequestContent("shop", (SHARED, "deadly-2"))
         crash(guard, [DEADLY], 10.0)
         crash(guard, [second], 20.0, count=MIN_CRASHES - 1)
         self.assertEqual({"deadly"}, set(guard.blamed))
@@ -168,7 +177,7 @@
     def test_part_stays_blamed_when_another_one_explains_some_crashes(self):
         """Guards against a block that ends since two deadly parts met at an engine."""
         guard = make_guard()
-        second = SharedPrompt("depot", ("other", "deadly-2"))
+        second = RequestContent("depot", ("other", "deadly-2"))
         crash(guard, [DEADLY], 10.0, count=MIN_CRASHES - 1)
         guard.note_crash("engine-both", [DEADLY, second], 12.5)
         crash(guard, [second], 13.0, count=MIN_CRASHES + 1)
@@ -178,7 +187,7 @@
         """Guards against a part that is never blamed since others follow it."""
         guard = make_guard()
         for number in range(MIN_CRASHES):
-            prompt = SharedPrompt("shop", ("deadly", f"subject-{number}"))
+            prompt = RequestContent("shop", ("deadly", f"subject-{number}"))
             guard.note_crash(f"engine-{number}", [prompt], 10.0 + number)
         self.assertEqual({"deadly"}, set(guard.blamed))
 
@@ -218,7 +227,136 @@
         guard = make_guard()
         crash(guard, [DEADLY], 10.0)
         crash(guard, [OTHER_ACCOUNT], 20.0, count=1)
-        self.assertTrue(guard.is_blocked(SharedPrompt("third", ("deadly",))))
+        self.assertTrue(guard.is_blocked(RequestContent("third", ("deadly",))))
+
+
+class RequestTest(unittest.TestCase):
+    """Requests without any prompt, of which the whole recurs."""
+
+    def test_request_in_each_crash_is_blocked_and_those_beside_it_are_not(self):
+        """Guards against a call that crashes servers for ever, and against calls of the
+        same account that are refused with it."""
+        guard = make_guard()
+        for number in range(MIN_CRASHES):
+            beside = RequestContent.from_ids("shop", (), f"beside-{number}")
+            guard.note_crash(f"server-{number}", [beside, CALL], 10.0 + 10.0 * number)
+        self.assertEqual(set(CALL.parts), set(guard.blamed))
+        error = guard.refusal(CALL, 31.0)
+        self.assertEqual((503, "request_blocked"), (error.status, error.code))
+        self.assertEqual("not_run", str(error.run_state))
+        self.assertAlmostEqual(REQUEST_BLOCK_S - 1.0, error.retry_after_s)
+
+    def test_all_servers_lost_within_a_second_blame_no_request(self):
+        """Guards against blame for a call that was repeated while all servers fell."""
+        guard = make_guard()
+        crash(guard, [CALL], 10.0, count=5, gap_s=0.2)
+        self.assertEqual({}, guard.blamed)
+
+    def test_request_that_takes_all_servers_at_once_is_blamed_when_it_returns(self):
+        """Guards against a call whose crashes count as one event each time it comes."""
+        guard = make_guard()
+        crash(guard, [CALL], 10.0, gap_s=0.05)
+        crash(guard, [CALL], 15.0, count=1)
+        self.assertTrue(guard.is_blocked(CALL))
+
+    def test_request_answered_between_the_crashes_is_not_blamed(self):
+        """Guards against blame for a poll that was in flight at each kill."""
+        guards = [make_guard(name) for name in NAMES]
+        for number in range(6):
+            at = 10.0 + 3.0 * number
+            guards[number % 3].note_crash(f"server-{number}", [POLL], at)
+            exchange(guards, at + 0.2)
+            guards[(number + 1) % 3].note_sound(POLL, at + 1.0)
+            exchange(guards, at + 1.2)
+            self.assertFalse(any(guard.blamed for guard in guards))
+
+    def test_error_of_a_server_clears_a_request_and_no_prompt_part(self):
+        """Guards against blame for a call whose service answers with errors, and
+        against an error that hides a deadly part."""
+        guard = make_guard()
+        crash(guard, [CALL], 10.0)
+        self.assertTrue(guard.is_blocked(CALL))
+        guard.note_survived(CALL, 15.0)
+        self.assertFalse(guard.is_blocked(CALL))
+        request = RequestContent.from_ids("shop", ("deadly", "own"), "request")
+        crash(guard, [request], 20.0)
+        self.assertEqual({request.request}, set(guard.blamed))
+        guard.note_survived(request, 25.0)
+        self.assertEqual({"deadly"}, set(guard.blamed))
+
+    def test_two_requests_that_crash_servers_beside_each_other(self):
+        """Guards against a second call that hides behind the first."""
+        guard = make_guard()
+        crash(guard, [CALL, POLL], 10.0)
+        crash(guard, [CALL], 20.0, count=1)
+        self.assertEqual(set(CALL.parts), set(guard.blamed))
+        crash(guard, [POLL], 30.0, count=1)
+        self.assertEqual({*CALL.parts, *POLL.parts}, set(guard.blamed))
+
+    def test_request_is_found_among_kills(self):
+        """Guards against a call that kills of other servers hide."""
+        guard = make_guard()
+        for number in range(30):
+            guard.note_crash(f"killed-{number}", [], 10.0 + 0.2 * number)
+        crash(guard, [CALL], 10.0, gap_s=0.05)
+        self.assertFalse(guard.is_blocked(CALL))
+        crash(guard, [CALL], 15.0, count=2, gap_s=0.05)
+        self.assertTrue(guard.is_blocked(CALL))
+
+    def test_long_call_that_waves_of_kills_break_off_is_not_blamed(self):
+        """Guards against blame for a sound call that no server lived to answer."""
+        guard = make_guard()
+        for wave in range(4):
+            for number in range(6):
+                at = 10.0 + 2.0 * wave + 0.01 * number
+                requests = [CALL] if number == 0 else []
+                guard.note_crash(f"server-{wave}-{number}", requests, at)
+        self.assertEqual({}, guard.blamed)
+
+    def test_request_is_found_among_hundreds_in_flight(self):
+        """Guards against a call that is left out of the records of a busy server."""
+        guards = [make_guard(name) for name in NAMES]
+        for number in range(MIN_CRASHES):
+            at = 10.0 + 2.0 * number
+            for guard in guards:
+                calls = [
+                    RequestContent.from_ids("shop", (), f"{guard.name}-{number}-{n}")
+                    for n in range(MAX_REQUESTS_PER_CRASH // 4)
+                ]
+                found = [*calls, CALL] if guard is guards[number] else calls
+                guard.note_crash(f"server-{number}", found, at)
+            exchange(guards, at + 0.2)
+        for guard in guards:
+            self.assertTrue(guard.is_blocked(CALL))
+            self.assertEqual(1, len(guard.blamed))
+
+    def test_request_that_recurs_is_blamed_before_its_prompt(self):
+        """Guards against prompt parts of others that one request takes with it."""
+        guard = make_guard()
+        request = RequestContent.from_ids("shop", (SHARED, "own"), "request")
+        crash(guard, [request], 10.0)
+        self.assertEqual({request.request}, set(guard.blamed))
+        other = RequestContent.from_ids("shop", (SHARED, "other"), "other")
+        self.assertFalse(guard.is_blocked(other))
+
+    def test_deadly_part_is_found_under_requests_that_recur(self):
+        """Guards against a deadly part that is never blamed since each request with it
+        is blamed first."""
+        guard = make_guard()
+        for number in range(2):
+            request = RequestContent.from_ids("shop", ("deadly", "own"), f"r-{number}")
+            crash(guard, [request], 10.0 + 10.0 * number, count=MIN_CRASHES)
+        self.assertIn("deadly", guard.blamed)
+
+    def test_request_in_two_crashes_goes_to_one_server(self):
+        """Guards against a call that ends two servers each time it comes."""
+        guard = make_guard()
+        self.assertTrue(guard.may_repeat(CALL, MAX_BROKEN_OFF_AGAIN, is_call=True))
+        self.assertFalse(guard.may_repeat(CALL, MAX_BROKEN_OFF, is_call=True))
+        crash(guard, [CALL], 10.0, count=2, gap_s=0.05)
+        self.assertFalse(guard.may_repeat(CALL, MAX_BROKEN_OFF_AGAIN, is_call=True))
+        guard.note_sound(CALL, 15.0)
+        self.assertTrue(guard.may_repeat(CALL, MAX_BROKEN_OFF, is_call=True))
 
 
 class TrialTest(unittest.TestCase):
@@ -301,10 +439,10 @@
         """Guards against callers that fill an entry's memory with new parts."""
         guard = make_guard()
         for number in range(2 * MAX_CRASHES):
-            prompt = SharedPrompt("shop", (f"part-{number}",))
+            prompt = RequestContent("shop", (f"part-{number}",))
             guard.note_crash(f"engine-{number}", [prompt], float(number))
         for number in range(2 * MAX_SOUND_PARTS):
-            guard.note_sound(SharedPrompt("shop", (f"other-{number}",)), 1.0)
+            guard.note_sound(RequestContent("shop", (f"other-{number}",)), 1.0)
         records = guard.records
         self.assertLessEqual(len(records.crashes), MAX_CRASHES)
         self.assertLessEqual(len(records.crashes_by_part), MAX_CRASHES)
@@ -316,10 +454,37 @@
         guard = make_guard()
         crash(guard, [DEADLY], 10.0)
         for number in range(2 * MAX_CRASHES):
-            prompt = SharedPrompt("shop", (f"part-{number}",))
+            prompt = RequestContent("shop", (f"part-{number}",))
             guard.note_crash(f"killed-{number}", [prompt], 14.0 + number / 1000)
         self.assertTrue(guard.is_blocked(DEADLY))
 
+    def test_requests_in_flight_at_many_crashes_are_kept_within_bounds(self):
+        """Guards against busy servers whose crashes fill memory and messages."""
+        guard = make_guard()
+        for number in range(2 * MAX_REQUESTS // MAX_REQUESTS_PER_CRASH):
+            calls = [
+                RequestContent.from_ids("shop", (), f"call-{number}-{n}")
+                for n in range(2 * MAX_REQUESTS_PER_CRASH)
+            ]
+            guard.note_crash(f"server-{number}", calls, 10.0 * number)
+        for number in range(2 * MAX_SOUND_REQUESTS):
+            guard.note_sound(RequestContent.from_ids("shop", (), f"{number}"), 1.0)
+        records = guard.records
+        counted = sum(len(crash.requests) for crash in records.crashes.values())
+        self.assertEqual(records.request_count, counted)
+        self.assertLessEqual(counted, MAX_REQUESTS)
+        self.assertLessEqual(len(records.crashes_by_part), MAX_REQUESTS)
+        self.assertEqual(MAX_SOUND_REQUESTS, len(guard.requests_sound_at))
+        self.assertEqual({}, guard.sound_at)
+
+    def test_parts_of_callers_cannot_name_a_request(self):
+        """Guards against a caller that blocks the request of another one."""
+        found = RequestContent.from_ids("shop", (CALL.request, "own"), "fingerprint")
+        self.assertNotIn(CALL.request, found.parts)
+        long = RequestContent.from_ids("shop", map(str, range(99)), "fingerprint")
+        self.assertEqual(MAX_PARTS, len(long.parts))
+        self.assertEqual("request:fingerprint", long.request)
+
     def test_old_records_are_forgotten(self):
         """Guards against records and blocks that stay for ever."""
         guard = make_guard()
@@ -330,7 +495,7 @@
 
     def test_long_ids_are_replaced_by_hashes(self):
         """Guards against ids of any length that fill memory and messages."""
-        prompt = SharedPrompt.from_ids("shop", ("x" * 10_000, "y", "own"))
+        prompt = RequestContent.from_ids("shop", ("x" * 10_000, "y", "own"))
         self.assertLessEqual(max(map(len, prompt.parts)), 64)
         self.assertEqual(2, len(prompt.parts))
 
@@ -344,7 +509,7 @@
             for guard in guards:
                 guard.records.changes = ChangeCounter()
             prompts = [
-                SharedPrompt(account, (SHARED, f"part-{number}"))
+                RequestContent(account, (SHARED, f"part-{number}"))
                 for account in ("shop", "depot")
                 for number in range(3)
             ]
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -10,15 +10,16 @@
 
 import structlog
 
+from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.admission.hedge import Hedging
 from monsoontack.admission.limitgate import LimitGate
-from monsoontack.admission.promptguard import PromptGuard
+from monsoontack.admission.requestcontent import is_request
 from monsoontack.core.boundedlog import LineWriter
 from monsoontack.core.supervise import run_with_restarts
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.calls import CallForwarder
 from monsoontack.gateway.configstate import ConfigState
-from monsoontack.gateway.crashdetector import EngineCrash
+from monsoontack.gateway.crashdetector import ServerCrash
 from monsoontack.gateway.entryexchange import PATH as EXCHANGE_PATH
 from monsoontack.gateway.entryexchange import EntryExchange, call_entry
 from monsoontack.gateway.entryregistry import ENTRIES_KIND, EntryList, EntryRegistration
@@ -154,7 +155,7 @@
         gate = LimitGate.for_entry(settings.name, rng)
         gate.servers = fleet.limit_keys
         gate.permits.fleet_size = settings.expected_max_entries
-        sender = Sender(pool, wire, fleet, gate, PromptGuard(settings.name))
+        sender = Sender(pool, wire, fleet, gate, CrashGuard(settings.name))
         budgets = RetryBudgets(
             settings.retry_ratio,
             settings.retry_extra,
@@ -174,7 +175,7 @@
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
         streams.share_load_with_peers(load_exchange)
         for forwarder in (calls, streams):
-            forwarder.crash_detector.on_crash = daemon._on_engine_crash
+            forwarder.crash_detector.on_crash = daemon._on_server_crash
         daemon.background_jobs.append(load_exchange.run)
         call = partial(call_entry, daemon.peer_pool)
         place = settings.place
@@ -311,9 +312,9 @@
         for feed in self.feeds:
             feed.list_again(era)
 
-    def _on_engine_crash(self, crash: EngineCrash) -> None:
+    def _on_server_crash(self, crash: ServerCrash) -> None:
         self.metrics.engine_crashes.inc()
-        self.gateway.guard.note_crash(crash.server, crash.prompts, crash.at)
+        self.gateway.guard.note_crash(crash.server, crash.requests, crash.at)
 
     def _on_store_status(self, kind: str, is_up: bool, reason: str) -> None:
         self.metrics.store_feed_up.labels(kind).set(is_up)
@@ -467,7 +468,10 @@
         limits.forget_old(known, self.gateway.now())
         metrics.limited_servers.set(len(limits.limited()))
         self.gateway.guard.forget_old(self.gateway.now())
-        metrics.blocked_prompt_parts.set(len(self.gateway.guard.blamed))
+        blamed = self.gateway.guard.blamed
+        blocked_requests = sum(map(is_request, blamed))
+        metrics.blocked_requests.set(blocked_requests)
+        metrics.blocked_prompt_parts.set(len(blamed) - blocked_requests)
         for service, members in self.fleet.by_service.items():
             metrics.servers.labels(service).set(len(members))
         if self.log_writer is not None:
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -6,8 +6,8 @@
 
 import structlog
 
+from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.admission.drainadmission import DrainAdmission, Work
-from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.calls import CallForwarder
 from monsoontack.gateway.configstate import ConfigState
@@ -56,8 +56,8 @@
         return len(self.running)
 
     @property
-    def guard(self) -> PromptGuard:
-        """Return the parts of prompts that must not be sent."""
+    def guard(self) -> CrashGuard:
+        """Return the decision on requests that crash servers."""
         return self.streams.sender.guard
 
     async def handle(self, raw: RawRequest, responder: Responder) -> None:
@@ -77,7 +77,7 @@
                 self._draining_error(), responder, request.request_id, "draining"
             )
             return
-        blocked = self._check_prompt(job)
+        blocked = self._check_content(job)
         if blocked is not None:
             self._refuse(blocked, responder, request.request_id, blocked.code)
             return
@@ -117,12 +117,12 @@
             config_age_s=self.config_state.age_s(),
         )
 
-    def _check_prompt(self, job: Job) -> RequestError | None:
-        """Return the refusal of a request with a blocked part, unless it is a trial."""
-        refusal = self.guard.refusal(job.shared_prompt, self.now())
+    def _check_content(self, job: Job) -> RequestError | None:
+        """Return the refusal of a blocked request, unless it is a trial."""
+        refusal = self.guard.refusal(job.content, self.now())
         if refusal is None:
             return None
-        job.is_trial = self.guard.take_trial(job.shared_prompt, self.now())
+        job.is_trial = self.guard.take_trial(job.content, self.now())
         return None if job.is_trial else refusal
 
     def _may_outlast_drain(self, job: Job) -> bool:
@@ -198,6 +198,7 @@
             route=job.route.name,
             kind=kind,
             account=job.account.name if job.account else None,
+            fingerprint=job.content.request,
             service=job.service,
             outcome=job.outcome,
             status=job.status,
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -3,7 +3,8 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from monsoontack.admission.sharedprompt import SharedPrompt
+from monsoontack.admission.fingerprint import request_fingerprint
+from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.records import CallerRequest, GatewayAccount, Route
 from monsoontack.gateway.responder import Responder
@@ -31,8 +32,9 @@
 
     `deadline_at` is the earlier of the caller's and the route's deadline (event loop's
     clock). `may_have_run` is set once a backend server may have run the request.
-    `is_trial` marks the one request that tries a blocked part of a prompt again.
+    `is_trial` marks the one request that tries again what is blocked.
     `ending` is done once the process ends and the request must be answered.
+    `content` is what may recur in other requests.
     """
 
     request: CallerRequest
@@ -51,15 +53,25 @@
     first_event_at: float | None = None
     worst_gap_s: float = 0.0
     is_trial: bool = False
-    shared_prompt: SharedPrompt = field(init=False)
+    content: RequestContent = field(init=False)
     ending: asyncio.Future = field(init=False)
 
     def __post_init__(self) -> None:
-        """Derive the part of the prompt that other requests may share."""
+        """Derive what may recur: parts of the prompt, and the request as a whole.
+
+        The body has been read whole. A key against repeated runs does not belong to the
+        fingerprint, since it differs when a caller asks for the same thing again.
+        """
         self.ending = asyncio.get_running_loop().create_future()
-        self.shared_prompt = SharedPrompt.from_ids(
-            self.account.name if self.account else "",
+        account = self.account.name if self.account else ""
+        raw = self.request.raw
+        host = self.request.host.encode()
+        self.content = RequestContent.from_ids(
+            account,
             (part.segment_id for part in self.request.prompt_segments),
+            request_fingerprint(
+                (raw.method, host, raw.target, account.encode(), raw.body)
+            ),
         )
 
     def left_s(self, now: float) -> float:
