Refuse requests that an entry has read only after its drain began

What callers saw: a call whose body arrived late, up to 1 s after the drain of an entry beside agents had ended, was passed on to its service, and answered at once with an unknown outcome. It was not waited for.

Cause: the entry asked whether it drains before it read the body, and the drain counts only requests that were read.

Evidence: the new test sends half of a call, SIGTERM, and the rest 0.5 s later.

Why it works: the question is asked again once the body was read, for calls and generations. Such a request is refused as not run, and nothing is passed on.

--- a/monsoontack/entry/calls.py
+++ b/monsoontack/entry/calls.py
@@ -78,6 +78,8 @@
             key=key,
             timeout_s=service_config.call_timeout_s,
         )
+        # The drain may have begun while the body was read.
+        context.check_accepts_requests()
         with context.in_progress():
             result = await self._run_until_drained(call)
         if isinstance(result, RequestError):
--- a/monsoontack/entry/calls_test.py
+++ b/monsoontack/entry/calls_test.py
@@ -127,6 +127,31 @@
             code, run_state = await caller
         self.assertEqual(("shutting_down", "unknown"), (code, run_state))
 
+    async def test_call_read_during_a_drain_is_not_passed_on(self):
+        """Guards against a call that is passed on after the drain has ended, because
+        its body came late, and that gets no outcome."""
+        entry = self.entries[0]
+        host, _, port = entry.url.removeprefix("http://").rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = (
+            f"POST {PATH} HTTP/1.1",
+            f"Host: {host}",
+            f"Authorization: Bearer {KEY}",
+            "Idempotency-Key: k",
+            "Content-Length: 4",
+        )
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\nab")
+        await asyncio.sleep(0.5)
+        entry.terminate()
+        await asyncio.sleep(0.5)
+        writer.write(b"cd")
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            response = await reader.read()
+        writer.close()
+        self.assertIn(b"HTTP/1.1 503", response)
+        self.assertIn(b'"not_run"', response)
+        self.assertEqual({}, await self.execution_counts())
+
     async def test_entry_killed_between_claim_and_dispatch(self):
         """Guards against a claim that another entry dispatches."""
         first, second = self.entries
--- a/monsoontack/entry/completions.py
+++ b/monsoontack/entry/completions.py
@@ -68,6 +68,8 @@
         context.counters.add("requests")
         context.check_accepts_requests()
         checked = await self._check_request(req)
+        # The drain may have begun while the body was read.
+        context.check_accepts_requests()
         session = self._open_session(checked)
         if session.error is not None:
             self._close_session(checked, session)
