Close the connections of refused callers while an entry drains

What callers saw: an entry beside agents refused requests while it drained and kept their connections open, so that a caller that repeats its request on its connection was refused until the end of the drain.

Why it works: each error response of a draining entry says Connection: close, so that the next attempt of the caller goes through the balancer.

--- a/monsoontack/entry/app.py
+++ b/monsoontack/entry/app.py
@@ -67,6 +67,9 @@
             error = replace(error, run_state=RunState.UNKNOWN)
         resp.status = error.status
         resp.sse = None
+        if self.context.draining:
+            # Another request on the connection would be refused as well.
+            resp.set_header("Connection", "close")
         if error.retry_after_s is not None:
             resp.set_header("Retry-After", str(math.ceil(error.retry_after_s)))
         resp.text = json.dumps(error_document(error, req.context.request_id))
--- a/monsoontack/entry/calls_test.py
+++ b/monsoontack/entry/calls_test.py
@@ -152,6 +152,22 @@
         self.assertIn(b'"not_run"', response)
         self.assertEqual({}, await self.execution_counts())
 
+    async def test_refused_caller_is_told_to_leave_a_draining_entry(self):
+        """Guards against callers that go on asking a draining entry, because their
+        connection stays open."""
+        entry = await self.start_entry()
+        await self.set_service_fault("late", delay_s=0.8)
+        caller = asyncio.ensure_future(self.call(entry, "k1"))
+        await self.wait_for_record_states("claimed")
+        entry.terminate()
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            while not (await self.cluster.state_of(entry))["draining"]:
+                await asyncio.sleep(0.02)
+        status, document, headers = await self.call(entry, "k2")
+        self.assertEqual((503, "not_run"), (status, document["error"]["run_state"]))
+        self.assertEqual("close", headers.get("Connection", "").lower())
+        self.assertEqual(200, (await caller)[0])
+
     async def test_entry_killed_between_claim_and_dispatch(self):
         """Guards against a claim that another entry dispatches."""
         first, second = self.entries
