Do not answer requests that a drain cuts with the status of a refusal

What callers saw: a call that still ran at the end of an entry's drain got 503 with run state unknown, an answer without streaming 503 with run state run. Callers and balancers that go by the status may take 503 for a promise that the request was not run, and send it again.

Why it works: such requests get 502. Only what was not run gets 503. The code shutting_down and the run state stay.

--- a/monsoontack/entry/calls.py
+++ b/monsoontack/entry/calls.py
@@ -107,7 +107,7 @@
         if call_task.done():
             return call_task.result()
         message = "this entry left before the call ended"
-        return RequestError(503, "shutting_down", message, RunState.UNKNOWN, 0.0)
+        return RequestError(502, "shutting_down", message, RunState.UNKNOWN, 0.0)
 
 
 def _forwarded_headers(headers: dict[str, str]) -> tuple[tuple[str, str], ...]:
--- a/monsoontack/entry/calls_test.py
+++ b/monsoontack/entry/calls_test.py
@@ -127,6 +127,17 @@
             code, run_state = await caller
         self.assertEqual(("shutting_down", "unknown"), (code, run_state))
 
+    async def test_call_cut_by_a_drain_does_not_look_refused(self):
+        """Guards against a status that promises that a running call was not run."""
+        entry = await self.start_entry(drain_deadline_s=1.3)
+        await self.set_service_fault("late", delay_s=0.9)
+        caller = asyncio.ensure_future(self.call(entry, "k"))
+        await self.wait_for_record_states("claimed")
+        entry.terminate()
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            status, _, _ = await caller
+        self.assertEqual(502, status)
+
     async def test_call_read_during_a_drain_is_not_passed_on(self):
         """Guards against a call that is passed on after the drain has ended, because
         its body came late, and that gets no outcome."""
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -13,7 +13,7 @@
 import structlog
 
 from monsoontack.core.counters import Counters
-from monsoontack.core.errors import RequestError
+from monsoontack.core.errors import RequestError, RunState
 from monsoontack.core.records import RequestOutcome
 from monsoontack.entry.links import Link, LinkPool, backend_server
 from monsoontack.entry.protocols import OutcomeSink, Picker
@@ -136,7 +136,9 @@
         for session in list(self.sessions.values()):
             if not session.is_ended and not session.handover:
                 state = session.state
-                error = RequestError(503, code, message, state.run_state, 0.0)
+                # A caller may take 503 as a promise that its request was not run.
+                status = 503 if state.run_state is RunState.NOT_RUN else 502
+                error = RequestError(status, code, message, state.run_state, 0.0)
                 state.phase = Phase.ENDED
                 self._end(session, error)
 
