--- a/monsoontack/entry/calls.py
+++ b/monsoontack/entry/calls.py
@@ -78,6 +78,8 @@
             key=key,
             timeout_s=service_config.call_timeout_s,
         )
+        # The drain may have begun while the body was read.
+        context.check_accepts_requests()
         with context.in_progress():
             result = await self._run_until_drained(call)
         if isinstance(result, RequestError):
@@ -105,7 +107,7 @@
         if call_task.done():
             return call_task.result()
         message = "this entry left before the call ended"
-        return RequestError(503, "shutting_down", message, RunState.UNKNOWN, 0.0)
+        return RequestError(502, "shutting_down", message, RunState.UNKNOWN, 0.0)
 
 
 def _forwarded_headers(headers: dict[str, str]) -> tuple[tuple[str, str], ...]:
--- a/monsoontack/entry/calls_test.py
+++ b/monsoontack/entry/calls_test.py
@@ -127,6 +127,58 @@
             code, run_state = await caller
         self.assertEqual(("shutting_down", "unknown"), (code, run_state))
 
+    async def test_call_cut_by_a_drain_does_not_look_refused(self):
+        """Guards against a status that promises that a running call was not run."""
+        entry = await self.start_entry(drain_deadline_s=1.3)
+        await self.set_service_fault("late", delay_s=0.9)
+        caller = asyncio.ensure_future(self.call(entry, "k"))
+        await self.wait_for_record_states("claimed")
+        entry.terminate()
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            status, _, _ = await caller
+        self.assertEqual(502, status)
+
+    async def test_call_read_during_a_drain_is_not_passed_on(self):
+        """Guards against a call that is passed on after the drain has ended, because
+        its body came late, and that gets no outcome."""
+        entry = self.entries[0]
+        host, _, port = entry.url.removeprefix("http://").rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = (
+            f"POST {PATH} HTTP/1.1",
+            f"Host: {host}",
+            f"Authorization: Bearer {KEY}",
+            "Idempotency-Key: k",
+            "Content-Length: 4",
+        )
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\nab")
+        await asyncio.sleep(0.5)
+        entry.terminate()
+        await asyncio.sleep(0.5)
+        writer.write(b"cd")
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            response = await reader.read()
+        writer.close()
+        self.assertIn(b"HTTP/1.1 503", response)
+        self.assertIn(b'"not_run"', response)
+        self.assertEqual({}, await self.execution_counts())
+
+    async def test_refused_caller_is_told_to_leave_a_draining_entry(self):
+        """Guards against callers that go on asking a draining entry, because their
+        connection stays open."""
+        entry = await self.start_entry()
+        await self.set_service_fault("late", delay_s=0.8)
+        caller = asyncio.ensure_future(self.call(entry, "k1"))
+        await self.wait_for_record_states("claimed")
+        entry.terminate()
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            while not (await self.cluster.state_of(entry))["draining"]:
+                await asyncio.sleep(0.02)
+        status, document, headers = await self.call(entry, "k2")
+        self.assertEqual((503, "not_run"), (status, document["error"]["run_state"]))
+        self.assertEqual("close", headers.get("Connection", "").lower())
+        self.assertEqual(200, (await caller)[0])
+
     async def test_entry_killed_between_claim_and_dispatch(self):
         """Guards against a claim that another entry dispatches."""
         first, second = self.entries
