Play calls that crash engines in the model of fleets of entries

The model's requests carry a fingerprint, as those of gateways do, and `bench requests` plays two calls that come again and again before 5, 68 and 390 entries with the same faults.

--- a/bench/promptmodel.py
+++ b/bench/promptmodel.py
@@ -1,23 +1,27 @@
-"""Model of engines that crash on parts of prompts, before entries in virtual time.
+"""Model of engines that crash on parts of requests, before entries in virtual time.
 
 The entries are those of `bench.entrymodel`; callers and engines are simulated. Callers
 choose an entry at random. A caller whose request fails sends it once more at once; a
-refused one leaves.
+refused one leaves. A part that crashes engines is one of many prompts, or a call that
+comes again.
 """
 
 import asyncio
+import itertools
 import random
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from bench.entrymodel import ModelEntry, ModelFleet
 from monsoontack.admission.crashguard import CrashGuard
-from monsoontack.admission.requestcontent import RequestContent
+from monsoontack.admission.requestcontent import RequestContent, is_request
 from monsoontack.core.errors import RequestError
 
 # As in the users' deployments: a prompt is read in about a second, a crashed engine is
 # back after three, and a route allows five attempts.
 MIN_READ_S, MAX_READ_S = 0.9, 1.8
+# A call crashes its engine as soon as it runs.
+MIN_CALL_S, MAX_CALL_S = 0.05, 0.15
 ANSWER_S = 3.0
 GO_ON_S = 0.5
 RESTART_S = 3.0
@@ -30,10 +34,12 @@
 ACCOUNTS = 10
 # Each account has this many first parts, which most of its requests share.
 FIRST_PARTS = 4
-# The users' rule: later than this time after the fifth crash on a part, at most three
-# requests with it reach engines; after twice the time, sound requests are served.
+# The users' rule: later than this time after the fifth crash on a part, the third of a
+# request, at most three requests with it reach engines; after twice the time, sound
+# requests are served.
 WINDOW_S = 4.0
 CRASHES_TO_LEARN = 5
+CRASHES_TO_LEARN_A_REQUEST = 3
 MAX_LATE_ARRIVALS = 3
 MIN_SOUND_REQUESTS = 20
 
@@ -93,6 +99,7 @@
     crashes: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     started_at: dict[str, float] = field(default_factory=dict)
     sound: dict[int, Counter] = field(default_factory=lambda: defaultdict(Counter))
+    numbers: itertools.count = field(default_factory=itertools.count)
 
     @classmethod
     def with_entries(cls, count: int, engines: int, domains: int, seed: int):
@@ -125,21 +132,29 @@
             self.spawn(self._send_deadly() if is_deadly else self._send_sound())
 
     async def _send_deadly(self) -> None:
-        account = self.rng.choice(self.deadly_accounts)
-        prompt = RequestContent(
-            account, (self._first_part(account), self.rng.choice(self.deadly_parts))
-        )
+        part = self.rng.choice(self.deadly_parts)
+        if is_request(part):
+            number = self.deadly_parts.index(part) % len(self.deadly_accounts)
+            prompt = RequestContent(self.deadly_accounts[number], (part,))
+        else:
+            account = self.rng.choice(self.deadly_accounts)
+            prompt = self._request(account, self._first_part(account), part)
         for _ in range(CALLER_ATTEMPTS):
             if await self._serve(self._any_entry(), prompt) != "failed":
                 return
 
     async def _send_sound(self) -> None:
         account = f"account-{self.rng.randrange(ACCOUNTS)}"
-        prompt = RequestContent(account, (self._first_part(account),))
+        prompt = self._request(account, self._first_part(account))
         second = int(self.now())
         outcome = await self._serve(self._any_entry(), prompt)
         self.sound[second][outcome] += 1
 
+    def _request(self, account: str, *parts: str) -> RequestContent:
+        """Return a request that does not come again, with parts that others share."""
+        number = str(next(self.numbers))
+        return RequestContent.from_ids(account, (*parts, number), number)
+
     def _first_part(self, account: str) -> str:
         return f"{account}-part-{self.rng.randrange(FIRST_PARTS)}"
 
@@ -159,7 +174,9 @@
             if await self._run(entry, prompt):
                 return "served"
             broken_off += 1
-            if is_trial or not guard.may_repeat(prompt, broken_off):
+            if is_trial or not guard.may_repeat(
+                prompt, broken_off, is_call=not prompt.prompt_parts
+            ):
                 return "failed"
         return "failed"
 
@@ -197,7 +214,9 @@
             guard.note_crash(key, (), end.result())
 
     async def _answer(self, engine: ModelEngine, key: str, run, deadly) -> None:
-        await asyncio.sleep(self.rng.uniform(MIN_READ_S, MAX_READ_S))
+        is_call = any(is_request(part) for part in deadly)
+        least, most = (MIN_CALL_S, MAX_CALL_S) if is_call else (MIN_READ_S, MAX_READ_S)
+        await asyncio.sleep(self.rng.uniform(least, most))
         if run.done():
             return
         if deadly:
@@ -211,9 +230,10 @@
             engine.runs.remove(run)
 
     def learned_at(self, part: str) -> float:
-        """Return when the fifth engine crashed on a part, or the last if fewer did."""
+        """Return when an entry has to know a part, or its last crash if fewer were."""
         crashes = self.crashes[part]
-        return crashes[min(CRASHES_TO_LEARN, len(crashes)) - 1]
+        least = CRASHES_TO_LEARN_A_REQUEST if is_request(part) else CRASHES_TO_LEARN
+        return crashes[min(least, len(crashes)) - 1]
 
     def late_arrivals(self, part: str) -> int:
         """Return the sends with a deadly part that the users' rule counts."""
--- a/bench/prompts.py
+++ b/bench/prompts.py
@@ -1,21 +1,23 @@
-"""Engines that crash on parts of prompts, before fleets of 5, 68 and 390 entries.
+"""Engines that crash on parts of requests, before fleets of 5, 68 and 390 entries.
 
-Each case runs the product's decisions in virtual time. `late_sends` counts the
-requests with a deadly part that reach engines later than 4 s after the fifth crash on
-it, the worst of all parts; `sound_served` is the share of sound requests that a first
+Each case runs the product's decisions in virtual time, with deadly parts of prompts or
+with calls that come again. `late_sends` counts the requests with a deadly part that
+reach engines later than 4 s after the fifth crash on it, of a call the third, the worst
+of all parts; `sound_served` is the share of sound requests that a first
 attempt serves from 8 s after it, `sound_blocked` the number refused at any time over
 what the users allow.
 """
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from dataclasses import dataclass
 
 import structlog
 
 from bench.promptmodel import MAX_LATE_ARRIVALS, WINDOW_S, PromptModel
 from bench.registry import Figure, measurement
+from monsoontack.admission.requestcontent import REQUEST_PREFIX
 from monsoontack.core.virtualtime import run_in_virtual_time
 
 # Entries, engines and failure domains, from the users' smallest deployment to the size
@@ -89,14 +91,22 @@
 }
 
 
-async def simulate(entries: int, fault: Fault, seed: int) -> PromptResult:
-    """Run one case with two deadly parts, each of two accounts."""
+DEADLY_PARTS = ("deadly-1", "deadly-2")
+DEADLY_CALLS = (f"{REQUEST_PREFIX}call-1", f"{REQUEST_PREFIX}call-2")
+# Measurements by what is deadly.
+KINDS = {"prompts": DEADLY_PARTS, "requests": DEADLY_CALLS}
+
+
+async def simulate(
+    entries: int, fault: Fault, seed: int, deadly: Sequence[str] = DEADLY_PARTS
+) -> PromptResult:
+    """Run one case with two deadly parts, each of two accounts, or two calls."""
     engines, domains = FLEETS[entries]
     model = PromptModel.with_entries(entries, engines, domains, seed)
     rate = REQUESTS_PER_ENTRY_S * entries
     await asyncio.sleep(3.0)
     await model.send_requests(4.0, rate, 0.0)
-    model.deadly_parts = ["deadly-1", "deadly-2"]
+    model.deadly_parts = list(deadly)
     model.deadly_accounts = ["account-0", "account-1"]
     messages_before, began_at = model.sent_messages, model.now()
     load = asyncio.ensure_future(
@@ -121,14 +131,14 @@
 
 
 @measurement("prompts")
-def measure(seed: int) -> Iterator[Figure]:
+def measure(seed: int, kind: str = "prompts") -> Iterator[Figure]:
     """Yield the figures of all fleets and faults."""
     quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
     structlog.configure(wrapper_class=quiet)
     for entries in FLEETS:
         for name, fault in FAULTS.items():
-            result = run_in_virtual_time(simulate(entries, fault, seed))
-            prefix = f"prompts.{entries}.{name}"
+            result = run_in_virtual_time(simulate(entries, fault, seed, KINDS[kind]))
+            prefix = f"{kind}.{entries}.{name}"
             yield Figure.at_most(
                 f"{prefix}.late_sends", result.late_sends, "1", MAX_LATE_ARRIVALS
             )
@@ -145,3 +155,9 @@
                 "1/s",
                 MAX_MESSAGES_PER_ENTRY_S,
             )
+
+
+@measurement("requests")
+def measure_requests(seed: int) -> Iterator[Figure]:
+    """Yield the same figures for calls that come again."""
+    yield from measure(seed, "requests")
--- a/bench/prompts_test.py
+++ b/bench/prompts_test.py
@@ -1,8 +1,10 @@
-"""Tests of prompt parts that crash engines with many entries, in virtual time."""
+"""Tests of prompt parts and calls that crash engines, in virtual time."""
 
 import unittest
 
 from bench.prompts import (
+    DEADLY_CALLS,
+    DEADLY_PARTS,
     FAULTS,
     MAX_LATE_ARRIVALS,
     MAX_MESSAGES_PER_ENTRY_S,
@@ -17,8 +19,11 @@
 class DeadlyPartsTest(unittest.TestCase):
     """Two deadly parts of two client accounts before fleets of entries."""
 
+    deadly = DEADLY_PARTS
+
     def check(self, entries, fault):
-        result = run_in_virtual_time(simulate(entries, FAULTS[fault], SEED))
+        run = simulate(entries, FAULTS[fault], SEED, self.deadly)
+        result = run_in_virtual_time(run)
         self.assertLessEqual(result.late_sends, MAX_LATE_ARRIVALS)
         self.assertGreaterEqual(result.sound_served, MIN_SOUND_SERVED)
         self.assertLessEqual(result.sound_blocked, 1.0)
@@ -44,5 +49,11 @@
         self.check(390, "calm")
 
 
+class DeadlyCallsTest(DeadlyPartsTest):
+    """Two deadly calls, each of one client account, that come again and again."""
+
+    deadly = DEADLY_CALLS
+
+
 if __name__ == "__main__":
     unittest.main()
