Tell requests without a body apart by the ids of their prompts

Callers of streams without a body would all have been refused with one that crashed engines: the fingerprint of a request had the body but not the ids of the prompt, which such callers send in a header.

--- a/monsoontack/gateway/crashguard_test.py
+++ b/monsoontack/gateway/crashguard_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from dataclasses import replace
 
 from monsoontack.admission.hedge import Hedging
 from monsoontack.admission.requestcontent import RequestContent
@@ -181,6 +182,34 @@
         self.assertFalse(served.guard.is_blocked(PROMPT))
 
 
+class ContentTest(unittest.TestCase):
+    """What the gateway takes for the same request when it comes again."""
+
+    def content(self, parts=(), **raw):
+        async def make():
+            job = make_job(make_route(RequestKind.STREAM), shared_parts=parts)
+            job.request = replace(job.request, raw=replace(job.request.raw, **raw))
+            return replace(job).content
+
+        return run_in_virtual_time(make())
+
+    def test_same_request_at_another_time_is_recognised(self):
+        """Guards against a crashing request that is new each time it comes."""
+        self.assertEqual(self.content(), self.content(received_at=9.0))
+
+    def test_requests_that_differ_in_one_thing_are_told_apart(self):
+        """Guards against sound requests that are refused with a crashing one."""
+        found = {
+            self.content().request,
+            self.content(method=b"GET").request,
+            self.content(target=b"/p/x?y=1").request,
+            self.content(body=b"other").request,
+            self.content(body=b"").request,
+            self.content(body=b"", parts=("shared",)).request,
+        }
+        self.assertEqual(6, len(found))
+
+
 class CallTest(unittest.TestCase):
     """Calls with a prompt, which are hedged as well."""
 
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -63,12 +63,13 @@
         account = self.account.name if self.account else ""
         raw = self.request.raw
         host = self.request.host.encode()
+        prompt_ids = [part.segment_id for part in self.request.prompt_segments]
+        # Without a body, only these ids tell one prompt from another.
+        body = raw.body or ",".join(prompt_ids).encode()
         self.content = RequestContent.from_ids(
             account,
-            (part.segment_id for part in self.request.prompt_segments),
-            request_fingerprint(
-                (raw.method, host, raw.target, account.encode(), raw.body)
-            ),
+            prompt_ids,
+            request_fingerprint((raw.method, host, raw.target, account.encode(), body)),
         )
 
     def left_s(self, now: float) -> float:
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -12,5 +12,6 @@
         "a stream went on at its copy's address, which a server of another service had",
     ),
     21: "an engine could send 15 MB of an endless response; not traced",
+    7: "all streams without a body were refused with one that crashed engines",
     119: "reading an entry nested 100,000 levels deep took a gateway 0.4 s",
 }
