Let calls that come again crash engines in the soak

RequestFaults makes one path after the other deadly to the engines of the plain service; a fifth of the callers' calls of one kind have it. The invariant: at most three sends later than 4 s after the third crash, and two engines ended by one call.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -40,12 +40,14 @@
 class Callers:
     """Callers of all gateways; `observed` lists all requests they have sent.
 
-    `prompt_rng` decides which streams have a part that crashes engines.
+    `prompt_rng` decides which streams have a part that crashes engines, `call_rng`
+    which calls are one that does so.
     """
 
     environment: SoakEnvironment
     rng: random.Random
     prompt_rng: random.Random
+    call_rng: random.Random
     observed: list[ObservedRequest] = field(default_factory=list)
     request_count: int = 0
     stopping: bool = False
@@ -73,13 +75,16 @@
             deadly_part = self.environment.deadly_part
         parts = ["instructions", deadly_part, request_id]
         prompt = ",".join(f"{part}:400" for part in parts if part is not None)
+        path = "x"
+        if kind == "look" and self.call_rng.random() < DEADLY_SHARE:
+            path = self.environment.deadly_path or path
         sent_at = asyncio.get_running_loop().time()
         status, complete, body = 0, False, b""
         for _ in range(1 + MAX_RESENDS):
             try:
                 async with asyncio.timeout(CALL_TIMEOUT_S):
                     status, body, complete = await self._read(
-                        gateway, kind, key, request_id, prompt
+                        gateway, f"{kind}/{path}", key, request_id, prompt
                     )
             except (aiohttp.ClientError, TimeoutError, OSError):
                 status, complete = 0, False
@@ -93,7 +98,7 @@
     async def _read(
         self,
         gateway: GatewayProcess,
-        kind: str,
+        path: str,
         key: str,
         request_id: str,
         prompt: str,
@@ -106,7 +111,7 @@
             "X-Monsoontack-Prefix-Hash": prompt,
             "Authorization": f"Token {key}",
         }
-        url = f"{gateway.front}/{kind}/x"
+        url = f"{gateway.front}/{path}"
         body = b""
         async with gateway.http.post(url, headers=headers) as answer:
             try:
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -27,6 +27,8 @@
     ("planner", "zone-b"),
 )
 KEYS = ("key-1", "key-2")
+# The client account of all keys.
+ACCOUNT = "shop"
 RESTART_DELAY_S = 0.2
 MEMORY_LIMIT_MB = 200
 # Until the interpreter executes the program's first line, SIGHUP has its default action
@@ -79,8 +81,10 @@
     fault or a paused gateway may have kept an engine's bytes from the gateway that
     would have closed the connection. `limit_spans` lists engines that stated a limit:
     engine, requests a second, and the times of the beginning and end. `deadly_part` is
-    the part of prompts that crashes engines at present, `disturbed_at` lists when a
-    gateway got a signal or was started.
+    the part of prompts that callers send at present and that crashes engines,
+    `deadly_path` is the end of the path of such a call. `deadly_parts` and
+    `deadly_calls` (`call_key`) are all that ever were deadly. `disturbed_at` lists when
+    a gateway got a signal or was started.
     """
 
     store: SimulatedPlatformStore = field(default_factory=SimulatedPlatformStore)
@@ -98,6 +102,9 @@
         default_factory=list
     )
     deadly_part: str | None = None
+    deadly_path: str | None = None
+    deadly_parts: set[str] = field(default_factory=set)
+    deadly_calls: set[str] = field(default_factory=set)
     disturbed_at: list[float] = field(default_factory=list)
     engine_count: int = 0
     folder: tempfile.TemporaryDirectory = field(
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -8,7 +8,11 @@
     allowed_arrivals,
     most_arrivals,
 )
-from bench.promptmodel import CRASHES_TO_LEARN, MAX_LATE_ARRIVALS
+from bench.promptmodel import (
+    CRASHES_TO_LEARN,
+    CRASHES_TO_LEARN_A_REQUEST,
+    MAX_LATE_ARRIVALS,
+)
 from monsoontack.admission.crashguard import MAX_BROKEN_OFF
 from soak.callers import REFUSAL_STATUSES, ObservedRequest
 from soak.environment import MEMORY_LIMIT_MB, SoakEnvironment
@@ -84,8 +88,9 @@
 
 
 def _check_late_arrivals(environment: SoakEnvironment) -> list[str]:
-    """Return the deadly parts that were sent too often after five crashes on them.
+    """Return the deadly parts and calls that were sent too often after some crashes.
 
+    That is the fifth crash on a part of prompts, the third of a call.
     What a gateway sends soon after a signal or a start does not count: it may not have
     heard of the crashes.
     """
@@ -97,15 +102,19 @@
             crashes[part].append(at)
     violations = []
     for part, times in crashes.items():
-        since = sorted(times)[:CRASHES_TO_LEARN][-1] + WINDOW_S
+        is_call = part in environment.deadly_calls
+        least = CRASHES_TO_LEARN_A_REQUEST if is_call else CRASHES_TO_LEARN
+        since = sorted(times)[:least][-1] + WINDOW_S
         late = [
             at
             for at in arrivals[part]
             if at > since
             and not any(at - WINDOW_S < x <= at for x in environment.disturbed_at)
         ]
-        if len(times) >= CRASHES_TO_LEARN and len(late) > MAX_LATE_ARRIVALS:
-            violations.append(f"{part} was sent {len(late)} times after five crashes")
+        if len(times) >= least and len(late) > MAX_LATE_ARRIVALS:
+            violations.append(
+                f"{part} was sent {len(late)} times after {least} crashes"
+            )
     return violations
 
 
--- a/soak/invariants_test.py
+++ b/soak/invariants_test.py
@@ -21,6 +21,7 @@
     crashes=(),
     disturbed_at=(),
     service="",
+    deadly_calls=(),
 ):
     runs = list(runs)
     if not service:
@@ -42,6 +43,7 @@
         blocked_intervals=list(blocked_intervals),
         limit_spans=list(limit_spans),
         disturbed_at=list(disturbed_at),
+        deadly_calls=set(deadly_calls),
     )
 
 
@@ -168,6 +170,17 @@
         )
         self.assertEqual([], find_violations(found, []))
 
+    def test_deadly_call_that_is_sent_on_after_three_crashes(self):
+        """Guards against a check that gives a call as long as a part of prompts."""
+        crashes = [("c", 10.0 + number, f"look-{number}") for number in range(3)]
+        arrivals = [("c", at) for at in (15.9, 16.1, 16.2, 16.3, 16.4)]
+        found = environment(deadly_arrivals=arrivals, crashes=crashes)
+        self.assertEqual([], find_violations(found, []))
+        found = environment(
+            deadly_arrivals=arrivals, crashes=crashes, deadly_calls=["c"]
+        )
+        self.assertEqual(1, len(find_violations(found, [])))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,7 @@
 from soak.faults import Faults
 from soak.invariants import find_violations
 from soak.limitfaults import LimitFaults
-from soak.promptfaults import PromptFaults
+from soak.promptfaults import PromptFaults, RequestFaults
 from soak.responsefaults import ResponseFaults
 from soak.resumefaults import ResumeFaults
 
@@ -25,6 +25,7 @@
     AddressFaults,
     EntryFaults,
     ResumeFaults,
+    RequestFaults,
 )
 CALLER_COUNT = 12
 # Engines may still be processing the last requests when the callers stop.
@@ -59,7 +60,12 @@
     try:
         await environment.start()
         rng = random.Random(seed)
-        callers = Callers(environment, random.Random(rng.random()), random.Random(seed))
+        callers = Callers(
+            environment,
+            random.Random(rng.random()),
+            random.Random(seed),
+            random.Random(f"calls of {seed}"),
+        )
         injectors = [
             kind(environment, random.Random(rng.random())) for kind in FAULT_KINDS
         ]
