--- a/monsoontack/gateway/streams_silence_test.py
+++ b/monsoontack/gateway/streams_silence_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 from monsoontack.core.virtualtime import run_in_virtual_time
+from monsoontack.gateway.fleet import MAX_AVOID_S
 from monsoontack.gateway.streams_test import (
     ALL_EVENTS,
     EVENTS,
@@ -13,7 +14,7 @@
     make_forwarder,
     stream_route,
 )
-from standins.gatewayfakes import HOME, NEAR, make_job, make_server
+from standins.gatewayfakes import HOME, NEAR, SERVICE, make_job, make_server
 
 NAMES = ("s1", "s2", "s3")
 PLACES = (HOME, NEAR, NEAR)
@@ -52,11 +53,12 @@
     exchange.end()
 
 
-def serve(scripts, deadline_s=25.0, extra=50.0, change=None, **route):
+def serve(scripts, deadline_s=25.0, extra=50.0, change=None, rollouts=None, **route):
     """Serve a stream; `change` is called with the forwarder during the silence."""
 
     async def scenario():
         forwarder = make_forwarder(scripts, PLACES[: len(scripts)], extra)
+        forwarder.rollouts = rollouts
         job = make_job(stream_route(**route), deadline_s=deadline_s)
         task = asyncio.ensure_future(forwarder.serve(job))
         if change is not None:
@@ -68,6 +70,25 @@
     return run_in_virtual_time(scenario())
 
 
+class FakeRollouts:
+    """Records for each attempt whether it counts as a failure of the version."""
+
+    def __init__(self):
+        self.failed = []
+
+    def eligible_servers(self, service, servers):
+        return servers
+
+    def note_request(self, service):
+        pass
+
+    def note_sent(self, member):
+        pass
+
+    def note_ended(self, member, route, failed, latency_s=None, gap_s=None):
+        self.failed.append(failed)
+
+
 class SilentEnginesTest(unittest.TestCase):
     """Engines that are silent for a second or two, several at a time."""
 
@@ -143,6 +164,52 @@
             _, job, _ = serve(scripts, extra=extra, change=fill)
             self.check_whole(job)
 
+    def test_stream_outlasts_a_change_that_drops_its_service(self):
+        """Guards against a stream that is cut because its service and servers are taken
+        from the configuration while its engine is silent."""
+
+        def drop(forwarder):
+            forwarder.traits.clear()
+            for name in NAMES:
+                forwarder.fleet.remove(name)
+
+        scripts = dict.fromkeys(NAMES, pausing_script(2.0))
+        _, job, _ = serve(scripts, change=drop)
+        self.check_whole(job)
+        self.assertEqual(1, len(job.tries))
+
+    def test_stream_goes_on_trying_after_many_refusals(self):
+        """Guards against a stream that left a silent engine, has been refused often and
+        is held until its deadline without being sent again."""
+
+        def fill(forwarder):
+            scripts = forwarder.sender.scripts
+            for name in NAMES:
+                scripts[name] = refuse
+            with_room = dict.fromkeys(NAMES, engine_script())
+            asyncio.get_running_loop().call_later(6.0, scripts.update, with_room)
+
+        scripts = dict.fromkeys(NAMES, pausing_script(3.0))
+        _, job, _ = serve(scripts, change=fill)
+        self.check_whole(job)
+
+    def test_stream_leaves_an_engine_that_does_not_go_on(self):
+        """Guards against a stream that stays at a dead engine for seconds although the
+        other engines, each of which failed once before, are sound again."""
+
+        def fail_once(forwarder):
+            now = asyncio.get_running_loop().time()
+            for member in forwarder.fleet.of_service(SERVICE):
+                if not member.in_flight:
+                    forwarder.fleet.note_unreachable(member, now)
+                    name = member.server.incarnation
+                    forwarder.sender.scripts[name] = engine_script()
+
+        scripts = dict.fromkeys(NAMES, pausing_script(100.0))
+        _, job, _ = serve(scripts, change=fail_once)
+        self.check_whole(job)
+        self.assertLess(job.worst_gap_s, MAX_AVOID_S)
+
     def test_stream_moves_once_another_engine_is_better(self):
         """Guards against a stream that waits for its silent engine although another
         one has become available."""
@@ -189,6 +256,14 @@
             self.assertFalse(job.responder.finished)
             self.assertAlmostEqual(5.0, took_s, delta=0.05)
 
+    def test_silence_until_the_deadline_counts_against_the_version(self):
+        """Guards against a roll-out without evidence of failures, because the streams
+        of a version whose engines hang wait there until their deadline."""
+        rollouts = FakeRollouts()
+        scripts = dict.fromkeys(NAMES, pausing_script(100.0))
+        serve(scripts, deadline_s=5.0, rollouts=rollouts, attempts=1)
+        self.assertEqual([True], rollouts.failed)
+
     def test_stream_without_events_gets_an_error_at_its_deadline(self):
         """Guards against an error sooner, or none, for a stream of which nothing was
         sent, and against the statuses that promise that it has not run."""
