--- a/monsoontack/entry/generations_test.py
+++ b/monsoontack/entry/generations_test.py
@@ -346,6 +346,38 @@
         self.assertEqual("version_unavailable", error.code)
         self.assertEqual(ANSWER[: len(caller.received)], caller.received)
 
+    def test_answer_outlasts_a_pause_of_all_engines(self):
+        """Guards against an answer that ends while all engines pause and go on."""
+
+        async def scenario(count, pause_s):
+            caller = Caller(random.Random(5), [])
+            for address in list(caller.agents)[count:]:
+                caller.agents[address].refuses = True
+                caller.agents[address].break_links()
+
+            async def pause_engines():
+                await asyncio.sleep(1.0)
+                engines = [agent.engine for agent in caller.agents.values()]
+                for engine in engines:
+                    engine.unpaused.clear()
+                await asyncio.sleep(pause_s)
+                for engine in engines:
+                    engine.unpaused.set()
+
+            pause = asyncio.ensure_future(pause_engines())
+            try:
+                return caller, await caller.run()
+            finally:
+                pause.cancel()
+                caller.close()
+
+        ended = []
+        for count, pause_s in ((1, 1.2), (1, 1.5), (2, 2.5), (2, 3.5), (4, 2.0)):
+            caller, error = run_in_virtual_time(scenario(count, pause_s))
+            if error is not None or caller.received != ANSWER:
+                ended.append((count, pause_s, error and error.code))
+        self.assertEqual([], ended)
+
     def test_crossed_answers(self):
         """Guards against tokens of another caller's generation (P4)."""
 
