Let all engines of a service fall silent in the soak, and check that nothing ends early

A request sent in that phase may not end without a whole answer before its deadline, unless it is refused.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,14 +23,15 @@
 class ObservedRequest:
     """One request and its response as observed by the caller.
 
-    Without a response, `status` is 0 and `complete` is false. `sent_at` is in the
-    event loop's time.
+    Without a response, `status` is 0 and `complete` is false. `sent_at` and `ended_at`
+    are in the event loop's time.
     """
 
     request_id: str
     kind: str
     key: str
     sent_at: float
+    ended_at: float
     status: int
     complete: bool
     body: bytes
@@ -86,7 +87,10 @@
             if kind != "once" or status not in REFUSAL_STATUSES:
                 break
             await asyncio.sleep(RESEND_DELAY_S)
-        found = ObservedRequest(request_id, kind, key, sent_at, status, complete, body)
+        ended_at = asyncio.get_running_loop().time()
+        found = ObservedRequest(
+            request_id, kind, key, sent_at, ended_at, status, complete, body
+        )
         self.observed.append(found)
         return found
 
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -97,6 +97,7 @@
     limit_spans: list[tuple[DirectEngine, float, float, float]] = field(
         default_factory=list
     )
+    silence_phase: tuple[float, float] | None = None
     deadly_part: str | None = None
     disturbed_at: list[float] = field(default_factory=list)
     engine_count: int = 0
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -23,6 +23,9 @@
 # Bytes that a server can send before its connection is closed: the gateway's limit
 # (64 KiB) plus the content of the buffers of two sockets and of a TCP proxy.
 MAX_DISCARDED_BYTES = 2_000_000
+# Timeout of all routes, and the time by which a response at the timeout may be early.
+ROUTE_TIMEOUT_S = 5.0
+EARLY_END_SLACK_S = 0.2
 COMPLETE_STREAM = b"".join(make_event(number) for number in range(1, 51))
 
 
@@ -55,6 +58,7 @@
     for item in observed:
         violations += _check_answer(item, runs[item.request_id])
         violations += _check_key(environment, item, runs[item.request_id])
+        violations += _check_end(environment, item)
     for engine, limit, began_at, ended_at in environment.limit_spans:
         violations += _check_limit(engine, limit, began_at, ended_at)
     violations += _check_late_arrivals(environment)
@@ -164,6 +168,21 @@
     return violations
 
 
+def _check_end(environment: SoakEnvironment, item: ObservedRequest) -> list[str]:
+    """Return a violation if silent engines ended a request before its deadline.
+
+    Only requests count that were sent while engines were silent without other faults.
+    A refusal, which promises that the request has not run, may come at any time.
+    """
+    began_at, ended_at = environment.silence_phase or (0.0, 0.0)
+    took_s = item.ended_at - item.sent_at
+    is_in_phase = began_at <= item.sent_at < ended_at
+    is_answered = item.complete and item.status not in (500, 502, 504)
+    if not is_in_phase or is_answered or took_s >= ROUTE_TIMEOUT_S - EARLY_END_SLACK_S:
+        return []
+    return [f"{item.request_id} ended after {took_s:.2f} s with {item.status}"]
+
+
 def _check_key(
     environment: SoakEnvironment, item: ObservedRequest, runs: list[str]
 ) -> list[str]:
--- a/soak/invariants_test.py
+++ b/soak/invariants_test.py
@@ -20,6 +20,7 @@
     deadly_arrivals=(),
     crashes=(),
     disturbed_at=(),
+    silence_phase=None,
     service="",
 ):
     runs = list(runs)
@@ -42,6 +43,7 @@
         blocked_intervals=list(blocked_intervals),
         limit_spans=list(limit_spans),
         disturbed_at=list(disturbed_at),
+        silence_phase=silence_phase,
     )
 
 
@@ -50,14 +52,23 @@
 
 
 def observed_request(
-    kind="once", status=200, complete=True, body=None, sent_at=10.0, key="key-1"
+    kind="once",
+    status=200,
+    complete=True,
+    body=None,
+    sent_at=10.0,
+    key="key-1",
+    took_s=1.0,
 ):
     request_id = f"{kind}-1"
     if body is None:
         body = (
             COMPLETE_STREAM if kind == "stream" else f"done for {request_id}".encode()
         )
-    return ObservedRequest(request_id, kind, key, sent_at, status, complete, body)
+    ended_at = sent_at + took_s
+    return ObservedRequest(
+        request_id, kind, key, sent_at, ended_at, status, complete, body
+    )
 
 
 class PromisesTest(unittest.TestCase):
@@ -116,6 +127,24 @@
             with self.subTest(name):
                 self.assertEqual(1, len(find_violations(found, [item])))
 
+    def test_answer_that_ends_early_while_engines_are_silent(self):
+        """Guards against a check that misses answers cut for an engine's silence, or
+        counts those at the deadline, refusals and those beside other faults."""
+        cases = (
+            ({"complete": False}, 1),
+            ({"complete": False, "took_s": 4.7}, 1),
+            ({"complete": False, "took_s": 4.9}, 0),
+            ({"status": 502}, 1),
+            ({"status": 504, "took_s": 4.99}, 0),
+            ({"status": 0, "complete": False}, 1),
+            ({"status": 503}, 0),
+            ({"complete": False, "sent_at": 7.0}, 0),
+        )
+        for options, violations in cases:
+            item = observed_request("stream", **options)
+            found = find_violations(environment(silence_phase=(9.0, 19.0)), [item])
+            self.assertEqual(violations, len(found), options)
+
     def test_key_that_came_back_is_no_longer_revoked(self):
         """Guards against a false violation for a key that has been restored."""
         back = [Revocation("key-1", 1.0, restored_at=9.0)]
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from soak.promptfaults import PromptFaults
 from soak.responsefaults import ResponseFaults
 from soak.resumefaults import ResumeFaults
+from soak.silencefaults import SilenceFaults
 
 # In the order in which they draw their seeds; further kinds are appended.
 FAULT_KINDS = (
@@ -25,7 +26,10 @@
     AddressFaults,
     EntryFaults,
     ResumeFaults,
+    SilenceFaults,
 )
+# Time in which engines are silent without other faults: two deadlines of requests.
+SILENCE_PHASE_S = 10.0
 CALLER_COUNT = 12
 # Engines may still be processing the last requests when the callers stop.
 SETTLE_DELAY_S = 1.0
@@ -68,6 +72,7 @@
         ]
         await asyncio.gather(*(injector.run(seconds) for injector in injectors))
         unserved = await _unrecovered_routes(environment, callers)
+        await injectors[-1].run_alone(SILENCE_PHASE_S)
         callers.stopping = True
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_DELAY_S)
