Count an engine that is silent at the end against its version

What operators saw: found in review. A roll-out to a version whose engines hang recorded no failure, so it could go on (rule EXPOSURE), while its streams waited there until their deadlines or until their callers left.

Cause: since a stream that has no better engine waits for its silent one. Such an attempt ends with reason "deadline", or with its caller, and neither is a failure: an engine that still sends events at the deadline has done nothing wrong.

Now an attempt counts as failed if its engine was silent when it ended, whatever ended it. That was so before, when the attempt ended with the silence itself. The wait for a silent engine ends with its next event, so engines that go on are not counted.

--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -323,6 +323,7 @@
         if rollouts is not None:
             rollouts.note_sent(member)
         loss: StreamLoss | None = StreamLoss("unsent", not_run=True)
+        relay: StreamRelay | None = None
         try:
             self.counted_attempts += 1
             self.total_attempts += 1
@@ -353,17 +354,23 @@
             record.ended_at = self.now()
             self._count_load(member, backup, waiting_tokens, -1)
             if rollouts is not None:
-                self._record_version_evidence(rollouts, member, record, loss)
+                is_silent = relay is not None and relay.waits_for is not None
+                failed = is_silent or self._has_failed(loss)
+                self._record_version_evidence(rollouts, member, record, failed)
+
+    @staticmethod
+    def _has_failed(loss: StreamLoss | None) -> bool:
+        """Whether an engine that had not fallen silent failed to run the stream."""
+        return loss is not None and not loss.not_run and loss.reason != "deadline"
 
     def _record_version_evidence(
         self,
         rollouts: RolloutManager,
         member: Member,
         record: AttemptRecord,
-        loss: StreamLoss | None,
+        failed: bool,
     ) -> None:
         """Record the attempt as evidence about the version of its engine."""
-        failed = loss is not None and not loss.not_run and loss.reason != "deadline"
         first_s = gap_s = None
         if record.first_event_at is not None:
             first_s = record.first_event_at - record.sent_at
