Doubt a silent engine only while a stream waits there, or for 2 s

What callers saw: found in review. A stream stayed at an engine that hung for 5.5 to 6.7 s if each of the other engines had failed once within the last 6 s and got no request since. Before it left after 0.5 s.

Cause: an engine counted as no better for as long as placement ranks it behind others, 6 s after its last failure, although nothing more was known of it. On the other hand nothing renewed that knowledge while streams still waited at it: after 6 s of a silence of all engines, streams moved among them again.

Now an engine is doubtful while one of this entry's streams waits for it, and 2 s after the last failure or wait: twice the pause after which sound engines go on. With 0.5 s to notice a silence and 0.5 s between two looks for a better engine, a stream leaves after about 3 s (MAX_AVOID_S) at most. Placement's own time for suspects is unchanged.

--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -44,8 +44,9 @@
     first event, `held_tokens` the KV cache tokens that its runs and copies may take.
     `last_byte_at` is the time of the last byte from the server. `suspected_at` is the
     last time at which a running stream of the server stalled, a peer reported the
-    server unreachable or its failure domain became suspect. `lost_at` is when
-    this entry or a peer first found the server unreachable after its last byte.
+    server unreachable or its failure domain became suspect. `silent_at` is the last
+    time at which one of this entry's streams waited for the silent server. `lost_at` is
+    when this entry or a peer first found the server unreachable after its last byte.
     `longest_gap_s` is the longest recent gap between events. Until `cold_until` the
     server is slow because it has just started.
     `restarted` is set when the server has started again; the new process does not know
@@ -58,6 +59,7 @@
     held_tokens: int = 0
     last_byte_at: float = 0.0
     suspected_at: float = float("-inf")
+    silent_at: float = float("-inf")
     avoid_until: float = 0.0
     consecutive_failures: int = 0
     failed_at: float = float("-inf")
--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -19,14 +19,21 @@
 
 # Value of `waits_for` in the log if no engine is better than the silent one.
 NO_BETTER_ENGINE = "engine"
+# Twice the pause of a second or so after which sound engines go on. Together with the
+# detection of a silence it stays below `MAX_AVOID_S`.
+DOUBT_S = 2.0
 
 
 def is_doubtful(member: Member, now: float) -> bool:
     """Whether this entry lately failed to hear from a server.
 
-    A server that is only suspected, for its failure domain or by a peer, is not.
+    That holds as long as a stream waits for it. A server that is only suspected, for
+    its failure domain or by a peer, is not doubtful.
     """
-    is_unheard = member.consecutive_failures > 0 and member.is_suspect(now)
+    unheard_at = member.silent_at
+    if member.consecutive_failures > 0:
+        unheard_at = max(unheard_at, member.failed_at)
+    is_unheard = member.last_byte_at < unheard_at and now < unheard_at + DOUBT_S
     return is_unheard or now < member.avoid_until
 
 
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -157,6 +157,7 @@
         run, now = self.run, self.run.now()
         if self.waits_for is None:
             run.forwarder.fleet.note_unreachable(self.member, now)
+        self.member.silent_at = now
         waits_for = why_stay(run, self.member, self.backup, self.answer.count)
         if waits_for is None:
             return True
--- a/monsoontack/gateway/streams_silence_test.py
+++ b/monsoontack/gateway/streams_silence_test.py
@@ -148,6 +148,22 @@
             self.check_whole(job)
         self.assertLessEqual(sum(len(job.tries) - 1 for job in jobs), 4)
 
+    def test_streams_do_not_move_among_engines_of_a_long_silence(self):
+        """Guards against streams that move again and again between silent engines,
+        because what was learned of those by other streams is forgotten too soon."""
+
+        async def scenario():
+            scripts = dict.fromkeys(NAMES, pausing_script(10.0))
+            forwarder = make_forwarder(scripts, PLACES)
+            jobs = [make_job(stream_route(), f"id-{n}", 25.0) for n in range(12)]
+            await asyncio.gather(*(forwarder.serve(job) for job in jobs))
+            return jobs
+
+        jobs = run_in_virtual_time(scenario())
+        for job in jobs:
+            self.check_whole(job)
+        self.assertLessEqual(sum(len(job.tries) - 1 for job in jobs), 4)
+
     def test_refusals_after_a_silence_do_not_end_the_stream(self):
         """Guards against a stream that left a silent engine and is cut because the
         other engines have no room at that moment."""
