Do not leave a silent engine for a full one

What callers saw: found in review. A sound engine paused for 1 or 2 s while the slots of all others were taken. The stream reset it, was refused by each of the others and began anew at its own engine: five attempts, and their repeats, for a pause that it could have waited out.

Cause: why_stay asked whether the engine that the stream would get is silent as well, but not whether it has room. The load of each engine, as placement counts it, says that.

Now a stream does not leave for an engine without a free slot, nor for a copy at one, until it has waited for MAX_AVOID_S (3 s): a silence of that length is no pause, and a place in the queue of a sound engine is better than a dead one. Occupied memory is not considered, as engines preempt runs and the count is an estimate.

--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -2,14 +2,14 @@
 
 To leave an engine resets the connection and ends the engine's work, so a stream stays
 until its deadline unless another attempt is allowed and the engine that it would get
-has not itself been found silent. A stream that has left a silent engine and is refused
-by the others goes on trying until its deadline.
+has a free slot and has not itself been found silent. A stream that has left a silent
+engine and is refused by the others goes on trying until its deadline.
 """
 
 import asyncio
 from typing import TYPE_CHECKING
 
-from monsoontack.gateway.fleet import Member
+from monsoontack.gateway.fleet import MAX_AVOID_S, Member
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.streamerrors import FULL_RETRY_AFTER_S
 from monsoontack.generation.failover import EndCause, NextStep, end_cause
@@ -38,16 +38,30 @@
 
 
 def why_stay(
-    run: "StreamRun", member: Member, backup: Member | None, events: int
+    run: "StreamRun",
+    member: Member,
+    backup: Member | None,
+    events: int,
+    silent_since: float,
 ) -> str | None:
     """Return what keeps a stream at its silent engine, None if it may leave.
 
     `backup` is the engine that gets the copy of this attempt, `events` the number of
-    events that the attempt has brought.
+    events that the attempt has brought. `silent_since` is the event loop's time in
+    seconds at which the silence was noticed. Another engine's queue is better only than
+    a silence that has lasted longer than a pause.
     """
     now, service = run.now(), run.job.service
+    loads = run.forwarder.engine_loads(run.job, {member.server.incarnation})
+    may_queue = now >= silent_since + MAX_AVOID_S
+
+    def is_better(other: Member) -> bool:
+        engine = loads.get(other.server.incarnation)
+        is_free = may_queue or engine is None or engine.has_free_slot
+        return is_free and not is_doubtful(other, now)
+
     copy_member = run.usable_copy(backup, events)
-    if copy_member is not None and is_doubtful(copy_member, now):
+    if copy_member is not None and not is_better(copy_member):
         copy_member = None
     cause = end_cause(run.failover_input(copy_member is not None))
     if cause is not None:
@@ -56,12 +70,11 @@
         return str(EndCause.BUDGET)
     if copy_member is not None:
         return None
-    excluded = {member.server.incarnation}
-    chosen = run.choose(run.forwarder.engine_loads(run.job, excluded))
+    chosen = run.choose(loads)
     if chosen is None or chosen.traffic_share <= 0:
         return NO_BETTER_ENGINE
-    is_better = not is_doubtful(run.forwarder.fleet.members[chosen.key], now)
-    return None if is_better else NO_BETTER_ENGINE
+    chosen_member = run.forwarder.fleet.members[chosen.key]
+    return None if is_better(chosen_member) else NO_BETTER_ENGINE
 
 
 async def wait_after_refusal(run: "StreamRun", step: NextStep) -> NextStep:
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -56,8 +56,9 @@
     `tokens_to_read` are the prompt tokens that the engine reads before the first
     event: those of runs ahead and the attempt's own. `resumed` attempts start from a
     copy of the KV cache. `began_at` is the time of the attempt's first event;
-    `has_gone_on` is set once events have come for some time after it. `waits_for` is
-    what keeps the stream at an engine that is silent, if it is.
+    `has_gone_on` is set once events have come for some time after it. `silent_since` is
+    the time at which the engine was found silent, None unless it still is; `waits_for`
+    is what keeps the stream there.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         self.liveness_check: asyncio.Task | None = None
         self.began_at: float | None = None
         self.has_gone_on = False
+        self.silent_since: float | None = None
         self.waits_for: str | None = None
         self.next_move_check_at = 0.0
 
@@ -155,10 +157,13 @@
     def _may_leave(self, silence: str) -> bool:
         """Whether the stream leaves its silent engine; otherwise it waits there."""
         run, now = self.run, self.run.now()
-        if self.waits_for is None:
+        if self.silent_since is None:
+            self.silent_since = now
             run.forwarder.fleet.note_unreachable(self.member, now)
         self.member.silent_at = now
-        waits_for = why_stay(run, self.member, self.backup, self.answer.count)
+        waits_for = why_stay(
+            run, self.member, self.backup, self.answer.count, self.silent_since
+        )
         if waits_for is None:
             return True
         self.next_move_check_at = now + MOVE_CHECK_INTERVAL_S
@@ -177,7 +182,8 @@
 
     def _note_going_on(self, now: float) -> None:
         """End the wait for a silent engine, whose events come again."""
-        self.waits_for, self.next_move_check_at = None, 0.0
+        self.silent_since = self.waits_for = None
+        self.next_move_check_at = 0.0
         self.run.forwarder.fleet.note_alive(self.member, now)
         log.info(
             "silent engine goes on",
@@ -228,7 +234,8 @@
     async def _read_error_body(self, is_used: bool) -> bytes:
         """Return the body of an error response; `is_used` if the caller may get it."""
         exchange, run, parts, size = self.exchange, self.run, [], 0
-        until = min(run.now() + ERROR_BODY_TIMEOUT_S, self.job.deadline_at)
+        silent_since = run.now() + ERROR_BODY_TIMEOUT_S
+        until = min(silent_since, self.job.deadline_at)
         while not exchange.is_finished or exchange.parts:
             await exchange.wait(min(until - run.now(), SILENCE_POLL_S))
             if self.job.responder.is_disconnected:
@@ -238,7 +245,7 @@
             if size > MAX_ERROR_BYTES:
                 exchange.abort()
             elif run.now() >= until:
-                waits_for = why_stay(run, self.member, self.backup, 0)
+                waits_for = why_stay(run, self.member, self.backup, 0, silent_since)
                 if is_used and waits_for and self.job.left_s(run.now()) > 0:
                     until = min(until + MOVE_CHECK_INTERVAL_S, self.job.deadline_at)
                 else:
@@ -270,7 +277,7 @@
     def _record_progress(self, now: float, is_first: bool) -> None:
         """Record the arrival of events; comments keep no stalled stream alive."""
         run = self.run
-        if self.waits_for is not None:
+        if self.silent_since is not None:
             self._note_going_on(now)
         if run.events == 0 or is_first and run.last_event_at == 0.0:
             self._record_first_event(now)
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -354,7 +354,7 @@
             record.ended_at = self.now()
             self._count_load(member, backup, waiting_tokens, -1)
             if rollouts is not None:
-                is_silent = relay is not None and relay.waits_for is not None
+                is_silent = relay is not None and relay.silent_since is not None
                 failed = is_silent or self._has_failed(loss)
                 self._record_version_evidence(rollouts, member, record, failed)
 
--- a/monsoontack/gateway/streams_silence_test.py
+++ b/monsoontack/gateway/streams_silence_test.py
@@ -9,6 +9,7 @@
     ALL_EVENTS,
     EVENTS,
     GAP_S,
+    TRAITS,
     engine_script,
     make_event,
     make_forwarder,
@@ -18,6 +19,7 @@
 
 NAMES = ("s1", "s2", "s3")
 PLACES = (HOME, NEAR, NEAR)
+SLOTS = TRAITS[SERVICE].engine.slots
 # With the first event after 1 s and one every 0.05 s, the stream has 10 events by then.
 SILENT_FROM_S = 1.5
 
@@ -226,6 +228,39 @@
         self.check_whole(job)
         self.assertLess(job.worst_gap_s, MAX_AVOID_S)
 
+    def test_engine_without_a_free_slot_is_no_better(self):
+        """Guards against a stream that leaves a pausing engine, is refused by the full
+        ones and begins anew at the engine that it has left."""
+
+        def fill(forwarder):
+            for member in forwarder.fleet.of_service(SERVICE):
+                if not member.in_flight:
+                    member.in_flight = SLOTS
+                    forwarder.sender.scripts[member.server.incarnation] = refuse
+
+        for silent_s in (1.0, 2.0):
+            scripts = dict.fromkeys(NAMES, pausing_script(silent_s))
+            _, job, _ = serve(scripts, change=fill)
+            self.check_whole(job)
+            self.assertEqual(1, len(job.tries))
+
+    def test_stream_leaves_a_hung_engine_for_full_ones(self):
+        """Guards against a stream that stays at a dead engine until its deadline, as
+        the other engines, which still queue runs, never have a free slot."""
+
+        def fill(forwarder):
+            for member in forwarder.fleet.of_service(SERVICE):
+                if not member.in_flight:
+                    member.in_flight = SLOTS
+                    forwarder.sender.scripts[member.server.incarnation] = (
+                        engine_script()
+                    )
+
+        scripts = dict.fromkeys(NAMES, pausing_script(100.0))
+        _, job, took_s = serve(scripts, change=fill)
+        self.check_whole(job)
+        self.assertLess(took_s, 10.0)
+
     def test_stream_moves_once_another_engine_is_better(self):
         """Guards against a stream that waits for its silent engine although another
         one has become available."""
--- a/monsoontack/routing/placement.py
+++ b/monsoontack/routing/placement.py
@@ -68,6 +68,11 @@
     suspect: bool = False
     traffic_share: float = 1.0
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a new run would start at once, as far as this entry knows."""
+        return self.in_flight < self.slots
+
 
 def cost_tokens(
     engine: EngineCandidate, place: Place, needed_tokens: int, uncached_tokens: float
@@ -85,7 +90,7 @@
         cost += OTHER_REGION_COST_TOKENS
     elif engine.place != place:
         cost += OTHER_DOMAIN_COST_TOKENS
-    if engine.in_flight >= engine.slots:
+    if not engine.has_free_slot:
         cost += FULL_COST_TOKENS
     if engine.held_tokens + needed_tokens > MAX_KV_CACHE_SHARE * engine.memory_tokens:
         cost += FULL_COST_TOKENS
