Let a refused stream try again after each pause

What callers saw: found in review. A stream that had left a silent engine and was refused 12 times was held until its deadline and then cut, 17 s after an engine had room again.

Cause: all sends counted against the limit of 12 in sequence, MAX_TOTAL_ATTEMPTS. That limit is there because failed connections do not count as attempts of the route, and would follow each other in milliseconds. The rounds of wait_after_refusal reached it within 6 s, or at once with 12 engines, and waited on without being able to send.

Now each pause of 0.5 s makes room for one further attempt, so a waiting stream is sent at most twice a second; each of these sends takes from the retry budget as before. To end such a stream instead would cut one that the next engine could have continued.

--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -80,8 +80,9 @@
 async def wait_after_refusal(run: "StreamRun", step: NextStep) -> NextStep:
     """Return the step after a refusal that followed a silent engine, with a pause.
 
-    There is no pause while an engine is left that has not refused the stream. The
-    result is `END` at the deadline or if the caller gets an engine's error.
+    There is no pause while an engine is left that has not refused the stream, up to the
+    limit on attempts in sequence. The result is `END` at the deadline or if the caller
+    gets an engine's error.
     """
     loads, job = run.forwarder.engine_loads, run.job
     is_granted = step is not NextStep.END
@@ -94,6 +95,7 @@
         await asyncio.wait([job.responder.disconnected], timeout=pause_s)
         if job.responder.is_disconnected:
             raise CallerDisconnectedError
+        run.note_pause()
         if is_granted or run.is_blocked():
             return NextStep.RESTART
         has_attempt = run.failover_input(has_kv_copy=False).attempts_left > 0
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -39,7 +39,8 @@
 # Copying a run's KV cache starts with the run and takes about this many events. An
 # engine that is asked to resume earlier has no copy yet.
 MIN_EVENTS_FOR_COPY = 3
-# Failed connections do not count as attempts of the route, so this bounds them.
+# Failed connections do not count as attempts of the route, so this bounds those that
+# follow each other without a pause.
 MAX_TOTAL_ATTEMPTS = 12
 
 
@@ -48,9 +49,9 @@
 
     `events` is the number of reads that brought events, `position` what the caller has
     of them. `counted_attempts` are limited by the route, `total_attempts` also include
-    those that were not run. `excluded` has the engines that get no next attempt while
-    others are available; `copy_holder` is the start of the engine that got a copy of
-    the KV cache.
+    those that were not run, unless a pause preceded them. `excluded` has the engines
+    that get no next attempt while others are available; `copy_holder` is the start of
+    the engine that got a copy of the KV cache.
     `engine_error` is the last error response of an engine. `broken_off` counts the
     engines that broke off the stream before they went on answering.
     `has_left_silent_engine` is set while only refusals have followed an engine that was
@@ -220,6 +221,10 @@
             left_s=job.left_s(self.now()),
         )
 
+    def note_pause(self) -> None:
+        """Allow one more attempt, since a pause limits the rate of further ones."""
+        self.total_attempts = min(self.total_attempts, MAX_TOTAL_ATTEMPTS - 1)
+
     def is_blocked(self) -> bool:
         """Whether a part of the prompt has been blocked since the request arrived."""
         job = self.job
