Wait for the body of an error that is the stream's last answer

What callers saw: found in review. An engine that answered a resumable stream with 404 and paused inside the body was reset after 1 s, and the request was run at two more engines, though each would say the same.

Cause: _read_error_body leaves a stalled body for a better engine, whatever the status. An error below 500 is passed on without asking another engine, but that was decided only after the body had been read.

Now the body of such an error is waited for until the deadline; the decision whether it is final exists once, in StreamRun.is_final_status.

--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -215,7 +215,8 @@
             status = response_head.status
             return StreamLoss(f"status {status}, but the request may have run")
         if response_head.status >= 300:
-            body = await self._read_error_body(is_used=True)
+            is_final = self.run.is_final_status(response_head.status)
+            body = await self._read_error_body(is_used=True, is_final=is_final)
             if exchange.failure is not None:
                 return StreamLoss(str(exchange.failure))
             return StreamLoss(
@@ -231,10 +232,15 @@
         self.response_head = response_head
         return None
 
-    async def _read_error_body(self, is_used: bool) -> bytes:
-        """Return the body of an error response; `is_used` if the caller may get it."""
+    async def _read_error_body(self, is_used: bool, is_final: bool = False) -> bytes:
+        """Return the body of an error response.
+
+        `is_used` is set if the caller may get it, `is_final` if no other engine is
+        asked.
+        """
         exchange, run, parts, size = self.exchange, self.run, [], 0
-        silent_since = run.now() + ERROR_BODY_TIMEOUT_S
+        timeout_s = self.job.left_s(run.now()) if is_final else ERROR_BODY_TIMEOUT_S
+        silent_since = run.now() + timeout_s
         until = min(silent_since, self.job.deadline_at)
         while not exchange.is_finished or exchange.parts:
             await exchange.wait(min(until - run.now(), SILENCE_POLL_S))
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -154,7 +154,11 @@
         if loss.response_head is None or loss.not_run:
             return False
         self.engine_error = loss
-        return loss.response_head.status < 500 and not self.position.has_begun
+        return self.is_final_status(loss.response_head.status)
+
+    def is_final_status(self, status: int) -> bool:
+        """Whether no other engine is asked after an engine's error of this status."""
+        return status < 500 and not self.position.has_begun
 
     def _step_after_loss(
         self, loss: StreamLoss, member: Member, backup: Member | None
--- a/monsoontack/gateway/streams_silence_test.py
+++ b/monsoontack/gateway/streams_silence_test.py
@@ -293,6 +293,22 @@
             self.assertEqual(500, job.responder.status)
             self.assertEqual(b"out of luck", job.responder.body)
 
+    def test_stalled_body_of_a_final_error_is_waited_for(self):
+        """Guards against a reset, and repeats at other engines, of a request that the
+        engine has answered with an error which the caller gets anyway."""
+
+        async def play(exchange, attempt):
+            exchange.answer(404, ((b"content-type", b"text/plain"),))
+            exchange.add_body(b"no such ")
+            await asyncio.sleep(1.8)
+            exchange.add_body(b"model")
+            exchange.end()
+
+        _, job, _ = serve(dict.fromkeys(NAMES, play))
+        self.assertEqual(404, job.responder.status)
+        self.assertEqual(b"no such model", job.responder.body)
+        self.assertEqual(1, len(job.tries))
+
 
 class DeadlineTest(unittest.TestCase):
     """Streams whose engine is silent at the deadline."""
