Treat an engine that pauses inside an error's body as silent

What callers saw: found in review. A stream whose engine paused for over 1 s inside the body of a 500 left it and got 502 at once if the other engines had no room at that moment. A stream that leaves an engine for any other silence goes on trying.

Cause: the loss said only that the connection had been closed, by the entry itself ("closed: given up"), so it counted as an engine's break-off. Nor did the log say that a stream waited inside such a body.

Now the loss is a silence, and the wait has the same log line as any other. Reading such a body is a job of its own and moves to errorbody.py.

--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -19,6 +19,9 @@
 
 # Value of `waits_for` in the log if no engine is better than the silent one.
 NO_BETTER_ENGINE = "engine"
+# Interval at which a stream at a silent engine looks for a better one. The search costs
+# about as much as a placement.
+MOVE_CHECK_INTERVAL_S = 0.5
 # Twice the pause of a second or so after which sound engines go on. Together with the
 # detection of a silence it stays below `MAX_AVOID_S`.
 DOUBT_S = 2.0
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -6,12 +6,13 @@
 import structlog
 
 from monsoontack.gateway.crashdetector import BROKEN_OFF_KINDS
+from monsoontack.gateway.errorbody import read_error_body
 from monsoontack.gateway.outbound import FailureKind, HttpExchange
 from monsoontack.gateway.records import ResponseHead
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.sse import EventSplitter, EventTooLongError, parse_events
 from monsoontack.gateway.streamattempt import Placement, StreamLoss
-from monsoontack.gateway.streammove import why_stay
+from monsoontack.gateway.streammove import MOVE_CHECK_INTERVAL_S, why_stay
 from monsoontack.generation.continuation import (
     AnswerEvents,
     AnswerHead,
@@ -33,9 +34,6 @@
 # Connection timeout if another stream found the engine silent. Without such a sign, a
 # slow connection is more often caused by a busy link of this VM.
 SUSPECT_CHECK_TIMEOUT_S = 0.25
-# Interval at which a stream at a silent engine looks for a better one. The search costs
-# about as much as a placement.
-MOVE_CHECK_INTERVAL_S = 0.5
 # Factor on the silence limit, since the engine of a copy has to admit the run first.
 RESUME_LIMIT_FACTOR = 1.5
 # Share of the silence limit after which a new connection tests the engine.
@@ -44,10 +42,6 @@
 # An engine that crashes when it begins an answer does so within tens of milliseconds of
 # the first event. After this time it has gone on answering.
 GO_ON_S = 0.5
-# Wait for the body of an error response before another engine is considered.
-ERROR_BODY_TIMEOUT_S = 1.0
-# Limit on the body of an error response, which is buffered for the caller.
-MAX_ERROR_BYTES = 65_536
 
 
 class StreamRelay:
@@ -167,6 +161,11 @@
         if waits_for is None:
             return True
         self.next_move_check_at = now + MOVE_CHECK_INTERVAL_S
+        self.note_wait(silence, waits_for)
+        return False
+
+    def note_wait(self, silence: str, waits_for: str) -> None:
+        """Note that the stream waits for its silent engine, and for what reason."""
         if waits_for != self.waits_for:
             log.info(
                 "stream waits for its silent engine",
@@ -174,11 +173,10 @@
                 server=self.member.server.incarnation,
                 silence=silence,
                 waits_for=waits_for,
-                events=run.events,
-                left_s=round(self.job.left_s(now), 2),
+                events=self.run.events,
+                left_s=round(self.job.left_s(self.run.now()), 2),
             )
         self.waits_for = waits_for
-        return False
 
     def _note_going_on(self, now: float) -> None:
         """End the wait for a silent engine, whose events come again."""
@@ -203,7 +201,7 @@
         wire = self.run.forwarder.sender.wire
         response_head = wire.parse_response_head(exchange.status, exchange.headers)
         if response_head.not_run:
-            await self._read_error_body(is_used=False)
+            await read_error_body(self, is_used=False)
             return StreamLoss(
                 f"not_run {response_head.status}",
                 not_run=True,
@@ -216,9 +214,9 @@
             return StreamLoss(f"status {status}, but the request may have run")
         if response_head.status >= 300:
             is_final = self.run.is_final_status(response_head.status)
-            body = await self._read_error_body(is_used=True, is_final=is_final)
-            if exchange.failure is not None:
-                return StreamLoss(str(exchange.failure))
+            body = await read_error_body(self, is_used=True, is_final=is_final)
+            if isinstance(body, StreamLoss):
+                return body
             return StreamLoss(
                 str(response_head.status), response_head=response_head, body=body
             )
@@ -232,32 +230,6 @@
         self.response_head = response_head
         return None
 
-    async def _read_error_body(self, is_used: bool, is_final: bool = False) -> bytes:
-        """Return the body of an error response.
-
-        `is_used` is set if the caller may get it, `is_final` if no other engine is
-        asked.
-        """
-        exchange, run, parts, size = self.exchange, self.run, [], 0
-        timeout_s = self.job.left_s(run.now()) if is_final else ERROR_BODY_TIMEOUT_S
-        silent_since = run.now() + timeout_s
-        until = min(silent_since, self.job.deadline_at)
-        while not exchange.is_finished or exchange.parts:
-            await exchange.wait(min(until - run.now(), SILENCE_POLL_S))
-            if self.job.responder.is_disconnected:
-                raise CallerDisconnectedError
-            parts.append(exchange.take_body())
-            size += len(parts[-1])
-            if size > MAX_ERROR_BYTES:
-                exchange.abort()
-            elif run.now() >= until:
-                waits_for = why_stay(run, self.member, self.backup, 0, silent_since)
-                if is_used and waits_for and self.job.left_s(run.now()) > 0:
-                    until = min(until + MOVE_CHECK_INTERVAL_S, self.job.deadline_at)
-                else:
-                    exchange.abort()
-        return b"".join(parts)
-
     async def _forward_events(self, data: bytes) -> None:
         """Forward complete events that go on with the stream to the caller."""
         before = self.answer.count
--- a/monsoontack/gateway/streams_silence_test.py
+++ b/monsoontack/gateway/streams_silence_test.py
@@ -309,6 +309,24 @@
         self.assertEqual(b"no such model", job.responder.body)
         self.assertEqual(1, len(job.tries))
 
+    def test_error_body_that_never_ends_is_left_as_a_silence(self):
+        """Guards against a stream that left an engine which paused inside an error's
+        body, and ends because the others have no room at that moment."""
+
+        async def stall(exchange, attempt):
+            await asyncio.sleep(1.0)
+            exchange.answer(500, ((b"content-type", b"text/plain"),))
+            exchange.add_body(b"out of ")
+
+        def fill(forwarder):
+            scripts = forwarder.sender.scripts
+            scripts.update(dict.fromkeys(NAMES, refuse))
+            with_room = dict.fromkeys(NAMES, engine_script())
+            asyncio.get_running_loop().call_later(2.0, scripts.update, with_room)
+
+        _, job, _ = serve(dict.fromkeys(NAMES, stall), change=fill)
+        self.check_whole(job)
+
 
 class DeadlineTest(unittest.TestCase):
     """Streams whose engine is silent at the deadline."""
