Do not count an engine's refusal after a silence against its version

What operators would have seen: an engine that was busy for so long that a stream found it silent, and then refused the stream, counted as a failure of its version. Refusals that were not run do not count otherwise.

Cause: the attempt's end was counted as silent although the engine had answered.

Evidence (make test TESTS=gateway.streams_silence_test): the new test_refusal_after_a_silence_does_not_count_against_the_version failed on the commit before and passes. A second new test, for callers who give up at a silent engine, passed before.

--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -92,6 +92,9 @@
             loss = await self._relay()
             if loss is not None:
                 loss.events = self.answer.count
+            if loss is None or loss.not_run:
+                # The engine has answered, so it is not silent any more.
+                self.silent_since = None
             return loss
         except (CallerDisconnectedError, asyncio.CancelledError):
             self.exchange.abort()
--- a/monsoontack/gateway/streams_silence_test.py
+++ b/monsoontack/gateway/streams_silence_test.py
@@ -349,6 +349,36 @@
         serve(scripts, deadline_s=5.0, rollouts=rollouts, attempts=1)
         self.assertEqual([True], rollouts.failed)
 
+    def test_refusal_after_a_silence_does_not_count_against_the_version(self):
+        """Guards against a roll-out that goes back because an engine was busy for long
+        before it refused a stream."""
+
+        async def refuse_late(exchange, attempt):
+            await asyncio.sleep(8.0)
+            await refuse(exchange, attempt)
+
+        rollouts = FakeRollouts()
+        _, job, _ = serve({"s1": refuse_late}, deadline_s=8.5, rollouts=rollouts)
+        self.assertEqual(503, job.responder.status)
+        self.assertEqual([False], rollouts.failed)
+
+    def test_stream_whose_caller_leaves_a_silence_counts_against_the_version(self):
+        """Guards against a roll-out without evidence of failures, because the callers
+        of a version whose engines hang give up first."""
+
+        async def scenario():
+            forwarder = make_forwarder({"s1": pausing_script(100.0)}, PLACES[:1])
+            forwarder.rollouts = FakeRollouts()
+            job = make_job(stream_route(), deadline_s=25.0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(SILENT_FROM_S + 2.0, job.responder.disconnect)
+            await forwarder.serve(job)
+            return job, forwarder.rollouts.failed
+
+        job, failed = run_in_virtual_time(scenario())
+        self.assertEqual("caller_gone", job.outcome)
+        self.assertEqual([True], failed)
+
     def test_stream_without_events_gets_an_error_at_its_deadline(self):
         """Guards against an error sooner, or none, for a stream of which nothing was
         sent, and against the statuses that promise that it has not run."""
