--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -139,7 +139,10 @@
                 continue
             silence = await self._detect_silence()
             has_news = bool(exchange.parts) or exchange.is_finished
-            if silence is not None and not has_news and self._may_leave(silence):
+            if silence is None or has_news:
+                continue
+            self._record_silence()
+            if not self._waits_at_silent_engine(silence):
                 exchange.abort()
                 return StreamLoss(f"{FailureKind.SILENT}: {silence}", is_silent=True)
 
@@ -151,21 +154,24 @@
             return BLOCKED_REASON
         return "its engine started anew" if self.member.restarted else None
 
-    def _may_leave(self, silence: str) -> bool:
-        """Whether the stream leaves its silent engine; otherwise it waits there."""
-        run, now = self.run, self.run.now()
+    def _record_silence(self) -> None:
+        """Record that the engine is silent, and once that it failed."""
+        now = self.run.now()
         if self.silent_since is None:
             self.silent_since = now
-            run.forwarder.fleet.note_unreachable(self.member, now)
+            self.run.forwarder.fleet.note_unreachable(self.member, now)
         self.member.silent_at = now
+
+    def _waits_at_silent_engine(self, silence: str) -> bool:
+        """Whether the stream stays at its silent engine until the next check."""
         waits_for = why_stay(
-            run, self.member, self.backup, self.answer.count, self.silent_since
+            self.run, self.member, self.backup, self.answer.count, self.silent_since
         )
         if waits_for is None:
-            return True
-        self.next_move_check_at = now + MOVE_CHECK_INTERVAL_S
+            return False
+        self.next_move_check_at = self.run.now() + MOVE_CHECK_INTERVAL_S
         self.note_wait(silence, waits_for)
-        return False
+        return True
 
     def note_wait(self, silence: str, waits_for: str) -> None:
         """Note that the stream waits for its silent engine, and for what reason."""
