--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -116,7 +116,7 @@
             self._cancel_liveness_check()
 
     async def _relay(self) -> StreamLoss | None:
-        exchange, job, run = self.exchange, self.job, self.run
+        exchange, job = self.exchange, self.job
         while True:
             await exchange.wait(self._poll_timeout_s())
             if job.responder.is_disconnected:
@@ -135,16 +135,9 @@
             if reason is not None:
                 exchange.abort()
                 return StreamLoss(reason, is_broken_off=self.member.restarted)
-            if has_unread or run.now() < self.next_move_check_at:
-                continue
-            silence = await self._detect_silence()
-            has_news = bool(exchange.parts) or exchange.is_finished
-            if silence is None or has_news:
-                continue
-            self._record_silence()
-            if not self._waits_at_silent_engine(silence):
-                exchange.abort()
-                return StreamLoss(f"{FailureKind.SILENT}: {silence}", is_silent=True)
+            loss = None if has_unread else await self._check_silence()
+            if loss is not None:
+                return loss
 
     def _reason_to_give_up(self) -> str | None:
         """Return why the attempt is no longer of use, if it is not."""
@@ -154,6 +147,21 @@
             return BLOCKED_REASON
         return "its engine started anew" if self.member.restarted else None
 
+    async def _check_silence(self) -> StreamLoss | None:
+        """Return a loss if the stream leaves its engine for being silent."""
+        exchange = self.exchange
+        if self.run.now() < self.next_move_check_at:
+            return None
+        silence = await self._detect_silence()
+        has_news = bool(exchange.parts) or exchange.is_finished
+        if silence is None or has_news:
+            return None
+        self._record_silence()
+        if self._waits_at_silent_engine(silence):
+            return None
+        exchange.abort()
+        return StreamLoss(f"{FailureKind.SILENT}: {silence}", is_silent=True)
+
     def _record_silence(self) -> None:
         """Record that the engine is silent, and once that it failed."""
         now = self.run.now()
