Explain streams that wait for a silent engine

What operators saw: the explanation of a request printed the two lines of such a wait without their fields, and a stream cut at its deadline was explained by "no time was left", though the log says what kept it at its silent engine.

Now the timeline names the engine, the silence and the reason of the wait, and how long the silence was if the engine went on; the cause of a stream that was cut, or timed out, at the engine that it waited for says so.

--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -53,6 +53,10 @@
     "prompt": "its prompt may crash further engines",
     "budget": "the retry budget was used up",
 }
+# Meaning of `waits_for` in the line of a stream that waits for its silent engine.
+WAIT_CAUSES = END_CAUSES | {"engine": "no other engine was better"}
+WAIT_EVENT = "stream waits for its silent engine"
+GOING_ON_EVENT = "silent engine goes on"
 # Log lines about the store and the process are relevant to a request if they were
 # written within this time before its last line.
 CONTEXT_WINDOW_S = 30.0
@@ -137,6 +141,14 @@
             f" {fields['events']} events; copy at {_format_copy(fields)};"
             f" next: {fields['next']}; repeats left {fields.get('budget_left')}"
         ]
+    if line.event == WAIT_EVENT:
+        return [
+            f"  {prefix}: waits for {fields['server']} ({fields['silence']}) after"
+            f" {fields['events']} events, {fields['left_s']} s left;"
+            f" {_describe_wait(fields)}"
+        ]
+    if line.event == GOING_ON_EVENT:
+        return [f"  {prefix}: {fields['server']} goes on after {fields['gap_s']} s"]
     if line.event != "request ended":
         return [f"  {prefix}: {line.event}"]
     summary = (
@@ -155,6 +167,10 @@
     return [summary, *tries, f"{end}; status {fields['status']}"]
 
 
+def _describe_wait(fields: dict) -> str:
+    return WAIT_CAUSES.get(fields["waits_for"], fields["waits_for"])
+
+
 def _format_copy(fields: dict) -> str:
     """Return where the copy of a lost stream is, and who else has that address."""
     copy, holder = fields.get("copy"), fields.get("copy_holder")
@@ -227,6 +243,9 @@
     lost = [line for line in request_lines if line.event == "stream lost its engine"]
     if fields["outcome"] == "stream_cut" and lost:
         cause += f"; {_find_end_reason(lost[-1].fields)}"
+    if fields["outcome"] in ("stream_cut", "timeout"):
+        last_server = fields["tries"][-1][0] if fields["tries"] else ""
+        cause += _find_wait_cause(last_server, request_lines)
     if (
         any(line.event == "draining" for line in context)
         and fields["outcome"] == "open"
@@ -235,6 +254,18 @@
     return cause
 
 
+def _find_wait_cause(last_server: str, request_lines: list[LogLine]) -> str:
+    """Return why a stream stayed at its last engine, "" unless that was silent."""
+    events = (WAIT_EVENT, GOING_ON_EVENT)
+    waits = [line for line in request_lines if line.event in events]
+    if not waits or waits[-1].event == GOING_ON_EVENT:
+        return ""
+    fields = waits[-1].fields
+    if fields["server"] != last_server:
+        return ""
+    return f"; it waited for {fields['server']}: {_describe_wait(fields)}"
+
+
 def _find_refusal_cause(fields: dict, context: list[LogLine]) -> str:
     if fields["code"] != "stale_config":
         return REFUSAL_CAUSES.get(fields["code"], fields.get("message", fields["code"]))
--- a/monsoontack/gateway/explain_test.py
+++ b/monsoontack/gateway/explain_test.py
@@ -116,6 +116,61 @@
         )
         self.assertIn("too little time was left", explanation.cause)
 
+    def wait_line(self, second, waits_for="engine", server="i-1"):
+        return log_line(
+            second,
+            "stream waits for its silent engine",
+            request="r1",
+            server=server,
+            silence="no event for 0.50 s",
+            waits_for=waits_for,
+            events=9,
+            left_s=4.0,
+        )
+
+    def test_wait_for_a_silent_engine_is_explained(self):
+        """Guards against a long pause of a stream whose reason the log has but the
+        explanation does not."""
+        tries = [["i-1", 0.0, 9.0, "complete"]]
+        fields = {"server": "i-1", "gap_s": 2.4}
+        explanation = self.explain(
+            "r1",
+            self.wait_line(3, waits_for="budget"),
+            log_line(5, "silent engine goes on", request="r1", **fields),
+            log_line(9, "request ended", **ended_fields("r1", "streamed", tries)),
+        )
+        timeline = "\n".join(explanation.timeline)
+        self.assertIn("waits for i-1 (no event for 0.50 s) after 9 events", timeline)
+        self.assertIn("the retry budget was used up", timeline)
+        self.assertIn("i-1 goes on after 2.4 s", timeline)
+        self.assertEqual("the stream was whole", explanation.cause)
+
+    def test_stream_cut_at_a_silent_engine_names_what_kept_it_there(self):
+        """Guards against a stream cut at its deadline whose explanation does not tell
+        why it did not leave its silent engine."""
+        lost = {
+            "server": "i-1",
+            "reason": "deadline",
+            "events": 9,
+            "copy": None,
+            "next": "end",
+            "ended_by": "time",
+            "left_s": 0.0,
+        }
+        tries = [["i-1", 0.0, 9.0, "deadline"]]
+        lines = (
+            log_line(9, "stream lost its engine", request="r1", **lost),
+            log_line(9, "request ended", **ended_fields("r1", "stream_cut", tries)),
+        )
+        cause = self.explain("r1", self.wait_line(3), *lines).cause
+        self.assertIn("it waited for i-1: no other engine was better", cause)
+        fields = {"server": "i-1", "gap_s": 2.4}
+        gone_on = log_line(5, "silent engine goes on", request="r1", **fields)
+        cause = self.explain("r1", self.wait_line(3), gone_on, *lines).cause
+        self.assertNotIn("waited", cause)
+        cause = self.explain("r1", self.wait_line(3, server="i-0"), *lines).cause
+        self.assertNotIn("waited", cause)
+
     def test_error_of_the_backend_server_is_attributed_to_it(self):
         """Guards against attributing a 500 of a backend server to the entry."""
         tries = [["i-1", 0.0, 0.1, "500"], ["i-2", 0.1, 0.2, "500"]]
