Split the load and the outcome of a stream's attempts from its run

The count of the load on engines moves to streamload.py, what an attempt's end shows about its engine and version to streamoutcome.py. No change of behaviour: make test TESTS=gateway, 361 passed; the known flaky loadexchange_test.test_runs_of_an_unreachable_peer_are_dropped failed once beside the load of other runs and passed in five further runs alone.

--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -12,6 +12,7 @@
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.sse import EventSplitter, EventTooLongError, parse_events
 from monsoontack.gateway.streamattempt import Placement, StreamLoss
+from monsoontack.gateway.streamload import AttemptLoad
 from monsoontack.gateway.streammove import MOVE_CHECK_INTERVAL_S, why_stay
 from monsoontack.generation.continuation import (
     AnswerEvents,
@@ -61,6 +62,7 @@
         placement: Placement,
         exchange: HttpExchange,
         tokens_to_read: int,
+        load: AttemptLoad,
     ) -> None:
         self.run = run
         self.job = run.job
@@ -72,6 +74,7 @@
         self.splitter = EventSplitter()
         self.answer = AnswerEvents(run.position, self.job.route.is_repeatable)
         self.tokens_to_read = tokens_to_read
+        self.load = load
         self.first_event_limit_s = run.stream_timeouts.first_event_limit_s(
             tokens_to_read
         )
@@ -293,7 +296,7 @@
         elif now >= self.began_at + GO_ON_S:
             self.has_gone_on = True
             run.guard.note_sound(self.job.shared_prompt, self.began_at)
-        run.note_prompt_read()
+        self.load.note_prompt_read()
         self._cancel_liveness_check()
 
     def _record_first_event(self, now: float) -> None:
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -6,15 +6,20 @@
 
 from monsoontack.core.errors import RequestError
 from monsoontack.gateway.errorresponse import error_response
-from monsoontack.gateway.fleet import INITIAL_AVOID_S, Member
+from monsoontack.gateway.fleet import Member
 from monsoontack.gateway.job import AttemptRecord, Job
 from monsoontack.gateway.outbound import ExchangeFailure
 from monsoontack.gateway.records import Attempt, KvCacheCopy
 from monsoontack.gateway.responder import CallerDisconnectedError
-from monsoontack.gateway.rollouts import RolloutManager
 from monsoontack.gateway.streamattempt import Placement, StreamLoss
 from monsoontack.gateway.streamerrors import loss_error
+from monsoontack.gateway.streamload import AttemptLoad
 from monsoontack.gateway.streammove import is_doubtful, wait_after_refusal
+from monsoontack.gateway.streamoutcome import (
+    has_failed,
+    record_server_health,
+    record_version_evidence,
+)
 from monsoontack.gateway.streamrelay import BLOCKED_REASON, StreamRelay
 from monsoontack.generation.continuation import StreamPosition
 from monsoontack.generation.failover import (
@@ -327,7 +332,11 @@
             last_event_id=self.position.last_id or job.request.last_event_id or None,
         )
         waiting_tokens = 0 if copy is not None else job.request.prompt_tokens
-        self._count_load(member, backup, waiting_tokens, 1)
+        load_exchange = self.forwarder.load_exchange
+        load = AttemptLoad(
+            load_exchange, member, backup, self.needed_tokens, waiting_tokens
+        )
+        load.add()
         rollouts = self.forwarder.rollouts
         if rollouts is not None:
             rollouts.note_sent(member)
@@ -346,7 +355,7 @@
                 record.result = str(sent.kind)
                 return StreamLoss(sent.detail, not_run=True, unsent=True)
             tokens_to_read = placement.tokens_ahead + waiting_tokens
-            relay = StreamRelay(self, placement, sent, tokens_to_read)
+            relay = StreamRelay(self, placement, sent, tokens_to_read, load)
             loss = await relay.relay()
             record.result = "complete" if loss is None else loss.reason
             if loss is not None:
@@ -357,75 +366,15 @@
             elif relay.began_at is not None and not relay.has_gone_on:
                 self.guard.note_sound(job.shared_prompt, relay.began_at)
             job.may_have_run |= loss is None or not loss.not_run
-            self._record_server_health(member, loss)
+            record_server_health(self.forwarder, member, loss)
             return loss
         finally:
             record.ended_at = self.now()
-            self._count_load(member, backup, waiting_tokens, -1)
+            load.remove()
             if rollouts is not None:
                 is_silent = relay is not None and relay.silent_since is not None
-                failed = is_silent or self._has_failed(loss)
-                self._record_version_evidence(rollouts, member, record, failed)
-
-    @staticmethod
-    def _has_failed(loss: StreamLoss | None) -> bool:
-        """Whether an engine that had not fallen silent failed to run the stream."""
-        return loss is not None and not loss.not_run and loss.reason != "deadline"
-
-    def _record_version_evidence(
-        self,
-        rollouts: RolloutManager,
-        member: Member,
-        record: AttemptRecord,
-        failed: bool,
-    ) -> None:
-        """Record the attempt as evidence about the version of its engine."""
-        first_s = gap_s = None
-        if record.first_event_at is not None:
-            first_s = record.first_event_at - record.sent_at
-            gap_s = record.worst_gap_s
-        rollouts.note_ended(member, self.job.route.name, failed, first_s, gap_s)
-
-    def _count_load(
-        self, member: Member, backup: Member | None, waiting_tokens: int, sign: int
-    ) -> None:
-        """Add (sign 1) or remove (-1) the attempt's load on engine and backup."""
-        member.in_flight += sign
-        member.held_tokens += sign * self.needed_tokens
-        if sign > 0:
-            member.waiting_tokens += waiting_tokens
-            self.waiting_prompt = (member, waiting_tokens)
-        else:
-            self.note_prompt_read()
-        touched = [member]
-        if backup is not None:
-            backup.held_tokens += sign * self.needed_tokens
-            touched.append(backup)
-        if self.forwarder.load_exchange is not None:
-            self.forwarder.load_exchange.mark_changed(touched, is_start=sign > 0)
-
-    def note_prompt_read(self) -> None:
-        """Remove the prompt from the engine's waiting tokens once it has been read."""
-        member, waiting_tokens = self.waiting_prompt
-        member.waiting_tokens -= waiting_tokens
-        self.waiting_prompt = (member, 0)
-        if waiting_tokens and self.forwarder.load_exchange is not None:
-            self.forwarder.load_exchange.mark_changed([member], is_start=False)
-
-    def _record_server_health(self, member: Member, loss: StreamLoss | None) -> None:
-        fleet, now = self.forwarder.fleet, self.now()
-        start_key, rng = member.server.start_key, self.forwarder.rng
-        if loss is None:
-            fleet.ejection.record_success(start_key, 0.0, now, rng)
-            return
-        if loss.response_head is not None and loss.response_head.status == 421:
-            fleet.note_misdirected(member)
-        elif not loss.not_run:
-            fleet.ejection.record_failure(start_key, now, rng)
-            if loss.is_foreign:
-                member.avoid_until = max(member.avoid_until, now + INITIAL_AVOID_S)
-            else:
-                fleet.note_unreachable(member, now)
+                failed = has_failed(loss, is_silent)
+                record_version_evidence(rollouts, member, job, failed)
 
     def _end_failed(self, loss: StreamLoss) -> None:
         """End a stream that cannot be continued."""
