Describe when a stream leaves a silent engine

design.md, failures.md, the glossary and the docstring of streams.py still said that a silence moves a stream at once; OPERATIONS.md did not know the two log lines.

--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -1,8 +1,9 @@
 """Forwarding of generation streams: engine placement, event relay and failover.
 
 Each run keeps a copy of its KV cache at an engine of another failure domain. If the
-run's engine fails, rejects the run or stops sending events, the stream resumes at the
-engine with the copy, after the last complete event and within the same response. The
+run's engine fails or rejects the run, the stream resumes at the engine with the copy,
+after the last complete event and within the same response. If the engine stops sending
+events, the stream does so once another engine is better, and waits until then. The
 connection to the first engine is reset before that, so that two engines never
 work on one run.
 """
