--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -2,14 +2,14 @@
 
 To leave an engine resets the connection and ends the engine's work, so a stream stays
 until its deadline unless another attempt is allowed and the engine that it would get
-has not itself been found silent. A stream that has left a silent engine and is refused
-by the others goes on trying until its deadline.
+has a free slot and has not itself been found silent. A stream that has left a silent
+engine and is refused by the others goes on trying until its deadline.
 """
 
 import asyncio
 from typing import TYPE_CHECKING
 
-from monsoontack.gateway.fleet import Member
+from monsoontack.gateway.fleet import MAX_AVOID_S, Member
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.streamerrors import FULL_RETRY_AFTER_S
 from monsoontack.generation.failover import EndCause, NextStep, end_cause
@@ -19,49 +19,86 @@
 
 # Value of `waits_for` in the log if no engine is better than the silent one.
 NO_BETTER_ENGINE = "engine"
+# Interval at which a stream at a silent engine looks for a better one. The search costs
+# about as much as a placement.
+MOVE_CHECK_INTERVAL_S = 0.5
+# Twice the pause of a second or so after which sound engines go on. Together with the
+# detection of a silence it stays below `MAX_AVOID_S`.
+DOUBT_S = 2.0
 
 
 def is_doubtful(member: Member, now: float) -> bool:
     """Whether this entry lately failed to hear from a server.
 
-    A server that is only suspected, for its failure domain or by a peer, is not.
+    That holds as long as a stream waits for it. A server that is only suspected, for
+    its failure domain or by a peer, is not doubtful.
     """
-    is_unheard = member.consecutive_failures > 0 and member.is_suspect(now)
+    unheard_at = member.silent_at
+    if member.consecutive_failures > 0:
+        unheard_at = max(unheard_at, member.failed_at)
+    is_unheard = member.last_byte_at < unheard_at and now < unheard_at + DOUBT_S
     return is_unheard or now < member.avoid_until
 
 
 def why_stay(
-    run: "StreamRun", member: Member, backup: Member | None, events: int
+    run: "StreamRun",
+    member: Member,
+    backup: Member | None,
+    events: int,
+    silent_since: float,
 ) -> str | None:
     """Return what keeps a stream at its silent engine, None if it may leave.
 
     `backup` is the engine that gets the copy of this attempt, `events` the number of
-    events that the attempt has brought.
+    events that the attempt has brought. `silent_since` is the event loop's time in
+    seconds at which the silence was noticed. Another engine's queue is better only than
+    a silence that has lasted longer than a pause.
     """
-    now, service = run.now(), run.job.service
+    forwarder, job, now = run.forwarder, run.job, run.now()
     copy_member = run.usable_copy(backup, events)
-    if copy_member is not None and is_doubtful(copy_member, now):
-        copy_member = None
-    cause = end_cause(run.failover_input(copy_member is not None))
+    cause = _find_end_cause(run, copy_member is not None)
     if cause is not None:
         return str(cause)
-    if run.forwarder.budgets.for_service(service).left(now) < 1:
-        return str(EndCause.BUDGET)
-    if copy_member is not None:
+    # The placement below costs milliseconds with hundreds of engines, so it is made
+    # only if it may find a better one.
+    sound = {
+        other.server.incarnation
+        for other in forwarder.fleet.of_service(job.service)
+        if other.server.incarnation != member.server.incarnation
+        and not is_doubtful(other, now)
+    }
+    if not sound:
+        return NO_BETTER_ENGINE
+    loads = forwarder.engine_loads(job, {member.server.incarnation})
+    may_queue = now >= silent_since + MAX_AVOID_S
+    full = {key for key, engine in loads.items() if not engine.has_free_slot}
+    better = sound if may_queue else sound - full
+    if copy_member is not None and copy_member.server.incarnation in better:
         return None
-    excluded = {member.server.incarnation}
-    chosen = run.choose(run.forwarder.engine_loads(run.job, excluded))
-    if chosen is None or chosen.traffic_share <= 0:
+    cause = _find_end_cause(run, has_kv_copy=False)
+    if cause is not None:
+        return str(cause)
+    chosen = run.choose(loads) if better else None
+    if chosen is None or chosen.traffic_share <= 0 or chosen.key not in better:
         return NO_BETTER_ENGINE
-    is_better = not is_doubtful(run.forwarder.fleet.members[chosen.key], now)
-    return None if is_better else NO_BETTER_ENGINE
+    return None
+
+
+def _find_end_cause(run: "StreamRun", has_kv_copy: bool) -> EndCause | None:
+    """Return why the stream could not go on at another engine, None if it could."""
+    cause = end_cause(run.failover_input(has_kv_copy))
+    budget = run.forwarder.budgets.for_service(run.job.service)
+    if cause is None and budget.left(run.now()) < 1:
+        return EndCause.BUDGET
+    return cause
 
 
 async def wait_after_refusal(run: "StreamRun", step: NextStep) -> NextStep:
     """Return the step after a refusal that followed a silent engine, with a pause.
 
-    There is no pause while an engine is left that has not refused the stream. The
-    result is `END` at the deadline or if the caller gets an engine's error.
+    There is no pause while an engine is left that has not refused the stream, up to the
+    limit on attempts in sequence. The result is `END` at the deadline or if the caller
+    gets an engine's error.
     """
     loads, job = run.forwarder.engine_loads, run.job
     is_granted = step is not NextStep.END
@@ -74,6 +111,7 @@
         await asyncio.wait([job.responder.disconnected], timeout=pause_s)
         if job.responder.is_disconnected:
             raise CallerDisconnectedError
+        run.note_pause()
         if is_granted or run.is_blocked():
             return NextStep.RESTART
         has_attempt = run.failover_input(has_kv_copy=False).attempts_left > 0
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -6,12 +6,14 @@
 import structlog
 
 from monsoontack.gateway.crashdetector import BROKEN_OFF_KINDS
+from monsoontack.gateway.errorbody import read_error_body
 from monsoontack.gateway.outbound import FailureKind, HttpExchange
 from monsoontack.gateway.records import ResponseHead
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.sse import EventSplitter, EventTooLongError, parse_events
 from monsoontack.gateway.streamattempt import Placement, StreamLoss
-from monsoontack.gateway.streammove import why_stay
+from monsoontack.gateway.streamload import AttemptLoad
+from monsoontack.gateway.streammove import MOVE_CHECK_INTERVAL_S, why_stay
 from monsoontack.generation.continuation import (
     AnswerEvents,
     AnswerHead,
@@ -33,9 +35,6 @@
 # Connection timeout if another stream found the engine silent. Without such a sign, a
 # slow connection is more often caused by a busy link of this VM.
 SUSPECT_CHECK_TIMEOUT_S = 0.25
-# Interval at which a stream at a silent engine looks for a better one. The search costs
-# about as much as a placement.
-MOVE_CHECK_INTERVAL_S = 0.5
 # Factor on the silence limit, since the engine of a copy has to admit the run first.
 RESUME_LIMIT_FACTOR = 1.5
 # Share of the silence limit after which a new connection tests the engine.
@@ -44,10 +43,6 @@
 # An engine that crashes when it begins an answer does so within tens of milliseconds of
 # the first event. After this time it has gone on answering.
 GO_ON_S = 0.5
-# Wait for the body of an error response before another engine is considered.
-ERROR_BODY_TIMEOUT_S = 1.0
-# Limit on the body of an error response, which is buffered for the caller.
-MAX_ERROR_BYTES = 65_536
 
 
 class StreamRelay:
@@ -56,8 +51,9 @@
     `tokens_to_read` are the prompt tokens that the engine reads before the first
     event: those of runs ahead and the attempt's own. `resumed` attempts start from a
     copy of the KV cache. `began_at` is the time of the attempt's first event;
-    `has_gone_on` is set once events have come for some time after it. `waits_for` is
-    what keeps the stream at an engine that is silent, if it is.
+    `has_gone_on` is set once events have come for some time after it. `silent_since` is
+    the time at which the engine was found silent, None unless it still is; `waits_for`
+    is what keeps the stream there.
     """
 
     def __init__(
@@ -66,6 +62,7 @@
         placement: Placement,
         exchange: HttpExchange,
         tokens_to_read: int,
+        load: AttemptLoad,
     ) -> None:
         self.run = run
         self.job = run.job
@@ -77,6 +74,7 @@
         self.splitter = EventSplitter()
         self.answer = AnswerEvents(run.position, self.job.route.is_repeatable)
         self.tokens_to_read = tokens_to_read
+        self.load = load
         self.first_event_limit_s = run.stream_timeouts.first_event_limit_s(
             tokens_to_read
         )
@@ -87,6 +85,7 @@
         self.liveness_check: asyncio.Task | None = None
         self.began_at: float | None = None
         self.has_gone_on = False
+        self.silent_since: float | None = None
         self.waits_for: str | None = None
         self.next_move_check_at = 0.0
 
@@ -96,6 +95,9 @@
             loss = await self._relay()
             if loss is not None:
                 loss.events = self.answer.count
+            if loss is None or loss.not_run:
+                # The engine has answered, so it is not silent any more.
+                self.silent_since = None
             return loss
         except (CallerDisconnectedError, asyncio.CancelledError):
             self.exchange.abort()
@@ -117,7 +119,7 @@
             self._cancel_liveness_check()
 
     async def _relay(self) -> StreamLoss | None:
-        exchange, job, run = self.exchange, self.job, self.run
+        exchange, job = self.exchange, self.job
         while True:
             await exchange.wait(self._poll_timeout_s())
             if job.responder.is_disconnected:
@@ -136,13 +138,9 @@
             if reason is not None:
                 exchange.abort()
                 return StreamLoss(reason, is_broken_off=self.member.restarted)
-            if has_unread or run.now() < self.next_move_check_at:
-                continue
-            silence = await self._detect_silence()
-            has_news = bool(exchange.parts) or exchange.is_finished
-            if silence is not None and not has_news and self._may_leave(silence):
-                exchange.abort()
-                return StreamLoss(f"{FailureKind.SILENT}: {silence}", is_silent=True)
+            loss = None if has_unread else await self._check_silence()
+            if loss is not None:
+                return loss
 
     def _reason_to_give_up(self) -> str | None:
         """Return why the attempt is no longer of use, if it is not."""
@@ -152,15 +150,42 @@
             return BLOCKED_REASON
         return "its engine started anew" if self.member.restarted else None
 
-    def _may_leave(self, silence: str) -> bool:
-        """Whether the stream leaves its silent engine; otherwise it waits there."""
-        run, now = self.run, self.run.now()
-        if self.waits_for is None:
-            run.forwarder.fleet.note_unreachable(self.member, now)
-        waits_for = why_stay(run, self.member, self.backup, self.answer.count)
+    async def _check_silence(self) -> StreamLoss | None:
+        """Return a loss if the stream leaves its engine for being silent."""
+        exchange = self.exchange
+        if self.run.now() < self.next_move_check_at:
+            return None
+        silence = await self._detect_silence()
+        has_news = bool(exchange.parts) or exchange.is_finished
+        if silence is None or has_news:
+            return None
+        self._record_silence()
+        if self._waits_at_silent_engine(silence):
+            return None
+        exchange.abort()
+        return StreamLoss(f"{FailureKind.SILENT}: {silence}", is_silent=True)
+
+    def _record_silence(self) -> None:
+        """Record that the engine is silent, and once that it failed."""
+        now = self.run.now()
+        if self.silent_since is None:
+            self.silent_since = now
+            self.run.forwarder.fleet.note_unreachable(self.member, now)
+        self.member.silent_at = now
+
+    def _waits_at_silent_engine(self, silence: str) -> bool:
+        """Whether the stream stays at its silent engine until the next check."""
+        waits_for = why_stay(
+            self.run, self.member, self.backup, self.answer.count, self.silent_since
+        )
         if waits_for is None:
-            return True
-        self.next_move_check_at = now + MOVE_CHECK_INTERVAL_S
+            return False
+        self.next_move_check_at = self.run.now() + MOVE_CHECK_INTERVAL_S
+        self.note_wait(silence, waits_for)
+        return True
+
+    def note_wait(self, silence: str, waits_for: str) -> None:
+        """Note that the stream waits for its silent engine, and for what reason."""
         if waits_for != self.waits_for:
             log.info(
                 "stream waits for its silent engine",
@@ -168,15 +193,15 @@
                 server=self.member.server.incarnation,
                 silence=silence,
                 waits_for=waits_for,
-                events=run.events,
-                left_s=round(self.job.left_s(now), 2),
+                events=self.run.events,
+                left_s=round(self.job.left_s(self.run.now()), 2),
             )
         self.waits_for = waits_for
-        return False
 
     def _note_going_on(self, now: float) -> None:
         """End the wait for a silent engine, whose events come again."""
-        self.waits_for, self.next_move_check_at = None, 0.0
+        self.silent_since = self.waits_for = None
+        self.next_move_check_at = 0.0
         self.run.forwarder.fleet.note_alive(self.member, now)
         log.info(
             "silent engine goes on",
@@ -196,7 +221,7 @@
         wire = self.run.forwarder.sender.wire
         response_head = wire.parse_response_head(exchange.status, exchange.headers)
         if response_head.not_run:
-            await self._read_error_body(is_used=False)
+            await read_error_body(self, is_used=False)
             return StreamLoss(
                 f"not_run {response_head.status}",
                 not_run=True,
@@ -208,9 +233,10 @@
             status = response_head.status
             return StreamLoss(f"status {status}, but the request may have run")
         if response_head.status >= 300:
-            body = await self._read_error_body(is_used=True)
-            if exchange.failure is not None:
-                return StreamLoss(str(exchange.failure))
+            is_final = self.run.is_final_status(response_head.status)
+            body = await read_error_body(self, is_used=True, is_final=is_final)
+            if isinstance(body, StreamLoss):
+                return body
             return StreamLoss(
                 str(response_head.status), response_head=response_head, body=body
             )
@@ -224,26 +250,6 @@
         self.response_head = response_head
         return None
 
-    async def _read_error_body(self, is_used: bool) -> bytes:
-        """Return the body of an error response; `is_used` if the caller may get it."""
-        exchange, run, parts, size = self.exchange, self.run, [], 0
-        until = min(run.now() + ERROR_BODY_TIMEOUT_S, self.job.deadline_at)
-        while not exchange.is_finished or exchange.parts:
-            await exchange.wait(min(until - run.now(), SILENCE_POLL_S))
-            if self.job.responder.is_disconnected:
-                raise CallerDisconnectedError
-            parts.append(exchange.take_body())
-            size += len(parts[-1])
-            if size > MAX_ERROR_BYTES:
-                exchange.abort()
-            elif run.now() >= until:
-                waits_for = why_stay(run, self.member, self.backup, 0)
-                if is_used and waits_for and self.job.left_s(run.now()) > 0:
-                    until = min(until + MOVE_CHECK_INTERVAL_S, self.job.deadline_at)
-                else:
-                    exchange.abort()
-        return b"".join(parts)
-
     async def _forward_events(self, data: bytes) -> None:
         """Forward complete events that go on with the stream to the caller."""
         before = self.answer.count
@@ -269,7 +275,7 @@
     def _record_progress(self, now: float, is_first: bool) -> None:
         """Record the arrival of events; comments keep no stalled stream alive."""
         run = self.run
-        if self.waits_for is not None:
+        if self.silent_since is not None:
             self._note_going_on(now)
         if run.events == 0 or is_first and run.last_event_at == 0.0:
             self._record_first_event(now)
@@ -290,7 +296,7 @@
         elif now >= self.began_at + GO_ON_S:
             self.has_gone_on = True
             run.guard.note_sound(self.job.content, self.began_at)
-        run.note_prompt_read()
+        self.load.note_prompt_read()
         self._cancel_liveness_check()
 
     def _record_first_event(self, now: float) -> None:
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -101,6 +101,7 @@
     limit_spans: list[tuple[DirectEngine, float, float, float]] = field(
         default_factory=list
     )
+    silence_phase: tuple[float, float] | None = None
     deadly_part: str | None = None
     deadly_path: str | None = None
     deadly_parts: set[str] = field(default_factory=set)
