--- a/monsoontack/admission/drainadmission.py
+++ b/monsoontack/admission/drainadmission.py
@@ -16,8 +16,9 @@
 MAX_ROUTES = 256
 # Share of the repeatable calls of a route that end within their expected time.
 CALL_QUANTILE = 0.9
-# Added to the expected time of a repeatable call, for the way to the caller and back.
-CALL_MARGIN_S = 0.1
+# Added to the expected time of a request that may be repeated, since its end has to
+# reach the caller.
+MARGIN_S = 0.1
 # Added to the longest recent time of a request that may run only once, since the next
 # one may take longer, and its caller must not send it again.
 RUN_ONCE_MARGIN_S = 0.5
@@ -73,9 +74,9 @@
         if not work.is_repeatable:
             return max(samples) + RUN_ONCE_MARGIN_S
         if work.is_stream:
-            return sum(samples) / len(samples)
+            return sum(samples) / len(samples) + MARGIN_S
         ordered = sorted(samples)
-        return ordered[int(CALL_QUANTILE * (len(ordered) - 1))] + CALL_MARGIN_S
+        return ordered[int(CALL_QUANTILE * (len(ordered) - 1))] + MARGIN_S
 
     def may_take(self, work: Work, wait_s: float, now: float) -> bool:
         """Whether to take a new request, which is answered within `wait_s`."""
