--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,7 @@
 CALL_TIMEOUT_S = 8.0
 MAX_REQUEST_GAP_S = 0.15
 DEADLY_SHARE = 0.2
+DEADLY_CALL_GAP_S = 0.3
 # Statuses after which a call of the kind "once" is sent again under the same id.
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 MAX_RESENDS = 3
@@ -41,7 +42,7 @@
     """Callers of all gateways; `observed` lists all requests they have sent.
 
     `prompt_rng` decides which streams have a part that crashes engines, `call_rng`
-    which calls are one that does so.
+    where a call is sent that does so.
     """
 
     environment: SoakEnvironment
@@ -60,8 +61,18 @@
             await self.send(gateway, kind, self.rng.choice(KEYS))
             await asyncio.sleep(self.rng.uniform(0, MAX_REQUEST_GAP_S))
 
+    async def run_deadly_caller(self) -> None:
+        """Send the call that crashes engines, if there is one, again and again."""
+        while not self.stopping:
+            path = self.environment.deadly_path
+            if path is not None:
+                gateway = self.call_rng.choice(self.environment.gateways)
+                key = self.call_rng.choice(KEYS)
+                await self.send(gateway, "look", key, path)
+            await asyncio.sleep(DEADLY_CALL_GAP_S)
+
     async def send(
-        self, gateway: GatewayProcess, kind: str, key: str
+        self, gateway: GatewayProcess, kind: str, key: str, path: str = "x"
     ) -> ObservedRequest:
         """Send one request, then record and return its observed result.
 
@@ -75,9 +86,6 @@
             deadly_part = self.environment.deadly_part
         parts = ["instructions", deadly_part, request_id]
         prompt = ",".join(f"{part}:400" for part in parts if part is not None)
-        path = "x"
-        if kind == "look" and self.call_rng.random() < DEADLY_SHARE:
-            path = self.environment.deadly_path or path
         sent_at = asyncio.get_running_loop().time()
         status, complete, body = 0, False, b""
         for _ in range(1 + MAX_RESENDS):
--- a/soak/promptfaults.py
+++ b/soak/promptfaults.py
@@ -8,13 +8,16 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import ClassVar
 
 from soak.enginecrashes import EngineCrashes
 from soak.environment import ACCOUNT, SoakEnvironment
 from standins.directengine import call_key
 
-# Long enough for five crashes, the time to learn from them, and some more.
-MIN_SPAN_S, MAX_SPAN_S = 8.0, 14.0
+# Shortest and longest time: for five crashes, the time to learn from them, and more.
+PART_SPAN_S = (8.0, 14.0)
+# The same for calls, of which few arrive while all engines of their service are down.
+CALL_SPAN_S = (20.0, 30.0)
 MAX_PAUSE_S = 3.0
 
 
@@ -22,6 +25,7 @@
 class PromptFaults:
     """Makes parts of prompts deadly; `counts` has the number of parts."""
 
+    span_s: ClassVar[tuple[float, float]] = PART_SPAN_S
     environment: SoakEnvironment
     rng: random.Random
     counts: Counter = field(default_factory=Counter)
@@ -35,7 +39,7 @@
             await asyncio.sleep(self.rng.uniform(0, MAX_PAUSE_S))
             self._begin()
             crashes.prepare_all()
-            span_s = min(self.rng.uniform(MIN_SPAN_S, MAX_SPAN_S), until - loop.time())
+            span_s = min(self.rng.uniform(*self.span_s), until - loop.time())
             await asyncio.sleep(max(span_s, 0.0))
             self._pause()
         await crashes.end()
@@ -53,6 +57,8 @@
 class RequestFaults(PromptFaults):
     """Makes calls deadly that come again; `counts` has the number of calls."""
 
+    span_s: ClassVar[tuple[float, float]] = CALL_SPAN_S
+
     def _begin(self) -> None:
         self.counts["deadly_call"] += 1
         path = self.environment.deadly_path = f"deadly-{self.counts['deadly_call']}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -72,6 +72,7 @@
         tasks = [
             asyncio.ensure_future(callers.run_caller()) for _ in range(CALLER_COUNT)
         ]
+        tasks.append(asyncio.ensure_future(callers.run_deadly_caller()))
         await asyncio.gather(*(injector.run(seconds) for injector in injectors))
         unserved = await _unrecovered_routes(environment, callers)
         callers.stopping = True
