Report calls in flight when most servers of a failure domain are lost

A call that took all servers of a service in one failure domain within a second was found only when it came again: most of the crashes counted as the loss of the domain and were in no record, so that it was sent three times more, which is the most allowed.

The loss of a domain blames no call, since a request needs crashes that are more than a second apart. Prompts in flight there are left out as before. The new test of the detector failed on the code before.

--- a/monsoontack/gateway/crashdetector.py
+++ b/monsoontack/gateway/crashdetector.py
@@ -3,8 +3,8 @@
 A broken connection alone says little: a link, a proxy or the server itself may have
 closed it. The server's process has ended if a new connection is refused at once, or if
 the server has started again.
-Servers that leave by plan, and those of a failure domain that was lost as a whole, are
-left out.
+Servers that leave by plan are left out, and prompts in flight at those of a failure
+domain that was lost as a whole.
 """
 
 import asyncio
@@ -24,6 +24,7 @@
 # news that a server leaves, or that its domain was lost, arrives in it as well.
 COLLECT_S = 0.1
 CHECK_TIMEOUT_S = 0.35
+DOMAIN_LOST = "the failure domain was lost"
 # Losses and answers of one moment may be read in any order.
 READ_SKEW_S = 0.05
 # Requests named in a log line. Several hundred calls may be in flight at a server.
@@ -109,8 +110,13 @@
             ],
             requests=len(requests),
         )
-        if has_ended and reason is None:
-            self.on_crash(ServerCrash(member.limit_key, requests, min(last.values())))
+        if reason == DOMAIN_LOST:
+            # A call may take all servers of a small service with it. Requests are
+            # blamed only for crashes that no single loss of a domain can cause.
+            requests = tuple(r for r in requests if not r.prompt_parts)
+        if has_ended and (reason is None or reason == DOMAIN_LOST and requests):
+            crash = ServerCrash(member.limit_key, requests, min(last.values()))
+            self.on_crash(crash)
         return has_ended
 
     def _reason_against(self, member: Member, has_answered: bool) -> str | None:
@@ -121,5 +127,5 @@
         if has_answered:
             return "the engine went on answering"
         if fleet.is_domain_lost(member, self.sender.now()):
-            return "the failure domain was lost"
+            return DOMAIN_LOST
         return None
--- a/monsoontack/gateway/crashdetector_test.py
+++ b/monsoontack/gateway/crashdetector_test.py
@@ -86,6 +86,18 @@
 
         self.assertEqual([], self.crashes(REFUSED, [FIRST], lose_domain))
 
+    def test_calls_in_flight_at_the_loss_of_a_failure_domain_are_reported(self):
+        """Guards against a call that is never found, since it takes all servers of its
+        service in a domain within a second each time it comes."""
+
+        def lose_domain(fleet):
+            for server in ("s1", "s2", "s3"):
+                fleet.note_unreachable(fleet.members[server], 0.05)
+
+        call = RequestContent.from_ids("shop", (), "call")
+        found = self.crashes(REFUSED, [FIRST, call], lose_domain)
+        self.assertEqual([(call,)], [crash.requests for crash in found])
+
     def test_crash_while_an_earlier_loss_is_checked(self):
         """Guards against a crash that is missed since its server was found to be alive
         for another connection just before."""
