Keep a generation at its silent engine unless another one is better

Callers of the agents' deployment got 503 version_unavailable, run state run, in the middle of an answer whose engine was silent for a second and then went on.

Cause: a stalled stream always left its engine. The engine was then excluded for 10 s, and without another one the answer ended. It now stands in generation/silence.py, and entries follow it. A stream that left a silent engine may return to it if all others fail. Generations have no deadline, so a stream leaves its engine after 60 s without a token all the same.

--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -8,17 +8,18 @@
 import asyncio
 import random
 from collections import Counter
-from dataclasses import replace
 
 import structlog
 
 from monsoontack.core.counters import Counters
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import RequestOutcome
+from monsoontack.entry.enginechoice import EngineChoice
 from monsoontack.entry.links import Link, LinkPool, backend_server
 from monsoontack.entry.protocols import OutcomeSink, Picker
 from monsoontack.entry.session import GenerationSession
 from monsoontack.generation.eventid import EventId
+from monsoontack.generation.failover import end_cause
 from monsoontack.generation.resume import (
     Answered,
     AttachStream,
@@ -36,8 +37,10 @@
     Stalled,
     StartAttempt,
     Tick,
+    failover_input,
     plan_recovery,
 )
+from monsoontack.generation.silence import why_stay
 from monsoontack.proto import link_pb2
 
 log = structlog.get_logger("entry.session")
@@ -45,6 +48,12 @@
 # Time for a disconnected caller to reconnect, possibly through another entry, whose
 # attempt then supersedes this one. After it, the attempt is cancelled at the agent.
 RECONNECT_GRACE_S = 10.0
+# A stream that stays at a silent engine looks for a better one at this interval, which
+# is that of the agents' heartbeats on busy links.
+STAY_CHECK_INTERVAL_S = 0.5
+# Generations have no deadline, so this limits how long a hung engine holds an answer.
+# Agents keep ended streams for as long.
+MAX_STAY_S = 60.0
 
 
 class GenerationManager:
@@ -65,6 +74,7 @@
         self.sessions: dict[str, GenerationSession] = {}
         self.session_counts: Counter[str] = Counter()
         self.abandoned: dict[str, tuple[float, str, int]] = {}
+        self.engine_choice = EngineChoice(picker, rng)
         self.is_known = lambda address: True
         self.on_call_result = lambda result, link: None
         self.on_calls_lost = lambda link: None
@@ -206,12 +216,44 @@
             elif state.phase is Phase.RUNNING and not session.is_ended:
                 link = self.pool.links.get(state.address)
                 if link and state.progress.is_stalled(link.progress, now):
-                    self.apply(session, Stalled())
+                    self._handle_stall(session, now)
         for generation, (cancel_at, address, attempt) in list(self.abandoned.items()):
             if now > cancel_at:
                 del self.abandoned[generation]
                 self._cancel(generation, address, attempt)
 
+    def _handle_stall(self, session: GenerationSession, now: float) -> None:
+        """Leave a silent engine if another one is better, else stay at it."""
+        if now < session.next_stay_check_at:
+            return
+        state = session.state
+        if session.silent_since is None:
+            session.silent_since = now
+        self.engine_choice.silent_engines.note(state.address, now)
+        loss = failover_input(state)
+        backup = None
+        if end_cause(loss) is None:
+            backup = self.engine_choice.pick_backup(session, self.pool, now)
+        cause = why_stay(loss, has_budget=True, has_better_engine=backup is not None)
+        if cause is None or now - session.silent_since > MAX_STAY_S:
+            self.apply(session, Stalled(backup.address if backup else ""))
+            session.end_stay()
+            return
+        session.next_stay_check_at = now + STAY_CHECK_INTERVAL_S
+        if cause == session.stay_cause:
+            return
+        if not session.stay_cause:
+            self.counters.add("stays")
+            self.picker.record(state.address, True, now)
+        session.stay_cause = cause
+        log.info(
+            "generation stays at its silent engine",
+            generation=session.generation,
+            address=state.address,
+            waits_for=cause,
+            position=session.attempt_log.end_position,
+        )
+
     # Execution of planned actions.
 
     def apply(self, session: GenerationSession, event: Event) -> None:
@@ -236,7 +278,8 @@
         match action:
             case StartAttempt(attempt, excluded):
                 self._record_recovery(session, action, cause)
-                return self._start(session, attempt, excluded)
+                backup = cause.backup if isinstance(cause, Stalled) else ""
+                return self._start(session, attempt, excluded, backup)
             case AttachStream(address, attempt, position):
                 self._record_recovery(session, action, cause)
                 return self._attach(session, address, attempt, position)
@@ -267,33 +310,37 @@
         is_fault = isinstance(cause, Stalled | LinkRefused) or (
             isinstance(cause, AttemptEnded) and cause.code == "backend_failed"
         )
-        if is_fault and session.state.address:
+        if is_fault and session.state.address and not session.stay_cause:
             self.picker.record(session.state.address, True, self.now())
 
     def _start(
-        self, session: GenerationSession, attempt: int, excluded: frozenset
+        self,
+        session: GenerationSession,
+        attempt: int,
+        excluded: frozenset[str],
+        backup: str,
     ) -> Event:
         request = session.request
-        route = replace(request.route, excluded=request.route.excluded | excluded)
-        servers = self.pool.servers(route.service)
-        server = self.picker.pick(route, servers, self.now(), self.rng)
-        if server is None:
+        address = backup or self.engine_choice.pick_address(
+            session, self.pool, excluded, self.now()
+        )
+        if not address:
             return NoServer()
-        link = self.pool.get_or_open(server.address)
+        link = self.pool.get_or_open(address)
         link.note_sent(self.now())
         start = link_pb2.Start(
             generation=session.generation,
             attempt=attempt,
-            service=route.service,
+            service=request.route.service,
             version=session.attempt_log.version,
             request=request.body,
             prefix=session.attempt_log.tokens,
             max_tokens=request.max_tokens,
-            priority=route.priority,
-            account=route.account,
+            priority=request.route.priority,
+            account=request.route.account,
         )
         link.send(link_pb2.EntryMessage(revision=request.revision, start=start))
-        return Sent(server.address, link_is_new=not link.is_up)
+        return Sent(address, link_is_new=not link.is_up)
 
     def _attach(self, session, address: str, attempt: int, position: int) -> Event:
         # The address comes from a caller's event id, which may be forged.
--- a/monsoontack/entry/generations_test.py
+++ b/monsoontack/entry/generations_test.py
@@ -19,7 +19,7 @@
 from monsoontack.core.records import Place, RouteRequest
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.entry.defaults import LeastLoadedPicker, OutcomeCounter
-from monsoontack.entry.generations import GenerationManager
+from monsoontack.entry.generations import MAX_STAY_S, GenerationManager
 from monsoontack.entry.links import Link, LinkIdentity, LinkPool, SilenceLimits
 from monsoontack.entry.session import GenerationRequest, GenerationSession
 from monsoontack.generation.attempts import AttemptLog
@@ -378,6 +378,62 @@
                 ended.append((count, pause_s, error and error.code))
         self.assertEqual([], ended)
 
+    def test_answer_returns_to_a_silent_engine_if_the_next_one_fails(self):
+        """Guards against an answer that ends because the engine that it got after a
+        silence of its first one fails."""
+
+        async def scenario():
+            caller = Caller(random.Random(5), [])
+            for address in list(caller.agents)[2:]:
+                caller.agents[address].refuses = True
+                caller.agents[address].break_links()
+
+            async def fail_engines():
+                await asyncio.sleep(1.0)
+                (session,) = caller.entries[0].generations.sessions.values()
+                first = caller.agents[session.state.address].engine
+                first.unpaused.clear()
+                for agent in caller.agents.values():
+                    if agent.engine is not first:
+                        agent.engine.broken = True
+                await asyncio.sleep(3.0)
+                first.unpaused.set()
+
+            failures = asyncio.ensure_future(fail_engines())
+            try:
+                return caller, await caller.run()
+            finally:
+                failures.cancel()
+                caller.close()
+
+        caller, error = run_in_virtual_time(scenario())
+        self.assert_complete(caller, error)
+
+    def test_answer_of_hung_engines_ends(self):
+        """Guards against an answer that is held for ever by engines that hang."""
+
+        async def scenario(count):
+            loop = asyncio.get_running_loop()
+            caller = Caller(random.Random(5), [])
+            for address in list(caller.agents)[count:]:
+                caller.agents[address].refuses = True
+                caller.agents[address].break_links()
+            for agent in caller.agents.values():
+                loop.call_later(1.0, agent.engine.unpaused.clear)
+            started_at = loop.time()
+            try:
+                return await caller.run(), loop.time() - started_at
+            finally:
+                caller.close()
+
+        for count in (1, 2, 4):
+            with self.subTest(count=count):
+                error, took_s = run_in_virtual_time(scenario(count))
+                self.assertIn(error.code, ("version_unavailable", "recovery_failed"))
+                self.assertEqual("run", error.run_state)
+                self.assertGreater(took_s, MAX_STAY_S)
+                self.assertLess(took_s, 2 * MAX_STAY_S)
+
     def test_crossed_answers(self):
         """Guards against tokens of another caller's generation (P4)."""
 
--- a/monsoontack/entry/session.py
+++ b/monsoontack/entry/session.py
@@ -44,6 +44,11 @@
         self.first_position = attempt_log.end_position
         self.ticket: Ticket | None = None
         self.resumed_address = ""
+        # Time since which its engines are silent, why it stays at the present one, and
+        # when it looks for a better one.
+        self.silent_since: float | None = None
+        self.stay_cause = ""
+        self.next_stay_check_at = 0.0
 
     @property
     def generation(self) -> str:
@@ -104,9 +109,15 @@
                 self.first_token_at = now
             self.last_token_at = now
             self.state.progress.note_tokens(now)
+            self.silent_since = None
+            self.end_stay()
             self.wake.set()
         return accepted
 
+    def end_stay(self) -> None:
+        """Note that the engine has gone on, or that the session leaves it."""
+        self.stay_cause, self.next_stay_check_at = "", 0.0
+
     @property
     def is_ended(self) -> bool:
         """Whether the generation has finished or failed."""
--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -5,11 +5,13 @@
 it and go to `AttemptLog` directly.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.generation.attempts import AttemptLog
+from monsoontack.generation.failover import FailoverInput
 from monsoontack.generation.progress import ProgressMonitor
 
 # Maximum wait for an agent to answer on a new connection.
@@ -89,7 +91,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Stalled:
-    """The engine has stopped producing the stream, but its agent still answers."""
+    """The stream leaves an engine that is silent while its agent still answers.
+
+    `backup` is the address of the engine that the stream gets, empty if none has been
+    picked yet.
+    """
+
+    backup: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +163,9 @@
     an unanswered attach fails. `attempt_may_have_run` is true if the current
     attempt was sent and its agent has not reported that the engine did not start
     it; `earlier_attempt_may_have_run` is true if this held for an earlier
-    attempt. `attempts_by_cause` counts attempts by cause, including the first one.
+    attempt. `left_silent` holds the addresses of engines that the stream has left
+    because they were silent. `attempts_by_cause` counts attempts by cause,
+    including the first one.
     """
 
     attempt_log: AttemptLog
@@ -169,6 +179,7 @@
     fruitless_attempts: int = 0
     last_end_position: int = 0
     attempts_by_cause: dict[str, int] = field(default_factory=dict)
+    left_silent: set[str] = field(default_factory=set)
 
     @property
     def run_state(self) -> RunState:
@@ -179,6 +190,19 @@
         return RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
 
 
+def failover_input(state: GenerationState) -> FailoverInput:
+    """Return the input of the decision whether the stream leaves its engine."""
+    has_progress = state.attempt_log.end_position > state.last_end_position
+    fruitless = 0 if has_progress else state.fruitless_attempts
+    return FailoverInput(
+        has_kv_copy=False,
+        resumable=state.attempt_log.has_whole_prefix,
+        known_not_run=False,
+        attempts_left=MAX_FRUITLESS_ATTEMPTS - fruitless,
+        left_s=math.inf,
+    )
+
+
 def plan_recovery(state: GenerationState, event: Event, now: float) -> list[Action]:
     """Advance `state` by one event and return the actions to execute, in order."""
     if state.phase is Phase.ENDED:
@@ -224,7 +248,10 @@
 
 def _on_stalled(state: GenerationState, event: Stalled, now: float) -> list[Action]:
     cancel = CancelAttempt(state.address, state.attempt_log.attempt)
-    return [cancel, *_fail_over(state, now, "stalled")]
+    actions = _fail_over(state, now, "stalled")
+    if event.backup:
+        state.left_silent.add(state.address)
+    return [cancel, *actions]
 
 
 def _on_tick(state: GenerationState, event: Tick, now: float) -> list[Action]:
@@ -295,6 +322,7 @@
 def _fail_over(state: GenerationState, now: float, cause: str) -> list[Action]:
     if state.address:
         state.excluded[state.address] = now + SERVER_EXCLUSION_S
+        state.left_silent.discard(state.address)
     return _start_attempt(state, now, cause)
 
 
--- /dev/null
+++ b/monsoontack/generation/silence.py
@@ -0,0 +1,58 @@
+"""Decides whether a run leaves a silent engine, which may still go on, without I/O.
+
+To leave an engine ends its work, so a run stays until its deadline unless another
+attempt is allowed and the engine that it would get has not itself been found silent.
+"""
+
+from dataclasses import dataclass, field
+
+from monsoontack.generation.failover import EndCause, FailoverInput, end_cause
+
+# Result of `why_stay` if no engine is better than the silent one.
+NO_BETTER_ENGINE = "engine"
+# Time after which a silent engine may be tried again without news of it. A server
+# that failed a generation is avoided for as long.
+SILENCE_MEMORY_S = 10.0
+
+
+def why_stay(
+    loss: FailoverInput, has_budget: bool, has_better_engine: bool
+) -> str | None:
+    """Return what keeps a run at its silent engine, None if it may leave.
+
+    `has_budget` is true if the retry budget allows another attempt, and
+    `has_better_engine` if the engine that the run would get has not been found silent.
+    A usable copy of the run's KV cache counts as a better engine.
+    """
+    cause = end_cause(loss)
+    if cause is not None:
+        return str(cause)
+    if not has_budget:
+        return str(EndCause.BUDGET)
+    if loss.has_kv_copy or has_better_engine:
+        return None
+    return NO_BETTER_ENGINE
+
+
+@dataclass(slots=True)
+class SilentEngines:
+    """Engines that were found silent; `found_at` holds the last time by address."""
+
+    found_at: dict[str, float] = field(default_factory=dict)
+
+    def note(self, address: str, now: float) -> None:
+        """Record that a run of an engine has stalled."""
+        self.found_at[address] = now
+
+    def is_silent(self, address: str, progressed_at: float, now: float) -> bool:
+        """Return whether an engine was found silent and has not gone on since.
+
+        `progressed_at` is the time at which it last produced a token of any run.
+        """
+        found_at = self.found_at.get(address)
+        if found_at is None:
+            return False
+        if progressed_at > found_at or now - found_at > SILENCE_MEMORY_S:
+            del self.found_at[address]
+            return False
+        return True
