Wait for the results of calls whose agent falls silent

Callers of plain services got 504, "the call may have run (link_lost)", one second after the agent beside the service had fallen silent, long before the call's timeout. Idempotent calls got 503 link_lost as soon as no repeat was allowed.

Cause: a link without a frame for a second is replaced, and what was sent over it was given up at that moment, although the connection was open and the service still at work.

A silent link still gets no new work and is replaced at once. While it awaits call results its connection now stays open, and the calls end with its end, their results or their timeouts. Results of calls that have ended are dropped by their id.

--- a/monsoontack/entry/dispatch.py
+++ b/monsoontack/entry/dispatch.py
@@ -12,7 +12,12 @@
 from monsoontack.core.records import RequestOutcome, RouteRequest
 from monsoontack.entry.links import Link, LinkPool
 from monsoontack.entry.protocols import OutcomeSink, Picker
-from monsoontack.ledger.records import DispatchResult, ServiceAnswer, ServiceCall
+from monsoontack.ledger.records import (
+    DispatchResult,
+    ServiceAnswer,
+    ServiceCall,
+    ignore_silence,
+)
 from monsoontack.proto import link_pb2
 
 OUTCOME_ROUTE = "calls"
@@ -24,6 +29,7 @@
 class _PendingCall:
     link: Link
     result: asyncio.Future
+    on_silence: Callable[[], None]
 
 
 @dataclass(slots=True)
@@ -48,7 +54,11 @@
 
     def awaited_addresses(self) -> set[str]:
         """Return the addresses of agents from which calls await results."""
-        return {address for address, count in self.in_flight_counts.items() if count}
+        return {
+            pending.link.address
+            for pending in self.pending_calls.values()
+            if not pending.link.is_replaced
+        }
 
     async def dispatch(
         self,
@@ -74,7 +84,9 @@
         tried_addresses.add(server.address)
         link = self.pool.get_or_open(server.address)
         message = _call_message(call, fence, latest_start_unix_s)
-        result = await self._send_and_wait(link, message, call.timeout_s)
+        result = await self._send_and_wait(
+            link, message, call.timeout_s, call.on_silence
+        )
         self._record_outcome(call.service, version, result, started_at)
         return result
 
@@ -85,11 +97,17 @@
         return self.picker.pick_version(view, service, now, self.rng)
 
     async def _send_and_wait(
-        self, link: Link, message: link_pb2.Call, timeout_s: float
+        self,
+        link: Link,
+        message: link_pb2.Call,
+        timeout_s: float,
+        on_silence: Callable[[], None] = ignore_silence,
     ) -> DispatchResult:
-        pending = _PendingCall(link, asyncio.get_running_loop().create_future())
+        result = asyncio.get_running_loop().create_future()
+        pending = _PendingCall(link, result, on_silence)
         self.pending_calls[message.call_id] = pending
         self.in_flight_counts[link.address] += 1
+        link.calls_awaited += 1
         link.note_sent(asyncio.get_running_loop().time())
         link.send(link_pb2.EntryMessage(revision=self.view().revision, call=message))
         try:
@@ -99,6 +117,7 @@
             return DispatchResult(RunState.UNKNOWN, None, "timeout", link.address)
         finally:
             del self.pending_calls[message.call_id]
+            link.calls_awaited -= 1
             link.note_ended(asyncio.get_running_loop().time())
             self.in_flight_counts[link.address] -= 1
             if not self.in_flight_counts[link.address]:
@@ -111,11 +130,18 @@
             pending.result.set_result(_decode_result(result, link.address))
 
     def on_link_lost(self, link: Link) -> None:
-        """End the calls that were sent over a lost link; they may have run."""
+        """End the calls that were sent over a lost link; they may have run.
+
+        Calls on a silent link whose connection is still open go on.
+        """
         lost = DispatchResult(RunState.UNKNOWN, None, "link_lost", link.address)
         for pending in self.pending_calls.values():
-            if pending.link is link and not pending.result.done():
+            if pending.link is not link or pending.result.done():
+                continue
+            if link.is_closed:
                 pending.result.set_result(lost)
+            else:
+                pending.on_silence()
 
     def _record_outcome(
         self, service: str, version: str, result: DispatchResult, started_at: float
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -167,6 +167,10 @@
     def on_frame(self, link: Link, frame: link_pb2.Frame) -> None:
         """Apply a frame: its chunks and stream ends, cache events and results."""
         now = self.now()
+        if link.is_replaced:
+            # Its streams have been attached over another link.
+            self._pass_results(link, frame)
+            return
         if link.is_first_frame:
             self._apply_to_sessions(link, Answered())
             if link.info is not None:
@@ -184,6 +188,9 @@
             if session is not None:
                 ended = AttemptEnded(end.attempt, end.code, end.started, end.message)
                 self.apply(session, ended)
+        self._pass_results(link, frame)
+
+    def _pass_results(self, link: Link, frame: link_pb2.Frame) -> None:
         for result in frame.results:
             self.on_call_result(result, link)
         for result in frame.order_results:
@@ -198,8 +205,9 @@
             self.counters.add("chunks.dropped")
 
     def on_link_lost(self, link: Link, was_up: bool) -> None:
-        """Recover the sessions of a link that ended."""
-        self._apply_to_sessions(link, LinkLost() if was_up else LinkRefused())
+        """Recover the sessions of a link that ended or is silent."""
+        if not (link.is_replaced and link.is_closed):
+            self._apply_to_sessions(link, LinkLost() if was_up else LinkRefused())
         self.on_calls_lost(link)
 
     def _apply_to_sessions(self, link: Link, event: Event) -> None:
--- a/monsoontack/entry/links.py
+++ b/monsoontack/entry/links.py
@@ -22,14 +22,12 @@
     ServerState,
     VmRecord,
 )
+from monsoontack.entry.linklimits import Backoff, SilenceLimits
 from monsoontack.generation.progress import LinkProgress
 from monsoontack.proto import link_pb2, link_pb2_grpc
-from monsoontack.settings.models import EntrySettings
 
 log = structlog.get_logger("entry.links")
 
-INITIAL_BACKOFF_S = 0.2
-MAX_BACKOFF_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
 # An on-demand link without requests is closed after this time.
 IDLE_CLOSE_DELAY_S = 30.0
@@ -50,7 +48,11 @@
         ...
 
     def on_link_lost(self, link: "Link", was_up: bool) -> None:
-        """Handle the loss of a link; `was_up` is False if it received no frame."""
+        """Handle the loss of a link; `was_up` is False if it received no frame.
+
+        A silent link that still awaits call results is lost first for new work, while
+        `is_closed` is False, and a second time when its connection ends.
+        """
         ...
 
 
@@ -73,7 +75,9 @@
 class Link:
     """One connection to one agent; it is never reopened.
 
-    A link is up from its first frame until the connection ends.
+    A link is up from its first frame until the connection ends. `calls_awaited` counts
+    the calls that await their result on it. `is_replaced` is true once it was silent
+    and another link is used for new work.
     """
 
     def __init__(self, address: str, identity: LinkIdentity, listener: LinkListener):
@@ -83,6 +87,8 @@
         self.is_first_frame = False
         self.is_closed = False
         self.is_leaving = False
+        self.is_replaced = False
+        self.calls_awaited = 0
         self.config_revision = 0
         self.info: link_pb2.AgentInfo | None = None
         self.load: LoadReport | None = None
@@ -184,46 +190,14 @@
     return link_pb2.EntryMessage(hello=hello)
 
 
-@dataclass(slots=True)
-class Backoff:
-    """Delay before the next connection attempt to an address that failed."""
-
-    delay_s: float = INITIAL_BACKOFF_S
-    next_at: float = 0.0
-
-    def note_failure(self, now: float, rng: random.Random) -> None:
-        """Schedule the next attempt and double the delay, up to `MAX_BACKOFF_S`.
-
-        The actual wait is between half of the delay and the whole delay.
-        """
-        self.next_at = now + self.delay_s * rng.uniform(0.5, 1.0)
-        self.delay_s = min(self.delay_s * 2, MAX_BACKOFF_S)
-
-
-@dataclass(frozen=True, slots=True)
-class SilenceLimits:
-    """Maximum time without a frame, in seconds, before a link times out.
-
-    `busy_s` applies to links on which requests of this entry are in progress.
-    `idle_s` applies to all others; agents send heartbeats less often on those.
-    """
-
-    busy_s: float = 1.0
-    idle_s: float = 9.0
-
-    @classmethod
-    def from_settings(cls, settings: EntrySettings) -> "SilenceLimits":
-        """Return the limits from the settings of the entry."""
-        return cls(settings.frame_silence_s, settings.idle_silence_s)
-
-
 class LinkPool:
     """All links of an entry, by agent address.
 
     `members` is notified of frames and lost links before `listener`, so that the
     decisions of `listener` use the latest membership state. `in_flight` returns the
     number of requests on an agent. `awaited_addresses` returns the addresses of the
-    agents on which requests are in progress.
+    agents on which requests are in progress. `replaced` holds the silent links that
+    await call results until their connection ends or their calls time out.
     """
 
     def __init__(
@@ -241,6 +215,7 @@
         self.open_link = open_link
         self.members: MembershipListener | None = None
         self.links: dict[str, Link] = {}
+        self.replaced: list[Link] = []
         self.wanted: dict[str, VmRecord] = {}
         self.backoffs: dict[str, Backoff] = {}
         self.in_flight: Callable[[str], int] = lambda address: 0
@@ -272,9 +247,10 @@
             link.set_busy(link.address in awaited, now)
         silent = [link for link in self.links.values() if self._is_silent(link, now)]
         for link in silent:
-            was_up = link.is_up
+            self._replace_silent(link)
+        for link in [link for link in self.replaced if not link.calls_awaited]:
+            self.replaced.remove(link)
             link.close()
-            self.on_link_lost(link, was_up)
         for address in self.wanted:
             backoff = self.backoffs.setdefault(address, Backoff())
             if address not in self.links and now >= backoff.next_at:
@@ -288,6 +264,17 @@
             del self.links[link.address]
         return silent
 
+    def _replace_silent(self, link: Link) -> None:
+        """Remove a silent link; it stays open while it awaits call results."""
+        was_up = link.is_up
+        if was_up and link.calls_awaited:
+            link.is_replaced = True
+            self.replaced.append(link)
+            log.info("link silent", address=link.address, calls=link.calls_awaited)
+        else:
+            link.close()
+        self.on_link_lost(link, was_up)
+
     def _is_silent(self, link: Link, now: float) -> bool:
         if not link.is_up:
             return link.progress.is_silent(now, CONNECT_TIMEOUT_S)
@@ -314,6 +301,9 @@
 
     def on_frame(self, link: Link, frame: link_pb2.Frame) -> None:
         """Pass a frame to the listeners; the first frame resets the backoff."""
+        if link.is_replaced:
+            self.listener.on_frame(link, frame)
+            return
         if link.is_first_frame:
             self.backoffs.pop(link.address, None)
             log.info("link up", address=link.address)
@@ -323,6 +313,10 @@
 
     def on_link_lost(self, link: Link, was_up: bool) -> None:
         """Remove a lost link and notify the listeners."""
+        if link.is_replaced and link.is_closed:
+            self.replaced.remove(link)
+            self.listener.on_link_lost(link, was_up)
+            return
         if self.links.get(link.address) is link:
             del self.links[link.address]
         now = asyncio.get_running_loop().time()
@@ -357,9 +351,10 @@
 
     def close(self) -> None:
         """Close all links without notifying the listener."""
-        for link in list(self.links.values()):
+        for link in [*self.links.values(), *self.replaced]:
             link.close()
         self.links.clear()
+        self.replaced.clear()
 
 
 def backend_server(link: Link) -> BackendServer:
--- a/monsoontack/ledger/records.py
+++ b/monsoontack/ledger/records.py
@@ -4,7 +4,8 @@
 import binascii
 import hashlib
 import json
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from monsoontack.core.errors import RunState
@@ -16,9 +17,17 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+def ignore_silence() -> None:
+    """Do nothing, for calls that only wait for their result."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
-    """One call to a plain service; `key` is empty if the caller sent none."""
+    """One call to a plain service; `key` is empty if the caller sent none.
+
+    A dispatcher calls `on_silence` if nothing is heard from the server that has the
+    call. The call's result may still arrive.
+    """
 
     account: str
     service: str
@@ -29,6 +38,7 @@
     idempotent: bool
     key: str
     timeout_s: float
+    on_silence: Callable[[], None] = field(default=ignore_silence, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoontack/ledger/service_test.py
+++ b/monsoontack/ledger/service_test.py
@@ -198,6 +198,45 @@
         )
         self.assertEqual([ANSWER], answers)
 
+    def test_call_at_a_silent_server_is_repeated_within_the_budget(self):
+        """Guards against an idempotent call that waits for a silent server although
+        another one is sound, or that is given up since no repeat is allowed."""
+
+        class SilentDispatcher(ScriptedDispatcher):
+            async def dispatch(self, call, *arguments):
+                if len(self.tried_by_dispatch) < self.silent_count:
+                    asyncio.get_running_loop().call_later(1.0, call.on_silence)
+                return await super().dispatch(call, *arguments)
+
+        async def scenario(saved_retries, silent_count, *results, delays):
+            dispatcher = SilentDispatcher(*results, delays=delays)
+            dispatcher.silent_count = silent_count
+            ledger = Ledger(MemoryStore(), dispatcher)
+            ledger.idempotent_calls.retry_budget.saved_retries = saved_retries
+            ledger.idempotent_calls.retry_budget.updated_at = 1.0
+            answer = await ledger.run(call(idempotent=True))
+            now = asyncio.get_running_loop().time()
+            return answer, round(now, 3), dispatcher.tried_by_dispatch
+
+        late, soon = ran("one", 201), ran("two")
+        cases = (
+            (2.0, 1, (late, soon), [1.8, 0.01], (200, 1.01, [set(), {"one"}])),
+            (2.0, 1, (late, lost("two")), [1.8, 0.0], (201, 1.8, 3)),
+            (2.0, 1, (late, soon), [1.2, 0.5], (201, 1.2, 2)),
+            (0.0, 1, (late, soon), [1.8, 0.01], (201, 1.8, 1)),
+        )
+        for budget, silent_count, results, delays, expected in cases:
+            with self.subTest(budget=budget, delays=delays):
+                answer, ended_at, tried = run_in_virtual_time(
+                    scenario(budget, silent_count, *results, delays=delays)
+                )
+                status, expected_end, expected_tried = expected
+                self.assertEqual((status, expected_end), (answer.status, ended_at))
+                if isinstance(expected_tried, int):
+                    self.assertEqual(expected_tried, len(tried))
+                else:
+                    self.assertEqual(expected_tried, tried)
+
     def test_late_call_is_hedged_at_another_server(self):
         """Guards against an idempotent call that waits for one slow server."""
         delays = [0.02] * 32 + [0.01] * 8 + [1.5, 0.01]
