Add a failing test of answers whose agents all fall silent

Callers see version_unavailable, run state run, 1.6 s after the only agent has fallen silent on all connections, 3.4 s with two agents and 5.2 s with four (virtual time), though the agents go on.

--- a/monsoontack/entry/generations_test.py
+++ b/monsoontack/entry/generations_test.py
@@ -378,6 +378,42 @@
                 ended.append((count, pause_s, error and error.code))
         self.assertEqual([], ended)
 
+    def test_answer_outlasts_a_silence_of_all_agents(self):
+        """Guards against an answer that ends while its agent and all others are silent
+        on every connection, and go on."""
+
+        async def scenario(count, silent_s):
+            loop = asyncio.get_running_loop()
+            caller = Caller(random.Random(5), [])
+            agents = list(caller.agents.values())
+            for agent in agents[count:]:
+                agent.refuses = True
+                agent.break_links()
+
+            def fall_silent():
+                for agent in agents[:count]:
+                    agent.muted |= agent.connections
+                    agent.vanished = True
+
+            def go_on():
+                for agent in agents:
+                    agent.vanished = False
+
+            loop.call_later(1.0, fall_silent)
+            loop.call_later(1.0 + silent_s, go_on)
+            try:
+                return caller, await caller.run()
+            finally:
+                caller.close()
+
+        ended = []
+        for count, silent_s in ((1, 1.3), (1, 3.0), (1, 20.0), (2, 3.0), (4, 8.0)):
+            caller, error = run_in_virtual_time(scenario(count, silent_s))
+            late = caller.longest_gap > silent_s + MAX_GAP_S
+            if error is not None or caller.received != ANSWER or late:
+                ended.append((count, silent_s, error and error.code))
+        self.assertEqual([], ended)
+
     def test_answer_returns_to_a_silent_engine_if_the_next_one_fails(self):
         """Guards against an answer that ends because the engine that it got after a
         silence of its first one fails."""
