Wait for silent agents of a generation unless another engine is better

Cause: an attach that was not answered within 0.5 s always excluded the agent for 10 s, and the answer ended if no other one was left. It is the same decision as that about a silent engine, so it now follows `why_stay` too: without a better engine the stream waits, links to the agent are opened again, and it is attached by one more attempt when the agent is heard. A refused connection, an agent that is no longer listed, or a reconnect that the agent has not answered yet lead on as before; the wait is limited to 60 s.

--- a/monsoontack/entry/enginechoice.py
+++ b/monsoontack/entry/enginechoice.py
@@ -7,7 +7,9 @@
 from monsoontack.entry.links import LinkPool
 from monsoontack.entry.protocols import Picker
 from monsoontack.entry.session import GenerationSession
-from monsoontack.generation.silence import SilentEngines
+from monsoontack.generation.failover import end_cause
+from monsoontack.generation.resume import failover_input
+from monsoontack.generation.silence import SilentEngines, why_stay
 
 
 @dataclass(slots=True)
@@ -48,6 +50,20 @@
             server = self.pick(session, pool, excluded - left_silent, now)
         return server.address if server else ""
 
+    def find_backup(
+        self, session: GenerationSession, pool: LinkPool, now: float
+    ) -> tuple[str | None, str]:
+        """Return what keeps a session at its silent engine, None if it may leave.
+
+        The second result is the address of a better engine, empty if there is none.
+        """
+        loss = failover_input(session.state)
+        backup = None
+        if end_cause(loss) is None:
+            backup = self.pick_backup(session, pool, now)
+        cause = why_stay(loss, has_budget=True, has_better_engine=backup is not None)
+        return cause, backup.address if backup else ""
+
     def pick_backup(
         self, session: GenerationSession, pool: LinkPool, now: float
     ) -> BackendServer | None:
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -13,14 +13,13 @@
 
 from monsoontack.core.counters import Counters
 from monsoontack.core.errors import RequestError
-from monsoontack.core.records import RequestOutcome
 from monsoontack.entry.enginechoice import EngineChoice
 from monsoontack.entry.links import Link, LinkPool, backend_server
 from monsoontack.entry.protocols import OutcomeSink, Picker
 from monsoontack.entry.session import GenerationSession
 from monsoontack.generation.eventid import EventId
-from monsoontack.generation.failover import end_cause
 from monsoontack.generation.resume import (
+    AgentSilent,
     Answered,
     AttachStream,
     AttemptEnded,
@@ -37,10 +36,8 @@
     Stalled,
     StartAttempt,
     Tick,
-    failover_input,
     plan_recovery,
 )
-from monsoontack.generation.silence import why_stay
 from monsoontack.proto import link_pb2
 
 log = structlog.get_logger("entry.session")
@@ -172,7 +169,8 @@
             self._pass_results(link, frame)
             return
         if link.is_first_frame:
-            self._apply_to_sessions(link, Answered())
+            for session in self._sessions_on(link):
+                self.apply(session, Answered())
             if link.info is not None:
                 self.on_link_up(backend_server(link), now)
         if frame.cache_events:
@@ -207,60 +205,75 @@
     def on_link_lost(self, link: Link, was_up: bool) -> None:
         """Recover the sessions of a link that ended or is silent."""
         if not (link.is_replaced and link.is_closed):
-            self._apply_to_sessions(link, LinkLost() if was_up else LinkRefused())
+            event = LinkLost() if was_up else LinkRefused()
+            for session in self._sessions_on(link):
+                if link.is_silent and not was_up:
+                    self._handle_silent_agent(session, event)
+                else:
+                    self.apply(session, event)
         self.on_calls_lost(link)
 
-    def _apply_to_sessions(self, link: Link, event: Event) -> None:
-        for session in list(self.sessions.values()):
-            if session.state.address == link.address:
-                self.apply(session, event)
+    def _sessions_on(self, link: Link) -> list[GenerationSession]:
+        return [s for s in self.sessions.values() if s.state.address == link.address]
 
     def tick(self, now: float) -> None:
         """Detect stalled engines and overdue answers; cancel abandoned attempts."""
         for session in list(self.sessions.values()):
             state = session.state
-            if state.phase is Phase.ATTACHING:
-                self.apply(session, Tick())
+            overdue = state.phase is Phase.ATTACHING and now > state.attach_deadline
+            if overdue or state.phase is Phase.WAITING:
+                self._handle_silent_agent(session, Tick())
             elif state.phase is Phase.RUNNING and not session.is_ended:
                 link = self.pool.links.get(state.address)
                 if link and state.progress.is_stalled(link.progress, now):
-                    self._handle_stall(session, now)
+                    self._leaves_silent(session, now)
         for generation, (cancel_at, address, attempt) in list(self.abandoned.items()):
             if now > cancel_at:
                 del self.abandoned[generation]
                 self._cancel(generation, address, attempt)
 
-    def _handle_stall(self, session: GenerationSession, now: float) -> None:
-        """Leave a silent engine if another one is better, else stay at it."""
+    def _leaves_silent(self, session: GenerationSession, now: float) -> bool:
+        """Leave a silent engine if another one is better; return False to stay."""
         if now < session.next_stay_check_at:
-            return
-        state = session.state
+            return False
+        address = session.state.address
         if session.silent_since is None:
             session.silent_since = now
-        self.engine_choice.silent_engines.note(state.address, now)
-        loss = failover_input(state)
-        backup = None
-        if end_cause(loss) is None:
-            backup = self.engine_choice.pick_backup(session, self.pool, now)
-        cause = why_stay(loss, has_budget=True, has_better_engine=backup is not None)
+        self.engine_choice.silent_engines.note(address, now)
+        cause, backup = self.engine_choice.find_backup(session, self.pool, now)
         if cause is None or now - session.silent_since > MAX_STAY_S:
-            self.apply(session, Stalled(backup.address if backup else ""))
+            self.apply(session, Stalled(backup))
             session.end_stay()
-            return
+            return True
         session.next_stay_check_at = now + STAY_CHECK_INTERVAL_S
-        if cause == session.stay_cause:
-            return
-        if not session.stay_cause:
-            self.counters.add("stays")
-            self.picker.record(state.address, True, now)
-        session.stay_cause = cause
-        log.info(
-            "generation stays at its silent engine",
-            generation=session.generation,
-            address=state.address,
-            waits_for=cause,
-            position=session.attempt_log.end_position,
-        )
+        if cause != session.stay_cause:
+            if not session.stay_cause:
+                self.counters.add("stays")
+                self.picker.record(address, True, now)
+            session.stay_cause = cause
+            log.info(
+                "generation stays at its silent engine",
+                generation=session.generation,
+                address=address,
+                waits_for=cause,
+            )
+        return False
+
+    def _handle_silent_agent(self, session: GenerationSession, event: Event) -> None:
+        """Leave an agent that does not answer, or wait until it is heard.
+
+        A stream leaves if the agent is no longer listed, or has not answered this entry
+        since its caller reconnected.
+        """
+        if not self.is_known(session.state.address):
+            self.apply(session, LinkRefused())
+        elif session.resumed_address and session.first_token_at is None:
+            self.apply(session, event)
+        elif not self._leaves_silent(session, self.now()):
+            if isinstance(event, LinkRefused):
+                self.apply(session, AgentSilent())
+            # Links outside the entry's subset are not opened again by the pool.
+            self.pool.get_or_open(session.state.address)
 
     # Execution of planned actions.
 
@@ -375,26 +388,13 @@
 
     def report_outcome(self, session: GenerationSession) -> None:
         """Record the outcome of a finished session as evidence about its version."""
-        produced = session.attempt_log.end_position - session.first_position
-        first = session.first_token_at
-        # The first token of a resumed answer was sent by another entry.
-        resumed = bool(session.resumed_address)
-        token_gap_s = None
-        if first is not None and produced > 1:
-            token_gap_s = (session.last_token_at - first) / (produced - 1)
-        failed = session.error is not None and session.error.code != "superseded"
-        outcome = RequestOutcome(
-            session.request.route.service,
-            session.attempt_log.version,
-            session.request.kind,
-            failed,
-            None if first is None or resumed else first - session.started_at,
-            token_gap_s,
-        )
+        outcome = session.outcome()
         self.outcomes.record(outcome)
         address = session.state.address
-        if not failed and address:
+        if outcome.failed:
+            return
+        if address:
             self.picker.record(address, False, self.now())
-        is_first_attempt = not resumed and len(session.state.attempts_by_cause) == 1
-        if not failed and first is not None and is_first_attempt:
-            self.record_success(address, first - session.started_at, self.now())
+        is_first_attempt = len(session.state.attempts_by_cause) == 1
+        if outcome.first_token_s is not None and is_first_attempt:
+            self.record_success(address, outcome.first_token_s, self.now())
--- a/monsoontack/entry/links.py
+++ b/monsoontack/entry/links.py
@@ -76,8 +76,8 @@
     """One connection to one agent; it is never reopened.
 
     A link is up from its first frame until the connection ends. `calls_awaited` counts
-    the calls that await their result on it. `is_replaced` is true once it was silent
-    and another link is used for new work.
+    the calls that await their result on it. `is_silent` is true once it was found
+    silent, and `is_replaced` if it then stays open for call results only.
     """
 
     def __init__(self, address: str, identity: LinkIdentity, listener: LinkListener):
@@ -88,6 +88,7 @@
         self.is_closed = False
         self.is_leaving = False
         self.is_replaced = False
+        self.is_silent = False
         self.calls_awaited = 0
         self.config_revision = 0
         self.info: link_pb2.AgentInfo | None = None
@@ -267,6 +268,7 @@
     def _replace_silent(self, link: Link) -> None:
         """Remove a silent link; it stays open while it awaits call results."""
         was_up = link.is_up
+        link.is_silent = True
         if was_up and link.calls_awaited:
             link.is_replaced = True
             self.replaced.append(link)
--- a/monsoontack/entry/session.py
+++ b/monsoontack/entry/session.py
@@ -5,7 +5,7 @@
 
 from monsoontack.admission.admit import Ticket
 from monsoontack.core.errors import RequestError
-from monsoontack.core.records import RouteRequest, TokenChunk
+from monsoontack.core.records import RequestOutcome, RouteRequest, TokenChunk
 from monsoontack.generation.attempts import AttemptLog
 from monsoontack.generation.eventid import EventId
 from monsoontack.generation.progress import ProgressMonitor
@@ -118,6 +118,24 @@
         """Note that the engine has gone on, or that the session leaves it."""
         self.stay_cause, self.next_stay_check_at = "", 0.0
 
+    def outcome(self) -> RequestOutcome:
+        """Return the outcome of the ended session."""
+        produced = self.attempt_log.end_position - self.first_position
+        first = self.first_token_at
+        # The first token of a resumed answer was sent by another entry.
+        resumed = bool(self.resumed_address)
+        token_gap_s = None
+        if first is not None and produced > 1:
+            token_gap_s = (self.last_token_at - first) / (produced - 1)
+        return RequestOutcome(
+            self.request.route.service,
+            self.attempt_log.version,
+            self.request.kind,
+            self.error is not None and self.error.code != "superseded",
+            None if first is None or resumed else first - self.started_at,
+            token_gap_s,
+        )
+
     @property
     def is_ended(self) -> bool:
         """Whether the generation has finished or failed."""
--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -35,6 +35,8 @@
     IDLE = "idle"
     ATTACHING = "attaching"
     RUNNING = "running"
+    # The agent is silent; the stream is attached to it once it is heard.
+    WAITING = "waiting"
     ENDED = "ended"
 
 
@@ -89,9 +91,14 @@
     """A new connection to the agent could not be established."""
 
 
+@dataclass(frozen=True, slots=True)
+class AgentSilent:
+    """A new connection to the agent is silent too, and no engine is better."""
+
+
 @dataclass(frozen=True, slots=True)
 class Stalled:
-    """The stream leaves an engine that is silent while its agent still answers.
+    """The stream leaves an engine that is silent, or whose agent is.
 
     `backup` is the address of the engine that the stream gets, empty if none has been
     picked yet.
@@ -114,6 +121,7 @@
     | AttemptEnded
     | LinkLost
     | LinkRefused
+    | AgentSilent
     | Stalled
     | Tick
 )
@@ -233,11 +241,18 @@
 def _on_answered(state: GenerationState, event: Answered, now: float) -> list[Action]:
     if state.phase is Phase.ATTACHING:
         _enter_running(state, now)
+    elif state.phase is Phase.WAITING:
+        return [_attach_next(state, 1)]
+    return []
+
+
+def _on_agent_silent(state: GenerationState, event: AgentSilent, now: float):
+    state.phase = Phase.WAITING
     return []
 
 
 def _on_link_lost(state: GenerationState, event: LinkLost, now: float) -> list[Action]:
-    if state.phase is Phase.ATTACHING:
+    if state.phase in (Phase.ATTACHING, Phase.WAITING):
         return []
     return _attach(state, 1, "link_lost")
 
@@ -309,6 +324,10 @@
     _count_attempt(state, cause)
     if state.fruitless_attempts > MAX_FRUITLESS_ATTEMPTS:
         return _end(state, "recovery_failed", _fruitless_message(state), 503)
+    return [_attach_next(state, step)]
+
+
+def _attach_next(state: GenerationState, step: int) -> AttachStream:
     state.attempt_log.begin_attempt(state.attempt_log.attempt + step)
     state.phase = Phase.ATTACHING
     # If this entry lacks the beginning of the answer, it requests the whole
@@ -316,7 +335,7 @@
     # at the beginning of the agent's log.
     log = state.attempt_log
     position = log.end_position if log.has_whole_prefix else 0
-    return [AttachStream(state.address, log.attempt, position)]
+    return AttachStream(state.address, log.attempt, position)
 
 
 def _fail_over(state: GenerationState, now: float, cause: str) -> list[Action]:
@@ -361,6 +380,7 @@
     AttemptEnded: _on_ended,
     LinkLost: _on_link_lost,
     LinkRefused: _on_link_refused,
+    AgentSilent: _on_agent_silent,
     Stalled: _on_stalled,
     Tick: _on_tick,
 }
--- a/monsoontack/generation/resume_test.py
+++ b/monsoontack/generation/resume_test.py
@@ -13,6 +13,8 @@
 from monsoontack.generation.resume import (
     ATTACH_TIMEOUT_S,
     MAX_FRUITLESS_ATTEMPTS,
+    AgentSilent,
+    Answered,
     AttachStream,
     AttemptEnded,
     Begin,
@@ -20,7 +22,9 @@
     FailStream,
     GenerationState,
     LinkLost,
+    LinkRefused,
     NoServer,
+    Phase,
     Reconnect,
     Sent,
     Stalled,
@@ -103,6 +107,32 @@
         (start,) = plan_recovery(state, Tick(), soon + 0.01)
         self.assertEqual(StartAttempt(3, frozenset({"a"})), start)
 
+    def test_stream_waits_for_a_silent_agent_and_attaches_once_it_is_heard(self):
+        """Guards against a stream that ends, or uses up its attempts, while its agent
+        is silent and no engine is better."""
+        state = begun()
+        plan_recovery(state, LinkLost(), 5.0)
+        plan_recovery(state, Sent("a", link_is_new=True), 5.0)
+        for second in range(6, 30):
+            self.assertEqual([], plan_recovery(state, AgentSilent(), float(second)))
+            self.assertEqual([], plan_recovery(state, Tick(), second + 0.5))
+        fruitless = state.fruitless_attempts
+        self.assertEqual(
+            [AttachStream("a", 3, 0)], plan_recovery(state, Answered(), 30.0)
+        )
+        plan_recovery(state, Sent("a"), 30.0)
+        self.assertIs(Phase.RUNNING, state.phase)
+        self.assertEqual(fruitless, state.fruitless_attempts)
+
+    def test_refused_connection_ends_the_wait_for_a_silent_agent(self):
+        """Guards against a stream that waits for an agent that has ended."""
+        state = begun()
+        plan_recovery(state, LinkLost(), 5.0)
+        plan_recovery(state, Sent("a", link_is_new=True), 5.0)
+        plan_recovery(state, AgentSilent(), 6.0)
+        (start,) = plan_recovery(state, LinkRefused(), 7.0)
+        self.assertEqual(StartAttempt(3, frozenset({"a"})), start)
+
     def test_end_of_an_old_attempt_is_ignored(self):
         """Guards against a late failure that restarts a healthy attempt."""
         state = begun()
