--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -8,18 +8,19 @@
 import asyncio
 import random
 from collections import Counter
-from dataclasses import replace
 
 import structlog
 
 from monsoontack.core.counters import Counters
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.core.records import RequestOutcome
+from monsoontack.entry.enginechoice import EngineChoice
 from monsoontack.entry.links import Link, LinkPool, backend_server
 from monsoontack.entry.protocols import OutcomeSink, Picker
 from monsoontack.entry.session import GenerationSession
 from monsoontack.generation.eventid import EventId
 from monsoontack.generation.resume import (
+    AgentSilent,
     Answered,
     AttachStream,
     AttemptEnded,
@@ -45,6 +46,12 @@
 # Time for a disconnected caller to reconnect, possibly through another entry, whose
 # attempt then supersedes this one. After it, the attempt is cancelled at the agent.
 RECONNECT_GRACE_S = 10.0
+# A stream that stays at a silent engine looks for a better one at this interval, which
+# is that of the agents' heartbeats on busy links.
+STAY_CHECK_INTERVAL_S = 0.5
+# Generations have no deadline, so this limits how long a hung engine holds an answer.
+# Agents keep ended streams for as long.
+MAX_STAY_S = 60.0
 
 
 class GenerationManager:
@@ -65,6 +72,7 @@
         self.sessions: dict[str, GenerationSession] = {}
         self.session_counts: Counter[str] = Counter()
         self.abandoned: dict[str, tuple[float, str, int]] = {}
+        self.engine_choice = EngineChoice(picker, rng)
         self.is_known = lambda address: True
         self.on_call_result = lambda result, link: None
         self.on_calls_lost = lambda link: None
@@ -159,8 +167,13 @@
     def on_frame(self, link: Link, frame: link_pb2.Frame) -> None:
         """Apply a frame: its chunks and stream ends, cache events and results."""
         now = self.now()
+        if link.is_replaced:
+            # Its streams have been attached over another link.
+            self._pass_results(link, frame)
+            return
         if link.is_first_frame:
-            self._apply_to_sessions(link, Answered())
+            for session in self._sessions_on(link):
+                self.apply(session, Answered())
             if link.info is not None:
                 self.on_link_up(backend_server(link), now)
         if frame.cache_events:
@@ -176,6 +189,9 @@
             if session is not None:
                 ended = AttemptEnded(end.attempt, end.code, end.started, end.message)
                 self.apply(session, ended)
+        self._pass_results(link, frame)
+
+    def _pass_results(self, link: Link, frame: link_pb2.Frame) -> None:
         for result in frame.results:
             self.on_call_result(result, link)
         for result in frame.order_results:
@@ -190,30 +206,78 @@
             self.counters.add("chunks.dropped")
 
     def on_link_lost(self, link: Link, was_up: bool) -> None:
-        """Recover the sessions of a link that ended."""
-        self._apply_to_sessions(link, LinkLost() if was_up else LinkRefused())
+        """Recover the sessions of a link that ended or is silent."""
+        if not (link.is_replaced and link.is_closed):
+            event = LinkLost() if was_up else LinkRefused()
+            for session in self._sessions_on(link):
+                if link.is_silent and not was_up:
+                    self._handle_silent_agent(session, event)
+                else:
+                    self.apply(session, event)
         self.on_calls_lost(link)
 
-    def _apply_to_sessions(self, link: Link, event: Event) -> None:
-        for session in list(self.sessions.values()):
-            if session.state.address == link.address:
-                self.apply(session, event)
+    def _sessions_on(self, link: Link) -> list[GenerationSession]:
+        return [s for s in self.sessions.values() if s.state.address == link.address]
 
     def tick(self, now: float) -> None:
         """Detect stalled engines and overdue answers; cancel abandoned attempts."""
         for session in list(self.sessions.values()):
             state = session.state
-            if state.phase is Phase.ATTACHING:
-                self.apply(session, Tick())
+            overdue = state.phase is Phase.ATTACHING and now > state.attach_deadline
+            if overdue or state.phase is Phase.WAITING:
+                self._handle_silent_agent(session, Tick())
             elif state.phase is Phase.RUNNING and not session.is_ended:
                 link = self.pool.links.get(state.address)
                 if link and state.progress.is_stalled(link.progress, now):
-                    self.apply(session, Stalled())
+                    self._leaves_silent(session, now)
         for generation, (cancel_at, address, attempt) in list(self.abandoned.items()):
             if now > cancel_at:
                 del self.abandoned[generation]
                 self._cancel(generation, address, attempt)
 
+    def _leaves_silent(self, session: GenerationSession, now: float) -> bool:
+        """Leave a silent engine if another one is better; return False to stay."""
+        if now < session.next_stay_check_at:
+            return False
+        address = session.state.address
+        if session.silent_since is None:
+            session.silent_since = now
+        self.engine_choice.silent_engines.note(address, now)
+        cause, backup = self.engine_choice.find_backup(session, self.pool, now)
+        if cause is None or now - session.silent_since > MAX_STAY_S:
+            self.apply(session, Stalled(backup))
+            session.end_stay()
+            return True
+        session.next_stay_check_at = now + STAY_CHECK_INTERVAL_S
+        if cause != session.stay_cause:
+            if not session.stay_cause:
+                self.counters.add("stays")
+                self.picker.record(address, True, now)
+            session.stay_cause = cause
+            log.info(
+                "generation stays at its silent engine",
+                generation=session.generation,
+                address=address,
+                waits_for=cause,
+            )
+        return False
+
+    def _handle_silent_agent(self, session: GenerationSession, event: Event) -> None:
+        """Leave an agent that does not answer, or wait until it is heard.
+
+        A stream leaves if the agent is no longer listed, or has not answered this entry
+        since its caller reconnected.
+        """
+        if not self.is_known(session.state.address):
+            self.apply(session, LinkRefused())
+        elif session.resumed_address and session.first_token_at is None:
+            self.apply(session, event)
+        elif not self._leaves_silent(session, self.now()):
+            if isinstance(event, LinkRefused):
+                self.apply(session, AgentSilent())
+            # Links outside the entry's subset are not opened again by the pool.
+            self.pool.get_or_open(session.state.address)
+
     # Execution of planned actions.
 
     def apply(self, session: GenerationSession, event: Event) -> None:
@@ -238,7 +302,8 @@
         match action:
             case StartAttempt(attempt, excluded):
                 self._record_recovery(session, action, cause)
-                return self._start(session, attempt, excluded)
+                backup = cause.backup if isinstance(cause, Stalled) else ""
+                return self._start(session, attempt, excluded, backup)
             case AttachStream(address, attempt, position):
                 self._record_recovery(session, action, cause)
                 return self._attach(session, address, attempt, position)
@@ -269,33 +334,37 @@
         is_fault = isinstance(cause, Stalled | LinkRefused) or (
             isinstance(cause, AttemptEnded) and cause.code == "backend_failed"
         )
-        if is_fault and session.state.address:
+        if is_fault and session.state.address and not session.stay_cause:
             self.picker.record(session.state.address, True, self.now())
 
     def _start(
-        self, session: GenerationSession, attempt: int, excluded: frozenset
+        self,
+        session: GenerationSession,
+        attempt: int,
+        excluded: frozenset[str],
+        backup: str,
     ) -> Event:
         request = session.request
-        route = replace(request.route, excluded=request.route.excluded | excluded)
-        servers = self.pool.servers(route.service)
-        server = self.picker.pick(route, servers, self.now(), self.rng)
-        if server is None:
+        address = backup or self.engine_choice.pick_address(
+            session, self.pool, excluded, self.now()
+        )
+        if not address:
             return NoServer()
-        link = self.pool.get_or_open(server.address)
+        link = self.pool.get_or_open(address)
         link.note_sent(self.now())
         start = link_pb2.Start(
             generation=session.generation,
             attempt=attempt,
-            service=route.service,
+            service=request.route.service,
             version=session.attempt_log.version,
             request=request.body,
             prefix=session.attempt_log.tokens,
             max_tokens=request.max_tokens,
-            priority=route.priority,
-            account=route.account,
+            priority=request.route.priority,
+            account=request.route.account,
         )
         link.send(link_pb2.EntryMessage(revision=request.revision, start=start))
-        return Sent(server.address, link_is_new=not link.is_up)
+        return Sent(address, link_is_new=not link.is_up)
 
     def _attach(self, session, address: str, attempt: int, position: int) -> Event:
         # The address comes from a caller's event id, which may be forged.
@@ -322,26 +391,13 @@
 
     def report_outcome(self, session: GenerationSession) -> None:
         """Record the outcome of a finished session as evidence about its version."""
-        produced = session.attempt_log.end_position - session.first_position
-        first = session.first_token_at
-        # The first token of a resumed answer was sent by another entry.
-        resumed = bool(session.resumed_address)
-        token_gap_s = None
-        if first is not None and produced > 1:
-            token_gap_s = (session.last_token_at - first) / (produced - 1)
-        failed = session.error is not None and session.error.code != "superseded"
-        outcome = RequestOutcome(
-            session.request.route.service,
-            session.attempt_log.version,
-            session.request.kind,
-            failed,
-            None if first is None or resumed else first - session.started_at,
-            token_gap_s,
-        )
+        outcome = session.outcome()
         self.outcomes.record(outcome)
         address = session.state.address
-        if not failed and address:
+        if outcome.failed:
+            return
+        if address:
             self.picker.record(address, False, self.now())
-        is_first_attempt = not resumed and len(session.state.attempts_by_cause) == 1
-        if not failed and first is not None and is_first_attempt:
-            self.record_success(address, first - session.started_at, self.now())
+        is_first_attempt = len(session.state.attempts_by_cause) == 1
+        if outcome.first_token_s is not None and is_first_attempt:
+            self.record_success(address, outcome.first_token_s, self.now())
--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -5,11 +5,13 @@
 it and go to `AttemptLog` directly.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.generation.attempts import AttemptLog
+from monsoontack.generation.failover import FailoverInput
 from monsoontack.generation.progress import ProgressMonitor
 
 # Maximum wait for an agent to answer on a new connection.
@@ -33,6 +35,8 @@
     IDLE = "idle"
     ATTACHING = "attaching"
     RUNNING = "running"
+    # The agent is silent; the stream is attached to it once it is heard.
+    WAITING = "waiting"
     ENDED = "ended"
 
 
@@ -87,9 +91,20 @@
     """A new connection to the agent could not be established."""
 
 
+@dataclass(frozen=True, slots=True)
+class AgentSilent:
+    """A new connection to the agent is silent too, and no engine is better."""
+
+
 @dataclass(frozen=True, slots=True)
 class Stalled:
-    """The engine has stopped producing the stream, but its agent still answers."""
+    """The stream leaves an engine that is silent, or whose agent is.
+
+    `backup` is the address of the engine that the stream gets, empty if none has been
+    picked yet.
+    """
+
+    backup: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +121,7 @@
     | AttemptEnded
     | LinkLost
     | LinkRefused
+    | AgentSilent
     | Stalled
     | Tick
 )
@@ -155,7 +171,9 @@
     an unanswered attach fails. `attempt_may_have_run` is true if the current
     attempt was sent and its agent has not reported that the engine did not start
     it; `earlier_attempt_may_have_run` is true if this held for an earlier
-    attempt. `attempts_by_cause` counts attempts by cause, including the first one.
+    attempt. `left_silent` holds the addresses of engines that the stream has left
+    because they were silent. `attempts_by_cause` counts attempts by cause,
+    including the first one.
     """
 
     attempt_log: AttemptLog
@@ -169,6 +187,7 @@
     fruitless_attempts: int = 0
     last_end_position: int = 0
     attempts_by_cause: dict[str, int] = field(default_factory=dict)
+    left_silent: set[str] = field(default_factory=set)
 
     @property
     def run_state(self) -> RunState:
@@ -179,6 +198,19 @@
         return RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
 
 
+def failover_input(state: GenerationState) -> FailoverInput:
+    """Return the input of the decision whether the stream leaves its engine."""
+    has_progress = state.attempt_log.end_position > state.last_end_position
+    fruitless = 0 if has_progress else state.fruitless_attempts
+    return FailoverInput(
+        has_kv_copy=False,
+        resumable=state.attempt_log.has_whole_prefix,
+        known_not_run=False,
+        attempts_left=MAX_FRUITLESS_ATTEMPTS - fruitless,
+        left_s=math.inf,
+    )
+
+
 def plan_recovery(state: GenerationState, event: Event, now: float) -> list[Action]:
     """Advance `state` by one event and return the actions to execute, in order."""
     if state.phase is Phase.ENDED:
@@ -209,11 +241,18 @@
 def _on_answered(state: GenerationState, event: Answered, now: float) -> list[Action]:
     if state.phase is Phase.ATTACHING:
         _enter_running(state, now)
+    elif state.phase is Phase.WAITING:
+        return [_attach_next(state, 1)]
+    return []
+
+
+def _on_agent_silent(state: GenerationState, event: AgentSilent, now: float):
+    state.phase = Phase.WAITING
     return []
 
 
 def _on_link_lost(state: GenerationState, event: LinkLost, now: float) -> list[Action]:
-    if state.phase is Phase.ATTACHING:
+    if state.phase in (Phase.ATTACHING, Phase.WAITING):
         return []
     return _attach(state, 1, "link_lost")
 
@@ -224,7 +263,10 @@
 
 def _on_stalled(state: GenerationState, event: Stalled, now: float) -> list[Action]:
     cancel = CancelAttempt(state.address, state.attempt_log.attempt)
-    return [cancel, *_fail_over(state, now, "stalled")]
+    actions = _fail_over(state, now, "stalled")
+    if event.backup:
+        state.left_silent.add(state.address)
+    return [cancel, *actions]
 
 
 def _on_tick(state: GenerationState, event: Tick, now: float) -> list[Action]:
@@ -282,6 +324,10 @@
     _count_attempt(state, cause)
     if state.fruitless_attempts > MAX_FRUITLESS_ATTEMPTS:
         return _end(state, "recovery_failed", _fruitless_message(state), 503)
+    return [_attach_next(state, step)]
+
+
+def _attach_next(state: GenerationState, step: int) -> AttachStream:
     state.attempt_log.begin_attempt(state.attempt_log.attempt + step)
     state.phase = Phase.ATTACHING
     # If this entry lacks the beginning of the answer, it requests the whole
@@ -289,12 +335,13 @@
     # at the beginning of the agent's log.
     log = state.attempt_log
     position = log.end_position if log.has_whole_prefix else 0
-    return [AttachStream(state.address, log.attempt, position)]
+    return AttachStream(state.address, log.attempt, position)
 
 
 def _fail_over(state: GenerationState, now: float, cause: str) -> list[Action]:
     if state.address:
         state.excluded[state.address] = now + SERVER_EXCLUSION_S
+        state.left_silent.discard(state.address)
     return _start_attempt(state, now, cause)
 
 
@@ -333,6 +380,7 @@
     AttemptEnded: _on_ended,
     LinkLost: _on_link_lost,
     LinkRefused: _on_link_refused,
+    AgentSilent: _on_agent_silent,
     Stalled: _on_stalled,
     Tick: _on_tick,
 }
