Wait for a server that reads a long request late

What callers saw: 502 after 3.3 s of 5 for a request of 900,000 bytes whose server read nothing of it for 4 s and would have gone on (one server, one gateway process, calls that may and may not repeat; the call that may not repeat had begun to run).

Cause: once the server's receive buffer is full, the kernel counts the closed window against TCP_USER_TIMEOUT, 3 s, although the server acknowledges each probe. To it, a server that reads nothing is the same as a dead one.

Now a request that may not fit into that buffer waits until its deadline; shorter ones detect a dead server as before.

--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,14 +15,9 @@
 
 import httptools
 
+from monsoontack.gateway.deadpeer import DeadPeerDetection
 from monsoontack.gateway.records import Headers
 
-# A dead peer answers no keepalive probe, so its connection fails after about 3 s.
-TCP_KEEPALIVE_IDLE_S = 1
-TCP_KEEPALIVE_INTERVAL_S = 1
-TCP_KEEPALIVE_PROBES = 2
-# The connection fails if sent bytes are not acknowledged within this time.
-TCP_USER_TIMEOUT_MS = 3000
 # Buffered body bytes of one response above which reading from the server pauses until
 # a slow caller has caught up.
 READ_BUFFER_HIGH_BYTES = 65_536
@@ -82,6 +76,7 @@
     `parts`. `ends_with_connection` marks a response without length or chunks. `wait`
     returns at the next change of state or after its timeout. `on_head`
     is called once when the head arrives, even if nobody waits for the response.
+    `left_s` is the time from the send to the deadline, if there is one.
     """
 
     def __init__(self, request_id: str | None) -> None:
@@ -98,6 +93,7 @@
         self.waiter: asyncio.Future | None = None
         self.on_head: Callable[[HttpExchange], None] | None = None
         self.received_bytes = 0
+        self.left_s: float | None = None
 
     @property
     def is_finished(self) -> bool:
@@ -166,6 +162,7 @@
         self.foreign_responses = 0
         self.is_reading_paused = False
         self.expires_at = 0.0
+        self.dead_peers: DeadPeerDetection | None = None
         self.is_head_request = False
         self.is_reading_head = True
         self.framing_bytes = 0
@@ -181,10 +178,12 @@
         self.transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            set_dead_peer_detection(sock)
+            self.dead_peers = DeadPeerDetection(sock)
 
     def start(self, exchange: HttpExchange, data: bytes, is_head: bool = False) -> None:
         """Send a request; no other exchange may be active on the connection."""
+        if self.dead_peers is not None:
+            self.dead_peers.prepare(len(data), exchange.left_s)
         self.exchange = exchange
         self.is_head_request = is_head
         self.framing_bytes = self.skipped_responses = self.skipped_bytes = 0
@@ -387,13 +386,3 @@
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.fail(kind, True, detail)
-
-
-def set_dead_peer_detection(sock: socket.socket) -> None:
-    """Make the kernel fail connections whose peer is down or unreachable."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
--- a/monsoontack/gateway/outbound_test.py
+++ b/monsoontack/gateway/outbound_test.py
@@ -1,7 +1,9 @@
 """Tests of connections to backend servers and their pool, without a network."""
 
 import asyncio
+import socket
 import unittest
+from unittest import mock
 
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.outbound import (
@@ -50,6 +52,47 @@
     return run_in_virtual_time(scenario())
 
 
+class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
+    """Servers that do not read a request for some time."""
+
+    async def send(self, request, left_s):
+        """Send to a server that reads nothing for 1.5 s; return the exchange."""
+
+        async def serve(reader, writer):
+            await asyncio.sleep(1.5)
+            await reader.readexactly(len(request))
+            writer.write(encode_head("r1") + b"ok")
+            await writer.drain()
+            writer.close()
+
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        listening.bind(("127.0.0.1", 0))
+        server = await asyncio.start_server(serve, sock=listening)
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: OutboundConnection(response_request_id, lambda c: None),
+            *listening.getsockname(),
+        )
+        exchange = HttpExchange("r1")
+        exchange.left_s = left_s
+        connection.start(exchange, request)
+        until = loop.time() + 4.0
+        while not exchange.is_finished and loop.time() < until:
+            await exchange.wait(until - loop.time())
+        connection.abort()
+        server.close()
+        return exchange
+
+    async def test_server_that_reads_a_long_request_late_is_waited_for(self):
+        """Guards against a request that is broken off before its deadline because the
+        server reads nothing of it for longer than a dead peer is waited for."""
+        with mock.patch("monsoontack.gateway.deadpeer.TCP_USER_TIMEOUT_MS", 300):
+            exchange = await self.send(b"x" * 1_000_000, left_s=4.0)
+        self.assertIsNone(exchange.failure)
+        self.assertEqual(b"ok", exchange.take_body())
+
+
 class ResponseTest(unittest.TestCase):
     def test_complete_response_frees_the_connection(self):
         """Guards against a new connection for each request."""
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -85,6 +85,7 @@
         exchange.on_head = partial(self._record_limit, member, self.now())
         head = self.wire.encode_request_head(request, attempt)
         is_head = request.raw.method == b"HEAD"
+        exchange.left_s = attempt.left_s
         connection.start(exchange, head + request.raw.body, is_head)
         self.on_sent(member.server.service)
         if self.gate.limits.rate(member.limit_key) is not None:
