--- a/monsoontack/entry/generations_test.py
+++ b/monsoontack/entry/generations_test.py
@@ -201,13 +201,13 @@
 class Caller:
     """A caller that receives one answer despite faults and reconnects."""
 
-    def __init__(self, rng, faults, sends_tokens=True, entries=2):
+    def __init__(self, rng, faults, sends_tokens=True, entries=2, agents=4):
         self.rng = rng
         self.faults = sorted(faults)
         self.sends_tokens = sends_tokens
         self.agents = {
             address: FakeAgent(address)
-            for address in ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1")
+            for address in (f"10.0.0.{number + 1}:1" for number in range(agents))
         }
         self.entries = [FakeEntry(f"e{i}", self.agents, rng) for i in range(entries)]
         self.received = []
