--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -36,9 +36,13 @@
     Stalled,
     StartAttempt,
     Tick,
+    excluded_addresses,
+    has_waited_too_long,
+    may_start_again,
     plan_recovery,
 )
 from monsoontack.proto import link_pb2
+from monsoontack.routing.picker import is_usable
 
 log = structlog.get_logger("entry.session")
 
@@ -205,13 +209,26 @@
                 self.apply(session, Tick())
             elif state.phase is Phase.RUNNING and not session.is_ended:
                 link = self.pool.links.get(state.address)
-                if link and state.progress.is_stalled(link.progress, now):
+                is_stalled = link and state.progress.is_stalled(link.progress, now)
+                if is_stalled and self._may_leave(session, now):
                     self.apply(session, Stalled())
         for generation, (cancel_at, address, attempt) in list(self.abandoned.items()):
             if now > cancel_at:
                 del self.abandoned[generation]
                 self._cancel(generation, address, attempt)
 
+    def _may_leave(self, session: GenerationSession, now: float) -> bool:
+        """Whether a session may leave a silent server, which may still go on."""
+        if has_waited_too_long(session.state, now):
+            return True
+        if not may_start_again(session.state):
+            return False
+        route = session.request.route
+        excluded = route.excluded | excluded_addresses(session.state, now)
+        request = replace(route, excluded=excluded)
+        servers = self.pool.servers(route.service)
+        return any(is_usable(request, server) for server in servers)
+
     # Execution of planned actions.
 
     def apply(self, session: GenerationSession, event: Event) -> None:
--- a/monsoontack/entry/silence_test.py
+++ b/monsoontack/entry/silence_test.py
@@ -6,6 +6,7 @@
 
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.entry.generations_test import ANSWER, Caller
+from monsoontack.generation.resume import MAX_SILENT_WAIT_S
 
 SILENT_AT_POSITIONS = (0, 1, 20)
 
@@ -56,6 +57,22 @@
         for silent_s in (1.5, 2.5, 6.0):
             self.check_answers("engines", silent_s)
 
+    def test_wait_for_an_engine_that_stays_silent_ends(self):
+        """Guards against a caller that waits without end for an engine that hangs."""
+
+        async def scenario():
+            faults = [(20, ("engines", 1000.0))]
+            caller = SilentCaller(random.Random(5), faults, agents=1)
+            loop = asyncio.get_running_loop()
+            try:
+                return await caller.run(), loop.time()
+            finally:
+                caller.close()
+
+        error, ended_at = run_in_virtual_time(scenario())
+        self.assertEqual("version_unavailable", error.code)
+        self.assertLess(ended_at, MAX_SILENT_WAIT_S + 5.0)
+
     def test_answer_waits_for_agents_that_are_silent(self):
         """Guards against an answer that ends with an error because all agents fall
         silent for a second or two and go on."""
--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -25,6 +25,9 @@
 # A retry after these errors would fail in the same way.
 NON_RETRYABLE_CODES = frozenset(("superseded", "resume_state_lost", "invalid_request"))
 MAX_WAIT_FACTOR_EXPONENT = 3
+# Generations have no deadline, so the wait for a silent server is bounded: by the time
+# for which a draining entry waits for its answers.
+MAX_SILENT_WAIT_S = 30.0
 
 
 class Phase(StrEnum):
@@ -179,6 +182,25 @@
         return RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
 
 
+def has_waited_too_long(state: GenerationState, now: float) -> bool:
+    """Whether the wait for a silent server is over."""
+    return now > state.progress.last_token_at + MAX_SILENT_WAIT_S
+
+
+def may_start_again(state: GenerationState) -> bool:
+    """Whether another attempt from the tokens here is allowed."""
+    return (
+        state.attempt_log.has_whole_prefix
+        and state.fruitless_attempts < MAX_FRUITLESS_ATTEMPTS
+    )
+
+
+def excluded_addresses(state: GenerationState, now: float) -> frozenset[str]:
+    """Return the servers that get no next attempt if the current one fails."""
+    avoided = {a for a, until in state.excluded.items() if until > now}
+    return frozenset(avoided | {state.address})
+
+
 def plan_recovery(state: GenerationState, event: Event, now: float) -> list[Action]:
     """Advance `state` by one event and return the actions to execute, in order."""
     if state.phase is Phase.ENDED:
