Keep an answer at its silent agent if no other server is left

What callers saw: 503 version_unavailable when all agents of a version were silent for 1.5 s and went on.

Cause: an agent without frames for a second counted as lost after another 0.5 s, and its server was excluded for 10 s, whether or not another one was left.

Now a silent connection is replaced by a new one to the same agent while no other server can be used. A refused connection still counts as the end of the agent. Each new connection counts as an attempt, so six of them bound the wait, about 7 s.

--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -29,6 +29,7 @@
     FailStream,
     LinkLost,
     LinkRefused,
+    LinkSilent,
     NoServer,
     Phase,
     Reconnect,
@@ -193,7 +194,12 @@
 
     def on_link_lost(self, link: Link, was_up: bool) -> None:
         """Recover the sessions of a link that ended."""
-        self._apply_to_sessions(link, LinkLost() if was_up else LinkRefused())
+        lost, now = LinkLost() if was_up else LinkRefused(), self.now()
+        for session in list(self.sessions.values()):
+            if session.state.address != link.address:
+                continue
+            stays = link.has_timed_out and not self._may_leave(session, now)
+            self.apply(session, LinkSilent() if stays else lost)
         self.on_calls_lost(link)
 
     def _apply_to_sessions(self, link: Link, event: Event) -> None:
@@ -206,7 +212,8 @@
         for session in list(self.sessions.values()):
             state = session.state
             if state.phase is Phase.ATTACHING:
-                self.apply(session, Tick())
+                if self._may_leave(session, now):
+                    self.apply(session, Tick())
             elif state.phase is Phase.RUNNING and not session.is_ended:
                 link = self.pool.links.get(state.address)
                 is_stalled = link and state.progress.is_stalled(link.progress, now)
--- a/monsoontack/entry/links.py
+++ b/monsoontack/entry/links.py
@@ -73,7 +73,8 @@
 class Link:
     """One connection to one agent; it is never reopened.
 
-    A link is up from its first frame until the connection ends.
+    A link is up from its first frame until the connection ends. `has_timed_out` is set
+    if it was closed because the agent was silent.
     """
 
     def __init__(self, address: str, identity: LinkIdentity, listener: LinkListener):
@@ -82,6 +83,7 @@
         self.is_up = False
         self.is_first_frame = False
         self.is_closed = False
+        self.has_timed_out = False
         self.is_leaving = False
         self.config_revision = 0
         self.info: link_pb2.AgentInfo | None = None
@@ -272,7 +274,7 @@
             link.set_busy(link.address in awaited, now)
         silent = [link for link in self.links.values() if self._is_silent(link, now)]
         for link in silent:
-            was_up = link.is_up
+            was_up, link.has_timed_out = link.is_up, True
             link.close()
             self.on_link_lost(link, was_up)
         for address in self.wanted:
--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -85,6 +85,11 @@
     """The connection to the agent broke or is silent; a new connection may work."""
 
 
+@dataclass(frozen=True, slots=True)
+class LinkSilent:
+    """The connection to the agent is silent and no other server can be used."""
+
+
 @dataclass(frozen=True, slots=True)
 class LinkRefused:
     """A new connection to the agent could not be established."""
@@ -108,6 +113,7 @@
     | Answered
     | AttemptEnded
     | LinkLost
+    | LinkSilent
     | LinkRefused
     | Stalled
     | Tick
@@ -240,6 +246,10 @@
     return _attach(state, 1, "link_lost")
 
 
+def _on_link_silent(state: GenerationState, event: LinkSilent, now: float):
+    return _attach(state, 1, "link_silent")
+
+
 def _on_link_refused(state: GenerationState, event: LinkRefused, now: float):
     return _fail_over(state, now, "link_refused")
 
@@ -354,6 +364,7 @@
     Answered: _on_answered,
     AttemptEnded: _on_ended,
     LinkLost: _on_link_lost,
+    LinkSilent: _on_link_silent,
     LinkRefused: _on_link_refused,
     Stalled: _on_stalled,
     Tick: _on_tick,
