--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -15,9 +15,9 @@
 `runs` lists the requests that ran, each as id, headers and body; `endless_responses`
 lists the responses without end. A server with a `limit` states it in its responses;
 `arrivals` lists when requests arrived, in the event loop's time. A `service` that is
-set is that of the routes whose requests the server may run. Until `silent_until`, in the
-event loop's time, the server sends nothing and starts no request, while its connections
-stay open and new ones are accepted; then it goes on where it was.
+set is that of the routes whose requests the server may run. Until `silent_until`, in
+the event loop's time, the server sends nothing and starts no request, while its
+connections stay open and new ones are accepted; then it goes on where it was.
 
 A prompt with one of the `deadly_parts` ends the process once the prompt was read: the
 engine resets all connections and refuses new ones for `restart_s`, then it starts again
