--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -4,7 +4,7 @@
 run's engine fails, rejects the run or stops sending events, the stream resumes at the
 engine with the copy, after the last complete event and within the same response. The
 connection to the first engine is reset before that, so that two engines never
-work on one run.
+work on one run. A silent engine is left only for a better one, since it may go on.
 """
 
 import random
