--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -13,7 +13,6 @@
 
 from monsoontack.core.counters import Counters
 from monsoontack.core.errors import RequestError, RunState
-from monsoontack.core.records import RequestOutcome
 from monsoontack.entry.enginechoice import EngineChoice
 from monsoontack.entry.links import Link, LinkPool, backend_server
 from monsoontack.entry.protocols import OutcomeSink, Picker
