Name the codes of blocked requests where the check of error codes finds them

tests.docs_test failed: request_blocked and prompt_blocked were returned as parts of a tuple. One method now builds both errors of a blocked request; the 502 has the message of the 503, and its status and run state tell that the request was sent.

--- a/monsoontack/admission/crashguard.py
+++ b/monsoontack/admission/crashguard.py
@@ -10,7 +10,7 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import structlog
 
@@ -140,22 +140,22 @@
         waits = self._waits(request, now)
         if not waits:
             return None
-        code, subject = self._blocked_subject(request)
-        message = f"{subject} crashes the servers that answer it"
         retry_after_s = max(*waits, MIN_RETRY_AFTER_S)
-        return RequestError(503, code, message, retry_after_s=retry_after_s)
+        error = self._blocked_error(request, 503, RunState.NOT_RUN)
+        return replace(error, retry_after_s=retry_after_s)
 
     def crash_error(self, request: RequestContent) -> RequestError:
         """Return the error of a request that was sent and must not be sent again."""
-        code, subject = self._blocked_subject(request)
-        message = f"servers crashed or were given up on it: {subject} crashes them"
-        return RequestError(502, code, message, RunState.UNKNOWN)
-
-    def _blocked_subject(self, request: RequestContent) -> tuple[str, str]:
-        """Return the error code of a blocked request, and what is blocked."""
-        if all(is_request(part) for part, _ in self._blames(request)):
-            return "request_blocked", "this request"
-        return "prompt_blocked", "a part of the prompt"
+        return self._blocked_error(request, 502, RunState.UNKNOWN)
+
+    def _blocked_error(
+        self, request: RequestContent, status: int, run_state: RunState
+    ) -> RequestError:
+        is_whole = all(is_request(part) for part, _ in self._blames(request))
+        code = "request_blocked" if is_whole else "prompt_blocked"
+        subject = "this request" if is_whole else "a part of the prompt"
+        message = f"{subject} crashes the servers that answer it"
+        return RequestError(status, code, message, run_state)
 
     def take_trial(self, request: RequestContent, now: float) -> bool:
         """Whether this request may be the one that tries its blocked parts again."""
