Send nothing new to servers that say in responses that they are leaving

Callers saw requests go to servers that had said `Server-Leaving: 1` for as long as their record in the store said ready: only the store's state was read.

The head of each response of the server itself (not 421, not a success without its mark or with an encoding) is read in admission/serverstatement, and what it says is kept in admission/leavingservers by name and start, together with what records say: a listed, restored or older record does not bring that start back, a later start is a new server. A request that waits for a connection is checked once more before it is sent. The server leaves the fleet as by its record, so copies, resumed streams, hedges and repeats pass it by, and what runs there goes on. A service without servers refuses at once with the time for which it has had none, 0.5 to 3 s.

--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -442,8 +442,10 @@
         if limited is not None:
             return limited
         message = f"no backend server of {self.job.service!r} can be reached"
+        empty_retry_s = self.forwarder.fleet.empty_retry_s(self.job.service, self.now())
+        retry_after_s = empty_retry_s or NO_SERVER_RETRY_AFTER_S
         return RequestError(
-            503, "no_backend_server", message, retry_after_s=NO_SERVER_RETRY_AFTER_S
+            503, "no_backend_server", message, retry_after_s=retry_after_s
         )
 
     def abort_unneeded_attempts(self) -> None:
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -162,6 +162,7 @@
         sender.on_limited_send = lambda service: metrics.limited_sends.labels(
             service
         ).inc()
+        sender.on_statement = metrics.count_statement
         gateway = Gateway(wire, config_state, calls, streams, metrics, rng)
         daemon = cls(settings, config_state, fleet, pool, gateway, metrics)
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
@@ -459,6 +460,9 @@
         known = {member.limit_key for member in self.fleet.members.values()}
         limits.forget_old(known, self.gateway.now())
         metrics.limited_servers.set(len(limits.limited()))
+        self.fleet.leaving.forget_old(
+            self.fleet.members.__contains__, self.gateway.now()
+        )
         self.gateway.guard.forget_old(self.gateway.now())
         metrics.blocked_prompt_parts.set(len(self.gateway.guard.blamed))
         for service, members in self.fleet.by_service.items():
--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -42,6 +42,8 @@
     "silent": "no bytes for longer than usual",
     "deadline": "the time of the request was over",
     "unwanted": "the caller had left before the send",
+    "limited": "not sent: the server's limit or the time that it asked for",
+    "leaving": "not sent: the server had said that it is leaving",
     "open": "still at work when the request ended",
     "complete": "whole stream",
 }
@@ -49,6 +51,12 @@
 # written within this time before its last line.
 CONTEXT_WINDOW_S = 30.0
 STORE_EVENTS = ("store lost", "store answers again")
+# Lines that say why a server of the request's service got nothing.
+SERVER_EVENTS = (
+    "backend server says that it is leaving",
+    "backend server asks for time",
+    "backend server gets requests again",
+)
 LIFECYCLE_EVENTS = ("gateway started", "draining", "drained", "gateway stopped")
 
 
@@ -190,14 +198,20 @@
             continue
         if line.event in STORE_EVENTS + LIFECYCLE_EVENTS:
             newest[line.event in LIFECYCLE_EVENTS, line.fields.get("feed")] = line
+        service = last.fields.get("service")
+        if line.event in SERVER_EVENTS and line.fields.get("service") == service:
+            newest["server", line.fields.get("server")] = line
     return list(newest.values())
 
 
 def _format_context(line: LogLine) -> str:
-    feed, reason = line.fields.get("feed"), line.fields.get("reason")
-    feed_part = f" {feed}" if feed else ""
+    fields = line.fields
+    subject = fields.get("feed") or fields.get("server")
+    subject_part = f" {subject}" if subject else ""
+    reason, wait_s = fields.get("reason"), fields.get("wait_s")
     why = f" ({reason})" if reason else ""
-    return f"{line.fields['timestamp']} {line.process}: {line.event}{feed_part}{why}"
+    why += f" ({wait_s} s)" if wait_s else ""
+    return f"{fields['timestamp']} {line.process}: {line.event}{subject_part}{why}"
 
 
 def _find_cause(
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -1,8 +1,9 @@
 """Backend servers known to this entry, with this entry's load on each of them.
 
-The store holds one record per server. A server gets no new requests once its record
-says that it is leaving or is removed. A server that said that it is leaving stays
-excluded until it starts again, whatever record of this start arrives later.
+The store holds one record per server. A server gets no new requests once its record or
+a response says that it is leaving, or its record is removed. A server that said that it
+is leaving stays excluded until it starts again, whatever record of this start arrives
+later.
 """
 
 from collections.abc import Callable, Iterable
@@ -11,6 +12,7 @@
 
 import structlog
 
+from monsoontack.admission.leavingservers import LeavingServers
 from monsoontack.core.records import BackendServer
 from monsoontack.routing.ejection import Ejection
 
@@ -31,6 +33,10 @@
 # at least this many, are lost within the window.
 DOMAIN_LOSS_SHARE = 2 / 3
 MIN_DOMAIN_LOSSES = 3
+# Bounds of the retry time in a refusal of a service without servers. A new server
+# needs about the upper one from its start to its record.
+MIN_EMPTY_RETRY_S = 0.5
+MAX_EMPTY_RETRY_S = 3.0
 # Servers that are alive rewrite records that expired during a store outage within about
 # this time after the store has recovered.
 RECORD_GRACE_S = 2.2
@@ -90,26 +96,31 @@
 
     `starts` holds the same servers as `members`, by `Member.limit_key`.
     `on_removed` is called with each server that gets no new requests any more,
-    `on_failed` with each server that could not be reached. `departed_starts_ms` holds
-    the start time of each server that said that it is leaving; a later start under the
-    same name is a new server. `missing_until` holds, for servers whose records expired
-    during a store outage, the time until which they are kept. `former` holds removed
-    servers by `Member.key` as long as runs refer to them.
+    `on_failed` with each server that could not be reached. `leaving` has the servers
+    that said that they are leaving. `missing_until` holds, for servers whose records
+    expired during a store outage, the time until which they are kept. `former` holds
+    removed servers by `Member.key` as long as runs refer to them. `empty_since` holds
+    the time of the first refusal for lack of servers, by service.
     """
 
     ejection: Ejection = field(default_factory=Ejection)
     members: dict[str, Member] = field(default_factory=dict)
     starts: dict[str, Member] = field(default_factory=dict)
     by_service: dict[str, dict[str, Member]] = field(default_factory=dict)
-    departed_starts_ms: dict[str, int] = field(default_factory=dict)
+    leaving: LeavingServers = field(default_factory=LeavingServers)
     missing_until: dict[str, float] = field(default_factory=dict)
     former: WeakValueDictionary[tuple[str, str], Member] = field(
         default_factory=WeakValueDictionary
     )
+    empty_since: dict[str, float] = field(default_factory=dict)
     grace_until: float = 0.0
     on_removed: Callable[[Member], None] = lambda member: None
     on_failed: Callable[[Member], None] = lambda member: None
 
+    def __post_init__(self) -> None:
+        """Remove servers once responses or other entries say that they are leaving."""
+        self.leaving.on_left = self._remove_leaving
+
     def note_store_recovered(self, now: float) -> None:
         """Start the grace period in which servers with expired records are kept.
 
@@ -149,9 +160,9 @@
             return
         if leaving:
             self.remove(incarnation)
-            self.departed_starts_ms[incarnation] = started
+            self.leaving.note_record(incarnation, started)
             return
-        if started <= self.departed_starts_ms.get(incarnation, -1):
+        if self.leaving.has_left(incarnation, started):
             return
         former_key = ""
         if member is not None:
@@ -172,6 +183,7 @@
             member = Member(server, cold_until=now + server.cold_left_s)
         self.members[incarnation] = self.starts[member.limit_key] = member
         self.by_service.setdefault(server.service, {})[incarnation] = member
+        self.empty_since.pop(server.service, None)
         self.ejection.add(
             member.limit_key,
             server.service,
@@ -204,6 +216,28 @@
             self._remove_member(member)
             self.ejection.remove(member.limit_key)
 
+    def has_left(self, member: Member) -> bool:
+        """Whether this start of a server has said that it is leaving."""
+        server = member.server
+        return self.leaving.has_left(server.incarnation, server.started_unix_ms)
+
+    def note_leaving(self, member: Member, now: float) -> bool:
+        """Remove a server whose response says that it is leaving, if that is new."""
+        server = member.server
+        return self.leaving.observe(server.incarnation, server.started_unix_ms, now)
+
+    def _remove_leaving(self, incarnation: str, started_ms: int, source: str) -> None:
+        member = self.members.get(incarnation)
+        log.info(
+            "backend server says that it is leaving",
+            server=incarnation,
+            service=None if member is None else member.server.service,
+            started_unix_ms=started_ms,
+            source=source,
+        )
+        if member is not None and self.has_left(member):
+            self.remove(incarnation)
+
     def note_misdirected(self, member: Member) -> None:
         """Remove a server whose address belongs to another one by now.
 
@@ -235,6 +269,17 @@
         """Return the keys under which limits of a service's servers are known."""
         return [member.limit_key for member in self.of_service(service)]
 
+    def empty_retry_s(self, service: str, now: float) -> float | None:
+        """Return the retry time of a service without servers, None if it has some.
+
+        Nothing tells when the next server starts, so a caller comes back after as long
+        as there has been none.
+        """
+        if self.by_service.get(service):
+            return None
+        empty_s = now - self.empty_since.setdefault(service, now)
+        return min(max(empty_s, MIN_EMPTY_RETRY_S), MAX_EMPTY_RETRY_S)
+
     def is_current(self, member: Member) -> bool:
         """Whether this start of the server still accepts new requests."""
         return self.members.get(member.server.incarnation) is member
--- a/monsoontack/gateway/fleet_test.py
+++ b/monsoontack/gateway/fleet_test.py
@@ -19,6 +19,35 @@
         fleet.put(make_server("s1"), False)
         self.assertEqual({"s2"}, self.names(fleet))
 
+    def test_server_whose_response_says_leaving_stays_out_until_it_starts_again(self):
+        """Guards against records, listings and restored stores that bring it back."""
+        server = replace(make_server("s1"), started_unix_ms=200)
+        fleet = make_fleet({"s2": HOME})
+        fleet.put(server, False)
+        member = fleet.members["s1"]
+        self.assertTrue(fleet.note_leaving(member, 1.0))
+        self.assertFalse(fleet.note_leaving(member, 1.1))
+        fleet.put(server, False)
+        fleet.put(replace(server, started_unix_ms=100), False)
+        fleet.put(replace(server, started_unix_ms=100), True)
+        fleet.replace_all([server, make_server("s2")], set(), 2.0)
+        self.assertEqual({"s2"}, self.names(fleet))
+        self.assertTrue(fleet.has_left(member))
+        fleet.put(replace(server, started_unix_ms=300), False)
+        self.assertEqual({"s1", "s2"}, self.names(fleet))
+        self.assertFalse(fleet.note_leaving(member, 3.0))
+        self.assertEqual({"s1", "s2"}, self.names(fleet))
+
+    def test_retry_time_of_a_service_without_servers(self):
+        """Guards against callers that return every moment while nothing changes."""
+        fleet = make_fleet({"s1": HOME})
+        self.assertIsNone(fleet.empty_retry_s(SERVICE, 0.0))
+        fleet.note_leaving(fleet.members["s1"], 1.0)
+        times = [fleet.empty_retry_s(SERVICE, now) for now in (1.0, 3.0, 60.0)]
+        self.assertEqual([0.5, 2.0, 3.0], times)
+        fleet.put(make_server("s2"), False)
+        self.assertIsNone(fleet.empty_retry_s(SERVICE, 61.0))
+
     def test_expired_records_are_kept_for_a_while_after_an_outage(self):
         """Guards against a fleet without servers when the store recovers.
 
--- a/monsoontack/gateway/limitedservers_test.py
+++ b/monsoontack/gateway/limitedservers_test.py
@@ -213,6 +213,9 @@
     def stated_limit(self, headers):
         return dict(headers).get(b"limit", b"").decode() or None
 
+    def stated_leaving(self, headers):
+        return None
+
 
 class SlowPool:
     """Pool whose connections take some time; `started` lists their exchanges."""
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -14,6 +14,8 @@
     generate_latest,
 )
 
+from monsoontack.admission.serverstatement import ServerStatement
+
 ANSWER_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 25.0)
 GAP_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 2.0, 5.0)
 
@@ -34,6 +36,7 @@
     config_age_s: Gauge = None
     limited_sends: Counter = None
     engine_crashes: Counter = None
+    server_statements: Counter = None
     limited_servers: Gauge = None
     blocked_prompt_parts: Gauge = None
     servers: Gauge = None
@@ -75,6 +78,12 @@
             "Engines whose process ended before they went on answering a prompt",
             registry=registry,
         )
+        metrics.server_statements = Counter(
+            "monsoontack_server_statements",
+            "Changes that backend servers state in responses, by what they state",
+            ("state",),
+            registry=registry,
+        )
         metrics.store_restorations = Counter(
             "monsoontack_store_restorations",
             "Times at which the store was found to be restored from a copy",
@@ -125,6 +134,11 @@
             "log_lines_dropped", "Log lines dropped since nobody read them"
         )
 
+    def count_statement(self, member: object, said: ServerStatement) -> None:
+        """Count what a response of a server says of it for the first time."""
+        state = "leaving" if said.is_leaving else "asked_for_time"
+        self.server_statements.labels(state).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -55,6 +55,7 @@
     UNWANTED = "unwanted"
     OVERSIZED = "oversized"
     LIMITED = "limited"
+    LEAVING = "leaving"
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoontack/gateway/ports.py
+++ b/monsoontack/gateway/ports.py
@@ -34,6 +34,10 @@
         """
         ...
 
+    def stated_leaving(self, headers: Headers) -> str | None:
+        """Return the text with which a server says that it is leaving, or None."""
+        ...
+
     def parse_response_head(self, status: int, headers: Headers) -> ResponseHead:
         """Parse the head of a backend server's response."""
         ...
--- a/monsoontack/gateway/records.py
+++ b/monsoontack/gateway/records.py
@@ -218,6 +218,12 @@
     forwarded: Headers
     keep_alive_s: float | None = None
 
+    @property
+    def is_own(self) -> bool:
+        """Whether it may come from the server; a success needs the server's mark."""
+        is_success = 200 <= self.status < 300
+        return not is_success or (self.signed and not self.encoded)
+
     @property
     def is_unstated_refusal(self) -> bool:
         """Whether the status is that of a refusal, but the request may have run."""
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -7,6 +7,11 @@
 
 from monsoontack.admission.limitgate import LimitGate, unlimited_gate
 from monsoontack.admission.promptguard import PromptGuard
+from monsoontack.admission.serverstatement import (
+    MISDIRECTED_STATUS,
+    ServerStatement,
+    read_statement,
+)
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.outbound import (
     ExchangeFailure,
@@ -18,11 +23,10 @@
 from monsoontack.gateway.ports import WireFormat
 from monsoontack.gateway.records import Attempt, CallerRequest
 
-# Status of a VM at which the server no longer runs.
-MISDIRECTED_STATUS = 421
 NO_PERMIT = ExchangeFailure(
     FailureKind.LIMITED, False, "the server's stated limit is used up"
 )
+LEAVING = ExchangeFailure(FailureKind.LEAVING, False, "the server is leaving")
 
 
 @dataclass(slots=True)
@@ -32,7 +36,8 @@
     `gate` has the request rates that servers state in their responses, and this entry's
     permits. `guard` has the parts of prompts that crash engines. `on_limited_send` is
     called with the service of each request sent to a server that has stated a limit,
-    `on_limit_change` after a response that changed a limit.
+    `on_limit_change` after a response that changed a limit, `on_statement` after one
+    that was the first to say something else of its server.
     """
 
     pool: ConnectionPool
@@ -43,6 +48,7 @@
     on_sent: Callable[[str], None] = lambda service: None
     on_limited_send: Callable[[str], None] = lambda service: None
     on_limit_change: Callable[[], None] = lambda: None
+    on_statement: Callable[[Member, ServerStatement], None] = lambda member, said: None
 
     async def send(
         self,
@@ -69,6 +75,10 @@
             self.gate.give_back(permit)
             self.pool.release(member.key, connection)
             return ExchangeFailure(FailureKind.UNWANTED, False, "no longer wanted")
+        if self.fleet.has_left(member):
+            self.gate.give_back(permit)
+            self.pool.release(member.key, connection)
+            return LEAVING
         if self.gate.confirm(permit, self.now()) is None:
             self.pool.release(member.key, connection)
             return NO_PERMIT
@@ -82,7 +92,7 @@
         attempt: Attempt,
     ) -> HttpExchange:
         exchange = HttpExchange(request.request_id)
-        exchange.on_head = partial(self._record_limit, member, self.now())
+        exchange.on_head = partial(self._read_head, member, self.now())
         head = self.wire.encode_request_head(request, attempt)
         is_head = request.raw.method == b"HEAD"
         connection.start(exchange, head + request.raw.body, is_head)
@@ -91,6 +101,19 @@
             self.on_limited_send(member.server.service)
         return exchange
 
+    def _read_head(
+        self, member: Member, sent_at: float, exchange: HttpExchange
+    ) -> None:
+        """Record what a server says of itself in the head of a response."""
+        self._record_limit(member, sent_at, exchange)
+        leaving = self.wire.stated_leaving(exchange.headers)
+        if leaving is None:
+            return
+        head = self.wire.parse_response_head(exchange.status, exchange.headers)
+        said = read_statement(head.status, head.is_own, leaving, None)
+        if said.is_leaving and self.fleet.note_leaving(member, self.now()):
+            self.on_statement(member, said)
+
     def _record_limit(
         self, member: Member, sent_at: float, exchange: HttpExchange
     ) -> None:
--- a/monsoontack/gateway/statedump.py
+++ b/monsoontack/gateway/statedump.py
@@ -13,6 +13,7 @@
     config, now = daemon.config_state.config, daemon.gateway.now()
     gate = daemon.entry_exchange.gate
     limits, permits = gate.limits, gate.permits
+    leaving = daemon.fleet.leaving
     config_state, relayed = daemon.config_state, daemon.relayed_stores
     return {
         "name": daemon.settings.name,
@@ -31,6 +32,10 @@
         "limits": {
             key: [record.rate, record.version] for key, record in limits.records.items()
         },
+        "leaving_servers": {
+            name: {"start": leaving.starts_ms[name], "for_s": round(now - at, 1)}
+            for name, at in leaving.noted_at.items()
+        },
         "blocked_prompt_parts": {
             part: {
                 "accounts": None if blame.accounts is None else sorted(blame.accounts),
--- a/monsoontack/gateway/streamerrors.py
+++ b/monsoontack/gateway/streamerrors.py
@@ -30,8 +30,10 @@
         return limited
     if loss.unsent:
         message = f"no engine of {job.service!r} can be reached"
+        empty_retry_s = run.forwarder.fleet.empty_retry_s(job.service, run.now())
+        retry_after_s = empty_retry_s or NO_SERVER_RETRY_AFTER_S
         return RequestError(
-            503, "no_backend_server", message, retry_after_s=NO_SERVER_RETRY_AFTER_S
+            503, "no_backend_server", message, retry_after_s=retry_after_s
         )
     message = f"the engines of {job.service!r} are full"
     return RequestError(503, "full", message, retry_after_s=FULL_RETRY_AFTER_S)
--- a/monsoontack/platform/wire.py
+++ b/monsoontack/platform/wire.py
@@ -35,6 +35,8 @@
 PRIORITY = b"x-monsoontack-request-priority"
 # Requests a second that a server in need takes from all entries together.
 SERVER_LIMIT = b"server-limit"
+# "1" in the responses of a server that is leaving.
+SERVER_LEAVING = b"server-leaving"
 # Address of the engine that receives a continuous copy of a request's KV cache.
 KV_BACKUP = b"x-monsoontack-kv-backup"
 # ADDRESS/HANDLE of the KV cache copy from which a request resumes.
@@ -180,6 +182,10 @@
         """Return the limit that a server states in a response, as it is written."""
         return _find_header(headers, SERVER_LIMIT)
 
+    def stated_leaving(self, headers: Headers) -> str | None:
+        """Return the text with which a server says that it is leaving."""
+        return _find_header(headers, SERVER_LEAVING)
+
 
 def keep_alive_s(headers: Headers) -> float | None:
     """Return the server's idle timeout from `Keep-Alive`, None if it gives none."""
--- a/monsoontack/platform/wire_test.py
+++ b/monsoontack/platform/wire_test.py
@@ -169,6 +169,13 @@
         head = WIRE.parse_response_head(200, headers)
         self.assertEqual(headers, head.forwarded)
 
+    def test_stated_leaving_is_read_as_written_and_forwarded(self):
+        """Guards against a statement that is changed before it is checked."""
+        headers = ((b"server-leaving", b" 1"), (b"x-a", b"1"))
+        self.assertEqual(" 1", WIRE.stated_leaving(headers))
+        self.assertIsNone(WIRE.stated_leaving(headers[1:]))
+        self.assertEqual(headers, WIRE.parse_response_head(200, headers).forwarded)
+
     def test_keep_alive(self):
         """Guards against reusing connections that the server has closed."""
         found = keep_alive_s(((b"keep-alive", b"timeout=5, max=100"),))
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -15,7 +15,10 @@
 `runs` lists the requests that ran, each as id, headers and body; `endless_responses`
 lists the responses without end. A server with a `limit` states it in its responses;
 `arrivals` lists when requests arrived, in the event loop's time. A `service` that is
-set is that of the routes whose requests the server may run.
+set is that of the routes whose requests the server may run. A server that `is_leaving`
+says so in all its responses. One with `retry_after` refuses all requests with 503 and
+this text as `Retry-After`. `requests` lists the id and time of each request that names
+this server, `leaving_said` and `waits_said` those of the responses with these headers.
 
 A prompt with one of the `deadly_parts` ends the process once the prompt was read: the
 engine resets all connections and refuses new ones for `restart_s`, then it starts again
@@ -39,6 +42,7 @@
 
 REQUEST_ID_HEADER = b"x-monsoontack-request-id"
 LIMIT_HEADER = b"server-limit"
+LEAVING_HEADERS = ((b"server-leaving", b"1"),)
 ORIGIN_STAMP_HEADER = b"x-monsoontack-origin-stamp"
 PROMPT_HEADER = b"x-monsoontack-prefix-hash"
 EXPECTED_INSTANCE_HEADER = b"x-monsoontack-expect-instance"
@@ -137,6 +141,11 @@
     endless_responses: list[EndlessResponse] = field(default_factory=list)
     limit: str | None = None
     arrivals: list[float] = field(default_factory=list)
+    is_leaving: bool = False
+    retry_after: str | None = None
+    requests: list[tuple[str, float]] = field(default_factory=list)
+    leaving_said: list[tuple[str, float]] = field(default_factory=list)
+    waits_said: list[tuple[str, float]] = field(default_factory=list)
     deadly_parts: frozenset[str] = frozenset()
     deadly_arrivals: list[tuple[str, float]] = field(default_factory=list)
     crashes: list[tuple[str, float, str]] = field(default_factory=list)
@@ -226,6 +235,7 @@
         if headers.get(EXPECTED_INSTANCE_HEADER, b"").decode() not in ("", self.name):
             responder.send(421, response_headers)
             return
+        response_headers += self._statements(request_id)
         if self._refuses(request_id, responder, response_headers + NOT_RUN_HEADERS):
             return
         self.runs.append((request_id.decode(), headers, raw.body))
@@ -247,11 +257,28 @@
             if self.behavior == "twice":
                 self._send_duplicate(responder, response_headers, text)
 
+    def _statements(self, request_id: bytes) -> tuple[tuple[bytes, bytes], ...]:
+        """Record a request, and return the headers of what the server says of itself.
+
+        A `Retry-After` is added to the refusal only.
+        """
+        request = request_id.decode(), self.arrivals[-1]
+        self.requests.append(request)
+        if not self.is_leaving:
+            return ()
+        self.leaving_said.append(request)
+        return LEAVING_HEADERS
+
     def _refuses(self, request_id: bytes, responder: Responder, headers) -> bool:
         """Refuse a request if `behavior` says so; return whether it was refused.
 
         A refusal that was kept is written now, before the response to the request.
         """
+        if self.retry_after is not None:
+            self.waits_said.append(self.requests[-1])
+            wait = (b"retry-after", self.retry_after.encode())
+            responder.send(503, (*headers, wait))
+            return True
         connection = responder.connection
         awaited_id, refusal = self.kept_refusals.get(connection, (None, None))
         if refusal is not None and awaited_id in (None, request_id):
