Send nothing to servers that ask for time until it is over

Callers' requests reached servers that had refused with 503 and `Retry-After` as soon as a pause of 0.15 s was over: the header was not read.

The time is read in admission/serverstatement (fractions count; dates, signs, 400 digits are as no header; at most 300 s, the longest ejection) and kept in admission/statedwaits by the server's name and start, behind the gate that calls, streams, copies, repeats and hedges already ask before they choose a server and again before they send. Connection checks are left out. If no server of a service may be sent to, the caller is refused at once as `servers_wait` with the shortest time that is left.

Each entry adds up to 0.25 s of its own, so entries that were refused at one moment do not return at one moment; 0.25 s keeps the time that callers are told right within 0.3 s. Then the server gets one request, two more for each that it accepts and one more each 0.2 s, and its usual share after 3.2 s.

A refusal with a time is no failure for ejection or the rollout's judge, even without the statement that the request was not run. While the version on trial takes nothing, the old one serves.

--- a/monsoontack/admission/limitgate.py
+++ b/monsoontack/admission/limitgate.py
@@ -1,9 +1,10 @@
-"""Decides whether this entry may send a request to a server with a stated limit.
+"""Decides whether this entry may send a request to a server that states a need.
 
 `LimitGate` joins what servers state (`statedlimits`) with the division of their limits
 among the entries (`permits`). A server without a limit takes any request. For one with
 a limit, the entry needs a permit, which it asks for in advance as long as its callers
-use the server's service.
+use the server's service. A server that asked for time (`statedwaits`) gets nothing
+until that is over.
 """
 
 import random
@@ -13,6 +14,7 @@
 
 from monsoontack.admission.permits import PERMIT_LIFETIME_S, PermitNode
 from monsoontack.admission.statedlimits import StatedLimits
+from monsoontack.admission.statedwaits import StatedWaits
 from monsoontack.core.errors import RequestError
 from monsoontack.core.rendezvous import ranked, stable_hash
 
@@ -42,7 +44,7 @@
 
 @dataclass(slots=True)
 class LimitGate:
-    """Limits of all servers and this entry's permits.
+    """Limits and waits of all servers, and this entry's permits.
 
     `servers` returns the keys of the servers of a service. `requests` holds the times
     of the recent requests by service.
@@ -50,6 +52,7 @@
 
     limits: StatedLimits
     permits: PermitNode
+    waits: StatedWaits
     servers: Callable[[str], Iterable[str]] = lambda service: ()
     requests: dict[str, deque[float]] = field(default_factory=dict)
 
@@ -57,7 +60,7 @@
     def for_entry(cls, name: str, rng: random.Random) -> "LimitGate":
         """Return a gate without any known limit."""
         limits = StatedLimits()
-        return cls(limits, PermitNode(name, limits, rng))
+        return cls(limits, PermitNode(name, limits, rng), StatedWaits(rng))
 
     def note_request(self, service: str, now: float) -> None:
         """Count a caller's request for a service."""
@@ -68,10 +71,20 @@
 
     def may_send(self, key: str, now: float) -> bool:
         """Whether a request may be sent to a server now."""
+        if not self.waits.may_send(key, now):
+            return False
         return self.limits.rate(key) is None or self.permits.held_count(key, now) > 0
 
     def take(self, key: str, now: float) -> Permit | None:
         """Take the permit for one request, None if there is none."""
+        if not self.waits.take(key, now):
+            return None
+        permit = self._take_permit(key, now)
+        if permit is None:
+            self.waits.give_back(key)
+        return permit
+
+    def _take_permit(self, key: str, now: float) -> Permit | None:
         if self.limits.rate(key) is None:
             return Permit(key)
         expires_at = self.permits.take(key, now)
@@ -80,18 +93,27 @@
     def confirm(self, permit: Permit, now: float) -> Permit | None:
         """Return the permit if it still allows the request, else a new one or None.
 
-        While the connection was opened, the server may have stated a limit, or the
-        permit may have expired.
+        While the connection was opened, the server may have stated a limit or asked for
+        time, or the permit may have expired.
         """
+        confirmed = self._confirm(permit, now)
+        if confirmed is None:
+            self.waits.give_back(permit.key)
+        return confirmed
+
+    def _confirm(self, permit: Permit, now: float) -> Permit | None:
+        if self.waits.is_waiting(permit.key, now):
+            return None
         is_limited = self.limits.rate(permit.key) is not None
         if permit.expires_at is None:
-            return self.take(permit.key, now) if is_limited else permit
+            return self._take_permit(permit.key, now) if is_limited else permit
         if is_limited and permit.expires_at <= now:
-            return self.take(permit.key, now)
+            return self._take_permit(permit.key, now)
         return permit
 
     def give_back(self, permit: Permit) -> None:
         """Return the permit of a request that was not sent."""
+        self.waits.give_back(permit.key)
         if permit.expires_at is not None:
             self.permits.give_back(permit.key, permit.expires_at)
 
@@ -122,10 +144,13 @@
         return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
 
     def refusal(self, service: str, now: float) -> RequestError | None:
-        """Return the error of a request if only limits keep all servers from taking it.
+        """Return the error of a request if limits or waits keep all servers from it.
 
-        The request has not been sent to any server with a limit.
+        The request has not been run by any server with a limit.
         """
+        waiting = self.wait_refusal(service, now)
+        if waiting is not None:
+            return waiting
         keys = list(self.servers(service))
         if not keys or any(self.may_send(key, now) for key in keys):
             return None
@@ -133,6 +158,24 @@
         retry_after_s = self.retry_after_s(service, now)
         return RequestError(503, "limited", message, retry_after_s=retry_after_s)
 
+    def wait_refusal(self, service: str, now: float) -> RequestError | None:
+        """Return the error of a request that no server takes since some asked for time.
+
+        The caller is told the shortest time that is left.
+        """
+        if not self.waits.waits:
+            return None
+        keys = list(self.servers(service))
+        times = [self.waits.left_s(key, now) for key in keys]
+        if not any(times) or any(self.may_send(key, now) for key in keys):
+            return None
+        waits = [left_s for left_s in times if left_s > 0]
+        if len(waits) < len(keys):
+            waits.append(self.retry_after_s(service, now))
+        retry_after_s = max(min(waits), MIN_RETRY_AFTER_S)
+        message = f"the servers of {service!r} asked for time"
+        return RequestError(503, "servers_wait", message, retry_after_s=retry_after_s)
+
     def _limited_servers(self, service: str) -> list[str]:
         """Return the servers of a service that this entry asks permits of."""
         if not self.limits.records:
--- a/monsoontack/gateway/attemptresult.py
+++ b/monsoontack/gateway/attemptresult.py
@@ -14,7 +14,8 @@
 
     `response_head` and `body` hold a complete response. For a response that is too
     long to buffer, `streaming_exchange` is its unfinished exchange and `body` the part
-    that has arrived.
+    that has arrived. `asks_for_time` is set if the server refused the call and asked
+    for time, even if the call may have run.
     """
 
     member: Member
@@ -23,6 +24,7 @@
     body: bytes = b""
     failure: ExchangeFailure | None = None
     streaming_exchange: HttpExchange | None = None
+    asks_for_time: bool = False
 
     @property
     def is_not_run(self) -> bool:
@@ -34,7 +36,7 @@
     @property
     def is_failure(self) -> bool:
         """Whether the attempt counts as a failure of the server's version."""
-        return not self.is_success and not self.is_not_run
+        return not (self.is_success or self.is_not_run or self.asks_for_time)
 
     @property
     def is_success(self) -> bool:
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -122,7 +122,11 @@
         now = self.sender.now()
         candidates = self.fleet.of_service(job.service)
         if self.rollouts is not None:
-            candidates = self.rollouts.eligible_servers(job.service, candidates)
+            candidates = self.rollouts.eligible_servers(
+                job.service,
+                candidates,
+                lambda member: self.sender.gate.may_send(member.limit_key, now),
+            )
         members = {
             member.limit_key: member
             for member in candidates
@@ -164,7 +168,8 @@
             else:
                 member.avoid_until = max(member.avoid_until, now + FULL_SERVER_AVOID_S)
             return
-        self.fleet.ejection.record_failure(start_key, now, self.rng)
+        if not result.asks_for_time:
+            self.fleet.ejection.record_failure(start_key, now, self.rng)
 
 
 class _CallRun:
@@ -404,6 +409,7 @@
             result.failure = ExchangeFailure(FailureKind.MALFORMED, True, detail)
         elif response_head.is_unstated_refusal:
             exchange.abort()
+            result.asks_for_time = self.forwarder.sender.statement(exchange).wait_s > 0
             detail = f"status {response_head.status}, but the call may have run"
             result.failure = ExchangeFailure(FailureKind.MALFORMED, True, detail)
         return response_head
@@ -432,12 +438,15 @@
         return RequestError(502, "backend_failed", message, RunState.UNKNOWN)
 
     def _no_server_error(self, result: AttemptResult | None = None) -> RequestError:
+        gate = self.forwarder.sender.gate
+        waiting = gate.wait_refusal(self.job.service, self.now())
+        if waiting is not None:
+            return waiting
         if result is not None and result.response_head is not None:
             message = f"every backend server asked for {self.job.service!r} is full"
             return RequestError(503, "full", message, retry_after_s=FULL_RETRY_AFTER_S)
         if self._is_blocked():
             return self.guard.refusal(self.job.shared_prompt, self.now())
-        gate = self.forwarder.sender.gate
         limited = gate.refusal(self.job.service, self.now())
         if limited is not None:
             return limited
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -460,9 +460,9 @@
         known = {member.limit_key for member in self.fleet.members.values()}
         limits.forget_old(known, self.gateway.now())
         metrics.limited_servers.set(len(limits.limited()))
-        self.fleet.leaving.forget_old(
-            self.fleet.members.__contains__, self.gateway.now()
-        )
+        now, waits = self.gateway.now(), self.entry_exchange.gate.waits
+        self.fleet.leaving.forget_old(self.fleet.members.__contains__, now)
+        metrics.update_waits(len(waits.waiting(now)), waits.end_waits(now))
         self.gateway.guard.forget_old(self.gateway.now())
         metrics.blocked_prompt_parts.set(len(self.gateway.guard.blamed))
         for service, members in self.fleet.by_service.items():
--- a/monsoontack/gateway/limitedservers_test.py
+++ b/monsoontack/gateway/limitedservers_test.py
@@ -216,6 +216,9 @@
     def stated_leaving(self, headers):
         return None
 
+    def stated_wait(self, headers):
+        return None
+
 
 class SlowPool:
     """Pool whose connections take some time; `started` lists their exchanges."""
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -38,6 +38,7 @@
     engine_crashes: Counter = None
     server_statements: Counter = None
     limited_servers: Gauge = None
+    waiting_servers: Gauge = None
     blocked_prompt_parts: Gauge = None
     servers: Gauge = None
     store_feed_up: Gauge = None
@@ -80,7 +81,7 @@
         )
         metrics.server_statements = Counter(
             "monsoontack_server_statements",
-            "Changes that backend servers state in responses, by what they state",
+            "Changes of what backend servers state in responses, by the new state",
             ("state",),
             registry=registry,
         )
@@ -123,6 +124,9 @@
         self.limited_servers = gauge(
             "limited_servers", "Backend servers that have stated a limit"
         )
+        self.waiting_servers = gauge(
+            "waiting_servers", "Backend servers that asked for time"
+        )
         self.blocked_prompt_parts = gauge(
             "blocked_prompt_parts", "Parts of prompts that crash engines"
         )
@@ -139,6 +143,11 @@
         state = "leaving" if said.is_leaving else "asked_for_time"
         self.server_statements.labels(state).inc()
 
+    def update_waits(self, waiting: int, ended: int) -> None:
+        """Set the number of servers that asked for time, and count ended waits."""
+        self.waiting_servers.set(waiting)
+        self.server_statements.labels("wait_over").inc(ended)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/monsoontack/gateway/ports.py
+++ b/monsoontack/gateway/ports.py
@@ -38,6 +38,10 @@
         """Return the text with which a server says that it is leaving, or None."""
         ...
 
+    def stated_wait(self, headers: Headers) -> str | None:
+        """Return the text of the time for which a server wants no requests, or None."""
+        ...
+
     def parse_response_head(self, status: int, headers: Headers) -> ResponseHead:
         """Parse the head of a backend server's response."""
         ...
--- a/monsoontack/gateway/rollouts.py
+++ b/monsoontack/gateway/rollouts.py
@@ -182,8 +182,17 @@
         if rollout is not None:
             rollout.gate.note_request()
 
-    def eligible_servers(self, service: str, members: list[Member]) -> list[Member]:
-        """Return the servers that may get the next request according to the rollout."""
+    def eligible_servers(
+        self,
+        service: str,
+        members: list[Member],
+        can_take: Callable[[Member], bool] = lambda member: True,
+    ) -> list[Member]:
+        """Return the servers that may get the next request according to the rollout.
+
+        `can_take` tells whether a server's own statements allow a request now. While
+        none of the new version does, the old one serves.
+        """
         rollout = self.by_service.get(service)
         if rollout is None:
             return members
@@ -192,12 +201,15 @@
         old = [m for m in members if target not in m.server.versions]
         if phase is Phase.MOVING and rollout.gate.is_failing:
             return old or new
+        if phase is Phase.MOVING and not any(map(can_take, new)):
+            return old or new
         if phase in (Phase.MOVING, Phase.COMPLETE):
             return new or old
         rollout.gate.is_past_deadline = (
             self.now() > rollout.first_seen_at + rollout.order.span_s
         )
-        if phase is Phase.CANARY and new and rollout.gate.may_expose():
+        can_expose = phase is Phase.CANARY and any(map(can_take, new))
+        if can_expose and rollout.gate.may_expose():
             return new
         return old
 
--- a/monsoontack/gateway/rollouts_test.py
+++ b/monsoontack/gateway/rollouts_test.py
@@ -4,6 +4,7 @@
 import json
 import unittest
 from dataclasses import asdict, replace
+from types import SimpleNamespace
 
 from returns.result import Failure, Success
 
@@ -17,7 +18,7 @@
 from monsoontack.rollout.evidence import BUCKET_COUNT, Counts, EvidenceKey
 from monsoontack.rollout.order import Phase, RolloutOrder
 from monsoontack.store.api import KindList, KindObject, NotFound, StoredObject
-from standins.gatewayfakes import HOME, SERVICE, make_fleet
+from standins.gatewayfakes import HOME, SERVICE, make_fleet, make_server
 from standins.oddentries import ODD_VALUES
 
 READABLE_VALUES = [
@@ -137,6 +138,34 @@
 
 
 class RolloutManagerTest(unittest.TestCase):
+    def eligible(self, phase, can_take, is_failing=False):
+        """Return the names of the servers that may get a request; `new` has `v2`."""
+
+        async def scenario():
+            fleet = make_fleet({"old": HOME})
+            fleet.put(replace(make_server("new"), versions=("v2",)), False)
+            rollouts = make_manager(phase)
+            gate = SimpleNamespace(may_expose=lambda: True, is_failing=is_failing)
+            rollouts.by_service[SERVICE].gate = gate
+            found = rollouts.eligible_servers(
+                SERVICE,
+                fleet.of_service(SERVICE),
+                lambda member: member.server.incarnation in can_take,
+            )
+            return [member.server.incarnation for member in found]
+
+        return run_in_virtual_time(scenario())
+
+    def test_old_version_serves_while_the_new_one_asks_for_time(self):
+        """Guards against requests that are refused since the version on trial takes
+        none, and against a version on trial that gets what the old one may not."""
+        both, old = ("old", "new"), ("old",)
+        self.assertEqual(["new"], self.eligible(Phase.CANARY, both))
+        self.assertEqual(["old"], self.eligible(Phase.CANARY, old))
+        self.assertEqual(["old"], self.eligible(Phase.MOVING, old))
+        self.assertEqual(["new"], self.eligible(Phase.MOVING, ("new",)))
+        self.assertEqual(["old"], self.eligible(Phase.MOVING, ("new",), True))
+
     def test_requests_from_before_the_order_count_as_open(self):
         """Guards against old engines that are stopped while they still run streams that
         began before the entry saw the order."""
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -9,6 +9,7 @@
 from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.admission.serverstatement import (
     MISDIRECTED_STATUS,
+    NO_STATEMENT,
     ServerStatement,
     read_statement,
 )
@@ -21,10 +22,10 @@
 )
 from monsoontack.gateway.pool import CONNECT_TIMEOUT_S, ConnectionPool
 from monsoontack.gateway.ports import WireFormat
-from monsoontack.gateway.records import Attempt, CallerRequest
+from monsoontack.gateway.records import REFUSAL_STATUSES, Attempt, CallerRequest
 
 NO_PERMIT = ExchangeFailure(
-    FailureKind.LIMITED, False, "the server's stated limit is used up"
+    FailureKind.LIMITED, False, "the server's limit is used up, or it asked for time"
 )
 LEAVING = ExchangeFailure(FailureKind.LEAVING, False, "the server is leaving")
 
@@ -106,13 +107,25 @@
     ) -> None:
         """Record what a server says of itself in the head of a response."""
         self._record_limit(member, sent_at, exchange)
+        said, now = self.statement(exchange), self.now()
+        is_new = said.is_leaving and self.fleet.note_leaving(member, now)
+        waits, key = self.gate.waits, member.limit_key
+        if said.wait_s > 0:
+            service = member.server.service
+            is_new |= waits.observe(key, service, said.wait_s, now)
+        elif exchange.status not in REFUSAL_STATUSES:
+            waits.note_accepted(key, now)
+        if is_new:
+            self.on_statement(member, said)
+
+    def statement(self, exchange: HttpExchange) -> ServerStatement:
+        """Return what a server says of itself in the head of a response."""
         leaving = self.wire.stated_leaving(exchange.headers)
-        if leaving is None:
-            return
+        retry_after = self.wire.stated_wait(exchange.headers)
+        if leaving is None and retry_after is None:
+            return NO_STATEMENT
         head = self.wire.parse_response_head(exchange.status, exchange.headers)
-        said = read_statement(head.status, head.is_own, leaving, None)
-        if said.is_leaving and self.fleet.note_leaving(member, self.now()):
-            self.on_statement(member, said)
+        return read_statement(head.status, head.is_own, leaving, retry_after)
 
     def _record_limit(
         self, member: Member, sent_at: float, exchange: HttpExchange
@@ -136,7 +149,13 @@
     async def check_connection(
         self, member: Member, timeout_s: float
     ) -> ExchangeFailure | None:
-        """Open a connection to a server and pool it; return the failure, if any."""
+        """Open a connection to a server and pool it; return the failure, if any.
+
+        A server that asked for time gets no connection. It answered a moment ago, so
+        this counts as no failure.
+        """
+        if self.gate.waits.is_waiting(member.limit_key, self.now()):
+            return None
         connection = await self.pool.connect(*member.key, timeout_s)
         if isinstance(connection, ExchangeFailure):
             self.fleet.note_unreachable(member, self.now())
--- a/monsoontack/gateway/statedump.py
+++ b/monsoontack/gateway/statedump.py
@@ -32,6 +32,9 @@
         "limits": {
             key: [record.rate, record.version] for key, record in limits.records.items()
         },
+        "waiting_servers": {
+            key: round(left_s, 1) for key, left_s in gate.waits.waiting(now).items()
+        },
         "leaving_servers": {
             name: {"start": leaving.starts_ms[name], "for_s": round(now - at, 1)}
             for name, at in leaving.noted_at.items()
@@ -64,5 +67,6 @@
         "waiting_tokens": member.waiting_tokens,
         "held_tokens": member.held_tokens,
         "avoided": now < member.avoid_until,
+        "may_get_requests": daemon.entry_exchange.gate.may_send(server.start_key, now),
         "share": round(daemon.fleet.ejection.traffic_share(server.start_key, now), 3),
     }
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -56,7 +56,8 @@
     any. `events` is the number of events that the attempt delivered, 0 if its answer
     turned out to be another one. `is_broken_off` means that the engine's side closed or
     reset the connection, `has_gone_on` that events had come for some time before.
-    `is_foreign` means that an engine which can be reached gave another answer.
+    `is_foreign` means that an engine which can be reached gave another answer,
+    `asks_for_time` that it refused the request and wants no other one for some time.
     """
 
     reason: str
@@ -68,6 +69,7 @@
     is_broken_off: bool = False
     has_gone_on: bool = False
     is_foreign: bool = False
+    asks_for_time: bool = False
 
 
 class StreamRelay:
@@ -187,8 +189,11 @@
         job.may_have_run = True
         if response_head.is_unstated_refusal:
             exchange.abort()
-            status = response_head.status
-            return StreamLoss(f"status {status}, but the request may have run")
+            said = self.run.forwarder.sender.statement(exchange)
+            return StreamLoss(
+                f"status {response_head.status}, but the request may have run",
+                asks_for_time=said.wait_s > 0,
+            )
         if response_head.status >= 300:
             body = await self._read_error_body()
             if exchange.failure is not None:
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -342,7 +342,11 @@
         loss: StreamLoss | None,
     ) -> None:
         """Record the attempt as evidence about the version of its engine."""
-        failed = loss is not None and not loss.not_run and loss.reason != "deadline"
+        failed = (
+            loss is not None
+            and not (loss.not_run or loss.asks_for_time)
+            and loss.reason != "deadline"
+        )
         first_s = gap_s = None
         if record.first_event_at is not None:
             first_s = record.first_event_at - record.sent_at
@@ -383,7 +387,7 @@
             return
         if loss.response_head is not None and loss.response_head.status == 421:
             fleet.note_misdirected(member)
-        elif not loss.not_run:
+        elif not (loss.not_run or loss.asks_for_time):
             fleet.ejection.record_failure(start_key, now, rng)
             if loss.is_foreign:
                 member.avoid_until = max(member.avoid_until, now + INITIAL_AVOID_S)
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -128,7 +128,11 @@
         )
         members = self.fleet.of_service(job.service)
         if self.rollouts is not None:
-            members = self.rollouts.eligible_servers(job.service, members)
+            members = self.rollouts.eligible_servers(
+                job.service,
+                members,
+                lambda member: self.sender.gate.may_send(member.limit_key, now),
+            )
         for member in members:
             server = member.server
             if server.incarnation in excluded:
--- a/monsoontack/platform/wire.py
+++ b/monsoontack/platform/wire.py
@@ -35,6 +35,8 @@
 PRIORITY = b"x-monsoontack-request-priority"
 # Requests a second that a server in need takes from all entries together.
 SERVER_LIMIT = b"server-limit"
+# Seconds for which a server that refuses with 503 wants no requests.
+RETRY_AFTER = b"retry-after"
 # "1" in the responses of a server that is leaving.
 SERVER_LEAVING = b"server-leaving"
 # Address of the engine that receives a continuous copy of a request's KV cache.
@@ -186,6 +188,10 @@
         """Return the text with which a server says that it is leaving."""
         return _find_header(headers, SERVER_LEAVING)
 
+    def stated_wait(self, headers: Headers) -> str | None:
+        """Return the text of the time for which a server wants no requests."""
+        return _find_header(headers, RETRY_AFTER)
+
 
 def keep_alive_s(headers: Headers) -> float | None:
     """Return the server's idle timeout from `Keep-Alive`, None if it gives none."""
--- a/monsoontack/platform/wire_test.py
+++ b/monsoontack/platform/wire_test.py
@@ -176,6 +176,13 @@
         self.assertIsNone(WIRE.stated_leaving(headers[1:]))
         self.assertEqual(headers, WIRE.parse_response_head(200, headers).forwarded)
 
+    def test_stated_wait_is_read_as_written_and_forwarded(self):
+        """Guards against a time that is changed before it is checked."""
+        headers = ((b"retry-after", b" 2.5x"), (b"x-a", b"1"))
+        self.assertEqual(" 2.5x", WIRE.stated_wait(headers))
+        self.assertIsNone(WIRE.stated_wait(headers[1:]))
+        self.assertEqual(headers, WIRE.parse_response_head(503, headers).forwarded)
+
     def test_keep_alive(self):
         """Guards against reusing connections that the server has closed."""
         found = keep_alive_s(((b"keep-alive", b"timeout=5, max=100"),))
--- a/standins/gatewayfakes.py
+++ b/standins/gatewayfakes.py
@@ -7,6 +7,7 @@
 
 from monsoontack.admission.limitgate import LimitGate, unlimited_gate
 from monsoontack.admission.promptguard import PromptGuard
+from monsoontack.admission.serverstatement import ServerStatement, read_statement
 from monsoontack.core.records import BackendServer, Place
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.job import Job
@@ -225,6 +226,11 @@
         self.tasks.append(asyncio.ensure_future(script(exchange, attempt)))
         return exchange
 
+    def statement(self, exchange: ScriptedExchange) -> ServerStatement:
+        """Return the statement that the header `wait` of a response makes."""
+        wait = dict(exchange.headers).get(b"wait")
+        return read_statement(exchange.status, True, None, wait and wait.decode())
+
     async def check_connection(
         self, member: Member, timeout_s: float
     ) -> ExchangeFailure | None:
