Tell the other entries which servers said that they are leaving

A gateway learned that a server leaves from its own answers only, so each gateway sent one request too many, and a restarted one began anew with an old record.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -13,6 +13,7 @@
 from monsoontack.admission.hedge import Hedging
 from monsoontack.admission.limitgate import LimitGate
 from monsoontack.admission.promptguard import PromptGuard
+from monsoontack.admission.serverstatement import ServerStatement
 from monsoontack.core.boundedlog import LineWriter
 from monsoontack.core.supervise import run_with_restarts
 from monsoontack.gateway.budgets import RetryBudgets
@@ -23,7 +24,7 @@
 from monsoontack.gateway.entryexchange import EntryExchange, call_entry
 from monsoontack.gateway.entryregistry import ENTRIES_KIND, EntryList, EntryRegistration
 from monsoontack.gateway.entryremoval import SilentEntryRemover
-from monsoontack.gateway.fleet import BackendFleet
+from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.handler import Gateway
 from monsoontack.gateway.inbound import BodyBudget, InboundServer, listen_on
 from monsoontack.gateway.loadexchange import PATH as LOAD_PATH
@@ -162,7 +163,6 @@
         sender.on_limited_send = lambda service: metrics.limited_sends.labels(
             service
         ).inc()
-        sender.on_statement = metrics.count_statement
         gateway = Gateway(wire, config_state, calls, streams, metrics, rng)
         daemon = cls(settings, config_state, fleet, pool, gateway, metrics)
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
@@ -173,9 +173,10 @@
         call = partial(call_entry, daemon.peer_pool)
         place = settings.place
         daemon.entry_exchange = EntryExchange(
-            settings.name, place.region, gate, sender.guard, call, rng
+            settings.name, place.region, gate, sender.guard, call, rng, fleet.leaving
         )
         sender.on_limit_change = daemon.entry_exchange.send_news
+        sender.on_statement = daemon._on_statement
         daemon.background_jobs.append(daemon.entry_exchange.run)
         config_state.listeners.append(daemon.config_changed)
         return daemon
@@ -309,6 +310,11 @@
         self.metrics.engine_crashes.inc()
         self.gateway.guard.note_crash(crash.server, crash.prompts, crash.at)
 
+    def _on_statement(self, member: Member, said: ServerStatement) -> None:
+        self.metrics.count_statement(said)
+        if said.is_leaving:
+            self.entry_exchange.send_news()
+
     def _on_store_status(self, kind: str, is_up: bool, reason: str) -> None:
         self.metrics.store_feed_up.labels(kind).set(is_up)
         now = self.gateway.now()
--- a/monsoontack/gateway/entrycodec.py
+++ b/monsoontack/gateway/entrycodec.py
@@ -1,4 +1,4 @@
-"""JSON messages in which entries exchange limits, permits and crashes of engines.
+"""JSON messages of entries about limits, permits, crashes and leaving servers.
 
 `MAX_LIFETIMES` and the ranges of numbers bound what a message of a faulty entry can do.
 """
@@ -6,7 +6,7 @@
 import json
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from monsoontack.admission.crashrecords import (
     MAX_CRASHES,
@@ -14,6 +14,7 @@
     NO_NEWS,
     CrashNews,
 )
+from monsoontack.admission.leavingservers import MAX_RECORDS as MAX_LEAVING
 from monsoontack.admission.permits import (
     PERMIT_LIFETIME_S,
     PermitGrant,
@@ -43,7 +44,8 @@
     """A message or its answer.
 
     `boot` identifies the sender's process and `number` its newest change of a record;
-    `limits` and `crashes` are what changed after the sender's change `since`.
+    `limits`, `crashes` and `leaving`, the starts of leaving servers by name, are what
+    changed after the sender's change `since`.
     `seen_boot` and `seen_number` name the receiver's newest change that the sender has
     got. A message to a parent has a `report`, the answer to it a `grant`.
     """
@@ -56,6 +58,7 @@
     seen_boot: str
     seen_number: int
     crashes: CrashNews = NO_NEWS
+    leaving: Mapping[str, int] = field(default_factory=dict)
     report: PermitReport | None = None
     grant: PermitGrant | None = None
 
@@ -80,6 +83,8 @@
             part: [None if age_s is None else round(age_s, 3) for age_s in ages]
             for part, ages in message.crashes.parts.items()
         }
+    if message.leaving:
+        document["leaving"] = dict(message.leaving)
     report, grant = message.report, message.grant
     if report is not None:
         wants = {key: round(want, 2) for key, want in report.wants.items()}
@@ -111,6 +116,7 @@
                 _decode_crashes(document.get("crashes", {})),
                 _decode_parts(document.get("parts", {})),
             ),
+            leaving=_decode_leaving(document.get("leaving", {})),
             seen_boot=_text(seen_boot),
             seen_number=_count(seen_number, MAX_VERSION),
             report=_decode_report(document["name"], document.get("report")),
@@ -168,6 +174,12 @@
     return news
 
 
+def _decode_leaving(rows: dict) -> dict[str, int]:
+    if len(rows) > MAX_LEAVING:
+        raise ValueError(f"{len(rows)} leaving servers")
+    return {_text(name): _count(ms, MAX_VERSION) for name, ms in rows.items()}
+
+
 def _decode_report(name: str, row: list | None) -> PermitReport | None:
     if row is None:
         return None
--- a/monsoontack/gateway/entryexchange.py
+++ b/monsoontack/gateway/entryexchange.py
@@ -1,11 +1,12 @@
 """Exchange of what all entries have to know, along a tree.
 
 Entries exchange the limits that servers state, the permits that divide these limits,
-and the crashes of engines. News pass at once between an entry, its parent and its
-children, so that they reach all entries within a few round trips, and an entry sends
-the same number of messages in a fleet of any size. An entry reports to its parent
-regularly: often while its part of the tree wants permits, rarely while no server has a
-limit, so that a restarted entry gets all records soon.
+the crashes of engines, and which servers said that they are leaving. News pass at once
+between an entry, its parent and its children, so that they reach all entries within a
+few round trips, and an entry sends the same number of messages in a fleet of any size.
+An entry reports to its parent regularly: often while its part of the tree wants
+permits, rarely while no server has a limit, so that a restarted entry gets all records
+soon.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 
 import structlog
 
+from monsoontack.admission.leavingservers import LeavingServers
 from monsoontack.admission.limitgate import LimitGate
 from monsoontack.admission.promptguard import PromptGuard
 from monsoontack.core.changes import ChangeCounter
@@ -87,9 +89,10 @@
 class EntryExchange:
     """Exchanges records and permits with the neighbours in the tree of entries.
 
-    The limits of `gate` and the crash records of `guard` number their changes with the
-    same counter, `changes`. `call` sends a message to an entry and returns
-    its response, or None if none arrived in time. `boot` identifies this process.
+    The limits of `gate`, the crash records of `guard` and the servers of `leaving`
+    number their changes with the same counter, `changes`. `call` sends a message to an
+    entry and returns its response, or None if none arrived in time. `boot` identifies
+    this process.
     """
 
     name: str
@@ -98,6 +101,7 @@
     guard: PromptGuard
     call: PeerCall
     rng: random.Random
+    leaving: LeavingServers = field(default_factory=LeavingServers)
     place: TreePlace = field(default_factory=TreePlace)
     neighbours: dict[str, Neighbour] = field(default_factory=dict)
     entries: Mapping[str, PeerEntry] = field(default_factory=dict)
@@ -109,7 +113,7 @@
     def __post_init__(self) -> None:
         """Draw the identity of this process and share the counter of changes."""
         self.boot = self.boot or f"{self.rng.getrandbits(64):016x}"
-        self.guard.records.changes = self.changes
+        self.guard.records.changes = self.leaving.changes = self.changes
         self.guard.on_change = self.send_news
         self.guard.entries = lambda: self.entries
 
@@ -304,6 +308,7 @@
             since=since,
             limits=self.gate.limits.news_since(since),
             crashes=self.guard.records.news_since(since, self.now()),
+            leaving=self.leaving.news_since(since),
             seen_boot=neighbour.seen_boot,
             seen_number=neighbour.seen_number,
         )
@@ -317,6 +322,9 @@
             neighbour.seen_number = max(neighbour.seen_number, message.number)
         is_mine = message.seen_boot == self.boot
         neighbour.acknowledged = message.seen_number if is_mine else 0
-        has_new_limits = self.gate.limits.merge(message.limits, self.now())
-        if self.guard.merge(message.crashes, self.now()) or has_new_limits:
+        now = self.now()
+        has_news = self.gate.limits.merge(message.limits, now)
+        has_news |= self.guard.merge(message.crashes, now)
+        has_news |= self.leaving.merge(message.leaving, now)
+        if has_news:
             self.send_news()
--- a/monsoontack/gateway/entryexchange_test.py
+++ b/monsoontack/gateway/entryexchange_test.py
@@ -4,6 +4,7 @@
 import json
 import random
 import unittest
+from dataclasses import replace
 
 from monsoontack.admission.crashrecords import CrashNews
 from monsoontack.admission.limitgate import LimitGate
@@ -33,6 +34,7 @@
         {"e": (1.5, (SharedPrompt("shop", ("a", "b")), SharedPrompt("", ("c",))))},
         {"a": (0.25, None), "b": (None, 3.0)},
     ),
+    leaving={"e": 1_700_000_000_000, "f": 0},
     report=PermitReport("entry-1", True, 4, {"s": 1.5}),
     grant=PermitGrant({"s": (1.25, 0.5)}, {"s": 2.0}),
 )
@@ -66,6 +68,11 @@
             changed(number=-1),
             changed(number=True),
             changed(news=[]),
+            changed(leaving=[1]),
+            changed(leaving={"s": -1}),
+            changed(leaving={"s": 1.5}),
+            changed(leaving={"s": True}),
+            changed(leaving={"s": 10**30}),
             changed(news={"s": [1, -2.8]}),
             changed(news={"s": [1, float("nan")]}),
             changed(news={"s": [1, 1e300]}),
@@ -149,6 +156,30 @@
 
         self.run_entry(scenario, call)
 
+    def test_leaving_servers_are_passed_on_once(self):
+        """Guards against servers that stay in use at entries without an answer of them,
+        and against news that never end."""
+        bodies = []
+
+        async def call(peer, body):
+            bodies.append(decode_message(body))
+            return None
+
+        async def scenario(exchange):
+            left = []
+            exchange.leaving.on_left = lambda *found: left.append(found)
+            for _ in range(2):
+                message = EntryMessage("entry-3", "b9", 1, 0, {}, "", 0)
+                body = encode_message(replace(message, leaving={"s": 7}))
+                raw = RawRequest(b"POST", b"/limits", (), body, True, 0.0)
+                await exchange.handle(raw, Answer())
+            await asyncio.sleep(0.5)
+            self.assertEqual([("s", 7, "entry")], left)
+            self.assertEqual(1, exchange.changes.count)
+
+        self.run_entry(scenario, call)
+        self.assertIn({"s": 7}, [dict(message.leaving) for message in bodies])
+
     def test_message_of_an_unlisted_entry_is_answered(self):
         """Guards against a new entry that gets no limits until it is listed."""
 
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -138,7 +138,7 @@
             "log_lines_dropped", "Log lines dropped since nobody read them"
         )
 
-    def count_statement(self, member: object, said: ServerStatement) -> None:
+    def count_statement(self, said: ServerStatement) -> None:
         """Count what a response of a server says of it for the first time."""
         state = "leaving" if said.is_leaving else "asked_for_time"
         self.server_statements.labels(state).inc()
--- a/tests/serverstatements_test.py
+++ b/tests/serverstatements_test.py
@@ -1,6 +1,7 @@
 """Tests of servers that say that they leave or ask for time, with gateway processes."""
 
 import asyncio
+import signal
 import tempfile
 import unittest
 from dataclasses import dataclass
@@ -146,6 +147,25 @@
         """Guards against a statement that is read from calls only."""
         await self.check_leaving("plan-1", "stream")
 
+    async def test_other_gateways_are_told(self):
+        """Guards against gateways that send to a leaving server until it answers each
+        of them, also one that has just started."""
+        engine = self.engines["desk-1"]
+        engine.is_leaving = True
+        number = 0
+        while not engine.leaving_said:
+            number += 1
+            await self.send(self.gateways[0], "look", number)
+        await asyncio.sleep(1.0)
+        restarted = self.gateways[1]
+        restarted.signal(signal.SIGKILL)
+        await restarted.process.wait()
+        await restarted.start()
+        await asyncio.sleep(1.0)
+        await self.send_load(2.0)
+        self.assertEqual(1, len(engine.requests))
+        self.assertEqual(1.0, self.share_served())
+
     async def test_leaving_holds_without_the_store_and_ends_with_a_new_start(self):
         """Guards against a leaving server that an old record brings back, and against a
         new start of the name that gets nothing."""
