Let the soak's engines leave by their answers and ask for time

One engine leaves while its record says ready, and starts anew at the same address after 3 to 5 s; one, two or all of a service refuse with a valid or malformed `Retry-After`. The checks are the users' rules: none of a gateway's requests that were sent later than 2.5 s after it passed on an answer with `Server-Leaving`; at most two between 0.5 s after a refusal and the end of its time. Signals and starts of the gateway excuse it, for waits also faults of links. Ids of requests name the gateway.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,6 +16,7 @@
 # Statuses after which a call of the kind "once" is sent again under the same id.
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 MAX_RESENDS = 3
+ORIGIN_STAMP = "X-Monsoontack-Origin-Stamp"
 RESEND_DELAY_S = 0.2
 
 
@@ -67,7 +68,7 @@
         is recorded, so that no run may precede or follow the refusals.
         """
         self.request_count += 1
-        request_id = f"{kind}-{self.request_count}"
+        request_id = f"{kind}-{self.request_count}-{gateway.settings.stem}"
         deadly_part = None
         if kind == "stream" and self.prompt_rng.random() < DEADLY_SHARE:
             deadly_part = self.environment.deadly_part
@@ -90,6 +91,14 @@
         self.observed.append(found)
         return found
 
+    def _note_leaving(self, gateway: GatewayProcess, headers) -> None:
+        """Record an answer that says that its engine is leaving."""
+        if headers.get("Server-Leaving") == "1":
+            engine, now = headers.get(ORIGIN_STAMP, ""), asyncio.get_running_loop().time
+            self.environment.leaving_answers.append(
+                (gateway.settings.stem, engine, now())
+            )
+
     async def _read(
         self,
         gateway: GatewayProcess,
@@ -109,6 +118,7 @@
         url = f"{gateway.front}/{kind}/x"
         body = b""
         async with gateway.http.post(url, headers=headers) as answer:
+            self._note_leaving(gateway, answer.headers)
             try:
                 async for part in answer.content.iter_any():
                     body += part
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -80,7 +80,9 @@
     would have closed the connection. `limit_spans` lists engines that stated a limit:
     engine, requests a second, and the times of the beginning and end. `deadly_part` is
     the part of prompts that crashes engines at present, `disturbed_at` lists when a
-    gateway got a signal or was started.
+    gateway got a signal or was started, `disturbances` also which gateway.
+    `leaving_answers` lists the answers that said that their engine is leaving: the
+    gateway that passed it on, the engine, and when the caller had it.
     """
 
     store: SimulatedPlatformStore = field(default_factory=SimulatedPlatformStore)
@@ -99,6 +101,8 @@
     )
     deadly_part: str | None = None
     disturbed_at: list[float] = field(default_factory=list)
+    disturbances: list[tuple[str, float]] = field(default_factory=list)
+    leaving_answers: list[tuple[str, str, float]] = field(default_factory=list)
     engine_count: int = 0
     folder: tempfile.TemporaryDirectory = field(
         default_factory=tempfile.TemporaryDirectory
@@ -205,16 +209,21 @@
             await asyncio.sleep(RESTART_DELAY_S)
             if not self.closing:
                 await gateway.spawn()
-                self.disturbed_at.append(asyncio.get_running_loop().time())
+                self._note_disturbance(gateway)
                 self.spawned_at[gateway.process.pid] = time.monotonic()
 
+    def _note_disturbance(self, gateway: GatewayProcess) -> None:
+        now = asyncio.get_running_loop().time()
+        self.disturbed_at.append(now)
+        self.disturbances.append((gateway.settings.stem, now))
+
     def signal(self, gateway: GatewayProcess, number: signal.Signals) -> None:
         """Send a signal to a gateway's process if it is running."""
         process_age_s = time.monotonic() - self.spawned_at.get(gateway.process.pid, 0)
         if number is signal.SIGHUP and process_age_s < INTERPRETER_START_S:
             return
         if gateway.process.returncode is None:
-            self.disturbed_at.append(asyncio.get_running_loop().time())
+            self._note_disturbance(gateway)
             if number in (signal.SIGKILL, signal.SIGTERM):
                 self.expected_exit_pids.add(gateway.process.pid)
             gateway.process.send_signal(number)
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,8 @@
 from soak.promptfaults import PromptFaults
 from soak.responsefaults import ResponseFaults
 from soak.resumefaults import ResumeFaults
+from soak.statementchecks import find_statement_violations
+from soak.statementfaults import StatementFaults
 
 # In the order in which they draw their seeds; further kinds are appended.
 FAULT_KINDS = (
@@ -25,6 +27,7 @@
     AddressFaults,
     EntryFaults,
     ResumeFaults,
+    StatementFaults,
 )
 CALLER_COUNT = 12
 # Engines may still be processing the last requests when the callers stop.
@@ -73,6 +76,7 @@
         await asyncio.sleep(SETTLE_DELAY_S)
         statuses = Counter(item.status for item in callers.observed)
         violations = find_violations(environment, callers.observed)
+        violations += find_statement_violations(environment, callers.observed)
         counts = sum((injector.counts for injector in injectors), Counter())
         counts["repeated_refusals"] = sum(
             engine.repeated_refusals for engine in environment.engines
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -18,7 +18,8 @@
 set is that of the routes whose requests the server may run. A server that `is_leaving`
 says so in all its responses. One with `retry_after` refuses all requests with 503 and
 this text as `Retry-After`. `requests` lists the id and time of each request that names
-this server, `leaving_said` and `waits_said` those of the responses with these headers.
+this server, `leaving_said` and `waits_said` those of the responses with these headers,
+the latter with the text.
 
 A prompt with one of the `deadly_parts` ends the process once the prompt was read: the
 engine resets all connections and refuses new ones for `restart_s`, then it starts again
@@ -145,7 +146,7 @@
     retry_after: str | None = None
     requests: list[tuple[str, float]] = field(default_factory=list)
     leaving_said: list[tuple[str, float]] = field(default_factory=list)
-    waits_said: list[tuple[str, float]] = field(default_factory=list)
+    waits_said: list[tuple[str, float, str]] = field(default_factory=list)
     deadly_parts: frozenset[str] = frozenset()
     deadly_arrivals: list[tuple[str, float]] = field(default_factory=list)
     crashes: list[tuple[str, float, str]] = field(default_factory=list)
@@ -275,7 +276,7 @@
         A refusal that was kept is written now, before the response to the request.
         """
         if self.retry_after is not None:
-            self.waits_said.append(self.requests[-1])
+            self.waits_said.append((*self.requests[-1], self.retry_after))
             wait = (b"retry-after", self.retry_after.encode())
             responder.send(503, (*headers, wait))
             return True
--- a/tests/serverstatements_test.py
+++ b/tests/serverstatements_test.py
@@ -112,7 +112,7 @@
     def requests_in_wait(self, engine, wait_s=WAIT_S):
         """Return the number of requests of each gateway in its wait."""
         said, counts = {}, {}
-        for request_id, at in engine.waits_said:
+        for request_id, at, _ in engine.waits_said:
             said.setdefault(request_id.partition(".")[0], at)
         self.assertTrue(said)
         for request_id, at in engine.requests:
@@ -243,7 +243,7 @@
             self.engines[name].retry_after = None
         await load
         first = {}
-        for request_id, at in self.engines["desk-1"].waits_said:
+        for request_id, at, _ in self.engines["desk-1"].waits_said:
             first.setdefault(request_id.partition(".")[0], at)
         checked = 0
         for answer in self.answers:
