--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -24,6 +24,8 @@
     "caller_gone": "the caller closed its connection before the end",
     "timeout": "the time of the caller or of the route was over",
     "full": "every backend server that was asked refused for lack of room",
+    "limited": "the limits that the servers state were used up",
+    "servers_wait": "every server had asked for time, and it was not over",
     "no_backend_server": "no backend server could be reached",
     "backend_failed": "backend servers broke off",
     "stream_cut": "the stream broke off and could not go on",
--- a/monsoontack/gateway/explain_test.py
+++ b/monsoontack/gateway/explain_test.py
@@ -56,6 +56,27 @@
         self.assertIn("connect: timeout", explanation.cause)
         self.assertIn("confirmed 3.2 s before", "\n".join(explanation.lines()))
 
+    def test_refusal_names_what_the_servers_of_the_service_said(self):
+        """Guards against a service whose servers get nothing for no visible reason."""
+        asked, left = (
+            "backend server asks for time",
+            "backend server says that it is leaving",
+        )
+        explanation = self.explain(
+            "r1",
+            log_line(1, left, server="i-1", service="s", source="response"),
+            log_line(2, asked, server="i-2@5", service="s", wait_s=2.5),
+            log_line(2, asked, server="i-3@5", service="other", wait_s=2.5),
+            log_line(2, asked, "edge-2", server="i-4@5", service="s", wait_s=2.5),
+            log_line(3, "request ended", **ended_fields("r1", "servers_wait", [])),
+        )
+        text = "\n".join(explanation.lines())
+        self.assertIn(f"{left} i-1", text)
+        self.assertIn(f"{asked} i-2@5 (2.5 s)", text)
+        self.assertNotIn("i-3", text)
+        self.assertNotIn("i-4", text)
+        self.assertIn("asked for time", explanation.cause)
+
     def test_aborted_stream_names_the_failed_engine(self):
         """Guards against an aborted stream whose failed engines are not named."""
         lost = {
