Take backend servers at their word beside agents as well

An agent went on sending to a backend server that said that it is leaving, or that refused and asked for time. It now reads both from all responses (streams, calls, polls, orders) by the decisions of monsoontack/admission that gateways use. Leaving is announced like a VM that leaves; a server that answers again after a refused connection, without the header, is a new start, for which the agent takes a new incarnation, since entries never use one again that left.

Entries count neither as a failure of the server or its version, nor a service's own 503 with a time. An entry is not told the time; it tries other agents and its own retry times apply.

--- a/monsoontack/agent/backend.py
+++ b/monsoontack/agent/backend.py
@@ -5,7 +5,7 @@
 backend server is down, slow or sends malformed data.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -106,6 +106,28 @@
     code: str = ""
 
 
+class ResponseObserver(Protocol):
+    """Hears of the responses of a backend server."""
+
+    def note_response(self, status: int, headers: Mapping[str, str]) -> None:
+        """Record the head of a response."""
+        ...
+
+    def note_refused_connection(self) -> None:
+        """Record that nothing listens at the server's address."""
+        ...
+
+
+class NoObserver:
+    """Observer that records nothing."""
+
+    def note_response(self, status: int, headers: Mapping[str, str]) -> None:
+        """Ignore the response."""
+
+    def note_refused_connection(self) -> None:
+        """Ignore the refusal."""
+
+
 class Engine(Protocol):
     """Client of a model engine."""
 
--- a/monsoontack/agent/core.py
+++ b/monsoontack/agent/core.py
@@ -10,6 +10,7 @@
 import itertools
 import time
 from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import replace
 
 import structlog
 
@@ -38,7 +39,9 @@
     WakeLink,
 )
 from monsoontack.agent.schedule import FrameSchedule
-from monsoontack.agent.streamlog import StreamLog, describe_streams
+from monsoontack.agent.statedump import describe_agent
+from monsoontack.agent.statements import BackendStatements
+from monsoontack.agent.streamlog import StreamLog
 from monsoontack.core.counters import Counters
 from monsoontack.proto import link_pb2
 from monsoontack.settings.models import AgentSettings
@@ -78,6 +81,9 @@
         self.call_fences = CallFences()
         self.order_fence = OrderFence()
         self.drain = DrainState(settings.drain_deadline_s)
+        self.statements = BackendStatements(settings.backend.service, now)
+        self.statements.on_leaving = self._on_backend_leaving
+        self.statements.on_new_start = self._on_backend_started
         self.counters = Counters.from_address(settings.statsd_address, METRICS_PREFIX)
         self.links: dict[int, Link] = {}
         self.link_numbers = itertools.count(1)
@@ -183,6 +189,22 @@
         for link in self.links.values():
             link.notify(urgent=True)
 
+    def _on_backend_leaving(self) -> None:
+        """Announce that the backend server takes no new work."""
+        if self.drain.mark_vm_leaving(self.now()):
+            self.apply_phase()
+
+    def _on_backend_started(self) -> None:
+        """Announce the new start of the backend server under a new incarnation.
+
+        Entries that heard that an incarnation is leaving never use it again.
+        """
+        incarnation = int(self.unix_now() * 1000)
+        self.identity = replace(self.identity, incarnation=incarnation)
+        self.engine_view.info_changes += 1
+        if self.drain.end_vm_leaving(self.now()):
+            self.apply_phase()
+
     def unfinished_count(self) -> int:
         """Return the number of streams, calls and links that the drain waits for.
 
@@ -194,33 +216,7 @@
 
     def describe(self) -> dict:
         """Return the agent's state for the operator's state dump."""
-        load = self.engine_view.load
-        return {
-            "name": self.settings.name,
-            "vm": self.identity.vm,
-            "incarnation": self.identity.incarnation,
-            "phase": str(self.drain.phase),
-            "revision": self.revision,
-            "versions": list(self.engine_view.versions),
-            "load": None
-            if load is None
-            else {
-                "running": load.running,
-                "queued": load.queued,
-                "slots": load.slots,
-                "age_s": self.now() - load.reported_at,
-            },
-            "order_fence": self.order_fence.highest,
-            "call_fences": len(self.call_fences.highest_fences),
-            "calls_running": self.calls_running,
-            "log_tokens": self.streams.token_count,
-            "streams": describe_streams(self.streams.streams.values()),
-            "links": [
-                {"number": link.number, "entry": link.entry, "frames": link.sequence}
-                for link in self.links.values()
-            ],
-            "counters": dict(self.counters.totals),
-        }
+        return describe_agent(self)
 
     def _is_other_service(self, service: str) -> bool:
         """Whether a message is for a server of another service than this agent's.
@@ -244,8 +240,12 @@
             message.max_tokens,
             message.priority,
         )
+        text = ""
         if self.engine is None or self._is_other_service(message.service):
             text = f"not a model engine of {message.service!r}"
+        elif not self.statements.take():
+            text = "the engine asked for time"
+        if text:
             end = StreamEnd(start.generation, start.attempt, "refused", text, False)
             self.perform([SendEnd(link.number, end)])
             return
@@ -330,6 +330,8 @@
             code = "leaving"
         elif self.calls_running >= MAX_RUNNING_CALLS:
             code = "refused"
+        elif not self.statements.take():
+            code = "waiting"
         if code:
             return CallOutcome(call.call_id, "not_run", code=code)
         if call.idempotent:
@@ -365,6 +367,8 @@
         )
         if self.engine is None or self._is_other_service(message.service):
             code, text = "failed", f"not a model engine of {message.service!r}"
+        elif text := self.statements.order_refusal():
+            code = "failed"
         else:
             refusal = self.order_fence.admit(order.fence)
             if refusal is None:
--- a/monsoontack/agent/daemon.py
+++ b/monsoontack/agent/daemon.py
@@ -69,8 +69,13 @@
     now = asyncio.get_running_loop().time
     url = settings.backend.url
     if settings.backend.kind == "engine":
-        return Agent(settings, HttpEngine(session, url), None, now)
-    return Agent(settings, None, HttpService(session, url), now)
+        backend = HttpEngine(session, url)
+        agent = Agent(settings, backend, None, now)
+    else:
+        backend = HttpService(session, url)
+        agent = Agent(settings, None, backend, now)
+    backend.observer = agent.statements
+    return agent
 
 
 def start_loops(agent: Agent, session: aiohttp.ClientSession) -> list[asyncio.Task]:
--- a/monsoontack/agent/drain.py
+++ b/monsoontack/agent/drain.py
@@ -1,9 +1,10 @@
 """Leaving and graceful shutdown of an agent.
 
-An agent starts to leave when its process receives SIGTERM or when the VM list marks
-its VM as leaving. It then announces this on every link and refuses new work. After
-SIGTERM it ends when no stream or call is unfinished. At the drain deadline it ends the
-remaining streams with code `leaving`, so that entries can continue them elsewhere.
+An agent starts to leave when its process receives SIGTERM, when the VM list marks its
+VM as leaving or when its backend server says that it is leaving. It then announces this
+on every link and refuses new work. After SIGTERM it ends when no stream or call is
+unfinished. At the drain deadline it ends the remaining streams with code `leaving`, so
+that entries can continue them elsewhere.
 """
 
 from dataclasses import dataclass
@@ -45,6 +46,10 @@
         """Handle a VM list that marks this VM as leaving; True if the phase changed."""
         return self.phase is Phase.SERVING and self._enter_phase(Phase.LEAVING, now)
 
+    def end_vm_leaving(self, now: float) -> bool:
+        """Serve again, as the backend server has started anew; True if changed."""
+        return self.phase is Phase.LEAVING and self._enter_phase(Phase.SERVING, now)
+
     def terminate(self, now: float) -> bool:
         """Handle SIGTERM; True if the phase changed."""
         if self.phase not in (Phase.SERVING, Phase.LEAVING):
--- a/monsoontack/agent/enginehttp.py
+++ b/monsoontack/agent/enginehttp.py
@@ -13,8 +13,10 @@
     BackendFailure,
     EngineLoad,
     EngineTokens,
+    NoObserver,
     OrderOutcome,
     OrderRequest,
+    ResponseObserver,
 )
 from monsoontack.agent.load import CacheEvent
 from monsoontack.agent.records import StartRequest
@@ -50,6 +52,7 @@
     def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
         self.session = session
         self.url = url.rstrip("/")
+        self.observer: ResponseObserver = NoObserver()
 
     async def generate(
         self, request_id: str, start: StartRequest
@@ -69,6 +72,7 @@
                 read_bufsize=MAX_EVENT_BYTES,
                 allow_redirects=False,
             ) as response:
+                self.observer.note_response(response.status, response.headers)
                 if response.status != 200:
                     yield await failure_from_response(response)
                     return
@@ -80,6 +84,7 @@
                 async for item in read_token_events(response):
                     yield item
         except aiohttp.ClientConnectorError as error:
+            self._note_error(error)
             yield BackendFailure("backend_failed", str(error), False)
         except REQUEST_ERRORS as error:
             yield BackendFailure("backend_failed", describe_error(error), True)
@@ -125,8 +130,10 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
+                self.observer.note_response(response.status, response.headers)
                 text = await response.text()
         except REQUEST_ERRORS as error:
+            self._note_error(error)
             return OrderOutcome(order.order_id, "failed", describe_error(error))
         if response.status == 200:
             return OrderOutcome(order.order_id, "ok")
@@ -134,6 +141,10 @@
         message = f"status {response.status}: {text[:MAX_MESSAGE_CHARACTERS]}"
         return OrderOutcome(order.order_id, code, message)
 
+    def _note_error(self, error: BaseException) -> None:
+        if is_refused_connection(error):
+            self.observer.note_refused_connection()
+
     async def _request(
         self, method: str, path: str, body: dict | None = None
     ) -> Result[Any, BackendFailure]:
@@ -146,15 +157,24 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
+                self.observer.note_response(response.status, response.headers)
                 if response.status != 200:
                     return Failure(await failure_from_response(response))
                 return Success(load_document(await response.read()))
         except REQUEST_ERRORS as error:
+            self._note_error(error)
             return Failure(
                 BackendFailure("backend_failed", describe_error(error), True)
             )
 
 
+def is_refused_connection(error: BaseException) -> bool:
+    """Whether nothing listens at the address of a request."""
+    return isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, ConnectionRefusedError
+    )
+
+
 def build_engine_request(request_id: str, start: StartRequest) -> tuple[str, dict]:
     """Return the path and body of the engine's HTTP request.
 
--- a/monsoontack/agent/polls.py
+++ b/monsoontack/agent/polls.py
@@ -23,6 +23,7 @@
     """Read the engine's load once per heartbeat; log when reachability changes."""
     reachable = True
     while True:
+        await wait_until_wanted(agent)
         match await agent.engine.read_load():
             case Success(load):
                 reported_at = agent.now() - load.age_s
@@ -40,9 +41,16 @@
         await asyncio.sleep(agent.settings.heartbeat_s)
 
 
+async def wait_until_wanted(agent: Agent) -> None:
+    """Return once the engine is not in a time for which it wants no requests."""
+    while agent.statements.is_waiting():
+        await asyncio.sleep(agent.settings.heartbeat_s)
+
+
 async def poll_cache_events(agent: Agent) -> None:
     """Read new cache events; the next frame of each link includes them."""
     while True:
+        await wait_until_wanted(agent)
         result = await agent.engine.read_cache_events(agent.engine_view.cache_sequence)
         agent.engine_view.add_cache_events(result.value_or([]))
         await asyncio.sleep(CACHE_EVENTS_POLL_INTERVAL_S)
@@ -51,6 +59,7 @@
 async def poll_versions(agent: Agent) -> None:
     """Read the loaded versions; a change is sent to entries at once."""
     while True:
+        await wait_until_wanted(agent)
         await agent.read_versions()
         await asyncio.sleep(VERSIONS_POLL_INTERVAL_S)
 
--- a/monsoontack/agent/servicehttp.py
+++ b/monsoontack/agent/servicehttp.py
@@ -3,7 +3,13 @@
 import aiohttp
 from yarl import URL
 
-from monsoontack.agent.backend import CallOutcome, CallRequest
+from monsoontack.agent.backend import (
+    CallOutcome,
+    CallRequest,
+    NoObserver,
+    ResponseObserver,
+)
+from monsoontack.agent.enginehttp import is_refused_connection
 from monsoontack.core.sendonce import send_once
 
 CONNECT_TIMEOUT_S = 1.0
@@ -36,6 +42,7 @@
     def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
         self.session = session
         self.url = url.rstrip("/")
+        self.observer: ResponseObserver = NoObserver()
 
     async def call(self, call: CallRequest) -> CallOutcome:
         """Send one call to the service and return its result.
@@ -57,8 +64,11 @@
                 allow_redirects=False,
                 middlewares=() if call.idempotent else (send_once,),
             ) as response:
+                self.observer.note_response(response.status, response.headers)
                 return await read_outcome(call, response)
-        except aiohttp.ClientConnectorError:
+        except aiohttp.ClientConnectorError as error:
+            if is_refused_connection(error):
+                self.observer.note_refused_connection()
             return CallOutcome(call.call_id, "not_run", code="backend_unreachable")
         except aiohttp.ConnectionTimeoutError:
             return CallOutcome(call.call_id, "not_run", code="backend_unreachable")
--- a/monsoontack/entry/dispatch.py
+++ b/monsoontack/entry/dispatch.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from monsoontack.admission.serverstatement import read_statement
 from monsoontack.config.view import ConfigView
 from monsoontack.core.errors import RunState
 from monsoontack.core.records import RequestOutcome, RouteRequest
@@ -120,6 +121,8 @@
     def _record_outcome(
         self, service: str, version: str, result: DispatchResult, started_at: float
     ) -> None:
+        if not _is_evidence(result):
+            return
         now = asyncio.get_running_loop().time()
         failed = result.answer is None or result.answer.status >= 500
         self.picker.record(result.address, failed, now)
@@ -129,6 +132,21 @@
         )
 
 
+def _is_evidence(result: DispatchResult) -> bool:
+    """Whether a result says how well a server runs calls.
+
+    A server that leaves or asks for time has not failed.
+    """
+    if result.run_state is RunState.NOT_RUN and result.code in ("leaving", "waiting"):
+        return False
+    if result.answer is None:
+        return True
+    headers = {name.lower(): text for name, text in result.answer.headers}
+    retry_after = headers.get("retry-after")
+    said = read_statement(result.answer.status, True, None, retry_after)
+    return said.wait_s <= 0
+
+
 def _call_message(
     call: ServiceCall, fence: int, latest_start_unix_s: float
 ) -> link_pb2.Call:
--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -159,8 +159,8 @@
         now = self.now()
         if link.is_first_frame:
             self._apply_to_sessions(link, Answered())
-            if link.info is not None:
-                self.on_link_up(backend_server(link), now)
+        if link.has_new_start and link.info is not None:
+            self.on_link_up(backend_server(link), now)
         if frame.cache_events:
             self.cache_events(link.address, frame.cache_events)
         for chunk in frame.chunks:
--- a/monsoontack/entry/links.py
+++ b/monsoontack/entry/links.py
@@ -81,6 +81,7 @@
         self.listener = listener
         self.is_up = False
         self.is_first_frame = False
+        self.has_new_start = False
         self.is_closed = False
         self.is_leaving = False
         self.config_revision = 0
@@ -153,8 +154,13 @@
         self.is_up = True
         self.is_leaving = frame.leaving
         self.config_revision = max(self.config_revision, frame.revision)
+        former = self.info
         if frame.HasField("info"):
             self.info = frame.info
+        # The agent may report a new start of its backend server on the same link.
+        self.has_new_start = self.is_first_frame or (
+            former is not None and former.incarnation != self.info.incarnation
+        )
         if frame.HasField("load"):
             self._record_load(frame.load, now)
         self.listener.on_frame(self, frame)
--- a/monsoontack/entry/links_test.py
+++ b/monsoontack/entry/links_test.py
@@ -6,6 +6,7 @@
 from monsoontack.core.records import Place
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.entry.links import Link, LinkIdentity, LinkPool, SilenceLimits
+from monsoontack.proto import link_pb2
 
 AGENT = "10.0.0.1:1"
 
@@ -25,6 +26,27 @@
         pass
 
 
+class NewStartTest(unittest.TestCase):
+    def test_new_incarnation_on_an_open_link_is_a_new_start(self):
+        """Guards against a server that keeps the health of its former start."""
+
+        async def scenario():
+            identity = LinkIdentity("entry", Place("domain", "region"))
+            link = SilentLink(AGENT, identity, NullListener())
+            link.is_up, found = False, []
+            for incarnation in (5, None, 5, 6, None):
+                frame = link_pb2.Frame()
+                if incarnation is not None:
+                    frame.info.incarnation = incarnation
+                link._handle_frame(frame)
+                found.append(link.has_new_start)
+            link.close()
+            return found
+
+        found = run_in_virtual_time(scenario())
+        self.assertEqual([True, False, False, True, False], found)
+
+
 class SilenceTest(unittest.TestCase):
     def time_found_silent(self, work_starts_at):
         """Return the time at which `LinkPool.tick` finds the link silent.
