Let large fleets return to a server at a steady rate after its wait

Each entry added up to 0.25 s of its own to a server's wait, so 390 entries that were refused at one moment would all have returned within 0.25 s. The time grows with the number of entries now, 0.02 s for each: 50 entries a second return, and the first of them still at once. What callers are told stays within 0.25 s of the server's own time. An extended wait draws the time anew instead of keeping the latest of many, which had put the entries together at its end.

--- a/monsoontack/admission/statedwaits.py
+++ b/monsoontack/admission/statedwaits.py
@@ -4,7 +4,8 @@
 Until then this entry sends it nothing. The statement is no failure of the server.
 
 Entries that a server refused at the same moment would return at the same moment, so
-each adds a short random time of its own. After that, the server gets one request at
+each adds a random time of its own, which is longer in a larger fleet: the first entries
+return at once, all of them at a steady rate. After that, the server gets one request at
 first; each one that it accepts allows two more, and a few are allowed with time, until
 it gets its usual share again. Callers that return then, all at the time that they were
 told, do not reach the server all at once.
@@ -17,9 +18,14 @@
 
 log = structlog.get_logger("admission.waits")
 
-# Most of the random time that an entry adds. With it, the time that a refused caller is
-# told is still right within 0.3 s.
+# The random time that an entry adds is up to the first of these, in a larger fleet up
+# to the second for each entry: 50 entries a second return, about what a server with 16
+# slots takes of requests of 0.3 s.
 MAX_OFFSET_S = 0.25
+OFFSET_PER_ENTRY_S = 0.02
+# Refused callers are told at most this much beyond the time that the server stated,
+# since they may come back through an entry that returns earlier.
+MAX_TOLD_OFFSET_S = 0.25
 # Duration of the gradual return, and the time after which one more request is allowed
 # although none was answered: 16 by the end, the slots of a large server.
 RETURN_S = 3.2
@@ -32,10 +38,12 @@
 class StatedWait:
     """The wait of one server, which ends at `until` (event loop's time).
 
-    `sent` and `accepted` count the requests of the gradual return.
+    The server stated that it ends at `stated_until`; `until` is later by this entry's
+    own time. `sent` and `accepted` count the requests of the gradual return.
     """
 
     service: str
+    stated_until: float
     until: float
     sent: int = 0
     accepted: int = 0
@@ -50,16 +58,21 @@
 
     def left_s(self, now: float) -> float:
         """Return the time after which the server may get a request."""
+        told_until = min(self.until, self.stated_until + MAX_TOLD_OFFSET_S)
         if now < self.until:
-            return self.until - now
+            return max(told_until - now, RETURN_STEP_S)
         return 0.0 if self.may_send(now) else RETURN_STEP_S
 
 
 @dataclass(slots=True)
 class StatedWaits:
-    """Servers that asked for time, by `BackendServer.start_key`."""
+    """Servers that asked for time, by `BackendServer.start_key`.
+
+    `entry_count` is the number of entries that may return to a server.
+    """
 
     rng: random.Random
+    entry_count: int = 1
     waits: dict[str, StatedWait] = field(default_factory=dict)
 
     def observe(self, key: str, service: str, wait_s: float, now: float) -> bool:
@@ -74,15 +87,18 @@
             if current is None and len(self.waits) >= MAX_RECORDS:
                 log.error("too many servers ask for time", server=key)
                 return False
-            current = self.waits[key] = StatedWait(service, now)
+            current = self.waits[key] = StatedWait(service, now, now)
             log.info(
                 "backend server asks for time",
                 server=key,
                 service=service,
                 wait_s=round(wait_s, 3),
             )
-        until = now + wait_s + self.rng.uniform(0.0, MAX_OFFSET_S)
-        current.until = max(current.until, until)
+        spread_s = max(MAX_OFFSET_S, self.entry_count * OFFSET_PER_ENTRY_S)
+        until = now + wait_s
+        if until > current.stated_until:
+            current.stated_until = until
+            current.until = until + self.rng.uniform(0.0, spread_s)
         return not is_waiting
 
     def is_waiting(self, key: str, now: float) -> bool:
--- a/monsoontack/admission/statedwaits_test.py
+++ b/monsoontack/admission/statedwaits_test.py
@@ -65,6 +65,33 @@
         self.assertGreaterEqual(min(ends), 13.0)
         self.assertLessEqual(max(ends), 13.0 + MAX_OFFSET_S)
 
+    def test_entries_of_a_large_fleet_return_at_a_steady_rate(self):
+        """Guards against a server that hundreds of entries reach within moments, and
+        against one that gets nothing for long."""
+        ends, told = [], []
+        for seed in range(390):
+            waits = StatedWaits(random.Random(seed), entry_count=390)
+            waits.observe(KEY, SERVICE, 3.0, 10.0)
+            ends.append(waits.waits[KEY].until)
+            told.append(waits.left_s(KEY, 11.0))
+        ends.sort()
+        self.assertLess(ends[0], 13.1)
+        in_a_second = max(sum(at <= end < at + 1 for end in ends) for at in ends)
+        self.assertLess(in_a_second, 80)
+        self.assertGreaterEqual(min(told), 2.0)
+        self.assertLessEqual(max(told), 2.3)
+
+    def test_extended_wait_keeps_entries_apart(self):
+        """Guards against entries that return together after several refusals, as each
+        takes the latest of many random times."""
+        ends = []
+        for seed in range(50):
+            waits = StatedWaits(random.Random(seed))
+            for number in range(20):
+                waits.observe(KEY, SERVICE, 3.0, 10.0 + number / 1000)
+            ends.append(waits.waits[KEY].until)
+        self.assertLess(min(ends), 13.019 + MAX_OFFSET_S / 4)
+
     def test_ended_waits_are_counted_once_and_forgotten(self):
         """Guards against records of all servers that ever asked for time."""
         self.waits.observe(KEY, SERVICE, 3.0, 10.0)
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -282,6 +282,7 @@
         self.gateway.calls.budgets.set_entry_count(
             max(len(entries), MIN_ASSUMED_ENTRIES)
         )
+        self.entry_exchange.gate.waits.entry_count = len(entries)
         region = self.settings.place.region
         in_region = sum(peer.region == region for peer in entries.values())
         self.gateway.calls.picker.link_budget.set_entry_count(
