--- a/monsoontack/admission/limitgate_test.py
+++ b/monsoontack/admission/limitgate_test.py
@@ -52,6 +52,46 @@
         self.gate.give_back(self.gate.take("a", 0.1))
         self.assertTrue(self.gate.may_send("a", 0.2))
 
+    def ask_for_time(self, key, wait_s):
+        self.gate.waits.observe(key, SERVICE, wait_s, 0.0)
+
+    def test_refusal_tells_the_shortest_wait_of_all_servers(self):
+        """Guards against callers that are refused while a server is free, or told a
+        time at which every server still waits or is limited."""
+        self.ask_for_time("a", 5.0)
+        self.assertIsNone(self.gate.refusal(SERVICE, 1.0))
+        self.ask_for_time("b", 3.0)
+        refusal = self.gate.refusal(SERVICE, 1.0)
+        self.assertEqual(
+            ("servers_wait", 503, RunState.NOT_RUN),
+            (refusal.code, refusal.status, refusal.run_state),
+        )
+        self.assertTrue(2.0 <= refusal.retry_after_s <= 2.3, refusal.retry_after_s)
+        self.keys.append("c")
+        self.state_limit("c")
+        refusal = self.gate.refusal(SERVICE, 1.0)
+        self.assertEqual("servers_wait", refusal.code)
+        self.assertLess(refusal.retry_after_s, 2.0)
+
+    def test_limited_server_that_asks_for_time_gets_nothing(self):
+        """Guards against a permit that passes a wait by, and one that a wait uses up
+        in the gradual return."""
+        self.state_limit("a")
+        self.ask_for_time("a", 1.0)
+        self.give_permits("a", 2, 0.5)
+        self.assertFalse(self.gate.may_send("a", 0.6))
+        self.assertIsNone(self.gate.take("a", 0.6))
+        self.assertEqual(2, self.gate.permits.held_count("a", 0.6))
+        self.assertIsNotNone(self.gate.take("a", 1.3))
+
+    def test_permit_that_cannot_be_confirmed_leaves_its_place(self):
+        """Guards against a gradual return that unsent requests use up."""
+        self.ask_for_time("a", 1.0)
+        permit = self.gate.take("a", 1.3)
+        self.state_limit("a")
+        self.assertIsNone(self.gate.confirm(permit, 1.35))
+        self.assertEqual(0, self.gate.waits.waits["a"].sent)
+
     def test_limit_stated_during_the_connection_holds(self):
         """Guards against requests to a server that stated its limit meanwhile."""
         permit = self.gate.take("a", 0.0)
