--- a/monsoontack/entry/generations.py
+++ b/monsoontack/entry/generations.py
@@ -173,8 +173,8 @@
         if link.is_first_frame:
             for session in self._sessions_on(link):
                 self.apply(session, Answered())
-            if link.info is not None:
-                self.on_link_up(backend_server(link), now)
+        if link.has_new_start and link.info is not None:
+            self.on_link_up(backend_server(link), now)
         if frame.cache_events:
             self.cache_events(link.address, frame.cache_events)
         for chunk in frame.chunks:
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -14,6 +14,7 @@
 from monsoontack.admission.hedge import Hedging
 from monsoontack.admission.limitgate import LimitGate
 from monsoontack.admission.requestcontent import is_request
+from monsoontack.admission.serverstatement import ServerStatement
 from monsoontack.core.boundedlog import LineWriter
 from monsoontack.core.supervise import run_with_restarts
 from monsoontack.gateway.budgets import RetryBudgets
@@ -24,7 +25,7 @@
 from monsoontack.gateway.entryexchange import EntryExchange, call_entry
 from monsoontack.gateway.entryregistry import ENTRIES_KIND, EntryList, EntryRegistration
 from monsoontack.gateway.entryremoval import SilentEntryRemover
-from monsoontack.gateway.fleet import BackendFleet
+from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.handler import Gateway
 from monsoontack.gateway.inbound import BodyBudget, InboundServer, listen_on
 from monsoontack.gateway.loadexchange import PATH as LOAD_PATH
@@ -180,9 +181,10 @@
         call = partial(call_entry, daemon.peer_pool)
         place = settings.place
         daemon.entry_exchange = EntryExchange(
-            settings.name, place.region, gate, sender.guard, call, rng
+            settings.name, place.region, gate, sender.guard, call, rng, fleet.leaving
         )
         sender.on_limit_change = daemon.entry_exchange.send_news
+        sender.on_statement = daemon._on_statement
         daemon.background_jobs.append(daemon.entry_exchange.run)
         config_state.listeners.append(daemon.config_changed)
         return daemon
@@ -288,6 +290,7 @@
         self.gateway.calls.budgets.set_entry_count(
             max(len(entries), MIN_ASSUMED_ENTRIES)
         )
+        self.entry_exchange.gate.waits.entry_count = len(entries)
         region = self.settings.place.region
         in_region = sum(peer.region == region for peer in entries.values())
         self.gateway.calls.picker.link_budget.set_entry_count(
@@ -316,6 +319,11 @@
         self.metrics.engine_crashes.inc()
         self.gateway.guard.note_crash(crash.server, crash.requests, crash.at)
 
+    def _on_statement(self, member: Member, said: ServerStatement) -> None:
+        self.metrics.count_statement(said)
+        if said.is_leaving:
+            self.entry_exchange.send_news()
+
     def _on_store_status(self, kind: str, is_up: bool, reason: str) -> None:
         self.metrics.store_feed_up.labels(kind).set(is_up)
         now = self.gateway.now()
@@ -467,6 +475,9 @@
         known = {member.limit_key for member in self.fleet.members.values()}
         limits.forget_old(known, self.gateway.now())
         metrics.limited_servers.set(len(limits.limited()))
+        now, waits = self.gateway.now(), self.entry_exchange.gate.waits
+        self.fleet.leaving.forget_old(self.fleet.members.__contains__, now)
+        metrics.update_waits(len(waits.waiting(now)), waits.end_waits(now))
         self.gateway.guard.forget_old(self.gateway.now())
         blamed = self.gateway.guard.blamed
         blocked_requests = sum(map(is_request, blamed))
--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -24,6 +24,8 @@
     "caller_gone": "the caller closed its connection before the end",
     "timeout": "the time of the caller or of the route was over",
     "full": "every backend server that was asked refused for lack of room",
+    "limited": "the limits that the servers state were used up",
+    "servers_wait": "every server had asked for time, and it was not over",
     "no_backend_server": "no backend server could be reached",
     "backend_failed": "backend servers broke off",
     "stream_cut": "the stream broke off and could not go on",
@@ -42,6 +44,8 @@
     "silent": "no bytes for longer than usual",
     "deadline": "the time of the request was over",
     "unwanted": "the caller had left before the send",
+    "limited": "not sent: the server's limit or the time that it asked for",
+    "leaving": "not sent: the server had said that it is leaving",
     "open": "still at work when the request ended",
     "complete": "whole stream",
 }
@@ -61,6 +65,12 @@
 # written within this time before its last line.
 CONTEXT_WINDOW_S = 30.0
 STORE_EVENTS = ("store lost", "store answers again")
+# Lines that say why a server of the request's service got nothing.
+SERVER_EVENTS = (
+    "backend server says that it is leaving",
+    "backend server asks for time",
+    "backend server gets requests again",
+)
 LIFECYCLE_EVENTS = ("gateway started", "draining", "drained", "gateway stopped")
 
 
@@ -214,14 +224,20 @@
             continue
         if line.event in STORE_EVENTS + LIFECYCLE_EVENTS:
             newest[line.event in LIFECYCLE_EVENTS, line.fields.get("feed")] = line
+        service = last.fields.get("service")
+        if line.event in SERVER_EVENTS and line.fields.get("service") == service:
+            newest["server", line.fields.get("server")] = line
     return list(newest.values())
 
 
 def _format_context(line: LogLine) -> str:
-    feed, reason = line.fields.get("feed"), line.fields.get("reason")
-    feed_part = f" {feed}" if feed else ""
+    fields = line.fields
+    subject = fields.get("feed") or fields.get("server")
+    subject_part = f" {subject}" if subject else ""
+    reason, wait_s = fields.get("reason"), fields.get("wait_s")
     why = f" ({reason})" if reason else ""
-    return f"{line.fields['timestamp']} {line.process}: {line.event}{feed_part}{why}"
+    why += f" ({wait_s} s)" if wait_s else ""
+    return f"{fields['timestamp']} {line.process}: {line.event}{subject_part}{why}"
 
 
 def _find_cause(
--- a/monsoontack/gateway/limitedservers_test.py
+++ b/monsoontack/gateway/limitedservers_test.py
@@ -213,6 +213,12 @@
     def stated_limit(self, headers):
         return dict(headers).get(b"limit", b"").decode() or None
 
+    def stated_leaving(self, headers):
+        return None
+
+    def stated_wait(self, headers):
+        return None
+
 
 class SlowPool:
     """Pool whose connections take some time; `started` lists their exchanges."""
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -14,6 +14,8 @@
     generate_latest,
 )
 
+from monsoontack.admission.serverstatement import ServerStatement
+
 ANSWER_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 25.0)
 GAP_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 2.0, 5.0)
 
@@ -34,7 +36,9 @@
     config_age_s: Gauge = None
     limited_sends: Counter = None
     engine_crashes: Counter = None
+    server_statements: Counter = None
     limited_servers: Gauge = None
+    waiting_servers: Gauge = None
     blocked_prompt_parts: Gauge = None
     blocked_requests: Gauge = None
     servers: Gauge = None
@@ -76,6 +80,12 @@
             "Servers whose process ended before they went on answering",
             registry=registry,
         )
+        metrics.server_statements = Counter(
+            "monsoontack_server_statements",
+            "Changes of what backend servers state in responses, by the new state",
+            ("state",),
+            registry=registry,
+        )
         metrics.store_restorations = Counter(
             "monsoontack_store_restorations",
             "Times at which the store was found to be restored from a copy",
@@ -115,6 +125,9 @@
         self.limited_servers = gauge(
             "limited_servers", "Backend servers that have stated a limit"
         )
+        self.waiting_servers = gauge(
+            "waiting_servers", "Backend servers that asked for time"
+        )
         self.blocked_prompt_parts = gauge(
             "blocked_prompt_parts", "Parts of prompts that crash engines"
         )
@@ -129,6 +142,16 @@
             "log_lines_dropped", "Log lines dropped since nobody read them"
         )
 
+    def count_statement(self, said: ServerStatement) -> None:
+        """Count what a response of a server says of it for the first time."""
+        state = "leaving" if said.is_leaving else "asked_for_time"
+        self.server_statements.labels(state).inc()
+
+    def update_waits(self, waiting: int, ended: int) -> None:
+        """Set the number of servers that asked for time, and count ended waits."""
+        self.waiting_servers.set(waiting)
+        self.server_statements.labels("wait_over").inc(ended)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -49,6 +49,7 @@
     UNWANTED = "unwanted"
     OVERSIZED = "oversized"
     LIMITED = "limited"
+    LEAVING = "leaving"
 
 
 @dataclass(frozen=True, slots=True)
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -7,6 +7,12 @@
 
 from monsoontack.admission.crashguard import CrashGuard
 from monsoontack.admission.limitgate import LimitGate, unlimited_gate
+from monsoontack.admission.serverstatement import (
+    MISDIRECTED_STATUS,
+    NO_STATEMENT,
+    ServerStatement,
+    read_statement,
+)
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.outbound import (
     ExchangeFailure,
@@ -16,13 +22,12 @@
 )
 from monsoontack.gateway.pool import CONNECT_TIMEOUT_S, ConnectionPool
 from monsoontack.gateway.ports import WireFormat
-from monsoontack.gateway.records import Attempt, CallerRequest
+from monsoontack.gateway.records import REFUSAL_STATUSES, Attempt, CallerRequest
 
-# Status of a VM at which the server no longer runs.
-MISDIRECTED_STATUS = 421
 NO_PERMIT = ExchangeFailure(
-    FailureKind.LIMITED, False, "the server's stated limit is used up"
+    FailureKind.LIMITED, False, "the server's limit is used up, or it asked for time"
 )
+LEAVING = ExchangeFailure(FailureKind.LEAVING, False, "the server is leaving")
 
 
 @dataclass(slots=True)
@@ -32,7 +37,8 @@
     `gate` has the request rates that servers state in their responses, and this entry's
     permits. `guard` has the requests that crash servers. `on_limited_send` is
     called with the service of each request sent to a server that has stated a limit,
-    `on_limit_change` after a response that changed a limit.
+    `on_limit_change` after a response that changed a limit, `on_statement` after one
+    that was the first to say something else of its server.
     """
 
     pool: ConnectionPool
@@ -43,6 +49,7 @@
     on_sent: Callable[[str], None] = lambda service: None
     on_limited_send: Callable[[str], None] = lambda service: None
     on_limit_change: Callable[[], None] = lambda: None
+    on_statement: Callable[[Member, ServerStatement], None] = lambda member, said: None
 
     async def send(
         self,
@@ -69,6 +76,10 @@
             self.gate.give_back(permit)
             self.pool.release(member.key, connection)
             return ExchangeFailure(FailureKind.UNWANTED, False, "no longer wanted")
+        if self.fleet.has_left(member):
+            self.gate.give_back(permit)
+            self.pool.release(member.key, connection)
+            return LEAVING
         if self.gate.confirm(permit, self.now()) is None:
             self.pool.release(member.key, connection)
             return NO_PERMIT
@@ -82,7 +93,7 @@
         attempt: Attempt,
     ) -> HttpExchange:
         exchange = HttpExchange(request.request_id)
-        exchange.on_head = partial(self._record_limit, member, self.now())
+        exchange.on_head = partial(self._read_head, member, self.now())
         head = self.wire.encode_request_head(request, attempt)
         is_head = request.raw.method == b"HEAD"
         exchange.left_s = attempt.left_s
@@ -92,6 +103,31 @@
             self.on_limited_send(member.server.service)
         return exchange
 
+    def _read_head(
+        self, member: Member, sent_at: float, exchange: HttpExchange
+    ) -> None:
+        """Record what a server says of itself in the head of a response."""
+        self._record_limit(member, sent_at, exchange)
+        said, now = self.statement(exchange), self.now()
+        is_new = said.is_leaving and self.fleet.note_leaving(member, now)
+        waits, key = self.gate.waits, member.limit_key
+        if said.wait_s > 0:
+            service = member.server.service
+            is_new |= waits.observe(key, service, said.wait_s, now)
+        elif exchange.status not in REFUSAL_STATUSES:
+            waits.note_accepted(key, now)
+        if is_new:
+            self.on_statement(member, said)
+
+    def statement(self, exchange: HttpExchange) -> ServerStatement:
+        """Return what a server says of itself in the head of a response."""
+        leaving = self.wire.stated_leaving(exchange.headers)
+        retry_after = self.wire.stated_wait(exchange.headers)
+        if leaving is None and retry_after is None:
+            return NO_STATEMENT
+        head = self.wire.parse_response_head(exchange.status, exchange.headers)
+        return read_statement(head.status, head.is_own, leaving, retry_after)
+
     def _record_limit(
         self, member: Member, sent_at: float, exchange: HttpExchange
     ) -> None:
@@ -114,7 +150,13 @@
     async def check_connection(
         self, member: Member, timeout_s: float
     ) -> ExchangeFailure | None:
-        """Open a connection to a server and pool it; return the failure, if any."""
+        """Open a connection to a server and pool it; return the failure, if any.
+
+        A server that asked for time gets no connection. It answered a moment ago, so
+        this counts as no failure.
+        """
+        if self.gate.waits.is_waiting(member.limit_key, self.now()):
+            return None
         connection = await self.pool.connect(*member.key, timeout_s)
         if isinstance(connection, ExchangeFailure):
             self.fleet.note_unreachable(member, self.now())
--- a/monsoontack/gateway/statedump.py
+++ b/monsoontack/gateway/statedump.py
@@ -15,6 +15,7 @@
     config, now = daemon.config_state.config, daemon.gateway.now()
     gate = daemon.entry_exchange.gate
     limits, permits = gate.limits, gate.permits
+    leaving = daemon.fleet.leaving
     config_state, relayed = daemon.config_state, daemon.relayed_stores
     blamed = daemon.gateway.guard.blamed
     return {
@@ -34,6 +35,13 @@
         "limits": {
             key: [record.rate, record.version] for key, record in limits.records.items()
         },
+        "waiting_servers": {
+            key: round(left_s, 1) for key, left_s in gate.waits.waiting(now).items()
+        },
+        "leaving_servers": {
+            name: {"start": leaving.starts_ms[name], "for_s": round(now - at, 1)}
+            for name, at in leaving.noted_at.items()
+        },
         "blocked_prompt_parts": {
             part: _blame_state(blame, now)
             for part, blame in blamed.items()
@@ -72,5 +80,6 @@
         "waiting_tokens": member.waiting_tokens,
         "held_tokens": member.held_tokens,
         "avoided": now < member.avoid_until,
+        "may_get_requests": daemon.entry_exchange.gate.may_send(server.start_key, now),
         "share": round(daemon.fleet.ejection.traffic_share(server.start_key, now), 3),
     }
--- a/monsoontack/gateway/streamattempt.py
+++ b/monsoontack/gateway/streamattempt.py
@@ -31,7 +31,8 @@
     turned out to be another one. `is_broken_off` means that the engine's side closed or
     reset the connection, `has_gone_on` that events had come for some time before.
     `is_foreign` means that an engine which can be reached gave another answer,
-    `is_silent` that the engine was left, although it might have gone on.
+    `is_silent` that the engine was left, although it might have gone on,
+    `asks_for_time` that it refused the request and wants no other one for some time.
     """
 
     reason: str
@@ -44,6 +45,7 @@
     has_gone_on: bool = False
     is_foreign: bool = False
     is_silent: bool = False
+    asks_for_time: bool = False
 
     @property
     def is_error_of_engine(self) -> bool:
--- a/monsoontack/gateway/streamoutcome.py
+++ b/monsoontack/gateway/streamoutcome.py
@@ -15,7 +15,9 @@
     """Whether an engine failed to run a stream; `is_silent` if it was so at the end."""
     if is_silent:
         return True
-    return loss is not None and not loss.not_run and loss.reason != "deadline"
+    if loss is None or loss.not_run or loss.asks_for_time:
+        return False
+    return loss.reason != "deadline"
 
 
 def record_version_evidence(
@@ -41,7 +43,7 @@
         return
     if loss.response_head is not None and loss.response_head.status == 421:
         fleet.note_misdirected(member)
-    elif not loss.not_run:
+    elif not (loss.not_run or loss.asks_for_time):
         fleet.ejection.record_failure(start_key, now, rng)
         if loss.is_foreign:
             member.avoid_until = max(member.avoid_until, now + INITIAL_AVOID_S)
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -230,8 +230,11 @@
         job.may_have_run = True
         if response_head.is_unstated_refusal:
             exchange.abort()
-            status = response_head.status
-            return StreamLoss(f"status {status}, but the request may have run")
+            said = self.run.forwarder.sender.statement(exchange)
+            return StreamLoss(
+                f"status {response_head.status}, but the request may have run",
+                asks_for_time=said.wait_s > 0,
+            )
         if response_head.status >= 300:
             is_final = self.run.is_final_status(response_head.status)
             body = await read_error_body(self, is_used=True, is_final=is_final)
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,8 @@
 from soak.responsefaults import ResponseFaults
 from soak.resumefaults import ResumeFaults
 from soak.silencefaults import SilenceFaults
+from soak.statementchecks import find_statement_violations
+from soak.statementfaults import StatementFaults
 
 # In the order in which they draw their seeds; further kinds are appended.
 FAULT_KINDS = (
@@ -28,6 +30,7 @@
     ResumeFaults,
     RequestFaults,
     SilenceFaults,
+    StatementFaults,
 )
 # Time in which engines are silent without other faults: two deadlines of requests.
 SILENCE_PHASE_S = 10.0
@@ -85,6 +88,7 @@
         await asyncio.sleep(SETTLE_DELAY_S)
         statuses = Counter(item.status for item in callers.observed)
         violations = find_violations(environment, callers.observed)
+        violations += find_statement_violations(environment, callers.observed)
         counts = sum((injector.counts for injector in injectors), Counter())
         counts["repeated_refusals"] = sum(
             engine.repeated_refusals for engine in environment.engines
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -19,6 +19,11 @@
 the event loop's time, the server sends nothing and starts no request, while its
 connections stay open and new ones are accepted; then it goes on where it was.
 
+A server that `is_leaving` says so in all its responses. One with `retry_after` refuses
+all requests with 503 and this text as `Retry-After`. `requests` lists the id and time
+of each request that names this server, `leaving_said` and `waits_said` those of the
+responses with these headers, the latter with the text.
+
 A prompt with one of the `deadly_parts` ends the process once the prompt was read: the
 engine resets all connections and refuses new ones for `restart_s`, then it starts again
 under a new name. `deadly_arrivals` lists the part and time of such prompts that
@@ -43,6 +48,7 @@
 
 REQUEST_ID_HEADER = b"x-monsoontack-request-id"
 LIMIT_HEADER = b"server-limit"
+LEAVING_HEADERS = ((b"server-leaving", b"1"),)
 ORIGIN_STAMP_HEADER = b"x-monsoontack-origin-stamp"
 PROMPT_HEADER = b"x-monsoontack-prefix-hash"
 ACCOUNT_HEADER = b"x-monsoontack-tenant"
@@ -147,6 +153,11 @@
     endless_responses: list[EndlessResponse] = field(default_factory=list)
     limit: str | None = None
     arrivals: list[float] = field(default_factory=list)
+    is_leaving: bool = False
+    retry_after: str | None = None
+    requests: list[tuple[str, float]] = field(default_factory=list)
+    leaving_said: list[tuple[str, float]] = field(default_factory=list)
+    waits_said: list[tuple[str, float, str]] = field(default_factory=list)
     deadly_parts: frozenset[str] = frozenset()
     deadly_calls: frozenset[str] = frozenset()
     deadly_arrivals: list[tuple[str, float]] = field(default_factory=list)
@@ -244,6 +255,7 @@
         if headers.get(EXPECTED_INSTANCE_HEADER, b"").decode() not in ("", self.name):
             responder.send(421, response_headers)
             return
+        response_headers += self._statements(request_id)
         if self._refuses(request_id, responder, response_headers + NOT_RUN_HEADERS):
             return
         self.runs.append((request_id.decode(), headers, raw.body))
@@ -286,11 +298,28 @@
         if not responder.is_disconnected:
             self.crash(key, request_id)
 
+    def _statements(self, request_id: bytes) -> tuple[tuple[bytes, bytes], ...]:
+        """Record a request, and return the headers of what the server says of itself.
+
+        A `Retry-After` is added to the refusal only.
+        """
+        request = request_id.decode(), self.arrivals[-1]
+        self.requests.append(request)
+        if not self.is_leaving:
+            return ()
+        self.leaving_said.append(request)
+        return LEAVING_HEADERS
+
     def _refuses(self, request_id: bytes, responder: Responder, headers) -> bool:
         """Refuse a request if `behavior` says so; return whether it was refused.
 
         A refusal that was kept is written now, before the response to the request.
         """
+        if self.retry_after is not None:
+            self.waits_said.append((*self.requests[-1], self.retry_after))
+            wait = (b"retry-after", self.retry_after.encode())
+            responder.send(503, (*headers, wait))
+            return True
         connection = responder.connection
         awaited_id, refusal = self.kept_refusals.get(connection, (None, None))
         if refusal is not None and awaited_id in (None, request_id):
