--- a/monsoontack/gateway/streams_silence_test.py
+++ b/monsoontack/gateway/streams_silence_test.py
@@ -80,7 +80,7 @@
     def __init__(self):
         self.failed = []
 
-    def eligible_servers(self, service, servers):
+    def eligible_servers(self, service, servers, can_take=lambda member: True):
         return servers
 
     def note_request(self, service):
--- a/soak/run.py
+++ b/soak/run.py
@@ -82,7 +82,8 @@
         tasks.append(asyncio.ensure_future(callers.run_deadly_caller()))
         await asyncio.gather(*(injector.run(seconds) for injector in injectors))
         unserved = await _unrecovered_routes(environment, callers)
-        await injectors[-1].run_alone(SILENCE_PHASE_S)
+        silence = next(item for item in injectors if isinstance(item, SilenceFaults))
+        await silence.run_alone(SILENCE_PHASE_S)
         callers.stopping = True
         await asyncio.gather(*tasks)
         await asyncio.sleep(SETTLE_DELAY_S)
