Test a call whose agent is frozen for two seconds, with real processes

The agent is stopped (SIGSTOP) while its service runs a call that must not be repeated, and continues 2.0 s later. The call's timeout of 1 s in CallsTest is too short for that, so the set-up moved to a base class with the timeout as an attribute; the other tests are unchanged.

--- a/monsoontack/entry/calls_test.py
+++ b/monsoontack/entry/calls_test.py
@@ -21,9 +21,8 @@
 PATH = "/v1/services/holds/parts/7"
 
 
-SERVICE = {"kind": "service", "shares": {"v1": 100}, "call_timeout_s": TIMEOUT_S}
+SERVICE = {"kind": "service", "shares": {"v1": 100}}
 OBJECTS = [
-    {"kind": "Service", "name": "holds", "spec": SERVICE},
     {
         "kind": "Version",
         "name": "holds.v1",
@@ -37,15 +36,18 @@
 ]
 
 
-async def seed(url):
-    async with HttpStore(url) as store:
-        await seed_store(store, OBJECTS)
+class CallsFixture(unittest.IsolatedAsyncioTestCase):
+    call_timeout_s = TIMEOUT_S
 
+    async def seed(self, url):
+        spec = {**SERVICE, "call_timeout_s": self.call_timeout_s}
+        service = {"kind": "Service", "name": "holds", "spec": spec}
+        async with HttpStore(url) as store:
+            await seed_store(store, [service, *OBJECTS])
 
-class CallsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.cluster = await self.enterAsyncContext(Cluster.create())
-        await self.cluster.start_platform(seed)
+        await self.cluster.start_platform(self.seed)
         self.service = await self.cluster.start_service()
         self.agent = await self.cluster.start_agent(self.service, "holds", "service")
         self.entries = [await self.start_entry(), await self.start_entry()]
@@ -115,6 +117,8 @@
         await self.wait_for_record_states("claimed")
         return caller
 
+
+class CallsTest(CallsFixture):
     async def test_call_running_at_the_drain_deadline(self):
         """Guards against an untyped error, or `not_run` for a running call."""
         # 1 s of the deadline is reserved for closing connections.
@@ -221,5 +225,24 @@
         self.assertEqual({"k": 1}, await self.execution_counts())
 
 
+class FrozenAgentTest(CallsFixture):
+    call_timeout_s = 10.0
+
+    async def test_agent_frozen_during_the_call(self):
+        """Guards against a call that is given up although its agent, which was silent
+        for two seconds, returns with the result."""
+        await self.set_service_fault("late", delay_s=0.8)
+        caller = asyncio.ensure_future(self.call(self.entries[0], "k"))
+        await self.wait_for_record_states("claimed")
+        await asyncio.sleep(0.3)
+        self.agent.pause()
+        await asyncio.sleep(2.0)
+        self.agent.resume()
+        status, document, _ = await caller
+        self.assertEqual(200, status, document)
+        self.assertEqual({"k": 1}, await self.execution_counts())
+        await self.wait_for_record_states("done")
+
+
 if __name__ == "__main__":
     unittest.main()
