Add tests of responses that stop in the middle of their head

A report from another system: an engine stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. No such case was found here; the tests stay as regression tests.

In the simulated engine, the answer to a resumed stream is chosen where streams are answered, since its handler became too long.

--- a/monsoontack/gateway/outbound_test.py
+++ b/monsoontack/gateway/outbound_test.py
@@ -137,6 +137,22 @@
         _, exchange, _ = run_exchange(*parts, reset=True)
         self.assertEqual(FailureKind.RESET, exchange.failure.kind)
 
+    def test_response_that_ends_in_its_head_is_a_failure(self):
+        """Guards against a success with an empty body, made of a head that stops at any
+        byte, whatever the framing that it has told by then."""
+        status = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Type: text/event-stream\r\n"
+        framings = b"Content-Length: 12\r\n", b"Transfer-Encoding: chunked\r\n", b""
+        for framing in framings:
+            head = status + framing + b"\r\n"
+            for size in range(len(head)):
+                for end in ({"eof": True}, {"reset": True}):
+                    _, exchange, freed = run_exchange(head[:size], **end)
+                    with self.subTest(head[:size], **end):
+                        self.assertFalse(exchange.has_head)
+                        self.assertIsNotNone(exchange.failure)
+                        self.assertTrue(exchange.failure.maybe_sent)
+                        self.assertEqual([], freed)
+
     def test_malformed_response_is_a_failure(self):
         """Guards against malformed bytes that are forwarded to a caller."""
         connection, exchange, _ = run_exchange(b"\x00\x01garbage\r\n\r\n")
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -17,6 +17,8 @@
 `arrivals` lists when requests arrived, in the event loop's time. A `service` that is
 set is that of the routes whose requests the server may run.
 
+`cut_heads` maps the ids of requests to the partial heads that they get, once each.
+
 A prompt with one of the `deadly_parts` ends the process once the prompt was read: the
 engine resets all connections and refuses new ones for `restart_s`, then it starts again
 under a new name. `deadly_arrivals` lists the part and time of such prompts that
@@ -120,6 +122,15 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class CutHead:
+    """A response that stops in its head, after which the connection ends."""
+
+    part: bytes
+    pause_s: float = 0.0
+    is_reset: bool = False
+
+
 @dataclass(slots=True)
 class DirectEngine:
     """One incarnation of a backend server; `name` is its incarnation id."""
@@ -135,6 +146,7 @@
     runs: list[tuple[str, dict, bytes]] = field(default_factory=list)
     disconnected_requests: list[str] = field(default_factory=list)
     endless_responses: list[EndlessResponse] = field(default_factory=list)
+    cut_heads: dict[str, CutHead] = field(default_factory=dict)
     limit: str | None = None
     arrivals: list[float] = field(default_factory=list)
     deadly_parts: frozenset[str] = frozenset()
@@ -229,15 +241,15 @@
         if self._refuses(request_id, responder, response_headers + NOT_RUN_HEADERS):
             return
         self.runs.append((request_id.decode(), headers, raw.body))
-        if self.behavior == "reset":
+        if request_id.decode() in self.cut_heads:
+            await self._send_cut_head(request_id.decode(), responder)
+        elif self.behavior == "reset":
             responder.abort()
         elif self.behavior == "hang":
             await responder.disconnected
             self.disconnected_requests.append(request_id.decode())
         elif self.behavior.startswith("endless"):
             await self._send_endless_response(responder, response_headers)
-        elif self.resume_behavior and b"last-event-id" in headers:
-            await self._resume_wrongly(headers, responder, response_headers)
         elif b"/stream/" in raw.target:
             await self._stream(headers, responder, response_headers)
         else:
@@ -247,6 +259,16 @@
             if self.behavior == "twice":
                 self._send_duplicate(responder, response_headers, text)
 
+    async def _send_cut_head(self, request_id: str, responder: Responder) -> None:
+        """Send a part of a head, and end the connection."""
+        cut_head = self.cut_heads.pop(request_id)
+        responder.connection.write(cut_head.part)
+        await asyncio.sleep(cut_head.pause_s)
+        if cut_head.is_reset:
+            responder.abort()
+        else:
+            responder.finished, responder.keep_alive = True, False
+
     def _refuses(self, request_id: bytes, responder: Responder, headers) -> bool:
         """Refuse a request if `behavior` says so; return whether it was refused.
 
@@ -331,6 +353,9 @@
     async def _stream(
         self, headers: dict, responder: Responder, response_headers
     ) -> None:
+        if self.resume_behavior and b"last-event-id" in headers:
+            await self._resume_wrongly(headers, responder, response_headers)
+            return
         start = int(headers.get(b"last-event-id", b"0")) + 1
         deadly_part = self._deadly_part(headers)
         if deadly_part is not None:
