--- a/monsoontack/admission/crashguard.py
+++ b/monsoontack/admission/crashguard.py
@@ -140,22 +140,26 @@
         waits = self._waits(request, now)
         if not waits:
             return None
-        code, subject = self._blocked_subject(request)
-        message = f"{subject} crashes the servers that answer it"
         retry_after_s = max(*waits, MIN_RETRY_AFTER_S)
-        return RequestError(503, code, message, retry_after_s=retry_after_s)
+        if self._is_blocked_whole(request):
+            message = "this request crashes the servers that run it"
+            return RequestError(
+                503, "request_blocked", message, retry_after_s=retry_after_s
+            )
+        message = "a part of the prompt crashes the engines that answer it"
+        return RequestError(503, "prompt_blocked", message, retry_after_s=retry_after_s)
 
     def crash_error(self, request: RequestContent) -> RequestError:
         """Return the error of a request that was sent and must not be sent again."""
-        code, subject = self._blocked_subject(request)
-        message = f"servers crashed or were given up on it: {subject} crashes them"
-        return RequestError(502, code, message, RunState.UNKNOWN)
-
-    def _blocked_subject(self, request: RequestContent) -> tuple[str, str]:
-        """Return the error code of a blocked request, and what is blocked."""
-        if all(is_request(part) for part, _ in self._blames(request)):
-            return "request_blocked", "this request"
-        return "prompt_blocked", "a part of the prompt"
+        if self._is_blocked_whole(request):
+            message = "the servers crashed or were given up on this request"
+            return RequestError(502, "request_blocked", message, RunState.UNKNOWN)
+        message = "the engines crashed or were given up on a part of the prompt"
+        return RequestError(502, "prompt_blocked", message, RunState.UNKNOWN)
+
+    def _is_blocked_whole(self, request: RequestContent) -> bool:
+        """Whether a blocked request is blocked itself, and no part of its prompt."""
+        return all(is_request(part) for part, _ in self._blames(request))
 
     def take_trial(self, request: RequestContent, now: float) -> bool:
         """Whether this request may be the one that tries its blocked parts again."""
