--- a/monsoontack/admission/crashguard.py
+++ b/monsoontack/admission/crashguard.py
@@ -10,7 +10,7 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import structlog
 
@@ -141,21 +141,25 @@
         if not waits:
             return None
         retry_after_s = max(*waits, MIN_RETRY_AFTER_S)
-        error = self._blocked_error(request, 503, RunState.NOT_RUN)
-        return replace(error, retry_after_s=retry_after_s)
+        if self._is_blocked_whole(request):
+            message = "this request crashes the servers that run it"
+            return RequestError(
+                503, "request_blocked", message, retry_after_s=retry_after_s
+            )
+        message = "a part of the prompt crashes the engines that answer it"
+        return RequestError(503, "prompt_blocked", message, retry_after_s=retry_after_s)
 
     def crash_error(self, request: RequestContent) -> RequestError:
         """Return the error of a request that was sent and must not be sent again."""
-        return self._blocked_error(request, 502, RunState.UNKNOWN)
-
-    def _blocked_error(
-        self, request: RequestContent, status: int, run_state: RunState
-    ) -> RequestError:
-        is_whole = all(is_request(part) for part, _ in self._blames(request))
-        code = "request_blocked" if is_whole else "prompt_blocked"
-        subject = "this request" if is_whole else "a part of the prompt"
-        message = f"{subject} crashes the servers that answer it"
-        return RequestError(status, code, message, run_state)
+        if self._is_blocked_whole(request):
+            message = "the servers crashed or were given up on this request"
+            return RequestError(502, "request_blocked", message, RunState.UNKNOWN)
+        message = "the engines crashed or were given up on a part of the prompt"
+        return RequestError(502, "prompt_blocked", message, RunState.UNKNOWN)
+
+    def _is_blocked_whole(self, request: RequestContent) -> bool:
+        """Whether a blocked request is blocked itself, and no part of its prompt."""
+        return all(is_request(part) for part, _ in self._blames(request))
 
     def take_trial(self, request: RequestContent, now: float) -> bool:
         """Whether this request may be the one that tries its blocked parts again."""
