Decide in one place whether another attempt is allowed after a silence

Gateways and entries of the agents' deployment had the same rule in streammove and in generation/silence; both now call the latter. No change of behaviour.

--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -12,13 +12,12 @@
 from monsoontack.gateway.fleet import MAX_AVOID_S, Member
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.streamerrors import FULL_RETRY_AFTER_S
-from monsoontack.generation.failover import EndCause, NextStep, end_cause
+from monsoontack.generation.failover import EndCause, NextStep
+from monsoontack.generation.silence import NO_BETTER_ENGINE, why_no_attempt
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
 
-# Value of `waits_for` in the log if no engine is better than the silent one.
-NO_BETTER_ENGINE = "engine"
 # Interval at which a stream at a silent engine looks for a better one. The search costs
 # about as much as a placement.
 MOVE_CHECK_INTERVAL_S = 0.5
@@ -86,11 +85,9 @@
 
 def _find_end_cause(run: "StreamRun", has_kv_copy: bool) -> EndCause | None:
     """Return why the stream could not go on at another engine, None if it could."""
-    cause = end_cause(run.failover_input(has_kv_copy))
     budget = run.forwarder.budgets.for_service(run.job.service)
-    if cause is None and budget.left(run.now()) < 1:
-        return EndCause.BUDGET
-    return cause
+    has_budget = budget.left(run.now()) >= 1
+    return why_no_attempt(run.failover_input(has_kv_copy), has_budget)
 
 
 async def wait_after_refusal(run: "StreamRun", step: NextStep) -> NextStep:
--- a/monsoontack/generation/silence.py
+++ b/monsoontack/generation/silence.py
@@ -15,20 +15,28 @@
 SILENCE_MEMORY_S = 10.0
 
 
+def why_no_attempt(loss: FailoverInput, has_budget: bool) -> EndCause | None:
+    """Return why a run may not go on at another engine, None if it may.
+
+    `has_budget` is true if the retry budget allows another attempt.
+    """
+    cause = end_cause(loss)
+    if cause is None and not has_budget:
+        return EndCause.BUDGET
+    return cause
+
+
 def why_stay(
     loss: FailoverInput, has_budget: bool, has_better_engine: bool
 ) -> str | None:
     """Return what keeps a run at its silent engine, None if it may leave.
 
-    `has_budget` is true if the retry budget allows another attempt, and
-    `has_better_engine` if the engine that the run would get has not been found silent.
-    A usable copy of the run's KV cache counts as a better engine.
+    `has_better_engine` is true if the engine that the run would get has not been found
+    silent. A usable copy of the run's KV cache counts as a better engine.
     """
-    cause = end_cause(loss)
+    cause = why_no_attempt(loss, has_budget)
     if cause is not None:
         return str(cause)
-    if not has_budget:
-        return str(EndCause.BUDGET)
     if loss.has_kv_copy or has_better_engine:
         return None
     return NO_BETTER_ENGINE
