Send requests again that a busy machine kept from the cutting server

What was seen: in a run of 546 tests at a load average of 18 to 25 on eight cores, both tests of agent/cuthead_test failed: of 262 requests, 3 to 19 had not been sent when the test compared what the server had seen.

Cause: in the test. A connection that takes over 1 s to open is given up by the agent before its request is sent, which is right; nothing is cut then.

Why it works: such requests are sent again until the server has seen each cut, and each cut that it has seen is judged as before. The run ends with an error after 60 s.

--- a/monsoontack/agent/cuthead_test.py
+++ b/monsoontack/agent/cuthead_test.py
@@ -14,6 +14,7 @@
 from monsoontack.agent.servicehttp import HttpService
 
 PAUSE_S = 1.0
+HANG_GUARD_S = 60.0
 # Cuts that are tried at the same time; a pause at each byte would take minutes.
 PARALLEL_CUTS = 40
 TOKENS = {"first_position": 0, "token_ids": [5], "texts": ["a"], "finish": "stop"}
@@ -46,7 +47,12 @@
 
     async def handle(self, reader, writer):
         """Serve one connection."""
-        head = await reader.readuntil(b"\r\n\r\n")
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            # The agent gave up the connection before it sent its request.
+            writer.close()
+            return
         length = head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0]
         body = await reader.readexactly(int(length or 0))
         number = int(json.loads(body)["cut"])
@@ -76,11 +82,16 @@
             async with limit:
                 return await use(session, url, number)
 
-        async with open_session() as session:
-            found = await asyncio.gather(*(use_once(n) for n in range(len(parts))))
+        found = {}
+        async with open_session() as session, asyncio.timeout(HANG_GUARD_S):
+            # On a busy machine, a connection may not be accepted in time; a request
+            # that was not sent shows nothing.
+            while unseen := sorted(set(range(len(parts))) - set(cutting.seen)):
+                results = await asyncio.gather(*(use_once(n) for n in unseen))
+                found |= dict(zip(unseen, results, strict=True))
         server.close()
-        self.assertEqual(sorted(range(len(parts))), sorted(cutting.seen))
-        return list(zip(parts, found, strict=True))
+        self.assertEqual(list(range(len(parts))), sorted(cutting.seen))
+        return [(parts[number], result) for number, result in found.items()]
 
     async def call(self, session, url, number):
         call = make_call(str(number))
