--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -26,6 +26,8 @@
 
 log = structlog.get_logger("gateway.streams")
 
+# Time in which the end of a connection is read after a new one was refused.
+END_READ_S = 0.02
 # Interval of the checks for a silent engine.
 SILENCE_POLL_S = 0.1
 # If the first event is later than predicted, the relay checks that the engine accepts
@@ -156,8 +158,12 @@
         if self.run.now() < self.next_move_check_at:
             return None
         silence = await self._detect_silence()
-        has_news = bool(exchange.parts) or exchange.is_finished
-        if silence is None or has_news:
+        if silence is None:
+            return None
+        # An engine that has ended refuses connections a moment before the end of this
+        # one is read.
+        await exchange.wait(END_READ_S)
+        if exchange.parts or exchange.is_finished:
             return None
         self._record_silence()
         if self._waits_at_silent_engine(silence):
