Give the processes of tests more ranges of ports

tests.serverstatements_test failed in a whole run beside the suites of four other checkouts: all 30 ranges of 400 ports were taken (StartError, four tests). Each gateway of a test holds one range, and several tests have three gateways. There are 50 now.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 # These ports are below the ephemeral range, which outgoing connections use.
-FIRST_PORT = 20_000
+FIRST_PORT = 12_000
 LAST_PORT = 32_000
 PORTS_PER_BLOCK = 400
 START_TIMEOUT_S = 60.0
