--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -26,6 +26,8 @@
 
 log = structlog.get_logger("gateway.streams")
 
+# Time in which the end of a connection is read after a new one was refused.
+END_READ_S = 0.02
 # Interval of the checks for a silent engine.
 SILENCE_POLL_S = 0.1
 # If the first event is later than predicted, the relay checks that the engine accepts
@@ -161,6 +163,10 @@
                 return StreamLoss(reason, is_broken_off=self.member.restarted)
             silence = None if has_unread else await self._detect_silence()
             if silence is not None:
+                # An engine that has ended refuses connections a moment before the
+                # end of this one is read.
+                await exchange.wait(END_READ_S)
+            if silence is not None and not exchange.is_finished:
                 run.forwarder.fleet.note_unreachable(self.member, run.now())
                 exchange.abort()
                 return StreamLoss(f"{FailureKind.SILENT}: {silence}")
