Count only refusals that reached their caller as said in the stand-in server

Cause, in the check: a server that was silent went on with requests whose connections the gateway had closed by then, and wrote its 503 with Retry-After to nobody; the check took that for a wait the gateway knew. Refusals on open connections count as before.

--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -338,7 +338,8 @@
         A refusal that was kept is written now, before the response to the request.
         """
         if self.retry_after is not None:
-            self.waits_said.append((*self.requests[-1], self.retry_after))
+            if not responder.is_disconnected:
+                self.waits_said.append((*self.requests[-1], self.retry_after))
             wait = (b"retry-after", self.retry_after.encode())
             responder.send(503, (*headers, wait))
             return True
