Log how far a stream came, and its times from the start of a drain

`request ended` now has events, last_id, max_tokens and its times from the start of the drain, `stream lost its engine` the time since the last event, and `drained` the connections with unsent bytes. No decision changed. LogTest.test_log_tells_a_cut_stream_from_one_that_lacks_only_its_end failed before.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -514,9 +514,11 @@
         self.front.close_idle(FLUSH_WAIT_S)
         await asyncio.sleep(FLUSH_WAIT_S)
         self.front.close_idle()
+        unread = self.front.unsent_connections()
         self.front.abort_all()
         self.pool.close()
-        log.info("drained", cut=left, took_s=round(self.gateway.now() - started, 2))
+        took_s = round(self.gateway.now() - started, 2)
+        log.info("drained", cut=left, unread=unread, took_s=took_s)
 
     async def _answer_remaining(self) -> None:
         """Answer the requests that still run before their connections end."""
--- a/monsoontack/gateway/drain_test.py
+++ b/monsoontack/gateway/drain_test.py
@@ -7,6 +7,8 @@
 import unittest
 from dataclasses import dataclass, replace
 
+from structlog.testing import capture_logs
+
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.daemon import GatewayDaemon
 from monsoontack.gateway.daemon_test import SETTINGS
@@ -318,6 +320,31 @@
         self.assertNotIn("/stream-resumable/again", ran)
 
 
+class LogTest(unittest.TestCase):
+    def test_log_tells_a_cut_stream_from_one_that_lacks_only_its_end(self):
+        """Guards against a lost stream whose log line tells neither how far it came nor
+        whether it arrived before the drain or in it."""
+
+        async def scenario():
+            harness = Harness(15.0)
+            await asyncio.sleep(1.0)
+            harness.send("/stream-resumable/left")
+            await asyncio.sleep(0.5)
+            await harness.drain("", False)
+
+        with capture_logs() as lines:
+            run_in_virtual_time(scenario())
+        ended = next(line for line in lines if line["event"] == "request ended")
+        self.assertEqual("stream_cut", ended["outcome"])
+        self.assertEqual((3, "2"), (ended["events"], ended["last_id"]))
+        self.assertAlmostEqual(-0.5, ended["arrived_after_stop_s"], 1)
+        self.assertAlmostEqual(3.6, ended["ended_after_stop_s"], 0)
+        lost = next(line for line in lines if line["event"] == "stream lost its engine")
+        self.assertGreater(lost["since_event_s"], 1.0)
+        drained = next(line for line in lines if line["event"] == "drained")
+        self.assertEqual((1, 0), (drained["cut"], drained["unread"]))
+
+
 class RemainingRequestTest(unittest.TestCase):
     """Requests that still run at the end of a drain."""
 
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -234,6 +234,14 @@
             is_whole and not is_resumed,
         )
 
+    def _time_in_drain(self, at: float) -> float | None:
+        """Return the time from the start of the drain, None while there is none.
+
+        It is negative for a request that arrived before.
+        """
+        began_at = self.drain.began_at
+        return None if began_at is None else round(at - began_at, 3)
+
     def _record_end(self, job: Job) -> None:
         took_s = self.now() - job.started_at
         self._record_time(job)
@@ -261,6 +269,11 @@
             took_s=round(took_s, 3),
             first_event_s=None if first_s is None else round(first_s, 3),
             worst_gap_s=round(job.worst_gap_s, 3),
+            events=job.events,
+            last_id=job.last_event_id,
+            max_tokens=job.request.max_output_tokens,
+            arrived_after_stop_s=self._time_in_drain(job.started_at),
+            ended_after_stop_s=self._time_in_drain(self.now()),
             continues_after=job.request.last_event_id,
             tries=[
                 [
--- a/monsoontack/gateway/inbound.py
+++ b/monsoontack/gateway/inbound.py
@@ -90,6 +90,11 @@
             if connection.is_idle and idle_s >= min_idle_s:
                 connection.transport.close()
 
+    def unsent_connections(self) -> int:
+        """Return the number of connections whose caller has not read everything."""
+        transports = (connection.transport for connection in self.connections)
+        return sum(item.get_write_buffer_size() > 0 for item in transports)
+
     def abort_all(self) -> None:
         """Abort all connections."""
         for connection in list(self.connections):
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -35,6 +35,8 @@
     `is_trial` marks the one request that tries again what is blocked; `turn_of` is what
     is under suspicion and only this request tries now. `was_broken_off` is set once a
     server ended its connection before it went on answering.
+    `events` is the number of reads that brought events of a stream, `last_event_id` the
+    id of the last event that was forwarded.
     `ending` is done once the process ends and the request must be answered.
     `content` is what may recur in other requests.
     """
@@ -54,6 +56,8 @@
     status: int = 0
     first_event_at: float | None = None
     worst_gap_s: float = 0.0
+    events: int = 0
+    last_event_id: str | None = None
     is_trial: bool = False
     turn_of: str | None = None
     was_broken_off: bool = False
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -111,6 +111,8 @@
         except CallerDisconnectedError:
             job.outcome = "caller_gone"
             return
+        finally:
+            job.events, job.last_event_id = self.events, self.position.last_id
         if loss is None:
             job.outcome, job.status = "streamed", 200
             job.responder.finish()
@@ -202,6 +204,7 @@
             content=[job.content.account, *job.content.parts],
             events=self.events,
             last_id=self.position.last_id,
+            since_event_s=round(now - self.last_event_at, 2) if self.events else None,
             copy=self.copy_holder and self.copy_holder.server.address,
             copy_holder=self.copy_holder and self.copy_holder.limit_key,
             at_copy_address=self._servers_at_copy_address(),
--- a/standins/gatewayfakes.py
+++ b/standins/gatewayfakes.py
@@ -68,6 +68,10 @@
     def set_write_buffer_limits(self, high=None, low=None) -> None:
         """Ignore the limits."""
 
+    def get_write_buffer_size(self) -> int:
+        """Return 0, because nothing waits to be sent."""
+        return 0
+
     def get_extra_info(self, name, default=None):
         """Return `default`, because there is no socket."""
         return default
