Let the stand-in engine pause before the end of a stream

A stream whose last event came can lack only its end; no stand-in produced this. DirectEngine.end_pause_s pauses between the last event and the last chunk, also when a stream is resumed; 0 by default, so nothing changes for present tests.

--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -12,7 +12,8 @@
 events). A stream resumes after the event in `last-event-id`.
 `resume_behavior`, if set, is how requests with that header are served instead: one of
 `RESUME_BEHAVIORS`, none of which goes on with the stream. With `uses_stated_length`, a
-stream has as many events as its request states tokens, instead of `event_count`.
+stream has as many events as its request states tokens, instead of `event_count`. A
+stream pauses for `end_pause_s` between its last event and the end of the response.
 
 `runs` lists the requests that ran, each as id, headers and body; `endless_responses`
 lists the responses without end. A server with a `limit` states it in its responses;
@@ -166,6 +167,7 @@
     work_s: float = 0.01
     event_gap_s: float = EVENT_GAP_S
     uses_stated_length: bool = False
+    end_pause_s: float = 0.0
     runs: list[tuple[str, dict, bytes]] = field(default_factory=list)
     disconnected_requests: list[str] = field(default_factory=list)
     endless_responses: list[EndlessResponse] = field(default_factory=list)
@@ -476,4 +478,5 @@
         except CallerDisconnectedError:
             self.disconnected_requests.append(headers[REQUEST_ID_HEADER].decode())
             return
+        await asyncio.sleep(self.end_pause_s)
         responder.finish()
