--- a/standins/playedstreams.py
+++ b/standins/playedstreams.py
@@ -16,6 +16,7 @@
 REFUSED = ExchangeFailure(FailureKind.CONNECT, False, "refused")
 SSE = ((b"content-type", b"text/event-stream"),)
 TEXT = ((b"content-type", b"text/plain"),)
+COMMENT = b": still here\n\n"
 NOT_RUN = ((b"not-run", b"1"),)
 SOUND = frozenset(("right", "empty"))
 # Wrong answers that show only by the events before them.
@@ -99,7 +100,7 @@
         "refusal": (503, NOT_RUN, []),
         "other_type": (200, TEXT, rest),
         "empty": (200, SSE, []),
-        "comments": (200, SSE, [b": still here\n\n"] * 2),
+        "comments": (200, SSE, [COMMENT] * 2),
         "from_start": (200, SSE, stream.events(1, count)),
         "repeated": (200, SSE, stream.events(done, count)),
         "skipped": (200, SSE, stream.events(done + 2, count + 3)),
