Let a drain wait for answers that are written but not sent

A caller that read 4 s after SIGTERM got 72,063 of 300,000 bytes of an answer: with no request in progress, the drain ended 3.1 s after SIGTERM and aborted the connection.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -504,7 +504,8 @@
             if is_propagated:
                 self.front.close_idle(MIN_IDLE_S)
             busy = self.gateway.in_progress or self.front.tasks
-            if is_propagated and not busy and not self.front.has_active_requests:
+            busy = busy or self.front.has_active_requests
+            if is_propagated and not busy and not self.front.unsent_connections():
                 break
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         for listener in self.listeners:
