Record the outcome of a stream's attempt in one place

The accounts of an attempt (load, health of its server, evidence about its version) were closed in the function that ran it, and the relay found its record as the last of the request. An attempt that outlives the next one's start needs both of its own.

--- a/monsoontack/gateway/streamattempt.py
+++ b/monsoontack/gateway/streamattempt.py
@@ -1,10 +1,16 @@
 """Engines of one attempt of a stream, and the reason for which an attempt ended."""
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from monsoontack.gateway.fleet import Member
+from monsoontack.gateway.job import AttemptRecord
 from monsoontack.gateway.outbound import FailureKind
 from monsoontack.gateway.records import KvCacheCopy, ResponseHead
+from monsoontack.gateway.streamload import AttemptLoad
+
+if TYPE_CHECKING:
+    from monsoontack.gateway.streamrelay import StreamRelay
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +28,24 @@
     tokens_ahead: int
 
 
+@dataclass(slots=True)
+class OpenAttempt:
+    """An attempt from its placement until its outcome is recorded.
+
+    `relay` is set once the request has been sent.
+    """
+
+    placement: Placement
+    record: AttemptRecord
+    load: AttemptLoad
+    relay: "StreamRelay | None" = None
+
+    @property
+    def member(self) -> Member:
+        """Return the server to which the attempt is sent."""
+        return self.placement.member
+
+
 @dataclass(slots=True)
 class StreamLoss:
     """Reason for which an attempt ended before the stream was complete.
--- a/monsoontack/gateway/streamoutcome.py
+++ b/monsoontack/gateway/streamoutcome.py
@@ -3,14 +3,49 @@
 from typing import TYPE_CHECKING
 
 from monsoontack.gateway.fleet import INITIAL_AVOID_S, Member
-from monsoontack.gateway.job import Job
+from monsoontack.gateway.job import AttemptRecord
 from monsoontack.gateway.rollouts import RolloutManager
-from monsoontack.gateway.streamattempt import StreamLoss
+from monsoontack.gateway.streamattempt import OpenAttempt, StreamLoss
 
 if TYPE_CHECKING:
+    from monsoontack.gateway.streamrun import StreamRun
     from monsoontack.gateway.streams import StreamForwarder
 
 
+def record_result(
+    run: "StreamRun", attempt: OpenAttempt, loss: StreamLoss | None
+) -> None:
+    """Record what an attempt's answer, or its loss, shows about engine and prompt."""
+    job, relay = run.job, attempt.relay
+    attempt.record.result = "complete" if loss is None else loss.reason
+    if loss is not None:
+        loss.has_gone_on = relay.has_gone_on
+        if loss.is_broken_off:
+            suspect = None if relay.has_gone_on else job.content
+            job.was_broken_off |= not relay.has_gone_on
+            run.forwarder.crash_detector.note_broken_off(attempt.member, suspect)
+        elif loss.is_error_of_engine:
+            run.guard.note_survived(job.content, attempt.record.sent_at)
+    elif relay.began_at is not None and not relay.has_gone_on:
+        run.guard.note_sound(job.content, relay.began_at)
+    job.may_have_run |= loss is None or not loss.not_run
+    record_server_health(run.forwarder, attempt.member, loss)
+
+
+def close_attempt(
+    run: "StreamRun", attempt: OpenAttempt, loss: StreamLoss | None
+) -> None:
+    """End the counts of an attempt, whatever has ended it."""
+    attempt.record.ended_at = run.now()
+    attempt.load.remove()
+    rollouts, relay = run.forwarder.rollouts, attempt.relay
+    if rollouts is not None:
+        is_silent = relay is not None and relay.silent_since is not None
+        failed = has_failed(loss, is_silent)
+        route = run.job.route.name
+        record_version_evidence(rollouts, attempt.member, route, attempt.record, failed)
+
+
 def has_failed(loss: StreamLoss | None, is_silent: bool) -> bool:
     """Whether an engine failed to run a stream; `is_silent` if it was so at the end."""
     if is_silent:
@@ -21,15 +56,18 @@
 
 
 def record_version_evidence(
-    rollouts: RolloutManager, member: Member, job: Job, failed: bool
+    rollouts: RolloutManager,
+    member: Member,
+    route: str,
+    record: AttemptRecord,
+    failed: bool,
 ) -> None:
-    """Record the last attempt as evidence about the version of its engine."""
-    record = job.tries[-1]
+    """Record an attempt as evidence about the version of its engine."""
     first_s = gap_s = None
     if record.first_event_at is not None:
         first_s = record.first_event_at - record.sent_at
         gap_s = record.worst_gap_s
-    rollouts.note_ended(member, job.route.name, failed, first_s, gap_s)
+    rollouts.note_ended(member, route, failed, first_s, gap_s)
 
 
 def record_server_health(
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -6,17 +6,15 @@
 import structlog
 
 from monsoontack.gateway.crashdetector import BROKEN_OFF_KINDS
-from monsoontack.gateway.errorbody import read_error_body
 from monsoontack.gateway.outbound import FailureKind, HttpExchange
 from monsoontack.gateway.records import ResponseHead
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.sse import EventSplitter, EventTooLongError, parse_events
-from monsoontack.gateway.streamattempt import Placement, StreamLoss, silent_loss
-from monsoontack.gateway.streamload import AttemptLoad
+from monsoontack.gateway.streamattempt import OpenAttempt, StreamLoss, silent_loss
+from monsoontack.gateway.streamhead import read_head
 from monsoontack.gateway.streammove import MOVE_CHECK_INTERVAL_S, why_stay
 from monsoontack.generation.continuation import (
     AnswerEvents,
-    AnswerHead,
     ForeignAnswerError,
 )
 from monsoontack.generation.streamtimeouts import decaying_maximum
@@ -61,13 +59,13 @@
     def __init__(
         self,
         run: "StreamRun",
-        placement: Placement,
+        attempt: OpenAttempt,
         exchange: HttpExchange,
-        tokens_to_read: int,
-        load: AttemptLoad,
     ) -> None:
         self.run = run
         self.job = run.job
+        placement = attempt.placement
+        tokens_to_read = placement.tokens_ahead + attempt.load.waiting_tokens
         self.member = placement.member
         self.backup = placement.backup
         self.exchange = exchange
@@ -76,7 +74,8 @@
         self.splitter = EventSplitter()
         self.answer = AnswerEvents(run.position, self.job.route.is_repeatable)
         self.tokens_to_read = tokens_to_read
-        self.load = load
+        self.load = attempt.load
+        self.record = attempt.record
         self.first_event_limit_s = run.stream_timeouts.first_event_limit_s(
             tokens_to_read
         )
@@ -128,7 +127,7 @@
             if job.responder.is_disconnected:
                 raise CallerDisconnectedError
             if self.response_head is None and exchange.has_head:
-                loss = await self._handle_head()
+                loss = await read_head(self)
                 if loss is not None:
                     return loss
             if self.response_head is not None and exchange.parts:
@@ -222,44 +221,6 @@
         left_s = self.job.left_s(now)
         return max(min(SILENCE_POLL_S, left_s), 0.001)
 
-    async def _handle_head(self) -> StreamLoss | None:
-        """Check the response head; return a loss unless it starts an event stream."""
-        exchange, job = self.exchange, self.job
-        wire = self.run.forwarder.sender.wire
-        response_head = wire.parse_response_head(exchange.status, exchange.headers)
-        if response_head.not_run:
-            await read_error_body(self, is_used=False)
-            return StreamLoss(
-                f"not_run {response_head.status}",
-                not_run=True,
-                response_head=response_head,
-            )
-        job.may_have_run = True
-        if response_head.is_unstated_refusal:
-            exchange.abort()
-            said = self.run.forwarder.sender.statement(exchange)
-            return StreamLoss(
-                f"status {response_head.status}, but the request may have run",
-                asks_for_time=said.wait_s > 0,
-            )
-        if response_head.status >= 300:
-            is_final = self.run.is_final_status(response_head.status)
-            body = await read_error_body(self, is_used=True, is_final=is_final)
-            if isinstance(body, StreamLoss):
-                return body
-            return StreamLoss(
-                str(response_head.status), response_head=response_head, body=body
-            )
-        if response_head.encoded or not response_head.signed:
-            exchange.abort()
-            return StreamLoss(str(FailureKind.MALFORMED))
-        has_request_id = response_head.request_id is not None
-        self.answer.begin(
-            AnswerHead(response_head.status, response_head.media_type, has_request_id)
-        )
-        self.response_head = response_head
-        return None
-
     async def _forward_events(self, data: bytes) -> None:
         """Forward complete events that go on with the stream to the caller."""
         before = self.answer.count
@@ -293,8 +254,7 @@
             gap_s = now - run.last_event_at
             self.job.worst_gap_s = max(self.job.worst_gap_s, gap_s)
             if not is_first:
-                record = self.job.tries[-1]
-                record.worst_gap_s = max(record.worst_gap_s, gap_s)
+                self.record.worst_gap_s = max(self.record.worst_gap_s, gap_s)
                 run.stream_timeouts.note_gap(gap_s)
                 self.member.longest_gap_s = decaying_maximum(
                     self.member.longest_gap_s, gap_s
@@ -312,8 +272,8 @@
     def _record_first_event(self, now: float) -> None:
         if self.job.first_event_at is None:
             self.job.first_event_at = now
-        if self.job.tries[-1].first_event_at is None:
-            self.job.tries[-1].first_event_at = now
+        if self.record.first_event_at is None:
+            self.record.first_event_at = now
         if not self.resumed:
             self.run.stream_timeouts.note_first_event(
                 self.tokens_to_read, now - self.sent_at
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -8,18 +8,14 @@
 from monsoontack.gateway.errorresponse import error_response
 from monsoontack.gateway.fleet import Member
 from monsoontack.gateway.job import AttemptRecord, Job
-from monsoontack.gateway.outbound import ExchangeFailure
+from monsoontack.gateway.outbound import ExchangeFailure, HttpExchange
 from monsoontack.gateway.records import Attempt, KvCacheCopy
 from monsoontack.gateway.responder import CallerDisconnectedError
-from monsoontack.gateway.streamattempt import Placement, StreamLoss
+from monsoontack.gateway.streamattempt import OpenAttempt, Placement, StreamLoss
 from monsoontack.gateway.streamerrors import loss_error
 from monsoontack.gateway.streamload import AttemptLoad
 from monsoontack.gateway.streammove import is_doubtful, wait_after_refusal
-from monsoontack.gateway.streamoutcome import (
-    has_failed,
-    record_server_health,
-    record_version_evidence,
-)
+from monsoontack.gateway.streamoutcome import close_attempt, record_result
 from monsoontack.gateway.streamrelay import BLOCKED_REASON, StreamRelay
 from monsoontack.generation.continuation import StreamPosition
 from monsoontack.generation.failover import (
@@ -147,7 +143,7 @@
                 loss = StreamLoss("no engine can be reached", not_run=True, unsent=True)
                 step = NextStep.END
             else:
-                loss = await self._run_attempt(placement)
+                loss = await self._run_attempt(self._open_attempt(placement))
                 if loss is None or self._is_final_error(loss):
                     return loss
                 step = self._step_after_loss(loss, placement.member, placement.backup)
@@ -319,68 +315,59 @@
         known = self.forwarder.engine_of_prompt(self.segment_id)
         return PromptAffinity(self.segment_id, self.job.request.prompt_tokens, known)
 
-    async def _run_attempt(self, placement: Placement) -> StreamLoss | None:
-        """Run one attempt; return None if the stream is complete, else the loss."""
-        job, now = self.job, self.now()
-        member, copy, backup = placement.member, placement.copy, placement.backup
-        record = AttemptRecord(member.server.incarnation, now)
+    def _open_attempt(self, placement: Placement) -> OpenAttempt:
+        """Begin to count an attempt."""
+        job, member = self.job, placement.member
+        record = AttemptRecord(member.server.incarnation, self.now())
         job.tries.append(record)
-        attempt = Attempt(
-            server=member.server,
-            left_s=max(job.left_s(now), 0.001),
-            account=job.account.name if job.account else None,
-            priority=job.priority,
-            backup=backup.server.address if backup else None,
-            copy=copy,
-            last_event_id=self.position.last_id or job.request.last_event_id or None,
-        )
-        waiting_tokens = 0 if copy is not None else job.request.prompt_tokens
-        load_exchange = self.forwarder.load_exchange
+        waiting_tokens = 0 if placement.copy else job.request.prompt_tokens
         load = AttemptLoad(
-            load_exchange, member, backup, self.needed_tokens, waiting_tokens
+            self.forwarder.load_exchange,
+            member,
+            placement.backup,
+            self.needed_tokens,
+            waiting_tokens,
         )
         load.add()
-        rollouts = self.forwarder.rollouts
-        if rollouts is not None:
-            rollouts.note_sent(member)
+        if self.forwarder.rollouts is not None:
+            self.forwarder.rollouts.note_sent(member)
+        return OpenAttempt(placement, record, load)
+
+    async def _run_attempt(self, attempt: OpenAttempt) -> StreamLoss | None:
+        """Run one attempt; return None if the stream is complete, else the loss."""
         loss: StreamLoss | None = StreamLoss("unsent", not_run=True)
-        relay: StreamRelay | None = None
         try:
             self.counted_attempts += 1
             self.total_attempts += 1
-            sent = await self.forwarder.sender.send(
-                member, job.request, attempt, self._is_wanted
-            )
+            sent = await self._send(attempt)
             if isinstance(sent, ExchangeFailure):
-                if job.responder.is_disconnected:
+                if self.job.responder.is_disconnected:
                     raise CallerDisconnectedError
                 self.counted_attempts -= 1
-                record.result = str(sent.kind)
+                attempt.record.result = str(sent.kind)
                 return StreamLoss(sent.detail, not_run=True, unsent=True)
-            tokens_to_read = placement.tokens_ahead + waiting_tokens
-            relay = StreamRelay(self, placement, sent, tokens_to_read, load)
-            loss = await relay.relay()
-            record.result = "complete" if loss is None else loss.reason
-            if loss is not None:
-                loss.has_gone_on = relay.has_gone_on
-                if loss.is_broken_off:
-                    suspect = None if relay.has_gone_on else job.content
-                    job.was_broken_off |= not relay.has_gone_on
-                    self.forwarder.crash_detector.note_broken_off(member, suspect)
-                elif loss.is_error_of_engine:
-                    self.guard.note_survived(job.content, now)
-            elif relay.began_at is not None and not relay.has_gone_on:
-                self.guard.note_sound(job.content, relay.began_at)
-            job.may_have_run |= loss is None or not loss.not_run
-            record_server_health(self.forwarder, member, loss)
+            attempt.relay = StreamRelay(self, attempt, sent)
+            loss = await attempt.relay.relay()
+            record_result(self, attempt, loss)
             return loss
         finally:
-            record.ended_at = self.now()
-            load.remove()
-            if rollouts is not None:
-                is_silent = relay is not None and relay.silent_since is not None
-                failed = has_failed(loss, is_silent)
-                record_version_evidence(rollouts, member, job, failed)
+            close_attempt(self, attempt, loss)
+
+    async def _send(self, attempt: OpenAttempt) -> HttpExchange | ExchangeFailure:
+        job, placement = self.job, attempt.placement
+        backup = placement.backup
+        request = Attempt(
+            server=attempt.member.server,
+            left_s=max(job.left_s(self.now()), 0.001),
+            account=job.account.name if job.account else None,
+            priority=job.priority,
+            backup=backup.server.address if backup else None,
+            copy=placement.copy,
+            last_event_id=self.position.last_id or job.request.last_event_id or None,
+        )
+        return await self.forwarder.sender.send(
+            attempt.member, job.request, request, self._is_wanted
+        )
 
     def _end_failed(self, loss: StreamLoss) -> None:
         """End a stream that cannot be continued."""
