End streams that have all stated tokens, whatever the pause before their end

Cause: the stream left its silent server, or lost it; the next servers had nothing to add, answered with a head and an end, and each such answer counted as wrong bytes: the server was avoided, counted as failed, and its version with it. Now: generation/completeness.py decides whether a stream has as many numbered events as its request states tokens. Such a stream waits for its server until the deadline, and is ended by an empty whole answer with a fitting head if that server breaks off. Ids are not used (they may be times), nor the id that a caller resumed after. It is not ended without any answer: an event without a token, as some engines send first or last, would then be missing unnoticed. An empty answer is a result of its own (`empty`): it says nothing against server or version, and the servers that gave it are asked last. A server whose end comes after a silence is noted as alive. A stream that states only a bound goes on as before; resumption_test is unchanged.

--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -40,6 +40,7 @@
     "closed": "connection closed before the end",
     "malformed": "bytes that are no valid answer",
     "foreign": "an answer without the id of the request",
+    "empty": "a whole answer without any event for the stream",
     "oversized": "more bytes than an answer may have",
     "silent": "no bytes for longer than usual",
     "deadline": "the time of the request was over",
@@ -58,7 +59,10 @@
     "budget": "the retry budget was used up",
 }
 # Meaning of `waits_for` in the line of a stream that waits for its silent engine.
-WAIT_CAUSES = END_CAUSES | {"engine": "no other engine was better"}
+WAIT_CAUSES = END_CAUSES | {
+    "engine": "no other engine was better",
+    "end": "all events had come, and only the end of the answer was missing",
+}
 WAIT_EVENT = "stream waits for its silent engine"
 GOING_ON_EVENT = "silent engine goes on"
 # Log lines about the store and the process are relevant to a request if they were
--- a/monsoontack/gateway/streamattempt.py
+++ b/monsoontack/gateway/streamattempt.py
@@ -56,6 +56,7 @@
     turned out to be another one. `is_broken_off` means that the engine's side closed or
     reset the connection, `has_gone_on` that events had come for some time before.
     `is_foreign` means that an engine which can be reached gave another answer,
+    `is_empty` that its answer was whole and fitted, but had no event for the stream,
     `is_silent` that the engine was left, although it might have gone on,
     `asks_for_time` that it refused the request and wants no other one for some time.
     """
@@ -69,6 +70,7 @@
     is_broken_off: bool = False
     has_gone_on: bool = False
     is_foreign: bool = False
+    is_empty: bool = False
     is_silent: bool = False
     asks_for_time: bool = False
 
--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -13,7 +13,11 @@
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.streamerrors import FULL_RETRY_AFTER_S
 from monsoontack.generation.failover import EndCause, NextStep
-from monsoontack.generation.silence import NO_BETTER_ENGINE, why_no_attempt
+from monsoontack.generation.silence import (
+    NO_BETTER_ENGINE,
+    ONLY_END_IS_MISSING,
+    why_no_attempt,
+)
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
@@ -54,6 +58,8 @@
     a silence that has lasted longer than a pause.
     """
     forwarder, job, now = run.forwarder, run.job, run.now()
+    if run.has_all_stated():
+        return ONLY_END_IS_MISSING
     copy_member = run.usable_copy(backup, events)
     cause = _find_end_cause(run, copy_member is not None)
     if cause is not None:
--- a/monsoontack/gateway/streamoutcome.py
+++ b/monsoontack/gateway/streamoutcome.py
@@ -50,7 +50,7 @@
     """Whether an engine failed to run a stream; `is_silent` if it was so at the end."""
     if is_silent:
         return True
-    if loss is None or loss.not_run or loss.asks_for_time:
+    if loss is None or loss.not_run or loss.asks_for_time or loss.is_empty:
         return False
     return loss.reason != "deadline"
 
@@ -73,12 +73,17 @@
 def record_server_health(
     forwarder: "StreamForwarder", member: Member, loss: StreamLoss | None
 ) -> None:
-    """Record the attempt's outcome for the selection of servers."""
+    """Record the attempt's outcome for the selection of servers.
+
+    An engine whose answer is empty may be right, so that shows nothing.
+    """
     fleet, now = forwarder.fleet, forwarder.sender.now()
     start_key, rng = member.server.start_key, forwarder.rng
     if loss is None:
         fleet.ejection.record_success(start_key, 0.0, now, rng)
         return
+    if loss.is_empty:
+        return
     if loss.response_head is not None and loss.response_head.status == 421:
         fleet.note_misdirected(member)
     elif not (loss.not_run or loss.asks_for_time):
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -15,6 +15,7 @@
 from monsoontack.gateway.streammove import MOVE_CHECK_INTERVAL_S, why_stay
 from monsoontack.generation.continuation import (
     AnswerEvents,
+    EmptyAnswerError,
     ForeignAnswerError,
 )
 from monsoontack.generation.streamtimeouts import decaying_maximum
@@ -39,6 +40,8 @@
 RESUME_LIMIT_FACTOR = 1.5
 # Share of the silence limit after which a new connection tests the engine.
 LIVENESS_CHECK_SHARE = 0.5
+# Result of an attempt whose answer had no event for the stream.
+EMPTY_RESULT = "empty"
 BLOCKED_REASON = "a part of the prompt crashes engines"
 # An engine that crashes when it begins an answer does so within tens of milliseconds of
 # the first event. After this time it has gone on answering.
@@ -99,6 +102,8 @@
                 loss.events = self.answer.count
             if loss is None or loss.not_run:
                 # The engine has answered, so it is not silent any more.
+                if loss is None and self.silent_since is not None:
+                    self._note_going_on(self.run.now())
                 self.silent_since = None
             return loss
         except (CallerDisconnectedError, asyncio.CancelledError):
@@ -107,19 +112,25 @@
         except EventTooLongError as error:
             self.exchange.abort()
             return StreamLoss(f"{FailureKind.OVERSIZED}: {error}")
+        except EmptyAnswerError as error:
+            self._log_wrong_answer(error)
+            return StreamLoss(EMPTY_RESULT, is_empty=True)
         except ForeignAnswerError as error:
             self.exchange.abort()
-            # The text may quote the engine, so it is not for the caller.
-            log.warning(
-                "answer does not go on with the stream",
-                request=self.job.request.request_id,
-                server=self.member.server.incarnation,
-                detail=str(error),
-            )
+            self._log_wrong_answer(error)
             return StreamLoss(str(FailureKind.FOREIGN), is_foreign=True)
         finally:
             self._cancel_liveness_check()
 
+    def _log_wrong_answer(self, error: ForeignAnswerError) -> None:
+        # The text may quote the engine, so it is not for the caller.
+        log.warning(
+            "answer does not go on with the stream",
+            request=self.job.request.request_id,
+            server=self.member.server.incarnation,
+            detail=str(error),
+        )
+
     async def _relay(self) -> StreamLoss | None:
         exchange, job = self.exchange, self.job
         while True:
@@ -352,7 +363,7 @@
         if exchange.ends_with_connection and self.answer.count == 0:
             # Without length, chunks or events, nothing tells an answer from a crash.
             return StreamLoss("ended before the first event", is_broken_off=True)
-        await self._write(self.answer.end())
+        await self._write(self.answer.end(self.run.has_all_stated()))
         if not self.job.responder.head_sent:
             self.job.responder.begin(
                 self.response_head.status, self.response_head.forwarded
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -17,6 +17,7 @@
 from monsoontack.gateway.streammove import is_doubtful, wait_after_refusal
 from monsoontack.gateway.streamoutcome import close_attempt, record_result
 from monsoontack.gateway.streamrelay import BLOCKED_REASON, StreamRelay
+from monsoontack.generation.completeness import has_all_stated
 from monsoontack.generation.continuation import StreamPosition
 from monsoontack.generation.failover import (
     EndCause,
@@ -51,8 +52,9 @@
     `events` is the number of reads that brought events, `position` what the caller has
     of them. `counted_attempts` are limited by the route, `total_attempts` also include
     those that were not run, unless a pause preceded them. `excluded` has the engines
-    that get no next attempt while others are available; `copy_holder` is the start of
-    the engine that got a copy of the KV cache.
+    that get no next attempt while others are available, among them `empty_servers`,
+    which had nothing to add to the stream; `copy_holder` is the start of the engine
+    that got a copy of the KV cache.
     `engine_error` is the last error response of an engine. `broken_off` counts the
     engines that broke off the stream before they went on answering.
     `has_left_silent_engine` is set while only refusals have followed an engine that was
@@ -80,6 +82,7 @@
         self.guard = forwarder.sender.guard
         self.broken_off = 0
         self.has_left_silent_engine = False
+        self.empty_servers: set[str] = set()
         request = job.request
         self.segment_id = (
             request.prompt_segments[-1].segment_id if request.prompt_segments else ""
@@ -163,17 +166,23 @@
         """Whether no other engine is asked after an engine's error of this status."""
         return status < 500 and not self.position.has_begun
 
-    def _step_after_loss(
-        self, loss: StreamLoss, member: Member, backup: Member | None
-    ) -> NextStep:
-        """Return the next step of the stream after a failed attempt."""
-        job, now = self.job, self.now()
+    def _exclude(self, loss: StreamLoss, member: Member) -> None:
+        """Note which engines are asked last after a failed attempt."""
         if loss.is_silent or not loss.not_run:
             self.has_left_silent_engine = loss.is_silent
+        if loss.is_empty:
+            self.empty_servers.add(member.server.incarnation)
         if loss.unsent or loss.not_run and self.has_left_silent_engine:
             self.excluded.add(member.server.incarnation)
         else:
-            self.excluded = {member.server.incarnation}
+            self.excluded = {member.server.incarnation, *self.empty_servers}
+
+    def _step_after_loss(
+        self, loss: StreamLoss, member: Member, backup: Member | None
+    ) -> NextStep:
+        """Return the next step of the stream after a failed attempt."""
+        job, now = self.job, self.now()
+        self._exclude(loss, member)
         if loss.not_run:
             self.counted_attempts -= 1
         # A copy can be used only once, and exists only if the run has made events.
@@ -229,6 +238,10 @@
             left_s=job.left_s(self.now()),
         )
 
+    def has_all_stated(self) -> bool:
+        """Whether the caller has all tokens that the request stated."""
+        return has_all_stated(self.position, self.job.request.max_output_tokens)
+
     def note_pause(self) -> None:
         """Allow one more attempt, since a pause limits the rate of further ones."""
         self.total_attempts = min(self.total_attempts, MAX_TOTAL_ATTEMPTS - 1)
--- a/monsoontack/generation/continuation.py
+++ b/monsoontack/generation/continuation.py
@@ -12,7 +12,8 @@
   not be consecutive, since an event may count its tokens, so without such a step a gap
   is not noticed.
 * It has at least one event. An answer without any does not show that the stream was
-  whole when the engine before broke off.
+  whole when the engine before broke off, unless the stream has all the tokens that the
+  request stated (completeness.py).
 
 The ids of a single answer have to rise as well. A caller that resumes a stream has the
 id of its last event, and the first answer is held to that id in the same way; it may be
@@ -40,6 +41,10 @@
     """The answer of an attempt is not the rest of the stream."""
 
 
+class EmptyAnswerError(ForeignAnswerError):
+    """A whole answer with a fitting head has no event for the stream."""
+
+
 @dataclass(slots=True)
 class StreamEvent:
     """One event or comment of an answer, with its bytes and the id if it has one.
@@ -69,7 +74,8 @@
     `head` that of the answer that the response began with. `step` is the difference of
     consecutive ids, 0 if it is unknown or varies; `is_step_measured` is false while it
     is a guess from the first id alone. `has_unnumbered` means that the stream has
-    delivered content but no ids.
+    delivered content but no ids. `event_count` is the number of events with an id and
+    content, without those that the caller had before.
     """
 
     last_id: str | None = None
@@ -77,6 +83,7 @@
     step: int = 0
     is_step_measured: bool = False
     has_unnumbered: bool = False
+    event_count: int = 0
 
     @property
     def has_begun(self) -> bool:
@@ -89,7 +96,7 @@
         return self.last_id is not None or not self.has_unnumbered
 
     def after(
-        self, event_id: str, is_adjacent: bool, max_step: int
+        self, event_id: str, is_adjacent: bool, max_step: int, has_content: bool = True
     ) -> "StreamPosition":
         """Return the position after an event; raise an error if it cannot be next.
 
@@ -100,13 +107,14 @@
             raise ForeignAnswerError(f"event id of {len(event_id)} characters")
         number = id_number(event_id)
         step, is_measured = self.step, self.is_step_measured
+        event_count = self.event_count + has_content
         if self.last_id is None:
-            return self._moved(event_id, number or 0, False)
+            return self._moved(event_id, number or 0, False, event_count)
         last = id_number(self.last_id)
         if event_id == self.last_id:
             raise ForeignAnswerError(f"event {event_id!r} again")
         if last is None:
-            return self._moved(event_id, step, is_measured)
+            return self._moved(event_id, step, is_measured, event_count)
         if number is None or number <= last:
             raise ForeignAnswerError(f"event {event_id!r} after {self.last_id!r}")
         found = number - last
@@ -114,16 +122,21 @@
             message = f"event {event_id!r} after {self.last_id!r}, steps of {max_step}"
             raise ForeignAnswerError(message)
         if not is_adjacent:
-            return self._moved(event_id, step, is_measured)
+            return self._moved(event_id, step, is_measured, event_count)
         step = found if found == step or not is_measured else 0
-        return self._moved(event_id, step, True)
+        return self._moved(event_id, step, True, event_count)
 
     def _moved(
-        self, last_id: str, step: int, is_step_measured: bool
+        self, last_id: str, step: int, is_step_measured: bool, event_count: int
     ) -> "StreamPosition":
         # Called for each event; `replace` is slower.
         return StreamPosition(
-            last_id, self.head, step, is_step_measured, self.has_unnumbered
+            last_id,
+            self.head,
+            step,
+            is_step_measured,
+            self.has_unnumbered,
+            event_count,
         )
 
 
@@ -169,7 +182,9 @@
         for event in events:
             has_content |= event.has_content
             if event.event_id is not None:
-                position = position.after(event.event_id, count > 0, self.max_step)
+                position = position.after(
+                    event.event_id, count > 0, self.max_step, event.has_content
+                )
                 count += 1
                 forwarded += [*held, event.data]
                 held = []
@@ -193,13 +208,14 @@
         self.position, self.count, self.has_content = position, count, has_content
         return b"".join(forwarded)
 
-    def end(self) -> bytes:
+    def end(self, is_stream_whole: bool = False) -> bytes:
         """Return the held bytes at the end of a complete answer.
 
-        Raises an error if the end of the answer is not that of the stream.
+        `is_stream_whole` means that the stream had all that was asked for before. An
+        error is raised if the end of the answer is not that of the stream.
         """
-        if self.is_later and not self.has_content:
-            raise ForeignAnswerError("no event after the stream had begun")
+        if self.is_later and not self.has_content and not is_stream_whole:
+            raise EmptyAnswerError("no event after the stream had begun")
         return self.held
 
 
--- a/monsoontack/generation/silence.py
+++ b/monsoontack/generation/silence.py
@@ -10,6 +10,8 @@
 
 # Result of `why_stay` if no engine is better than the silent one.
 NO_BETTER_ENGINE = "engine"
+# Result if the stream has all its events, and only the end of the answer is missing.
+ONLY_END_IS_MISSING = "end"
 # Time after which a silent engine may be tried again without news of it. A server
 # that failed a generation is avoided for as long.
 SILENCE_MEMORY_S = 10.0
