Keep the connection to a silent server while the next one is asked

Callers saw: a stream with all its events, of whose tokens only a bound was stated, was reset when its server paused before the last chunk. Cause: the connection to a silent server was reset before the next attempt was sent. If only the end was missing, no other server could add anything, and nobody was left who knew that the stream was whole. It is reset at the first event of the next attempt. The stream returns to it, and asks no third server, after an empty answer, once the first answer has ended meanwhile, or when no engine is left to go on at (refusals, wrong answers, budget, attempts). After an empty answer it is not left for another 10 s of silence, so a hung server beside a forgetful one does not hold the stream until its deadline. Refusals and wrong answers do not return it while another engine is left: beside a hung server that would cost half a second each. Load, health of the server and evidence about its version are recorded when the connection is reset or the stream has ended there; an end is no failure. The attempt stands at the end of the request's tries then. No keeping for streams without events of this attempt, servers that refuse connections, and routes that may not be repeated.

--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -41,6 +41,7 @@
     "malformed": "bytes that are no valid answer",
     "foreign": "an answer without the id of the request",
     "empty": "a whole answer without any event for the stream",
+    "overtaken": "the silent server before it sent the rest of its answer",
     "oversized": "more bytes than an answer may have",
     "silent": "no bytes for longer than usual",
     "deadline": "the time of the request was over",
@@ -65,6 +66,8 @@
 }
 WAIT_EVENT = "stream waits for its silent engine"
 GOING_ON_EVENT = "silent engine goes on"
+RETURN_EVENT = "stream returns to its silent engine"
+GIVEN_UP_EVENT = "silent engine is given up"
 # Log lines about the store and the process are relevant to a request if they were
 # written within this time before its last line.
 CONTEXT_WINDOW_S = 30.0
@@ -163,6 +166,9 @@
         ]
     if line.event == GOING_ON_EVENT:
         return [f"  {prefix}: {fields['server']} goes on after {fields['gap_s']} s"]
+    if line.event in (RETURN_EVENT, GIVEN_UP_EVENT):
+        server, because = fields["server"], fields["because"]
+        return [f"  {prefix}: {line.event}: {server} ({because})"]
     if line.event != "request ended":
         return [f"  {prefix}: {line.event}"]
     summary = (
--- a/monsoontack/gateway/streamattempt.py
+++ b/monsoontack/gateway/streamattempt.py
@@ -57,7 +57,8 @@
     reset the connection, `has_gone_on` that events had come for some time before.
     `is_foreign` means that an engine which can be reached gave another answer,
     `is_empty` that its answer was whole and fitted, but had no event for the stream,
-    `is_silent` that the engine was left, although it might have gone on,
+    `is_silent` that the engine was left, although it might have gone on, `is_kept` that
+    its connection is still open, `is_overtaken` that the engine left before has ended,
     `asks_for_time` that it refused the request and wants no other one for some time.
     """
 
@@ -72,8 +73,15 @@
     is_foreign: bool = False
     is_empty: bool = False
     is_silent: bool = False
+    is_kept: bool = False
+    is_overtaken: bool = False
     asks_for_time: bool = False
 
+    @property
+    def shows_nothing(self) -> bool:
+        """Whether the loss says nothing about the engine, which may be right."""
+        return self.is_empty or self.is_overtaken
+
     @property
     def is_error_of_engine(self) -> bool:
         """Whether the engine itself answered with an error, having run the request."""
@@ -81,7 +89,9 @@
         return head is not None and head.signed and not self.not_run
 
 
-def silent_loss(silence: str, refuses_connections: bool) -> StreamLoss:
+def silent_loss(
+    silence: str, refuses_connections: bool, is_kept: bool = False
+) -> StreamLoss:
     """Return the loss of a silent engine that the stream leaves.
 
     An engine that refuses connections has ended and will not go on. Whether the prompt
@@ -90,5 +100,6 @@
     return StreamLoss(
         f"{FailureKind.SILENT}: {silence}",
         is_silent=not refuses_connections,
+        is_kept=is_kept,
         is_broken_off=refuses_connections,
     )
--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -96,6 +96,13 @@
     return why_no_attempt(run.failover_input(has_kv_copy), has_budget)
 
 
+def has_next_engine(run: "StreamRun", step: NextStep) -> bool:
+    """Whether the stream may go on at an engine that it has not just left."""
+    if step is NextStep.RESTART:
+        return bool(run.forwarder.engine_loads(run.job, run.excluded))
+    return step is NextStep.RESUME_COPY
+
+
 async def wait_after_refusal(run: "StreamRun", step: NextStep) -> NextStep:
     """Return the step after a refusal that followed a silent engine, with a pause.
 
@@ -103,10 +110,10 @@
     limit on attempts in sequence. The result is `END` at the deadline or if the caller
     gets an engine's error.
     """
+    if has_next_engine(run, step):
+        return step
     loads, job = run.forwarder.engine_loads, run.job
     is_granted = step is not NextStep.END
-    if is_granted and (step is NextStep.RESUME_COPY or loads(job, run.excluded)):
-        return step
     if run.engine_error is not None and not job.responder.head_sent:
         return NextStep.END
     while (left_s := job.left_s(run.now())) > 0:
--- a/monsoontack/gateway/streamoutcome.py
+++ b/monsoontack/gateway/streamoutcome.py
@@ -2,15 +2,20 @@
 
 from typing import TYPE_CHECKING
 
+import structlog
+
 from monsoontack.gateway.fleet import INITIAL_AVOID_S, Member
 from monsoontack.gateway.job import AttemptRecord
 from monsoontack.gateway.rollouts import RolloutManager
 from monsoontack.gateway.streamattempt import OpenAttempt, StreamLoss
+from monsoontack.generation.failover import EndCause, FailoverInput, NextStep
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
     from monsoontack.gateway.streams import StreamForwarder
 
+log = structlog.get_logger("gateway.streams")
+
 
 def record_result(
     run: "StreamRun", attempt: OpenAttempt, loss: StreamLoss | None
@@ -50,7 +55,7 @@
     """Whether an engine failed to run a stream; `is_silent` if it was so at the end."""
     if is_silent:
         return True
-    if loss is None or loss.not_run or loss.asks_for_time or loss.is_empty:
+    if loss is None or loss.not_run or loss.asks_for_time or loss.shows_nothing:
         return False
     return loss.reason != "deadline"
 
@@ -73,16 +78,13 @@
 def record_server_health(
     forwarder: "StreamForwarder", member: Member, loss: StreamLoss | None
 ) -> None:
-    """Record the attempt's outcome for the selection of servers.
-
-    An engine whose answer is empty may be right, so that shows nothing.
-    """
+    """Record the attempt's outcome for the selection of servers."""
     fleet, now = forwarder.fleet, forwarder.sender.now()
     start_key, rng = member.server.start_key, forwarder.rng
     if loss is None:
         fleet.ejection.record_success(start_key, 0.0, now, rng)
         return
-    if loss.is_empty:
+    if loss.shows_nothing:
         return
     if loss.response_head is not None and loss.response_head.status == 421:
         fleet.note_misdirected(member)
@@ -92,3 +94,41 @@
             member.avoid_until = max(member.avoid_until, now + INITIAL_AVOID_S)
         else:
             fleet.note_unreachable(member, now)
+
+
+def log_lost_engine(
+    run: "StreamRun",
+    member: Member,
+    loss: StreamLoss,
+    step: NextStep,
+    state: FailoverInput,
+    ended_by: EndCause | None,
+    has_kv_copy: bool,
+) -> None:
+    """Log why an attempt ended, and how the stream goes on."""
+    now, copy_holder = run.now(), run.copy_holder
+    servers_at_copy = []
+    if copy_holder is not None:
+        found = run.forwarder.fleet.at_address(copy_holder.server.address)
+        servers_at_copy = [[other.limit_key, other.server.service] for other in found]
+    log.info(
+        "stream lost its engine",
+        request=run.job.request.request_id,
+        server=member.server.incarnation,
+        reason=loss.reason,
+        content=[run.job.content.account, *run.job.content.parts],
+        events=run.events,
+        last_id=run.position.last_id,
+        since_event_s=round(now - run.last_event_at, 2) if run.events else None,
+        copy=run.copy_holder and run.copy_holder.server.address,
+        copy_holder=run.copy_holder and run.copy_holder.limit_key,
+        at_copy_address=servers_at_copy,
+        service=run.job.service,
+        copy_usable=has_kv_copy,
+        next=str(step),
+        ended_by=ended_by,
+        left_s=round(state.left_s, 2),
+        budget_left=round(
+            run.forwarder.budgets.for_service(run.job.service).left(now), 1
+        ),
+    )
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -137,6 +137,9 @@
             await exchange.wait(self._poll_timeout_s())
             if job.responder.is_disconnected:
                 raise CallerDisconnectedError
+            if self.run.kept.is_whole:
+                exchange.abort()
+                return StreamLoss("overtaken", is_overtaken=True)
             if self.response_head is None and exchange.has_head:
                 loss = await read_head(self)
                 if loss is not None:
@@ -179,8 +182,15 @@
         self._record_silence()
         if self._waits_at_silent_engine(silence):
             return None
-        exchange.abort()
-        return silent_loss(silence, self.refuses_connections)
+        # Only a stream that has events may lack nothing but its end.
+        is_kept = self.answer.count > 0 and not self.refuses_connections
+        if not is_kept:
+            exchange.abort()
+        return silent_loss(silence, self.refuses_connections, is_kept)
+
+    def stay(self, stay_s: float) -> None:
+        """Leave the engine for no silence within this time, or until its next event."""
+        self.next_move_check_at = self.run.now() + stay_s
 
     def _record_silence(self) -> None:
         """Record that the engine is silent, and once that it failed."""
@@ -242,6 +252,8 @@
             return
         forwarded = self.answer.accept(parse_events(complete_events))
         self.run.position = self.answer.position
+        if self.answer.count:
+            self.run.kept.reset("the next engine goes on")
         if self.answer.count > before or self.answer.count == 0:
             self._record_progress(now, is_first=before == 0)
         await self._write(forwarded)
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -8,14 +8,25 @@
 from monsoontack.gateway.errorresponse import error_response
 from monsoontack.gateway.fleet import Member
 from monsoontack.gateway.job import AttemptRecord, Job
+from monsoontack.gateway.keptattempt import KeptAttempt
 from monsoontack.gateway.outbound import ExchangeFailure, HttpExchange
-from monsoontack.gateway.records import Attempt, KvCacheCopy
+from monsoontack.gateway.records import Attempt
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.streamattempt import OpenAttempt, Placement, StreamLoss
 from monsoontack.gateway.streamerrors import loss_error
 from monsoontack.gateway.streamload import AttemptLoad
-from monsoontack.gateway.streammove import is_doubtful, wait_after_refusal
-from monsoontack.gateway.streamoutcome import close_attempt, record_result
+from monsoontack.gateway.streammove import (
+    MOVE_CHECK_INTERVAL_S,
+    has_next_engine,
+    is_doubtful,
+    wait_after_refusal,
+)
+from monsoontack.gateway.streamoutcome import (
+    close_attempt,
+    log_lost_engine,
+    record_result,
+)
+from monsoontack.gateway.streamplace import place_attempt
 from monsoontack.gateway.streamrelay import BLOCKED_REASON, StreamRelay
 from monsoontack.generation.completeness import has_all_stated
 from monsoontack.generation.continuation import StreamPosition
@@ -26,10 +37,10 @@
     end_cause,
     next_step,
 )
+from monsoontack.generation.silence import SILENCE_MEMORY_S
 from monsoontack.routing.placement import (
     EngineCandidate,
     PromptAffinity,
-    choose_backup,
     choose_engine,
 )
 
@@ -59,7 +70,7 @@
     engines that broke off the stream before they went on answering.
     `has_left_silent_engine` is set while only refusals have followed an engine that was
     left for its silence. That engine might have gone on, so the stream goes on trying
-    until its deadline.
+    until its deadline. `kept` is the engine that was left last, for a short time.
     """
 
     def __init__(self, forwarder: "StreamForwarder", job: Job) -> None:
@@ -83,6 +94,7 @@
         self.broken_off = 0
         self.has_left_silent_engine = False
         self.empty_servers: set[str] = set()
+        self.kept = KeptAttempt(self)
         request = job.request
         self.segment_id = (
             request.prompt_segments[-1].segment_id if request.prompt_segments else ""
@@ -111,6 +123,7 @@
             job.outcome = "caller_gone"
             return
         finally:
+            self.kept.reset("the stream has ended")
             job.events, job.last_event_id = self.events, self.position.last_id
         if loss is None:
             job.outcome, job.status = "streamed", 200
@@ -138,23 +151,47 @@
     async def _run_attempts(self) -> StreamLoss | None:
         """Return None if the stream is complete, else the last loss."""
         step = NextStep.RESTART
+        attempt: OpenAttempt | None = None
         while True:
-            if self.is_blocked():
-                return StreamLoss(BLOCKED_REASON, not_run=True)
-            placement = self._place(step)
-            if placement is None:
+            if attempt is None:
+                if self.is_blocked():
+                    return StreamLoss(BLOCKED_REASON, not_run=True)
+                attempt = self._open_attempt(step)
+            if attempt is None:
                 loss = StreamLoss("no engine can be reached", not_run=True, unsent=True)
                 step = NextStep.END
             else:
-                loss = await self._run_attempt(self._open_attempt(placement))
+                loss = await self._run_attempt(attempt)
                 if loss is None or self._is_final_error(loss):
                     return loss
-                step = self._step_after_loss(loss, placement.member, placement.backup)
+                step, attempt = self._after_loss(loss, attempt.placement)
+                if attempt is not None:
+                    continue
             if self.has_left_silent_engine:
                 step = await wait_after_refusal(self, step)
             if step is NextStep.END:
                 return loss
 
+    def _after_loss(
+        self, loss: StreamLoss, placement: Placement
+    ) -> tuple[NextStep, OpenAttempt | None]:
+        """Return the next step, and the attempt to which the stream returns, if any."""
+        kept, is_copy_used = None, placement.copy is not None
+        if loss.is_empty or self.kept.is_whole:
+            kept = self.kept.return_to(SILENCE_MEMORY_S, loss.reason, is_copy_used)
+        if kept is None:
+            step = self._step_after_loss(loss, placement)
+            if self.kept.attempt is None or has_next_engine(self, step):
+                return step, None
+            because = "no other engine"
+            kept = self.kept.return_to(MOVE_CHECK_INTERVAL_S, because, is_copy_used)
+            if kept is None:
+                return step, None
+            # The engine is not left again for some time, which limits the rate.
+            self.note_pause()
+        self.has_left_silent_engine = False
+        return NextStep.RESTART, kept
+
     def _is_final_error(self, loss: StreamLoss) -> bool:
         """Whether the caller gets this answer of an engine at once."""
         if loss.response_head is None or loss.not_run:
@@ -176,19 +213,20 @@
             self.excluded.add(member.server.incarnation)
         else:
             self.excluded = {member.server.incarnation, *self.empty_servers}
+        if self.kept.attempt is not None:
+            self.excluded.add(self.kept.attempt.record.server)
 
-    def _step_after_loss(
-        self, loss: StreamLoss, member: Member, backup: Member | None
-    ) -> NextStep:
+    def _step_after_loss(self, loss: StreamLoss, placement: Placement) -> NextStep:
         """Return the next step of the stream after a failed attempt."""
         job, now = self.job, self.now()
+        member, backup = placement.member, placement.backup
         self._exclude(loss, member)
         if loss.not_run:
             self.counted_attempts -= 1
         # A copy can be used only once, and exists only if the run has made events.
         has_events = backup is not None and loss.events >= MIN_EVENTS_FOR_COPY
         self.copy_holder = backup if has_events else None
-        copy_member = self._copy_member()
+        copy_member = self.copy_member()
         if loss.is_silent and copy_member and is_doubtful(copy_member, now):
             self.copy_holder = copy_member = None
         has_kv_copy = copy_member is not None
@@ -201,27 +239,7 @@
         if step is not NextStep.END and not loss.unsent:
             if not self.forwarder.budgets.take(job.service, now):
                 step, ended_by = NextStep.END, EndCause.BUDGET
-        log.info(
-            "stream lost its engine",
-            request=job.request.request_id,
-            server=member.server.incarnation,
-            reason=loss.reason,
-            content=[job.content.account, *job.content.parts],
-            events=self.events,
-            last_id=self.position.last_id,
-            since_event_s=round(now - self.last_event_at, 2) if self.events else None,
-            copy=self.copy_holder and self.copy_holder.server.address,
-            copy_holder=self.copy_holder and self.copy_holder.limit_key,
-            at_copy_address=self._servers_at_copy_address(),
-            service=job.service,
-            copy_usable=has_kv_copy,
-            next=str(step),
-            ended_by=ended_by,
-            left_s=round(state.left_s, 2),
-            budget_left=round(
-                self.forwarder.budgets.for_service(job.service).left(now), 1
-            ),
-        )
+        log_lost_engine(self, member, loss, step, state, ended_by, has_kv_copy)
         return step
 
     def failover_input(self, has_kv_copy: bool) -> FailoverInput:
@@ -258,14 +276,8 @@
             return False
         return self.guard.may_repeat(job.content, self.broken_off)
 
-    def _servers_at_copy_address(self) -> list[list[str]]:
-        """Return the start and the service of each server at the copy's address."""
-        if self.copy_holder is None:
-            return []
-        found = self.forwarder.fleet.at_address(self.copy_holder.server.address)
-        return [[member.limit_key, member.server.service] for member in found]
-
-    def _copy_member(self) -> Member | None:
+    def copy_member(self) -> Member | None:
+        """Return the engine that got a copy of the run, if it can be used."""
         return self.usable_copy(self.copy_holder, MIN_EVENTS_FOR_COPY)
 
     def usable_copy(self, holder: Member | None, events: int) -> Member | None:
@@ -281,31 +293,6 @@
         gate = self.forwarder.sender.gate
         return member if gate.may_send(member.limit_key, now) else None
 
-    def _place(self, step: NextStep) -> Placement | None:
-        """Return the engines of the next attempt, or None if no engine is available."""
-        forwarder, job = self.forwarder, self.job
-        loads = forwarder.engine_loads(job, set())
-        members = forwarder.fleet.members
-        copy = None
-        member = self._copy_member() if step is NextStep.RESUME_COPY else None
-        if member is not None:
-            copy = KvCacheCopy(member.server.address, job.request.request_id)
-            chosen = loads.get(member.server.incarnation)
-        else:
-            usable = [e for k, e in loads.items() if k not in self.excluded]
-            chosen = self.choose({e.key: e for e in usable} or loads)
-            if chosen is None:
-                return None
-            member = members[chosen.key]
-        self._record_prompt(member)
-        backup = None
-        if self.traits.supports_kv_backup and chosen is not None:
-            others = [e for k, e in loads.items() if k not in self.excluded]
-            kept = choose_backup(others, chosen, self.needed_tokens, forwarder.rng)
-            backup = members[kept.key] if kept is not None else None
-        ahead = chosen.waiting_tokens if chosen is not None else 0
-        return Placement(member, copy, backup, ahead)
-
     def choose(self, loads: dict[str, EngineCandidate]) -> EngineCandidate | None:
         """Return the best of these engines for a new start of the stream."""
         return choose_engine(
@@ -316,20 +303,15 @@
             self._affinity(),
         )
 
-    def _record_prompt(self, member: Member) -> None:
-        """Record the engine of the prompt, here and at the other entries."""
-        if not self.segment_id:
-            return
-        self.forwarder.record_prompt(self.segment_id, member.limit_key)
-        if self.forwarder.load_exchange is not None:
-            self.forwarder.load_exchange.announce_prompt(self.segment_id, member)
-
     def _affinity(self) -> PromptAffinity:
         known = self.forwarder.engine_of_prompt(self.segment_id)
         return PromptAffinity(self.segment_id, self.job.request.prompt_tokens, known)
 
-    def _open_attempt(self, placement: Placement) -> OpenAttempt:
-        """Begin to count an attempt."""
+    def _open_attempt(self, step: NextStep) -> OpenAttempt | None:
+        """Begin to count the next attempt; return None if no engine is available."""
+        placement = place_attempt(self, step)
+        if placement is None:
+            return None
         job, member = self.job, placement.member
         record = AttemptRecord(member.server.incarnation, self.now())
         job.tries.append(record)
@@ -350,21 +332,26 @@
         """Run one attempt; return None if the stream is complete, else the loss."""
         loss: StreamLoss | None = StreamLoss("unsent", not_run=True)
         try:
-            self.counted_attempts += 1
-            self.total_attempts += 1
-            sent = await self._send(attempt)
-            if isinstance(sent, ExchangeFailure):
-                if self.job.responder.is_disconnected:
-                    raise CallerDisconnectedError
-                self.counted_attempts -= 1
-                attempt.record.result = str(sent.kind)
-                return StreamLoss(sent.detail, not_run=True, unsent=True)
-            attempt.relay = StreamRelay(self, attempt, sent)
+            if attempt.relay is None:
+                self.counted_attempts += 1
+                self.total_attempts += 1
+                sent = await self._send(attempt)
+                if isinstance(sent, ExchangeFailure):
+                    if self.job.responder.is_disconnected:
+                        raise CallerDisconnectedError
+                    self.counted_attempts -= 1
+                    attempt.record.result = str(sent.kind)
+                    return StreamLoss(sent.detail, not_run=True, unsent=True)
+                attempt.relay = StreamRelay(self, attempt, sent)
             loss = await attempt.relay.relay()
-            record_result(self, attempt, loss)
+            if loss is not None and loss.is_kept:
+                self.kept.keep(attempt, loss)
+            else:
+                record_result(self, attempt, loss)
             return loss
         finally:
-            close_attempt(self, attempt, loss)
+            if self.kept.attempt is not attempt:
+                close_attempt(self, attempt, loss)
 
     async def _send(self, attempt: OpenAttempt) -> HttpExchange | ExchangeFailure:
         job, placement = self.job, attempt.placement
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -13,7 +13,8 @@
 `resume_behavior`, if set, is how requests with that header are served instead: one of
 `RESUME_BEHAVIORS`, none of which goes on with the stream. With `uses_stated_length`, a
 stream has as many events as its request states tokens, instead of `event_count`. A
-stream pauses for `end_pause_s` between its last event and the end of the response.
+stream pauses for `end_pause_s` between its last event and the end of the response; one
+that is resumed after the last event ends at once.
 
 `runs` lists the requests that ran, each as id, headers and body; `endless_responses`
 lists the responses without end. A server with a `limit` states it in its responses;
@@ -478,5 +479,5 @@
         except CallerDisconnectedError:
             self.disconnected_requests.append(headers[REQUEST_ID_HEADER].decode())
             return
-        await asyncio.sleep(self.end_pause_s)
+        await asyncio.sleep(self.end_pause_s if start <= event_count else 0.0)
         responder.finish()
