Tell callers refused early in a planned stop when to come back

Cause: a refusal in the first seconds of a drain said `Retry-After: 0`. The balancer stops sending new connections after two failed checks only. The retry was the only one. Of 79 refused streams of a route 36 were refused by 2 s after SIGTERM.

The refusal now names the time that is left up to 3 s after SIGTERM, when new connections go elsewhere, and a third of the caller's time at most. Later refusals still say 0.

Tests that failed before: drain_test.LateRequestTest .test_early_refusal_tells_when_other_entries_serve (1.1 s instead of 3.0 s), and two of drainadmission_test that state the wait.

--- a/monsoontack/admission/drainadmission.py
+++ b/monsoontack/admission/drainadmission.py
@@ -5,6 +5,9 @@
 end of the drain cuts has to be sent again, or must not be sent again because it may
 have run. Streams differ in length, so each recent one counts with the time that it
 would have taken for as many tokens as the new one may generate.
+
+Early in the drain, the balancer may send a refused caller back to the same process,
+which is then told to wait until new connections go elsewhere.
 """
 
 from collections import deque
@@ -26,7 +29,10 @@
 # The balancer checks readiness every second and stops sending new connections after two
 # failed checks. Until then, a refused request may come back to a draining process.
 REDIRECT_S = 3.0
-# The same for streams that arrive late. A sound engine may pause for about a second.
+# A refused caller waits for at most this share of the time that it has left.
+MAX_WAIT_SHARE = 1 / 3
+# Added to the longest recent time for late streams. A sound engine may pause for about
+# a second.
 LATE_STREAM_MARGIN_S = 1.0
 # A stream is late from this time on: before `REDIRECT_S`, since a busy process counts
 # from when it handled the signal, and its caller from when that was sent.
@@ -126,6 +132,14 @@
             return float("inf")
         return self.longest_s(work, now, running) + self._margin_s(work, now)
 
+    def retry_after_s(self, now: float, left_s: float) -> float:
+        """Return when a refused request should be sent again, as seconds from now.
+
+        `left_s` is the time up to the deadline of its caller.
+        """
+        wait_s = self.began_at + REDIRECT_S - now
+        return max(min(wait_s, left_s * MAX_WAIT_SHARE), 0.0)
+
     def _margin_s(self, work: Work, now: float) -> float:
         if work.is_stream and now >= self.began_at + LATE_AFTER_S:
             return LATE_STREAM_MARGIN_S
--- a/monsoontack/admission/drainadmission_test.py
+++ b/monsoontack/admission/drainadmission_test.py
@@ -117,6 +117,19 @@
         """Guards against requests of a new route that are taken until the end."""
         self.check_latest(DRAIN_S - MARGIN_S - INITIAL_STREAM_S, stream(180))
 
+    def test_refused_request_is_sent_again_once_callers_go_elsewhere(self):
+        """Guards against callers that come back at once and are refused again, since
+        the balancer has no other process for them yet."""
+        for at_s in (0.0, 0.7, 2.0):
+            wait_s = self.drain.retry_after_s(BEGAN_AT + at_s, left_s=25.0)
+            self.assertAlmostEqual(REDIRECT_S, at_s + wait_s)
+        self.assertEqual(0.0, self.drain.retry_after_s(BEGAN_AT + 5.0, 25.0))
+
+    def test_refused_request_with_little_time_does_not_wait_it_out(self):
+        """Guards against callers that wait as told and have no time left."""
+        self.assertAlmostEqual(0.2, self.drain.retry_after_s(BEGAN_AT, left_s=0.6))
+        self.assertEqual(0.0, self.drain.retry_after_s(BEGAN_AT, left_s=-0.1))
+
     def test_endless_requests_are_kept_within_bounds(self):
         """Guards against memory that grows with the requests served."""
         for number in range(2 * MAX_SAMPLES):
--- a/monsoontack/gateway/drain_test.py
+++ b/monsoontack/gateway/drain_test.py
@@ -226,6 +226,14 @@
                     refused.append((kind, work_s, served_s, latest_s))
         self.assertEqual([], refused)
 
+    def test_early_refusal_tells_when_other_entries_serve(self):
+        """Guards against callers that repeat a refused stream at once and get to the
+        same entry, as the last of its failure domain: no retry is left then."""
+        sent, _, _ = drain("stream-resumable", 2.5)
+        for item in [i for i in sent if i.status == 503 and i.sent_s < REDIRECT_S]:
+            wait_s = item.error["retry_after_s"]
+            self.assertAlmostEqual(REDIRECT_S, item.sent_s + wait_s, 1)
+
     def test_calls_of_unknown_duration_that_may_run_only_once_are_refused(self):
         """Guards against a call that may not be repeated, passed on late in a drain
         although nothing is known of how long it takes."""
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -80,7 +80,7 @@
         job = self._make_job(request, route, account, responder)
         if self._may_outlast_drain(job):
             self._refuse(
-                self._draining_error(), responder, request.request_id, "draining"
+                self._draining_error(job), responder, request.request_id, "draining"
             )
             return
         blocked = self._check_content(job)
@@ -157,9 +157,11 @@
         )
         return not is_taken
 
-    def _draining_error(self) -> RequestError:
+    def _draining_error(self, job: Job) -> RequestError:
         message = "this entry is leaving; another one serves"
-        return RequestError(503, "draining", message, retry_after_s=0.0)
+        now = self.now()
+        wait_s = self.drain.retry_after_s(now, job.left_s(now))
+        return RequestError(503, "draining", message, retry_after_s=round(wait_s, 2))
 
     async def _serve(self, job: Job) -> None:
         refusal = await self._admit_suspect(job)
@@ -179,7 +181,7 @@
         refusal = await self.suspects.admit(job)
         if refusal is None and self._may_outlast_drain(job):
             # A drain has begun, or gone on, while the request waited.
-            return self._draining_error()
+            return self._draining_error(job)
         return refusal
 
     def _answer_cancelled(self, job: Job) -> None:
