Pause before a stream is sent on after two wrong answers

Callers saw: a stream was reset within milliseconds when several servers in a row answered with something else, or nothing; each answers at once, and the attempts of the route were spent while the server that knew the stream started again. The pause, also the one after refusals, ends when the process must end its requests. The number of attempts is as before.

--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -12,6 +12,7 @@
 from monsoontack.gateway.fleet import MAX_AVOID_S, Member
 from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.streamerrors import FULL_RETRY_AFTER_S
+from monsoontack.gateway.streamplace import choose
 from monsoontack.generation.failover import EndCause, NextStep
 from monsoontack.generation.silence import (
     NO_BETTER_ENGINE,
@@ -83,7 +84,7 @@
     cause = _find_end_cause(run, has_kv_copy=False)
     if cause is not None:
         return str(cause)
-    chosen = run.choose(loads) if better else None
+    chosen = choose(run, loads) if better else None
     if chosen is None or chosen.traffic_share <= 0 or chosen.key not in better:
         return NO_BETTER_ENGINE
     return None
@@ -116,11 +117,8 @@
     is_granted = step is not NextStep.END
     if run.engine_error is not None and not job.responder.head_sent:
         return NextStep.END
-    while (left_s := job.left_s(run.now())) > 0:
-        pause_s = min(FULL_RETRY_AFTER_S, left_s)
-        await asyncio.wait([job.responder.disconnected], timeout=pause_s)
-        if job.responder.is_disconnected:
-            raise CallerDisconnectedError
+    while job.left_s(run.now()) > 0:
+        await pause(run)
         run.note_pause()
         if is_granted or run.is_blocked():
             return NextStep.RESTART
@@ -130,3 +128,13 @@
         if run.forwarder.budgets.take(job.service, run.now()):
             return NextStep.RESTART
     return NextStep.END
+
+
+async def pause(run: "StreamRun") -> None:
+    """Wait for `FULL_RETRY_AFTER_S`, or until the deadline if that is sooner."""
+    job = run.job
+    timeout_s = max(min(FULL_RETRY_AFTER_S, job.left_s(run.now())), 0)
+    ends = [job.responder.disconnected, job.ending]
+    await asyncio.wait(ends, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+    if job.responder.is_disconnected:
+        raise CallerDisconnectedError
--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -6,7 +6,12 @@
 from monsoontack.gateway.records import KvCacheCopy
 from monsoontack.gateway.streamattempt import Placement
 from monsoontack.generation.failover import NextStep
-from monsoontack.routing.placement import choose_backup
+from monsoontack.routing.placement import (
+    EngineCandidate,
+    PromptAffinity,
+    choose_backup,
+    choose_engine,
+)
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
@@ -24,7 +29,7 @@
         chosen = loads.get(member.server.incarnation)
     else:
         usable = [e for k, e in loads.items() if k not in run.excluded]
-        chosen = run.choose({e.key: e for e in usable} or loads)
+        chosen = choose(run, {e.key: e for e in usable} or loads)
         if chosen is None:
             return None
         member = members[chosen.key]
@@ -38,6 +43,21 @@
     return Placement(member, copy, backup, ahead)
 
 
+def choose(
+    run: "StreamRun", loads: dict[str, EngineCandidate]
+) -> EngineCandidate | None:
+    """Return the best of these engines for a new start of the stream."""
+    known = run.forwarder.engine_of_prompt(run.segment_id)
+    tokens = run.job.request.prompt_tokens
+    return choose_engine(
+        list(loads.values()),
+        run.forwarder.place,
+        run.needed_tokens,
+        run.forwarder.rng,
+        PromptAffinity(run.segment_id, tokens, known),
+    )
+
+
 def _record_prompt(run: "StreamRun", member: Member) -> None:
     """Record the engine of the prompt, here and at the other entries."""
     if not run.segment_id:
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -19,6 +19,7 @@
     MOVE_CHECK_INTERVAL_S,
     has_next_engine,
     is_doubtful,
+    pause,
     wait_after_refusal,
 )
 from monsoontack.gateway.streamoutcome import (
@@ -38,11 +39,6 @@
     next_step,
 )
 from monsoontack.generation.silence import SILENCE_MEMORY_S
-from monsoontack.routing.placement import (
-    EngineCandidate,
-    PromptAffinity,
-    choose_engine,
-)
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streams import StreamForwarder
@@ -55,6 +51,10 @@
 # Failed connections do not count as attempts of the route, so this bounds those that
 # follow each other without a pause.
 MAX_TOTAL_ATTEMPTS = 12
+# Answers that do not go on after the last event, after which further attempts pause.
+# They come within milliseconds, and would use up the attempts while an engine that
+# knows the stream starts again.
+MAX_WRONG_ANSWERS = 2
 
 
 class StreamRun:
@@ -64,7 +64,8 @@
     of them. `counted_attempts` are limited by the route, `total_attempts` also include
     those that were not run, unless a pause preceded them. `excluded` has the engines
     that get no next attempt while others are available, among them `empty_servers`,
-    which had nothing to add to the stream; `copy_holder` is the start of the engine
+    which had nothing to add to the stream; `wrong_answers` counts the answers that did
+    not go on after the event `wrong_after`; `copy_holder` is the start of the engine
     that got a copy of the KV cache.
     `engine_error` is the last error response of an engine. `broken_off` counts the
     engines that broke off the stream before they went on answering.
@@ -93,6 +94,7 @@
         self.guard = forwarder.sender.guard
         self.broken_off = 0
         self.has_left_silent_engine = False
+        self.wrong_answers, self.wrong_after = 0, self.position.last_id
         self.empty_servers: set[str] = set()
         self.kept = KeptAttempt(self)
         request = job.request
@@ -170,6 +172,8 @@
                     continue
             if self.has_left_silent_engine:
                 step = await wait_after_refusal(self, step)
+            elif self._pauses(step):
+                await pause(self)
             if step is NextStep.END:
                 return loss
 
@@ -182,7 +186,9 @@
             kept = self.kept.return_to(SILENCE_MEMORY_S, loss.reason, is_copy_used)
         if kept is None:
             step = self._step_after_loss(loss, placement)
-            if self.kept.attempt is None or has_next_engine(self, step):
+            if self.kept.attempt is None:
+                return step, None
+            if has_next_engine(self, step) and not self._pauses(step):
                 return step, None
             because = "no other engine"
             kept = self.kept.return_to(MOVE_CHECK_INTERVAL_S, because, is_copy_used)
@@ -193,6 +199,10 @@
         self.has_left_silent_engine = False
         return NextStep.RESTART, kept
 
+    def _pauses(self, step: NextStep) -> bool:
+        """Whether the next attempt is delayed, since several answers were wrong."""
+        return step is not NextStep.END and self.wrong_answers >= MAX_WRONG_ANSWERS
+
     def _is_final_error(self, loss: StreamLoss) -> bool:
         """Whether the caller gets this answer of an engine at once."""
         if loss.response_head is None or loss.not_run:
@@ -208,6 +218,9 @@
         """Note which engines are asked last after a failed attempt."""
         if loss.is_silent or not loss.not_run:
             self.has_left_silent_engine = loss.is_silent
+        if self.position.last_id != self.wrong_after:
+            self.wrong_answers, self.wrong_after = 0, self.position.last_id
+        self.wrong_answers += loss.is_empty or loss.is_foreign
         if loss.is_empty:
             self.empty_servers.add(member.server.incarnation)
         if loss.unsent or loss.not_run and self.has_left_silent_engine:
@@ -294,20 +307,6 @@
         gate = self.forwarder.sender.gate
         return member if gate.may_send(member.limit_key, now) else None
 
-    def choose(self, loads: dict[str, EngineCandidate]) -> EngineCandidate | None:
-        """Return the best of these engines for a new start of the stream."""
-        return choose_engine(
-            list(loads.values()),
-            self.forwarder.place,
-            self.needed_tokens,
-            self.forwarder.rng,
-            self._affinity(),
-        )
-
-    def _affinity(self) -> PromptAffinity:
-        known = self.forwarder.engine_of_prompt(self.segment_id)
-        return PromptAffinity(self.segment_id, self.job.request.prompt_tokens, known)
-
     def _open_attempt(self, step: NextStep) -> OpenAttempt | None:
         """Begin to count the next attempt; return None if no engine is available."""
         placement = place_attempt(self, step)
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -4,8 +4,8 @@
 run's engine fails or rejects the run, the stream resumes at the engine with the copy,
 after the last complete event and within the same response. If the engine stops sending
 events, the stream does so once another engine is better, and waits until then. The
-connection to the first engine is reset before that, so that two engines never
-work on one run. A silent engine is left only for a better one, since it may go on.
+connection to the first engine is reset soon after, so that two engines do not work on
+one run. A silent engine is left only for a better one, since it may go on.
 """
 
 import random
--- a/monsoontack/gateway/streams_foreign_test.py
+++ b/monsoontack/gateway/streams_foreign_test.py
@@ -151,6 +151,16 @@
                 self.assertTrue(job.responder.finished)
                 self.assertFalse(job.responder.was_aborted)
 
+    def test_wrong_answers_do_not_use_up_all_attempts_at_once(self):
+        """Guards against a stream that is cut within milliseconds while an engine that
+        knows it starts again."""
+        for name in ("empty", "from the start", "no content"):
+            _, job = serve(scripted([WRONG_ANSWERS[name]]))
+            self.assertEqual(5, len(job.tries))
+            self.assertGreater(job.tries[-1].sent_at - job.tries[0].ended_at, 0.9)
+            pause_s = job.tries[2].sent_at - job.tries[0].ended_at
+            self.assertLess(pause_s, 0.35, "the second and third try come at once")
+
     def test_engine_with_a_wrong_answer_does_not_count_as_unreachable(self):
         """Guards against engines and failure domains that are suspected, here and at
         the other entries, although they can be reached."""
