Test the end of calls, of agents' answers and of streams that callers resume

A body of declared length is whole at its last byte, whatever its connection does then; a repeatable call whose end is late is answered by whichever server ends first; a caller that resumes after the last event gets the end, also from another engine after a break. Beside agents an engine marks the end with its last tokens, and another engine that has no token to add may mark it as well, but not before the last token. These held before; no fault was found.

--- a/monsoontack/gateway/calls_test.py
+++ b/monsoontack/gateway/calls_test.py
@@ -420,6 +420,22 @@
         _, job = self.serve(scripts)
         self.assertEqual(200, job.responder.status)
 
+    def test_call_whose_end_is_late_is_answered(self):
+        """Guards against a call that is cut, or answered without its end, because all
+        servers pause between the last byte and the end of the answer."""
+
+        async def play(exchange, attempt):
+            await asyncio.sleep(0.02)
+            exchange.answer(200)
+            exchange.add_body(b"ok")
+            await asyncio.sleep(0.7)
+            exchange.end()
+
+        forwarder, job = self.serve(dict.fromkeys(("s1", "s2", "s3"), play))
+        self.assertEqual((200, b"ok"), (job.responder.status, job.responder.body))
+        self.assertTrue(all(item.is_finished for item in forwarder.sender.exchanges))
+        self.assertLessEqual(len(job.tries), 2)
+
     def test_refusal_of_the_hedge_after_a_broken_off_attempt(self):
         """Guards against "not run" when the last of several attempts was refused."""
         full = response_script(503, headers=((b"not-run", b"1"),))
--- a/monsoontack/gateway/outbound_test.py
+++ b/monsoontack/gateway/outbound_test.py
@@ -160,6 +160,19 @@
         self.assertTrue(connection.transport.aborted)
         self.assertFalse(connection.is_open)
 
+    def test_body_of_declared_length_is_whole_at_its_last_byte(self):
+        """Guards against an answer that counts as broken off, because its server ends
+        or resets the connection right after the last byte."""
+        for ends in ({"eof": True}, {"reset": True}):
+            for parts in ((b"ok",), (b"o", b"k"), (b"ok\x00",)):
+                _, exchange, freed = run_exchange(encode_head("r1"), *parts, **ends)
+                self.assertTrue(exchange.is_complete)
+                self.assertIsNone(exchange.failure)
+                self.assertEqual(b"ok", exchange.take_body())
+                self.assertEqual([], freed)
+            _, exchange, _ = run_exchange(encode_head("r1"), b"o", **ends)
+            self.assertIsNotNone(exchange.failure)
+
     def test_truncated_response_is_a_failure(self):
         """Guards against a truncated response that counts as complete."""
         _, exchange, _ = run_exchange(encode_head("r1", 10), b"half", eof=True)
--- a/monsoontack/gateway/streams_end_test.py
+++ b/monsoontack/gateway/streams_end_test.py
@@ -85,7 +85,15 @@
 EMPTY = answer()
 
 
-def serve(script, stated=BOUND, deadline_s=25.0, extra=50.0, change=None, **route):
+def serve(
+    script,
+    stated=BOUND,
+    deadline_s=25.0,
+    extra=50.0,
+    change=None,
+    last_event_id=None,
+    **route,
+):
     """Serve a stream on four engines with one script; return forwarder and job.
 
     `change` is called with the forwarder and the job when the stream begins.
@@ -97,6 +105,7 @@
         forwarder.rollouts = FakeRollouts()
         job = make_job(stream_route(**route), deadline_s=deadline_s)
         object.__setattr__(job.request, "max_output_tokens", stated)
+        object.__setattr__(job.request, "last_event_id", last_event_id)
         if change is not None:
             change(forwarder, job)
         await forwarder.serve(job)
@@ -138,6 +147,37 @@
         return [attempt.server.incarnation for attempt in forwarder.sender.sent]
 
 
+class ResumingCallerTest(EndCase):
+    """Callers that resume after the last event, and lack only the end."""
+
+    def test_caller_with_all_events_gets_the_end(self):
+        """Guards against a caller that can never learn that its stream is whole,
+        because the engine pauses before the end, or breaks off and another ends it."""
+        last = str(EVENTS)
+        for stated in (EVENTS, BOUND):
+            for pause_s in (0.0, *PAUSES_S):
+                script = stream_script(pausing(pause_s))
+                forwarder, job = serve(script, stated, last_event_id=last)
+                self.check_whole(job, b"")
+                self.check_accounts(forwarder, job)
+
+    def test_caller_with_all_events_gets_the_end_after_a_break(self):
+        """Guards against a caller that gets no end, because the first engine that is
+        asked breaks off behind its head."""
+        calls = []
+
+        async def play(exchange, attempt):
+            calls.append(attempt)
+            await (answer(fails=FailureKind.RESET) if len(calls) == 1 else EMPTY)(
+                exchange, attempt
+            )
+
+        forwarder, job = serve(play, last_event_id=str(EVENTS))
+        self.check_whole(job, b"")
+        self.assertEqual(2, len(job.tries))
+        self.check_accounts(forwarder, job)
+
+
 class AllTokensTest(EndCase):
     """Streams that have as many events as tokens were stated."""
 
--- a/monsoontack/generation/continuation_test.py
+++ b/monsoontack/generation/continuation_test.py
@@ -11,6 +11,7 @@
     StreamPosition,
     id_number,
     media_type,
+    output_error,
 )
 
 HEAD = AnswerHead(200, "text/event-stream", True)
@@ -159,6 +160,20 @@
         answer.accept([numbered(1)])
         self.assertTrue(answer.position.can_go_on)
 
+    def test_engine_that_has_nothing_to_add_ends_an_answer_of_tokens(self):
+        """Guards against an answer beside agents that is cut because only its end is
+        missing, and against one that is ended before its last token."""
+        held = (7, 8, 9)
+        for position, tokens, finish, is_right in (
+            (3, (), "stop", True),
+            (0, held, "stop", True),
+            (2, (), "stop", False),
+            (4, (), "stop", False),
+            (0, (7, 8), "stop", False),
+        ):
+            error = output_error(0, held, position, tokens, finish)
+            self.assertEqual(is_right, error == "", (position, tokens, error))
+
     def test_numbers_and_media_types(self):
         """Guards against ids and types that are compared as they are written."""
         self.assertEqual(12, id_number("12"))
