Judge streams whose next server answers after reading the prompt

Cause: a server that gets a stream without its KV cache reads the prompt for half a second or more before it can say that nothing is left; the examples had answers within 0.2 s. Change: a share of the streams has other servers that answer after 0.5 or 1.2 s, with a test of their own; those that pause in the middle count if none has forgotten them.

--- a/monsoontack/gateway/streams_resumption_test.py
+++ b/monsoontack/gateway/streams_resumption_test.py
@@ -33,6 +33,8 @@
 # Time after its deadline or its caller's disconnection in which a stream has to end.
 END_SLACK_S = 0.5
 MAX_FAILURES_SHOWN = 5
+# Fields of the findings.
+KINDS = ("wrong", "short", "unfinished", "lost_late", "late", "overlapping", "open")
 
 
 def has_overlap(servers: StreamServers, exchanges) -> bool:
@@ -53,10 +55,11 @@
     """Streams by what went wrong, and numbers of streams by the servers they reached.
 
     `wrong` streams have bytes that are not theirs, or some twice; `short` ones ended as
-    whole without all events. `unfinished` has those that must be whole and are not. The
-    others are `late` after the deadline or the caller's disconnection, `overlapping`
-    at two servers, or have an exchange that is left `open`. `whole` is the number of
-    those that were whole. `end_servers` counts those with only pauses at the end.
+    whole without all events. `unfinished` has those that must be whole and are not, and
+    `lost_late` those whose other servers read the prompt first. `late` ones ended after
+    the deadline or the caller's disconnection, `overlapping` ones were at work at two
+    servers, and `open` ones left an exchange behind. `whole` is the number of those
+    that were whole. `end_servers` counts those with only pauses at the end.
     """
 
     streams: int = 0
@@ -64,6 +67,7 @@
     wrong: list[PlayedStream] = field(default_factory=list)
     short: list[PlayedStream] = field(default_factory=list)
     unfinished: list[PlayedStream] = field(default_factory=list)
+    lost_late: list[PlayedStream] = field(default_factory=list)
     late: list[PlayedStream] = field(default_factory=list)
     overlapping: list[PlayedStream] = field(default_factory=list)
     open: list[PlayedStream] = field(default_factory=list)
@@ -78,7 +82,7 @@
         by_servers = dict(sorted(self.end_servers.items()))
         lines.append(f"paused at the end only, by servers {by_servers}")
         lines.append(f"not whole, by ending {dict(sorted(self.lost.items()))}")
-        for name in ("wrong", "short", "unfinished", "late", "overlapping", "open"):
+        for name in KINDS:
             found = getattr(self, name)
             lines.append(f"{name} {len(found)}")
             lines += [f"  {stream}" for stream in found[:MAX_FAILURES_SHOWN]]
@@ -122,7 +126,8 @@
     if is_whole and found != right:
         findings.short.append(stream)
     if stream.must_be_whole and not is_whole:
-        findings.unfinished.append(stream)
+        late = stream.has_late_answers
+        (findings.lost_late if late else findings.unfinished).append(stream)
     if not is_whole and not stream.leaves_after_s:
         place = "end" if stream.end_after == stream.count else "event"
         findings.lost[f"{stream.ending} at {place}" if stream.ending else "sound"] += 1
@@ -175,6 +180,11 @@
         have no event after the last one."""
         self.check("unfinished")
 
+    def test_stream_whose_next_server_answers_late_is_whole(self):
+        """Guards against a stream that is cut for a pause of its server, since the next
+        one has read the prompt again before it finds that it has nothing to add."""
+        self.check("lost_late")
+
     def test_stream_ends_with_its_deadline_or_its_caller(self):
         """Guards against streams that are kept although nobody waits for them, and
         connections that are left open behind them."""
--- a/standins/playedstreams.py
+++ b/standins/playedstreams.py
@@ -13,6 +13,8 @@
 
 DEADLINE_S = 25.0
 GAP_S = 0.05
+# Times after which servers answer that read the prompt again first.
+PROMPT_DELAYS_S = (0.5, 1.2)
 REFUSED = ExchangeFailure(FailureKind.CONNECT, False, "refused")
 SSE = ((b"content-type", b"text/event-stream"),)
 TEXT = ((b"content-type", b"text/plain"),)
@@ -80,15 +82,32 @@
 
     @property
     def must_be_whole(self) -> bool:
-        """Whether nothing but pauses happens to the stream."""
-        is_undisturbed = not self.ending and not self.leaves_after_s
-        has_time = self.deadline_s == DEADLINE_S
-        return is_undisturbed and has_time and {b for b, _ in self.others} <= SOUND
+        """Whether nothing but pauses happens to the stream.
+
+        If the other servers are late, none of them may have forgotten it: the first
+        one cannot be waited for so long while another may be at work.
+        """
+        if self.ending or self.leaves_after_s or self.deadline_s < DEADLINE_S:
+            return False
+        behaviors = {behavior for behavior, _ in self.others}
+        if self.has_late_answers and not self.pauses_at_end:
+            return behaviors == {"right"}
+        return behaviors <= SOUND
+
+    @property
+    def pauses_at_end(self) -> bool:
+        """Whether the first server pauses only after the last event."""
+        return {at for at, _ in self.pauses} == {self.count}
+
+    @property
+    def has_late_answers(self) -> bool:
+        """Whether another server is at work for some time before it answers."""
+        return max(delay_s for _, delay_s in self.others) >= min(PROMPT_DELAYS_S)
 
     @property
     def pauses_at_end_only(self) -> bool:
         """Whether nothing but a pause before the end of the answer happens to it."""
-        return self.must_be_whole and {at for at, _ in self.pauses} == {self.count}
+        return self.must_be_whole and self.pauses_at_end
 
 
 def resumed_answer(stream: PlayedStream, behavior: str, done: int):
@@ -114,6 +133,7 @@
 # Pauses around the limits of silence are the most telling ones.
 PAUSES = st.one_of(st.sampled_from((0.6, 1.3, 2.0, 3.5)), st.floats(0.0, 4.0))
 DELAYS = st.sampled_from((0.0, 0.02, 0.1, 0.2))
+PROMPT_DELAYS = st.sampled_from(PROMPT_DELAYS_S)
 
 
 @st.composite
@@ -122,8 +142,10 @@
     count = draw(st.integers(1, 12))
     step = draw(st.sampled_from((1, 1, 1, 4)))
     places = st.one_of(st.just(count), st.integers(0, count))
+    sound = st.sampled_from(sorted(SOUND))
     others = st.one_of(
-        st.tuples(*[st.tuples(st.sampled_from(sorted(SOUND)), DELAYS)] * 3),
+        st.tuples(*[st.tuples(sound, DELAYS)] * 3),
+        st.tuples(*[st.tuples(sound, PROMPT_DELAYS)] * 3),
         st.tuples(*[st.tuples(st.sampled_from(BEHAVIORS), DELAYS)] * 3),
     )
     ending = draw(st.sampled_from(("", "", "", "reset", "closed", "crash")))
