--- a/monsoontack/generation/completeness_test.py
+++ b/monsoontack/generation/completeness_test.py
@@ -63,6 +63,7 @@
         """Guards against a stream that is short because of an empty answer."""
         answer = AnswerEvents(position_after([event(1), event(2)]), True)
         answer.begin(HEAD)
+        answer.accept([StreamEvent(b": c\n\n", None, False)])
         self.assertEqual(b"", answer.end(is_stream_whole=True))
         with self.assertRaises(EmptyAnswerError):
             answer.end()
--- a/monsoontack/generation/continuation.py
+++ b/monsoontack/generation/continuation.py
@@ -211,11 +211,14 @@
     def end(self, is_stream_whole: bool = False) -> bytes:
         """Return the held bytes at the end of a complete answer.
 
-        `is_stream_whole` means that the stream had all that was asked for before. An
-        error is raised if the end of the answer is not that of the stream.
+        `is_stream_whole` means that the stream had all that was asked for before, so
+        that another engine's comments are dropped. An error is raised if the end of the
+        answer is not that of the stream.
         """
-        if self.is_later and not self.has_content and not is_stream_whole:
-            raise EmptyAnswerError("no event after the stream had begun")
+        if self.is_later and not self.has_content:
+            if not is_stream_whole:
+                raise EmptyAnswerError("no event after the stream had begun")
+            return b""
         return self.held
 
 
