Assume long streams soon after a start for late requests only

A cut of an early stream is resumed by its caller, so only streams from 2.5 s after SIGTERM on are judged so.

--- a/monsoontack/admission/drainadmission.py
+++ b/monsoontack/admission/drainadmission.py
@@ -5,8 +5,8 @@
 end of the drain cuts has to be sent again, or must not be sent again because it may
 have run. Streams differ in length, so each recent one counts with the time that it
 would have taken for as many tokens as the new one may generate. Often that number is
-only a bound, and a process that has just started has seen only short streams end; it
-assumes a long one until it could have seen that end.
+only a bound, and a process that has just started has seen only short streams end. For
+late streams it assumes the time of a long one until such a one could have ended.
 
 Early in the drain, the balancer may send a refused caller back to the same process,
 which is then told to wait until new connections go elsewhere.
@@ -40,7 +40,7 @@
 # from when it handled the signal, and its caller from when that was sent.
 LATE_AFTER_S = 2.5
 # Assumed until a route has been measured. That of streams is the time of a long answer,
-# and the least that is assumed until one of that length could have ended.
+# and the least for a late one until one of that length could have ended.
 INITIAL_CALL_S = 1.5
 INITIAL_STREAM_S = 6.0
 
@@ -65,7 +65,7 @@
 
     `first_s` is the part of `took_s` up to the first event, for a stream that may
     generate `max_tokens`. A stream that `is_shorter` had fewer events than these
-    tokens, so that the next one may take longer for as many.
+    tokens, or stated none, so that the next one may take longer.
     """
 
     at: float
@@ -126,26 +126,12 @@
 
         The samples in `running` have the time so far of requests that have not ended.
         """
-        samples = self.samples.get(work.route, ())
-        recent = [item for item in samples if item.at > now - RECENT_S] or samples
+        recent = self._recent(work, now)
         longest_s = max((item.time_s(work.max_tokens) for item in recent), default=None)
         if longest_s is None:
             longest_s = INITIAL_STREAM_S if work.is_stream else INITIAL_CALL_S
-        elif work.is_stream and self._lacks_long_streams(recent, now):
-            longest_s = max(longest_s, INITIAL_STREAM_S)
         return max([longest_s, *(item.time_s(work.max_tokens) for item in running)])
 
-    def _lacks_long_streams(self, samples: Sequence[Sample], now: float) -> bool:
-        """Whether long streams of a route may be missing among those that have ended.
-
-        Soon after the start of the process, only short ones can have ended. Their
-        tokens tell nothing if they had fewer events than the tokens that were stated.
-        """
-        if len(samples) >= MAX_SAMPLES or not any(s.is_shorter for s in samples):
-            return False
-        measured_until = now if self.began_at is None else self.began_at
-        return min(s.began_at for s in samples) > measured_until - INITIAL_STREAM_S
-
     def needed_s(self, work: Work, now: float, running: Iterable[Sample] = ()) -> float:
         """Return the time that must be left for a new request to be taken.
 
@@ -153,7 +139,28 @@
         """
         if not (work.is_repeatable or self.samples.get(work.route)):
             return float("inf")
-        return self.longest_s(work, now, running) + self._margin_s(work, now)
+        longest_s = self.longest_s(work, now, running)
+        if self._is_late_stream(work, now) and self._lacks_long_streams(work, now):
+            longest_s = max(longest_s, INITIAL_STREAM_S)
+        return longest_s + self._margin_s(work, now)
+
+    def _is_late_stream(self, work: Work, now: float) -> bool:
+        return work.is_stream and now >= self.began_at + LATE_AFTER_S
+
+    def _lacks_long_streams(self, work: Work, now: float) -> bool:
+        """Whether long streams of a route may be missing among those that have ended.
+
+        Soon after the start of the process, only short ones can have ended. Their
+        tokens tell nothing if they had fewer events than the tokens that were stated.
+        """
+        recent = self._recent(work, now)
+        if len(recent) >= MAX_SAMPLES or not any(s.is_shorter for s in recent):
+            return False
+        return min(s.began_at for s in recent) > self.began_at - INITIAL_STREAM_S
+
+    def _recent(self, work: Work, now: float) -> Sequence[Sample]:
+        samples = self.samples.get(work.route, ())
+        return [item for item in samples if item.at > now - RECENT_S] or samples
 
     def retry_after_s(self, now: float, left_s: float) -> float:
         """Return when a refused request should be sent again, as seconds from now.
@@ -164,6 +171,6 @@
         return max(min(wait_s, left_s * MAX_WAIT_SHARE), 0.0)
 
     def _margin_s(self, work: Work, now: float) -> float:
-        if work.is_stream and now >= self.began_at + LATE_AFTER_S:
+        if self._is_late_stream(work, now):
             return LATE_STREAM_MARGIN_S
         return MARGIN_S if work.is_repeatable else RUN_ONCE_MARGIN_S
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -303,4 +303,5 @@
     if job.first_event_at is not None:
         first_s = job.first_event_at - job.started_at
     max_tokens = job.request.max_output_tokens
-    return Sample(now, took_s, first_s, max_tokens, job.events < max_tokens)
+    is_shorter = not max_tokens or job.events < max_tokens
+    return Sample(now, took_s, first_s, max_tokens, is_shorter)
