Return to a silent engine after an unframed answer without events

Test that failed before: streams_kept_test .test_stream_returns_after_an_unframed_answer_without_events.

--- a/monsoontack/gateway/streamattempt.py
+++ b/monsoontack/gateway/streamattempt.py
@@ -57,6 +57,7 @@
     reset the connection, `has_gone_on` that events had come for some time before.
     `is_foreign` means that an engine which can be reached gave another answer,
     `is_empty` that its answer was whole and fitted, but had no event for the stream,
+    `may_be_empty` that it had none and ended with its connection, as after a crash,
     `is_silent` that the engine was left, although it might have gone on, `is_kept` that
     its connection is still open, `is_overtaken` that the engine left before has ended,
     `asks_for_time` that it refused the request and wants no other one for some time.
@@ -72,6 +73,7 @@
     has_gone_on: bool = False
     is_foreign: bool = False
     is_empty: bool = False
+    may_be_empty: bool = False
     is_silent: bool = False
     is_kept: bool = False
     is_overtaken: bool = False
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -374,7 +374,8 @@
             return StreamLoss("stopped inside an event", is_broken_off=True)
         if exchange.ends_with_connection and self.answer.count == 0:
             # Without length, chunks or events, nothing tells an answer from a crash.
-            return StreamLoss("ended before the first event", is_broken_off=True)
+            reason = "ended before the first event"
+            return StreamLoss(reason, is_broken_off=True, may_be_empty=True)
         await self._write(self.answer.end(self.run.has_all_stated()))
         if not self.job.responder.head_sent:
             self.job.responder.begin(
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -184,6 +184,10 @@
         kept, is_copy_used = None, placement.copy is not None
         if loss.is_empty or self.kept.is_whole:
             kept = self.kept.return_to(SILENCE_MEMORY_S, loss.reason, is_copy_used)
+        elif loss.may_be_empty:
+            self.empty_servers.add(placement.member.server.incarnation)
+            stay_s = MOVE_CHECK_INTERVAL_S
+            kept = self.kept.return_to(stay_s, loss.reason, is_copy_used)
         if kept is None:
             step = self._step_after_loss(loss, placement)
             if self.kept.attempt is None:
--- a/monsoontack/gateway/streams_kept_test.py
+++ b/monsoontack/gateway/streams_kept_test.py
@@ -68,6 +68,16 @@
     return play
 
 
+def unframed(pause_s, later):
+    """Return the script of an engine whose answers end with their connections."""
+
+    async def play(exchange, attempt):
+        exchange.ends_with_connection = True
+        await stream_script(pausing(pause_s), later)(exchange, attempt)
+
+    return play
+
+
 class ReturnTest(EndCase):
     """Streams whose engine pauses before the end, of which only a bound is stated."""
 
@@ -99,15 +109,16 @@
         """Guards against a stream without length or chunks that is cut because the end
         of its connection comes late."""
 
-        def unframed(pause_s):
-            async def play(exchange, attempt):
-                exchange.ends_with_connection = True
-                await stream_script(pausing(pause_s), EMPTY)(exchange, attempt)
-
-            return play
+        for pause_s in PAUSES_S:
+            forwarder, job = serve(unframed(pause_s, EMPTY))
+            self.check_whole(job)
+            self.check_accounts(forwarder, job)
 
+    def test_stream_returns_after_an_unframed_answer_without_events(self):
+        """Guards against a stream that asks one engine after the other, as an answer
+        that ends with its connection may be empty, until its first one is given up."""
         for pause_s in PAUSES_S:
-            forwarder, job = serve(unframed(pause_s))
+            forwarder, job = serve(unframed(pause_s, answer(first_s=0.12)))
             self.check_whole(job)
             self.check_accounts(forwarder, job)
 
