End a long answer of a call when its caller has left

Found by review: a long answer was forwarded without a look at the caller until the next byte of the server or the deadline, so a server worked on until 20 s although its caller had left after 1 s. Test that failed before: calls_long_test.

--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -27,6 +27,8 @@
 
 # A server that rejected a call for lack of capacity gets no new call for this time.
 FULL_SERVER_AVOID_S = 0.15
+# Interval at which a long answer checks whether its caller has left.
+DISCONNECT_POLL_S = 0.1
 
 
 @dataclass(slots=True)
@@ -86,7 +88,9 @@
                 left_s = job.left_s(self.sender.now())
                 if left_s <= 0:
                     break
-                await exchange.wait(left_s)
+                await exchange.wait(min(left_s, DISCONNECT_POLL_S))
+                if job.responder.is_disconnected:
+                    raise CallerDisconnectedError
                 await job.responder.write(exchange.take_body())
         except CallerDisconnectedError:
             job.outcome = "caller_gone"
