Read again from a connection that is used for the next request

Found by review: if the end of a response and more than 64 KB of its body came in one read, and nobody took the body (its caller left, or the stream had gone on elsewhere), the connection went back to the pool with reading paused, and the next request on it waited until its deadline. Reading is resumed before a connection is used again.

--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -362,6 +362,8 @@
 
     def _release(self) -> None:
         if self.is_open and self.exchange is None:
+            # The body may never be taken, and the next response has to be read.
+            self.resume()
             self.on_free(self)
         elif self.exchange is None:
             self.transport.close()
