Reset connections whose unsent bytes are dropped at the end of a drain

Found by review: an HTTP/1.0 response, whose end is that of the connection, was marked complete when its last bytes had been written, but not sent. The end of the drain then dropped them with an orderly close, so a caller took 2,811,904 of 2,820,000 bytes for the whole. Connections with unsent bytes are reset now. Test that failed before: connection_ends_test.UnsentEndTest.

--- a/monsoontack/gateway/inbound.py
+++ b/monsoontack/gateway/inbound.py
@@ -16,7 +16,7 @@
 import httptools
 
 from monsoontack.gateway.records import CallerLimits, RawRequest
-from monsoontack.gateway.responder import Responder, reason_phrase
+from monsoontack.gateway.responder import Responder, reason_phrase, set_reset_on_close
 
 # After a refusal, the remaining bytes of the caller are read and discarded for this
 # time before the connection is closed; a reset could destroy the refusal in transit.
@@ -96,9 +96,12 @@
         return sum(item.get_write_buffer_size() > 0 for item in transports)
 
     def abort_all(self) -> None:
-        """Abort all connections."""
+        """Abort all connections, with a reset where bytes are dropped."""
         for connection in list(self.connections):
-            connection.transport.abort()
+            transport = connection.transport
+            if transport.get_write_buffer_size() > 0:
+                set_reset_on_close(transport, True)
+            transport.abort()
 
 
 class InboundConnection(asyncio.Protocol):
--- a/monsoontack/gateway/responder.py
+++ b/monsoontack/gateway/responder.py
@@ -118,14 +118,8 @@
             self.connection.write(b"0\r\n\r\n")
 
     def _set_reset_on_close(self, is_reset: bool) -> None:
-        """Set whether the end of the connection, however it comes, is a reset.
-
-        The end of the connection is also that of a response without length or chunks.
-        """
-        sock = self.connection.transport.get_extra_info("socket")
-        if sock is not None and not self.is_disconnected:
-            linger = struct.pack("ii", is_reset, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if not self.is_disconnected:
+            set_reset_on_close(self.connection.transport, is_reset)
 
     def abort(self) -> None:
         """Abort the connection without completing the response."""
@@ -134,6 +128,17 @@
             self.connection.transport.abort()
 
 
+def set_reset_on_close(transport: asyncio.Transport, is_reset: bool) -> None:
+    """Set whether the end of the connection, however it comes, is a reset.
+
+    The end of the connection is also that of a response without length or chunks.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        linger = struct.pack("ii", is_reset, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def reason_phrase(status: int) -> bytes:
     """Return the reason phrase of a status code."""
     try:
