--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -188,7 +188,7 @@
             step = self._step_after_loss(loss, placement)
             if not self._returns(loss, step):
                 return step, None
-            because = "no other engine"
+            because = "no other engine may be asked now"
             kept = self.kept.return_to(MOVE_CHECK_INTERVAL_S, because, is_copy_used)
             if kept is None:
                 return self._granted(loss, step), None
@@ -236,7 +236,7 @@
             self.asked.excluded.add(self.kept.attempt.record.server)
 
     def _step_after_loss(self, loss: StreamLoss, placement: Placement) -> NextStep:
-        """Return the next step of the stream after a failed attempt."""
+        """Return the next step after a failed attempt, and take a retry for it."""
         now = self.now()
         member, backup = placement.member, placement.backup
         if loss.not_run:
--- a/tests/overlappingstop_test.py
+++ b/tests/overlappingstop_test.py
@@ -6,14 +6,13 @@
 from dataclasses import dataclass, field
 
 from monsoontack.core.virtualtime import run_in_virtual_time
-from monsoontack.gateway.drain_test import LONG_GRACE_S, TOKEN_GAP_S, Harness
+from monsoontack.gateway.drain_start_test import STATED_TOKENS, StatedLengthHarness
+from monsoontack.gateway.drain_test import LONG_GRACE_S, Harness
 from standins.gatewayfakes import FakeTransport
 from standins.stopschedule import overlapping_stops
 
 GATEWAYS, CALLERS = 4, 24
 SEEDS = (1, 47)
-# All streams state the same maximum, far above what they generate.
-STATED_TOKENS = 1260
 EVENTS = (79, 180)
 # Longer than it takes to measure the longest streams.
 BEFORE_S = 9.0
@@ -27,27 +26,16 @@
 END = b"0\r\n\r\n"
 
 
-class LengthHarness(Harness):
-    """A gateway and a server whose streams are as long as their paths say.
-
-    The configuration counts as confirmed, so that connections are kept.
-    """
+class KeepingHarness(StatedLengthHarness):
+    """A gateway that keeps connections, as its configuration counts as confirmed."""
 
     def __init__(self):
         super().__init__(0.0, LONG_GRACE_S)
         self.daemon.front.closing = lambda: self.daemon.draining
 
-    async def respond(self, exchange, attempt):
-        exchange.answer(200, ((b"content-type", b"text/event-stream"),))
-        path = exchange.request_id.partition("?")[0]
-        for number in range(int(path.rpartition("-")[2])):
-            exchange.add_body(b"id: %d\ndata: x\n\n" % number)
-            await asyncio.sleep(TOKEN_GAP_S)
-        exchange.end()
-
 
 @dataclass
-class Sites:
+class StoppingGateways:
     """Gateways that a schedule stops, and the streams that were not whole.
 
     `stopped_at` has the time of SIGTERM of gateways that are stopping.
@@ -63,7 +51,7 @@
 
     def __post_init__(self):
         self.rng = random.Random(self.seed)
-        self.gateways = [LengthHarness() for _ in range(GATEWAYS)]
+        self.gateways = [KeepingHarness() for _ in range(GATEWAYS)]
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -124,7 +112,7 @@
         self.stopped_at[number] = self.now()
         await self.gateways[number].daemon._drain()
         await asyncio.sleep(RESTART_S)
-        self.gateways[number] = LengthHarness()
+        self.gateways[number] = KeepingHarness()
         del self.stopped_at[number]
 
     async def run(self):
@@ -143,18 +131,18 @@
         end, while others stop as well, one of them twice within 11 s of its start."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                sites = run_sites(seed)
-                self.assertGreater(sites.late, 5)
-                self.assertEqual([], sites.cut)
+                found = run_stops(seed)
+                self.assertGreater(found.late, 5)
+                self.assertEqual([], found.cut)
 
 
-def run_sites(seed):
+def run_stops(seed):
     """Return the gateways and callers of a seed after all stops."""
 
     async def scenario():
-        sites = Sites(seed)
-        await sites.run()
-        return sites
+        gateways = StoppingGateways(seed)
+        await gateways.run()
+        return gateways
 
     return run_in_virtual_time(scenario())
 
