--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -18,6 +18,8 @@
 from soak.environment import MEMORY_LIMIT_MB, SoakEnvironment
 from standins.directengine import SSE_COMMENT, EndlessResponse, make_event
 
+# End of the violation of a stream that has all its events.
+LACKS_END = "and lacks only its end"
 # Statuses that guarantee that the request has not run and will never run.
 NOT_RUN_STATUSES = REFUSAL_STATUSES | {401, 404}
 REVOCATION_LIMIT_S = 5.0
@@ -192,7 +194,7 @@
         return []
     found = f"{item.request_id} ended after {took_s:.2f} s with {item.status}"
     lacks_end = item.body.replace(SSE_COMMENT, b"") == COMPLETE_STREAM
-    return [found + " and lacks only its end" if lacks_end else found]
+    return [f"{found} {LACKS_END}" if lacks_end else found]
 
 
 def _check_key(
