--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -17,5 +17,5 @@
     903: "a call that ran on a later send, once its key was back, counted as late",
     119: "reading an entry nested 100,000 levels deep took a gateway 0.4 s",
     1101: "a stream was cut because its engine paused before its last chunk",
-    1305: "the same, probably since the next engine answered late (known red)",
+    1305: "the same, since the next engine answered late (known red)",
 }
