--- a/monsoontack/gateway/streams_hung_test.py
+++ b/monsoontack/gateway/streams_hung_test.py
@@ -21,6 +21,8 @@
 from monsoontack.gateway.streams_kept_test import halting, resuming
 from monsoontack.gateway.streams_silence_test import FakeRollouts, refuse
 from monsoontack.gateway.streams_test import (
+    ALL_EVENTS,
+    EVENTS,
     GAP_S,
     make_event,
     make_forwarder,
@@ -96,6 +98,15 @@
                 self.assertLess(job.worst_gap_s, 0.7 + 3.5 * empty_count)
                 self.check_accounts(forwarder, job)
 
+    def test_stream_leaves_a_hung_engine_soon_after_answers_without_events(self):
+        """Guards against a stream whose caller gives up, after a gap of 2 s, because it
+        waits for a hung engine while another one would go on with it."""
+        for empty_count in (1, 2, 3):
+            forwarder, job = self.serve_after_wrong_answers(empty_count, EMPTY)
+            self.check_whole(job)
+            self.assertLess(job.worst_gap_s, 2.0, empty_count)
+            self.check_accounts(forwarder, job)
+
     def test_engine_counts_as_silent_while_a_stream_has_returned_to_it(self):
         """Guards against other streams that go on at a hung engine, because the stream
         that waits there does not look at it for some seconds."""
@@ -114,6 +125,35 @@
         self.assertEqual(dict.fromkeys((4.0, 6.0, 8.0, 10.0), True), seen)
 
 
+class StatedTokensTest(EndCase):
+    def test_stream_that_all_others_have_forgotten_does_not_end_short(self):
+        """Guards against a stream that ends as complete before its last event, because
+        an event that counts no token came first and the next engine knows nothing."""
+
+        async def play(exchange, attempt):
+            if attempt.last_event_id is not None:
+                await EMPTY(exchange, attempt)
+                return
+            await asyncio.sleep(0.1)
+            exchange.answer(200, (SSE,))
+            for number in range(1, EVENTS):
+                exchange.add_body(make_event(number))
+                await asyncio.sleep(GAP_S)
+            exchange.fail(FailureKind.RESET, True, "reset")
+
+        # The first event is a role without a token: EVENTS - 1 tokens in EVENTS events.
+        _, job = serve(play, stated=EVENTS - 1)
+        is_short = job.responder.body != ALL_EVENTS
+        self.assertFalse(job.responder.finished and is_short)
+
+    def test_stream_with_all_tokens_at_a_hung_engine_is_ended_by_another(self):
+        """Guards against a stream with all its events that is cut at its deadline,
+        because only the engine that hangs is asked for its end."""
+        script = stream_script(pausing(100.0), EMPTY)
+        _, job = serve(script, stated=EVENTS)
+        self.check_whole(job)
+
+
 class EndDuringConnectTest(EndCase):
     def test_no_engine_is_asked_once_the_answer_has_ended(self):
         """Guards against a second run of a stream whose first engine ended it while the
