--- a/monsoontack/gateway/callrun.py
+++ b/monsoontack/gateway/callrun.py
@@ -10,7 +10,7 @@
 from monsoontack.gateway.job import AttemptRecord, Job
 from monsoontack.gateway.outbound import ExchangeFailure, FailureKind, HttpExchange
 from monsoontack.gateway.records import Attempt, ResponseHead
-from monsoontack.gateway.responder import CallerDisconnectedError
+from monsoontack.inbound.responder import CallerDisconnectedError
 
 if TYPE_CHECKING:
     from monsoontack.gateway.calls import CallForwarder
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -20,9 +20,9 @@
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.job import Job
 from monsoontack.gateway.outbound import FailureKind
-from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.rollouts import RolloutManager
 from monsoontack.gateway.sender import Sender
+from monsoontack.inbound.responder import CallerDisconnectedError
 from monsoontack.routing.picker import Picker
 
 # A server that rejected a call for lack of capacity gets no new call for this time.
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -28,9 +28,6 @@
 from monsoontack.gateway.entryremoval import SilentEntryRemover
 from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.handler import Gateway
-from monsoontack.gateway.inbound import BodyBudget, InboundServer, listen_on
-from monsoontack.gateway.loadexchange import PATH as LOAD_PATH
-from monsoontack.gateway.loadexchange import LoadExchange
 from monsoontack.gateway.metrics import GatewayMetrics
 from monsoontack.gateway.newestlist import NewestList, Rank, is_newer
 from monsoontack.gateway.peers import (
@@ -45,7 +42,6 @@
 from monsoontack.gateway.readtree import DirectReadLimiter
 from monsoontack.gateway.records import CallerLimits, GatewayConfig, RawRequest
 from monsoontack.gateway.relay import RelayedStore, RelayServer
-from monsoontack.gateway.responder import Responder
 from monsoontack.gateway.rollouts import RolloutManager, StatusStore
 from monsoontack.gateway.sender import Sender
 from monsoontack.gateway.settings import GatewaySettings
@@ -53,6 +49,10 @@
 from monsoontack.gateway.streams import StreamForwarder
 from monsoontack.gateway.suspectgate import PATH as TURN_PATH
 from monsoontack.gateway.suspectgate import turn_call
+from monsoontack.inbound.connection import BodyBudget, InboundServer, listen_on
+from monsoontack.inbound.responder import Responder
+from monsoontack.loadview.exchange import PATH as LOAD_PATH
+from monsoontack.loadview.exchange import LoadExchange
 from monsoontack.routing.linkbudget import EntryLinkBudget
 from monsoontack.routing.picker import Picker
 from monsoontack.store.api import KindStore, ObjectStore
--- a/monsoontack/gateway/drain_test.py
+++ b/monsoontack/gateway/drain_test.py
@@ -12,7 +12,6 @@
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.daemon import GatewayDaemon
 from monsoontack.gateway.daemon_test import SETTINGS
-from monsoontack.gateway.inbound import BodyBudget, InboundServer
 from monsoontack.gateway.job import Job
 from monsoontack.gateway.records import (
     CallerLimits,
@@ -21,6 +20,7 @@
     RawRequest,
     RequestKind,
 )
+from monsoontack.inbound.connection import BodyBudget, InboundServer
 from standins.gatewayfakes import (
     FakeTransport,
     ScriptedSender,
--- a/monsoontack/gateway/entryexchange.py
+++ b/monsoontack/gateway/entryexchange.py
@@ -30,7 +30,7 @@
 from monsoontack.gateway.peers import PeerEntry, PeerResponse, call_peer
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.records import RawRequest
-from monsoontack.gateway.responder import Responder
+from monsoontack.inbound.responder import Responder
 
 log = structlog.get_logger("gateway.limits")
 
--- a/monsoontack/gateway/errorbody.py
+++ b/monsoontack/gateway/errorbody.py
@@ -3,9 +3,9 @@
 from typing import TYPE_CHECKING
 
 from monsoontack.gateway.outbound import FailureKind
-from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.streamattempt import StreamLoss
 from monsoontack.gateway.streammove import MOVE_CHECK_INTERVAL_S, why_stay
+from monsoontack.inbound.responder import CallerDisconnectedError
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrelay import StreamRelay
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -16,10 +16,10 @@
 from monsoontack.gateway.metrics import GatewayMetrics
 from monsoontack.gateway.ports import WireFormat
 from monsoontack.gateway.records import CallerRequest, RawRequest, RequestKind, Route
-from monsoontack.gateway.responder import Responder
 from monsoontack.gateway.routes import authorize, choose_service
 from monsoontack.gateway.streams import StreamForwarder
 from monsoontack.gateway.suspectgate import SuspectGate, no_peer
+from monsoontack.inbound.responder import Responder
 
 log = structlog.get_logger("gateway.requests")
 
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -7,7 +7,7 @@
 from monsoontack.admission.requestcontent import RequestContent
 from monsoontack.core.errors import RequestError, RunState
 from monsoontack.gateway.records import CallerRequest, GatewayAccount, Route
-from monsoontack.gateway.responder import Responder
+from monsoontack.inbound.responder import Responder
 
 
 @dataclass(slots=True)
--- a/monsoontack/gateway/mutations_test.py
+++ b/monsoontack/gateway/mutations_test.py
@@ -21,8 +21,6 @@
     decode_changes,
     decode_list,
 )
-from monsoontack.gateway.inbound import BodyBudget, InboundServer
-from monsoontack.gateway.loadexchange import LoadExchange
 from monsoontack.gateway.outbound import HttpExchange, OutboundConnection
 from monsoontack.gateway.peers import PeerResponse, peer_pool
 from monsoontack.gateway.records import CallerLimits, RawRequest
@@ -30,6 +28,8 @@
 from monsoontack.gateway.rollouts import decode_evidence
 from monsoontack.gateway.sse import EventSplitter, EventTooLongError, parse_events
 from monsoontack.generation.continuation import ForeignAnswerError
+from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.loadview.exchange import LoadExchange
 from monsoontack.rollout.evidence import Counts
 from monsoontack.store.api import KindObject
 from standins.gatewayfakes import FakeTransport
--- a/monsoontack/gateway/relay.py
+++ b/monsoontack/gateway/relay.py
@@ -32,7 +32,7 @@
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.readtree import DirectReadLimiter, ReadPlan, plan_reads
 from monsoontack.gateway.records import RawRequest
-from monsoontack.gateway.responder import Responder
+from monsoontack.inbound.responder import Responder
 from monsoontack.store.api import (
     HistoryGone,
     KindChanges,
--- a/monsoontack/gateway/relay_test.py
+++ b/monsoontack/gateway/relay_test.py
@@ -13,10 +13,10 @@
     ENCODING_HEADER,
     REVISION_HEADER,
 )
-from monsoontack.gateway.inbound import BodyBudget, InboundServer
 from monsoontack.gateway.peers import PeerEntry, call_peer, peer_pool
 from monsoontack.gateway.records import CallerLimits
 from monsoontack.gateway.relay import RelayedStore, RelayServer
+from monsoontack.inbound.connection import BodyBudget, InboundServer
 from monsoontack.store.api import (
     HistoryGone,
     KindChanges,
--- a/monsoontack/gateway/streamload.py
+++ b/monsoontack/gateway/streamload.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from monsoontack.gateway.fleet import Member
-from monsoontack.gateway.loadexchange import LoadExchange
+from monsoontack.loadview.exchange import LoadExchange
 
 
 @dataclass(slots=True)
--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING
 
 from monsoontack.gateway.fleet import MAX_AVOID_S, Member
-from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.streamerrors import FULL_RETRY_AFTER_S
 from monsoontack.gateway.streamplace import choose
 from monsoontack.generation.failover import EndCause, NextStep
@@ -19,6 +18,7 @@
     ONLY_END_IS_MISSING,
     why_no_attempt,
 )
+from monsoontack.inbound.responder import CallerDisconnectedError
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -8,7 +8,6 @@
 from monsoontack.gateway.crashdetector import BROKEN_OFF_KINDS
 from monsoontack.gateway.outbound import FailureKind, HttpExchange
 from monsoontack.gateway.records import ResponseHead
-from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.sse import EventSplitter, EventTooLongError, parse_events
 from monsoontack.gateway.streamattempt import OpenAttempt, StreamLoss, silent_loss
 from monsoontack.gateway.streamhead import read_head
@@ -19,6 +18,7 @@
     ForeignAnswerError,
 )
 from monsoontack.generation.streamtimeouts import decaying_maximum
+from monsoontack.inbound.responder import CallerDisconnectedError
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -12,7 +12,6 @@
 from monsoontack.gateway.keptattempt import KeptAttempt
 from monsoontack.gateway.outbound import ExchangeFailure, HttpExchange
 from monsoontack.gateway.records import Attempt
-from monsoontack.gateway.responder import CallerDisconnectedError
 from monsoontack.gateway.streamattempt import OpenAttempt, Placement, StreamLoss
 from monsoontack.gateway.streamerrors import loss_error
 from monsoontack.gateway.streamload import AttemptLoad
@@ -39,6 +38,7 @@
     end_cause,
     next_step,
 )
+from monsoontack.inbound.responder import CallerDisconnectedError
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streams import StreamForwarder
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -17,7 +17,6 @@
 from monsoontack.gateway.crashdetector import CrashDetector
 from monsoontack.gateway.fleet import BackendFleet
 from monsoontack.gateway.job import Job
-from monsoontack.gateway.loadexchange import NO_USAGE, LoadExchange
 from monsoontack.gateway.records import (
     EngineTraits,
     ServiceTraits,
@@ -26,6 +25,7 @@
 from monsoontack.gateway.sender import Sender
 from monsoontack.gateway.streamrun import StreamRun
 from monsoontack.generation.streamtimeouts import StreamTimeouts
+from monsoontack.loadview.exchange import NO_USAGE, LoadExchange
 from monsoontack.routing.placement import (
     EngineCandidate,
 )
--- a/monsoontack/gateway/streams_test.py
+++ b/monsoontack/gateway/streams_test.py
@@ -6,11 +6,11 @@
 
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.budgets import RetryBudgets
-from monsoontack.gateway.loadexchange import EngineUsage, LoadExchange, LoadMessage
 from monsoontack.gateway.outbound import ExchangeFailure, FailureKind
 from monsoontack.gateway.peers import peer_pool
 from monsoontack.gateway.records import EngineTraits, RequestKind, ServiceTraits
 from monsoontack.gateway.streams import StreamForwarder
+from monsoontack.loadview.exchange import EngineUsage, LoadExchange, LoadMessage
 from standins.gatewayfakes import (
     HOME,
     NEAR,
--- a/monsoontack/gateway/suspectgate.py
+++ b/monsoontack/gateway/suspectgate.py
@@ -21,7 +21,7 @@
 from monsoontack.gateway.peers import PeerEntry, PeerResponse, call_peer
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.records import RawRequest
-from monsoontack.gateway.responder import Responder
+from monsoontack.inbound.responder import Responder
 
 log = structlog.get_logger("gateway.crashes")
 
--- a/monsoontack/gateway/inbound.py
+++ b/monsoontack/inbound/connection.py
@@ -16,7 +16,7 @@
 import httptools
 
 from monsoontack.gateway.records import CallerLimits, RawRequest
-from monsoontack.gateway.responder import Responder, reason_phrase, set_reset_on_close
+from monsoontack.inbound.responder import Responder, reason_phrase, set_reset_on_close
 
 # After a refusal, the remaining bytes of the caller are read and discarded for this
 # time before the connection is closed; a reset could destroy the refusal in transit.
--- a/monsoontack/gateway/connection_ends_test.py
+++ b/monsoontack/inbound/connection_ends_test.py
@@ -5,10 +5,10 @@
 import unittest
 
 from monsoontack.core.virtualtime import run_in_virtual_time
-from monsoontack.gateway.inbound import BodyBudget, InboundServer
 from monsoontack.gateway.outbound import HttpExchange
 from monsoontack.gateway.outbound_test import OutboundConnection, response_request_id
 from monsoontack.gateway.records import CallerLimits
+from monsoontack.inbound.connection import BodyBudget, InboundServer
 from standins.gatewayfakes import FakeTransport
 
 TAIL_BYTES = 60_000
--- a/monsoontack/gateway/inbound_test.py
+++ b/monsoontack/inbound/connection_test.py
@@ -4,9 +4,9 @@
 import unittest
 
 from monsoontack.core.virtualtime import run_in_virtual_time
-from monsoontack.gateway.inbound import BodyBudget, InboundServer
 from monsoontack.gateway.records import CallerLimits
-from monsoontack.gateway.responder import CallerDisconnectedError
+from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.responder import CallerDisconnectedError
 from standins.gatewayfakes import FakeTransport
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n"
--- a/monsoontack/gateway/responder_test.py
+++ b/monsoontack/inbound/responder_test.py
@@ -3,8 +3,8 @@
 import asyncio
 import unittest
 
-from monsoontack.gateway.inbound import BodyBudget, InboundServer
 from monsoontack.gateway.records import CallerLimits
+from monsoontack.inbound.connection import BodyBudget, InboundServer
 
 HANG_GUARD_S = 30.0
 
--- a/monsoontack/gateway/loadexchange.py
+++ b/monsoontack/loadview/exchange.py
@@ -25,7 +25,7 @@
 from monsoontack.gateway.peers import PeerEntry, call_peer
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.records import RawRequest
-from monsoontack.gateway.responder import Responder
+from monsoontack.inbound.responder import Responder
 
 log = structlog.get_logger("gateway.loadnews")
 
--- a/monsoontack/gateway/loadexchange_test.py
+++ b/monsoontack/loadview/exchange_test.py
@@ -6,8 +6,10 @@
 from collections import Counter
 from dataclasses import replace
 
-from monsoontack.gateway.inbound import BodyBudget, InboundServer
-from monsoontack.gateway.loadexchange import (
+from monsoontack.gateway.peers import PeerEntry, call_peer, peer_pool
+from monsoontack.gateway.records import CallerLimits
+from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.loadview.exchange import (
     MAX_MESSAGES_PER_S,
     PATH,
     PEER_EXPIRY_S,
@@ -16,8 +18,6 @@
     LoadMessage,
     PeerLoads,
 )
-from monsoontack.gateway.peers import PeerEntry, call_peer, peer_pool
-from monsoontack.gateway.records import CallerLimits
 from standins.gatewayfakes import HOME, make_fleet
 
 ONE_RUN = EngineUsage(1, 8000, 9000)
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -44,9 +44,9 @@
 from dataclasses import dataclass, field
 from weakref import WeakKeyDictionary
 
-from monsoontack.gateway.inbound import BodyBudget, InboundServer
 from monsoontack.gateway.records import CallerLimits, RawRequest
-from monsoontack.gateway.responder import (
+from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.responder import (
     CallerDisconnectedError,
     Responder,
     reason_phrase,
--- a/standins/gatewayfakes.py
+++ b/standins/gatewayfakes.py
@@ -23,7 +23,7 @@
     Route,
     Target,
 )
-from monsoontack.gateway.responder import CallerDisconnectedError
+from monsoontack.inbound.responder import CallerDisconnectedError
 
 HOME = Place("domain-a", "north")
 NEAR = Place("domain-b", "north")
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -20,9 +20,9 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from monsoontack.gateway.inbound import BodyBudget, InboundServer
 from monsoontack.gateway.records import CallerLimits, RawRequest
-from monsoontack.gateway.responder import Responder
+from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.responder import Responder
 
 PATH_PREFIX = "/api/objects/"
 PAGE_SIZE = 3
--- a/standins/rollingengine.py
+++ b/standins/rollingengine.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from monsoontack.gateway.records import RawRequest
-from monsoontack.gateway.responder import Responder
+from monsoontack.inbound.responder import Responder
 from standins.directengine import REQUEST_ID_HEADER, USAGE_HEADER, DirectEngine
 
 
