Let streams of different priorities wait at the gateway for room

Cause: a gateway sent each stream at once, so in a burst of less urgent streams the engines' queues and preemption decided, and urgent streams were served worse than the others.

Change: the new package monsoontack/scheduling orders the streams of a service whose routes or accounts have different priorities, places each one at an engine that can begin it, and refuses those that cannot begin before their deadline with 503 overloaded. A drain hands the queue back. Other services are served as before.

--- a/monsoontack/admission/fairshare.py
+++ b/monsoontack/admission/fairshare.py
@@ -49,6 +49,11 @@
         self.recent_refusals *= decay_factor
         self.updated_at = now
 
+    @property
+    def load_per_weight(self) -> float:
+        """Return the requests in flight, now or lately, per unit of weight."""
+        return max(self.in_flight, self.mean_in_flight) / self.weight
+
     def demand(self, mean_duration_s: float) -> float:
         """Return the demand in concurrent requests.
 
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -175,6 +175,8 @@
         daemon = cls(settings, config_state, fleet, pool, gateway, metrics)
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
         streams.share_load_with_peers(load_exchange)
+        streams.admission.on_wait = metrics.observe_wait
+        streams.admission.on_refused = metrics.count_admission_refusal
         for forwarder in (calls, streams):
             forwarder.crash_detector.on_crash = daemon._on_server_crash
         daemon.background_jobs.append(load_exchange.run)
@@ -192,8 +194,8 @@
         return daemon
 
     def config_changed(self, config: GatewayConfig) -> None:
-        """Pass the service traits of a new configuration to the stream forwarder."""
-        self.gateway.streams.traits = dict(config.services)
+        """Pass a new configuration to the stream forwarder."""
+        self.gateway.streams.configure(config)
 
     def follow_kind(
         self,
@@ -487,6 +489,7 @@
         blocked_requests = sum(map(is_request, blamed))
         metrics.blocked_requests.set(blocked_requests)
         metrics.blocked_prompt_parts.set(len(blamed) - blocked_requests)
+        metrics.update_waiting(self.gateway.streams.admission.own_waiting())
         for service, members in self.fleet.by_service.items():
             metrics.servers.labels(service).set(len(members))
         if self.log_writer is not None:
@@ -497,7 +500,7 @@
         self.draining = True
         started = self.gateway.now()
         deadline = started + self.settings.grace_s - ABORT_MARGIN_S
-        self.gateway.drain.begin(started, deadline)
+        self.gateway.begin_drain(started, deadline)
         log.info("draining", requests=self.gateway.in_progress)
         while self.gateway.now() < deadline:
             is_propagated = self.gateway.now() >= started + REDIRECT_S
--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -23,6 +23,8 @@
     "streamed": "the stream was whole",
     "caller_gone": "the caller closed its connection before the end",
     "timeout": "the time of the caller or of the route was over",
+    "overloaded": "no engine could have begun the stream before its deadline",
+    "draining": "the entry left before an engine got the request",
     "full": "every backend server that was asked refused for lack of room",
     "limited": "the limits that the servers state were used up",
     "servers_wait": "every server had asked for time, and it was not over",
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -96,13 +96,13 @@
 class BackendFleet:
     """All backend servers by service.
 
-    `starts` holds the same servers as `members`, by `Member.limit_key`.
-    `on_removed` is called with each server that gets no new requests any more,
-    `on_failed` with each server that could not be reached. `leaving` has the servers
-    that said that they are leaving. `missing_until` holds, for servers whose records
-    expired during a store outage, the time until which they are kept. `former` holds
-    removed servers by `Member.key` as long as runs refer to them. `empty_since` holds
-    the time of the first refusal for lack of servers, by service.
+    `starts` holds the same servers as `members`, by `Member.limit_key`. `on_removed` is
+    called with each server that gets no new requests any more, `on_added` with each new
+    one, `on_failed` with each server that could not be reached. `leaving` has the
+    servers that said that they are leaving. `missing_until` holds, for servers whose
+    records expired during a store outage, the time until which they are kept. `former`
+    holds removed servers by `Member.key` as long as runs refer to them. `empty_since`
+    holds the time of the first refusal for lack of servers, by service.
     """
 
     ejection: Ejection = field(default_factory=Ejection)
@@ -117,6 +117,7 @@
     empty_since: dict[str, float] = field(default_factory=dict)
     grace_until: float = 0.0
     on_removed: Callable[[Member], None] = lambda member: None
+    on_added: Callable[[Member], None] = lambda member: None
     on_failed: Callable[[Member], None] = lambda member: None
 
     def __post_init__(self) -> None:
@@ -200,6 +201,7 @@
             service=server.service,
             version=server.versions[0] if server.versions else "",
         )
+        self.on_added(member)
 
     def _former_member(self, server: BackendServer) -> Member | None:
         """Return a removed server whose record was written again, with its load."""
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -79,9 +79,8 @@
         route, account = authorized
         job = self._make_job(request, route, account, responder)
         if self._may_outlast_drain(job):
-            self._refuse(
-                self._draining_error(job), responder, request.request_id, "draining"
-            )
+            error = self._draining_error(job.left_s(self.now()))
+            self._refuse(error, responder, request.request_id, "draining")
             return
         blocked = self._check_content(job)
         if blocked is not None:
@@ -157,10 +156,14 @@
         )
         return not is_taken
 
-    def _draining_error(self, job: Job) -> RequestError:
+    def begin_drain(self, now: float, ends_at: float) -> None:
+        """Begin the drain, and refuse the streams that have not begun."""
+        self.drain.begin(now, ends_at)
+        self.streams.admission.drain(self._draining_error)
+
+    def _draining_error(self, left_s: float) -> RequestError:
         message = "this entry is leaving; another one serves"
-        now = self.now()
-        wait_s = self.drain.retry_after_s(now, job.left_s(now))
+        wait_s = self.drain.retry_after_s(self.now(), left_s)
         return RequestError(503, "draining", message, retry_after_s=round(wait_s, 2))
 
     async def _serve(self, job: Job) -> None:
@@ -181,7 +184,7 @@
         refusal = await self.suspects.admit(job)
         if refusal is None and self._may_outlast_drain(job):
             # A drain has begun, or gone on, while the request waited.
-            return self._draining_error(job)
+            return self._draining_error(job.left_s(self.now()))
         return refusal
 
     def _answer_cancelled(self, job: Job) -> None:
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -45,6 +45,10 @@
     store_feed_up: Gauge = None
     store_restorations: Counter = None
     log_lines_dropped: Gauge = None
+    admission_wait_s: Histogram = None
+    admission_refusals: Counter = None
+    waiting_streams: Gauge = None
+    waiting_rows: set[tuple[str, int]] = field(default_factory=set)
 
     @classmethod
     def create(cls) -> "GatewayMetrics":
@@ -110,6 +114,19 @@
             buckets=GAP_BUCKETS_S,
             registry=registry,
         )
+        metrics.admission_wait_s = Histogram(
+            "monsoontack_admission_wait_seconds",
+            "Time for which a stream waited at this gateway before it was sent",
+            ("service", "priority"),
+            buckets=ANSWER_BUCKETS_S,
+            registry=registry,
+        )
+        metrics.admission_refusals = Counter(
+            "monsoontack_admission_refusals",
+            "Streams that were refused before they were sent, by reason",
+            ("service", "reason"),
+            registry=registry,
+        )
         metrics._add_gauges()
         return metrics
 
@@ -138,10 +155,34 @@
         self.store_feed_up = gauge(
             "store_feed_up", "Whether the store answers a feed", ("feed",)
         )
+        self.waiting_streams = gauge(
+            "waiting_streams",
+            "Streams that wait at this gateway to be sent",
+            ("service", "priority"),
+        )
         self.log_lines_dropped = gauge(
             "log_lines_dropped", "Log lines dropped since nobody read them"
         )
 
+    def observe_wait(self, service: str, priority: int, wait_s: float) -> None:
+        """Record how long a stream waited before it was sent."""
+        self.admission_wait_s.labels(service, priority).observe(wait_s)
+
+    def count_admission_refusal(self, service: str, reason: str) -> None:
+        """Count a stream that was refused before it was sent."""
+        self.admission_refusals.labels(service, reason).inc()
+
+    def update_waiting(self, waiting: dict[str, dict[int, tuple[int, int]]]) -> None:
+        """Set the numbers of waiting streams, given by service and priority."""
+        rows = {
+            (service, priority): count
+            for service, by_priority in waiting.items()
+            for priority, (count, _) in by_priority.items()
+        }
+        self.waiting_rows.update(rows)
+        for row in self.waiting_rows:
+            self.waiting_streams.labels(*row).set(rows.get(row, 0))
+
     def count_statement(self, said: ServerStatement) -> None:
         """Count what a response of a server says of it for the first time."""
         state = "leaving" if said.is_leaving else "asked_for_time"
--- a/monsoontack/gateway/routes.py
+++ b/monsoontack/gateway/routes.py
@@ -9,6 +9,7 @@
     CallerRequest,
     GatewayAccount,
     GatewayConfig,
+    RequestKind,
     Route,
     Target,
 )
@@ -35,6 +36,25 @@
     return rng.choices(targets, weights)[0].service
 
 
+def stream_priorities(config: GatewayConfig) -> dict[str, frozenset[int]]:
+    """Return the priorities that streams may have, by service.
+
+    An account's priority replaces that of a route that needs a key.
+    """
+    accounts = list((config.accounts or {}).values())
+    found: dict[str, set[int]] = {}
+    for route in config.routes:
+        if route.kind is not RequestKind.STREAM:
+            continue
+        priorities = {route.priority}
+        if accounts and not route.anonymous:
+            own = [account.priority for account in accounts]
+            priorities = {route.priority if p is None else p for p in own}
+        for target in route.targets:
+            found.setdefault(target.service, set()).update(priorities)
+    return {service: frozenset(priorities) for service, priorities in found.items()}
+
+
 def authorize(
     config_state: ConfigState, request: CallerRequest
 ) -> tuple[Route, GatewayAccount | None] | RequestError:
--- a/monsoontack/gateway/streamerrors.py
+++ b/monsoontack/gateway/streamerrors.py
@@ -12,6 +12,23 @@
 NO_SERVER_RETRY_AFTER_S = 0.7
 
 
+def too_late_error(run: "StreamRun") -> RequestError | None:
+    """Return the refusal if the deadline passes before any engine reads the prompt.
+
+    Only the last segment counts, since shared segments may be in an engine's KV cache,
+    as may the whole of a prompt that was sent before.
+    """
+    job, known_engines = run.job, run.forwarder.prompt_engines
+    if run.segment_id in known_engines or run.position.last_id is not None:
+        return None
+    parts = job.request.prompt_segments
+    tokens = parts[-1].tokens if parts else job.request.prompt_tokens
+    if job.left_s(run.now()) >= run.stream_timeouts.min_first_event_s(tokens):
+        return None
+    message = "less time is left than any engine needs to read the prompt"
+    return RequestError(503, "too_late", message, retry_after_s=0.0)
+
+
 def loss_error(run: "StreamRun", loss: StreamLoss) -> RequestError:
     """Return the error for a stream of which the caller has got nothing."""
     job = run.job
--- a/monsoontack/gateway/streamoutcome.py
+++ b/monsoontack/gateway/streamoutcome.py
@@ -43,6 +43,7 @@
     """End the counts of an attempt, whatever has ended it."""
     attempt.record.ended_at = run.now()
     attempt.load.remove()
+    run.forwarder.admission.wake(run.job.service)
     rollouts, relay = run.forwarder.rollouts, attempt.relay
     if rollouts is not None:
         is_silent = relay is not None and relay.silent_since is not None
--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -1,10 +1,13 @@
-"""Selects the engines of the next attempt of a stream."""
+"""Admission of a stream, and the engines of its next attempt."""
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from monsoontack.core.errors import RequestError
 from monsoontack.gateway.fleet import Member
 from monsoontack.gateway.records import KvCacheCopy
-from monsoontack.gateway.streamattempt import Placement
+from monsoontack.gateway.streamattempt import OpenAttempt, Placement, StreamLoss
+from monsoontack.gateway.streamoutcome import close_attempt
 from monsoontack.generation.failover import NextStep
 from monsoontack.routing.placement import (
     EngineCandidate,
@@ -12,13 +15,67 @@
     choose_backup,
     choose_engine,
 )
+from monsoontack.scheduling.urgency import WaitingRequest
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
 
 
-def place_attempt(run: "StreamRun", step: NextStep) -> Placement | None:
-    """Return the engines of the next attempt, or None if no engine is available."""
+@dataclass(slots=True)
+class FirstAttempt:
+    """The first attempt of a stream that waits at the gate."""
+
+    run: "StreamRun"
+
+    def begin(self, engines: set[str]) -> tuple[str, object] | None:
+        """Open the attempt at one of these engines, if one can be used."""
+        attempt = self.run.open_attempt(NextStep.RESTART, engines)
+        if attempt is None:
+            return None
+        return attempt.member.server.incarnation, attempt
+
+    def abandon(self, attempt: object) -> None:
+        """End the counts of an attempt that will not be sent."""
+        close_attempt(self.run, attempt, StreamLoss("unsent", not_run=True))
+
+
+async def admit_stream(run: "StreamRun") -> OpenAttempt | RequestError | None:
+    """Wait until an engine can begin a stream; return its attempt or its refusal.
+
+    The result is None for streams that do not wait: those that go on after an event,
+    and those of services whose streams all have the same priority. Raise
+    CallerDisconnectedError if the caller leaves.
+    """
+    gate, job = run.forwarder.admission, run.job
+    if not gate.is_in_force(job.service) or run.position.last_id is not None:
+        return None
+    account = job.account.name if job.account else ""
+    names = (job.content.request, run.segment_id and f"{account}:{run.segment_id}")
+    run.waiting_request = WaitingRequest(
+        number=0,
+        account=account,
+        priority=job.priority,
+        prompt_tokens=job.request.prompt_tokens,
+        needed_tokens=run.needed_tokens,
+        arrived_at=job.started_at,
+        objective_at=job.started_at + job.route.objective_s,
+        deadline_at=job.deadline_at,
+        cached_at=run.forwarder.engine_of_prompt(run.segment_id),
+        keys=tuple(name for name in names if name),
+    )
+    ends = job.responder.disconnected, job.ending
+    stream = FirstAttempt(run)
+    return await gate.enter(job.service, run.waiting_request, stream, *ends)
+
+
+def place_attempt(
+    run: "StreamRun", step: NextStep, allowed: set[str] | None = None
+) -> Placement | None:
+    """Return the engines of the next attempt, or None if no engine is available.
+
+    A new start goes to one of the `allowed` engines if one of them may be used, else,
+    while streams of the service wait for their turn, to one that can begin it now.
+    """
     forwarder, job = run.forwarder, run.job
     loads = forwarder.engine_loads(job, set())
     members = forwarder.fleet.members
@@ -28,8 +85,13 @@
         copy = KvCacheCopy(member.server.address, job.request.request_id)
         chosen = loads.get(member.server.incarnation)
     else:
-        usable = [e for k, e in loads.items() if k not in run.asked.excluded]
-        chosen = choose(run, {e.key: e for e in usable} or loads)
+        usable = {k: e for k, e in loads.items() if k not in run.asked.excluded}
+        usable = usable or loads
+        if allowed is None and run.waiting_request is not None:
+            gate = forwarder.admission
+            allowed = gate.with_room(job.service, run.waiting_request, usable)
+        preferred = {k: e for k, e in usable.items() if k in (allowed or ())}
+        chosen = choose(run, preferred or usable)
         if chosen is None:
             return None
         member = members[chosen.key]
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -304,6 +304,7 @@
                 self.tokens_to_read, now - self.sent_at
             )
         self.run.forwarder.fleet.note_alive(self.member, now)
+        self.run.forwarder.admission.wake(self.job.service)
 
     async def _detect_silence(self) -> str | None:
         """Return the reason if the engine has been silent for too long, else None."""
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -13,7 +13,7 @@
 from monsoontack.gateway.outbound import ExchangeFailure, HttpExchange
 from monsoontack.gateway.records import Attempt
 from monsoontack.gateway.streamattempt import OpenAttempt, Placement, StreamLoss
-from monsoontack.gateway.streamerrors import loss_error
+from monsoontack.gateway.streamerrors import loss_error, too_late_error
 from monsoontack.gateway.streamload import AttemptLoad
 from monsoontack.gateway.streammove import (
     MOVE_CHECK_INTERVAL_S,
@@ -27,7 +27,7 @@
     log_lost_engine,
     record_result,
 )
-from monsoontack.gateway.streamplace import place_attempt
+from monsoontack.gateway.streamplace import admit_stream, place_attempt
 from monsoontack.gateway.streamrelay import BLOCKED_REASON, StreamRelay
 from monsoontack.generation.completeness import has_all_stated
 from monsoontack.generation.continuation import StreamPosition
@@ -39,6 +39,7 @@
     next_step,
 )
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.scheduling.urgency import WaitingRequest
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streams import StreamForwarder
@@ -63,12 +64,12 @@
     of them. `counted_attempts` are limited by the route, `total_attempts` also include
     those that were not run, unless a pause preceded them. `asked` has the engines of
     failed attempts; `copy_holder` is the start of the engine that got a copy of the KV
-    cache.
-    `engine_error` is the last error response of an engine. `broken_off` counts the
-    engines that broke off the stream before they went on answering.
+    cache. `engine_error` is the last error response of an engine. `broken_off` counts
+    the engines that broke off the stream before they went on answering.
     `has_left_silent_engine` is set while only refusals have followed an engine that was
     left for its silence. That engine might have gone on, so the stream goes on trying
     until its deadline. `kept` has the attempt that was left last, for a short time.
+    `waiting_request` is what waits at the gate, None if the stream does not.
     """
 
     def __init__(self, forwarder: "StreamForwarder", job: Job) -> None:
@@ -92,6 +93,7 @@
         self.broken_off = 0
         self.has_left_silent_engine = False
         self.kept = KeptAttempt(self)
+        self.waiting_request: WaitingRequest | None = None
         request = job.request
         self.segment_id = (
             request.prompt_segments[-1].segment_id if request.prompt_segments else ""
@@ -110,17 +112,22 @@
         self.forwarder.sender.gate.note_request(job.service, self.now())
         if self.forwarder.rollouts is not None:
             self.forwarder.rollouts.note_request(job.service)
-        if self._deadline_is_too_close():
-            message = "less time is left than any engine needs to read the prompt"
-            self._send_error(RequestError(503, "too_late", message, retry_after_s=0.0))
+        refusal = too_late_error(self)
+        if refusal is not None:
+            self._send_error(refusal)
             return
         try:
-            loss = await self._run_attempts()
+            admitted = await admit_stream(self)
+            if isinstance(admitted, RequestError):
+                self._send_error(admitted)
+                return
+            loss = await self._run_attempts(admitted)
         except CallerDisconnectedError:
             job.outcome = "caller_gone"
             return
         finally:
             self.kept.reset("the stream has ended")
+            self.forwarder.admission.end(job.service, self.waiting_request)
             job.events = self.position.event_count
             job.last_event_id = self.position.last_id
         if loss is None:
@@ -129,33 +136,21 @@
             return
         self._end_failed(loss)
 
-    def _deadline_is_too_close(self) -> bool:
-        """Whether the deadline passes before any engine could read the prompt.
-
-        Only the last segment counts, since shared segments may be in an engine's KV
-        cache, as may the whole of a prompt that was sent before.
-        """
-        known_engines = self.forwarder.prompt_engines
-        if self.segment_id in known_engines or self.position.last_id is not None:
-            return False
-        parts = self.job.request.prompt_segments
-        tokens = parts[-1].tokens if parts else self.job.request.prompt_tokens
-        left_s = self.job.left_s(self.now())
-        return left_s < self.stream_timeouts.min_first_event_s(tokens)
-
     def _is_wanted(self) -> bool:
         is_of_use = self.job.is_wanted() and not self.kept.is_whole
         return is_of_use and not self.is_blocked()
 
-    async def _run_attempts(self) -> StreamLoss | None:
-        """Return None if the stream is complete, else the last loss."""
+    async def _run_attempts(self, attempt: OpenAttempt | None) -> StreamLoss | None:
+        """Return None if the stream is complete, else the last loss.
+
+        `attempt` is the first one if it has been placed already.
+        """
         step = NextStep.RESTART
-        attempt: OpenAttempt | None = None
         while True:
             if attempt is None:
                 if self.is_blocked():
                     return StreamLoss(BLOCKED_REASON, not_run=True)
-                attempt = self._open_attempt(step)
+                attempt = self.open_attempt(step)
             if attempt is None:
                 loss = StreamLoss("no engine can be reached", not_run=True, unsent=True)
                 step = NextStep.END
@@ -315,9 +310,14 @@
         gate = self.forwarder.sender.gate
         return member if gate.may_send(member.limit_key, now) else None
 
-    def _open_attempt(self, step: NextStep) -> OpenAttempt | None:
-        """Begin to count the next attempt; return None if no engine is available."""
-        placement = place_attempt(self, step)
+    def open_attempt(
+        self, step: NextStep, allowed: set[str] | None = None
+    ) -> OpenAttempt | None:
+        """Begin to count the next attempt; return None if no engine is available.
+
+        A new start goes to one of the `allowed` engines if that is possible.
+        """
+        placement = place_attempt(self, step, allowed)
         if placement is None:
             return None
         job, member = self.job, placement.member
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -19,9 +19,11 @@
 from monsoontack.gateway.job import Job
 from monsoontack.gateway.records import (
     EngineTraits,
+    GatewayConfig,
     ServiceTraits,
 )
 from monsoontack.gateway.rollouts import RolloutManager
+from monsoontack.gateway.routes import stream_priorities
 from monsoontack.gateway.sender import Sender
 from monsoontack.gateway.streamrun import StreamRun
 from monsoontack.generation.streamtimeouts import StreamTimeouts
@@ -29,6 +31,7 @@
 from monsoontack.routing.placement import (
     EngineCandidate,
 )
+from monsoontack.scheduling.gate import AdmissionGate
 
 # Under load, engines evict a prompt within seconds, so older ones are not needed.
 MAX_REMEMBERED_PROMPTS = 2000
@@ -41,7 +44,8 @@
     """Serves streams.
 
     `traits` maps the names of services to their traits, `prompt_engines` the ids of
-    prompt segments to the starts of the engines that got them last.
+    prompt segments to the starts of the engines that got them last. At `admission`,
+    streams of services with different priorities wait for their turn.
     """
 
     place: Place
@@ -55,10 +59,22 @@
     prompt_engines: dict[str, str] = field(default_factory=dict)
     load_exchange: LoadExchange | None = None
     crash_detector: CrashDetector = field(init=False)
+    admission: AdmissionGate = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the detector of crashed engines."""
+        """Create the detector of crashed engines, and the gate for streams."""
         self.crash_detector = CrashDetector(self.sender)
+        self.admission = AdmissionGate(
+            lambda service: self.service_loads(service, set()),
+            lambda service: self.stream_timeouts(service).prefill_tokens_per_s,
+            self.rng,
+        )
+        self.fleet.on_added = lambda member: self.admission.wake(member.server.service)
+
+    def configure(self, config: GatewayConfig) -> None:
+        """Apply the services and priorities of a new configuration."""
+        self.traits = dict(config.services)
+        self.admission.configure(stream_priorities(config))
 
     async def serve(self, job: Job) -> None:
         """Serve one stream."""
@@ -81,6 +97,7 @@
         load_exchange.on_prompt = self.record_prompt
         load_exchange.on_failed = self.note_peer_failure
         load_exchange.recent_prompts = self.recent_prompts
+        load_exchange.on_report = self.admission.wake_all
         self.fleet.on_failed = load_exchange.announce_failure
 
     def note_peer_failure(self, start_key: str) -> None:
@@ -105,22 +122,28 @@
         return None if member is None else member.server.incarnation
 
     def engine_loads(self, job: Job, excluded: set[str]) -> dict[str, EngineCandidate]:
-        """Return the load of each engine that may run a stream, by incarnation.
+        """Return the load of each engine that may run a stream, by incarnation."""
+        return self.service_loads(job.service, excluded)
+
+    def service_loads(
+        self, service: str, excluded: set[str]
+    ) -> dict[str, EngineCandidate]:
+        """Return the load of a service's engines, by incarnation, but the excluded.
 
         Engines with a stated limit are left out unless this entry has a permit.
         """
         now = self.sender.now()
-        traits = self.engine_traits(job.service)
+        traits = self.engine_traits(service)
         loads = {}
         others = (
             {}
             if self.load_exchange is None
             else self.load_exchange.peer_loads.totals(now)
         )
-        members = self.fleet.of_service(job.service)
+        members = self.fleet.of_service(service)
         if self.rollouts is not None:
             members = self.rollouts.eligible_servers(
-                job.service,
+                service,
                 members,
                 lambda member: self.sender.gate.may_send(member.limit_key, now),
             )
--- a/monsoontack/loadview/exchange.py
+++ b/monsoontack/loadview/exchange.py
@@ -173,8 +173,8 @@
 
     `peer_loads` holds the usage reported by peers, `own_members` the engines whose
     usage this entry reports. `on_failed` and `on_prompt` are called for the failed
-    engines and the prompts in a peer's message; `recent_prompts` returns the prompts
-    for a full message.
+    engines and the prompts in a peer's message, `on_report` after each message;
+    `recent_prompts` returns the prompts for a full message.
     """
 
     name: str
@@ -186,6 +186,7 @@
     on_failed: Callable[[str], None] = lambda engine: None
     on_prompt: Callable[[str, str], None] = lambda segment_id, engine: None
     recent_prompts: Callable[[], dict[str, str]] = dict
+    on_report: Callable[[], None] = lambda: None
     now: Callable[[], float] = lambda: asyncio.get_running_loop().time()
 
     def set_peers(self, entries: dict[str, PeerEntry]) -> None:
@@ -328,6 +329,7 @@
         for segment_id, engine in message.prompts.items():
             self.on_prompt(segment_id, engine)
         is_known = self.peer_loads.apply(message, self.now())
+        self.on_report()
         outbox = self.outboxes.get(message.peer)
         if message.is_first and outbox is not None:
             # A process that just started has no usage of any peer.
