Test that a stopped gateway hands back the streams that wait

Cause: no test failed when the daemon's drain did not reach the admission.

Change and result: a daemon with eight slots and ten streams answers the two that wait with 503 draining within 0.1 s of the stop; the other eight run on.

--- a/monsoontack/gateway/streams_admission_test.py
+++ b/monsoontack/gateway/streams_admission_test.py
@@ -6,6 +6,7 @@
 from unittest.mock import patch
 
 from monsoontack.core.virtualtime import run_in_virtual_time
+from monsoontack.gateway.drain_test import ROUTES, Harness
 from monsoontack.gateway.job import Job
 from monsoontack.gateway.records import GatewayAccount, GatewayConfig, RequestKind
 from monsoontack.gateway.routes import stream_priorities
@@ -126,6 +127,25 @@
         for member in forwarder.fleet.members.values():
             self.assertEqual((0, 0, 0), load_of(member))
 
+    def test_stopped_gateway_hands_back_what_waits(self):
+        """Guards against streams that wait at a gateway that is being stopped."""
+
+        async def scenario():
+            harness = Harness(5.0)
+            routes = (*ROUTES[:3], replace(ROUTES[3], priority=0))
+            harness.daemon.config_state.apply(GatewayConfig(2, routes))
+            sent = [harness.send(f"/stream/{number}") for number in range(10)]
+            await asyncio.sleep(0.1)
+            draining = asyncio.ensure_future(harness.daemon._drain())
+            await asyncio.sleep(0.1)
+            found = [(item.status, item.error["code"]) for item in sent[8:]]
+            draining.cancel()
+            return found, len(harness.ran)
+
+        found, ran = run_in_virtual_time(scenario())
+        self.assertEqual([(503, "draining")] * 2, found)
+        self.assertEqual(8, ran)
+
 
 class PrioritiesTest(unittest.TestCase):
     """The services for which the admission is in force."""
