Doubt the other servers of a failure domain after one sign of a loss

Change: one outdated start, refused connection or reset puts the other servers of the service and domain in doubt until a byte arrives; placement and calls leave them out while others have room, but for probes. A request leaves a domain after a loss and tries it at most twice in a second. A start that answered 421 is not listed again. The rule replaces _suspect_domain; its tests are kept as they are.

Measured: unit tests only; gateway, routing, loadview and tools tests pass (462).

--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -111,11 +111,12 @@
         expires, so servers are told apart by their start here.
 
         Servers whose `avoid_until` is in the future, after a rejected call or a
-        failure, are used only if no other server is left. Servers with a stated limit
-        are used only with a permit.
+        failure, are used only if no other server is left, as are those in doubt.
+        Servers with a stated limit are used only with a permit.
         """
         now = self.sender.now()
         candidates = self.fleet.of_service(job.service)
+        doubtful = self.fleet.evidence.doubtful(candidates, now)
         if self.rollouts is not None:
             candidates = self.rollouts.eligible_servers(
                 job.service,
@@ -128,8 +129,11 @@
             if self.sender.gate.may_send(member.limit_key, now)
         }
         avoided = {key for key, m in members.items() if now < m.avoid_until}
-        if len(avoided | excluded) < len(members):
-            excluded = excluded | avoided
+        for unwanted in (doubtful | avoided, avoided):
+            left_out = excluded | unwanted
+            if not members.keys() <= left_out:
+                excluded = left_out
+                break
         route = RouteRequest(
             service=job.service,
             version="",
@@ -144,7 +148,10 @@
         ]
         choice = self.picker.pick(route, states, now, self.rng)
         server = choice.value_or(None)
-        return None if server is None else members[server.start_key]
+        if server is None:
+            return None
+        self.fleet.evidence.note_sent(members[server.start_key], now)
+        return members[server.start_key]
 
     def record_result(self, result: AttemptResult, started_at: float) -> None:
         """Record a result as evidence about the health of its server."""
@@ -161,7 +168,7 @@
             return
         if response_head is not None and response_head.not_run:
             if result.is_misdirected:
-                self.fleet.note_misdirected(member)
+                self.fleet.note_misdirected(member, now)
             else:
                 member.avoid_until = max(member.avoid_until, now + FULL_SERVER_AVOID_S)
             return
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -150,6 +150,7 @@
         """Build a gateway and connect its components."""
         config_state = ConfigState(settings.revoke_s)
         fleet = BackendFleet()
+        fleet.evidence.turns.name = settings.name
         pool = ConnectionPool(wire.response_request_id, keep_alive_s)
         fleet.on_removed = lambda member: pool.close_server(*member.key)
         pool.is_used = fleet.starts.__contains__
@@ -293,6 +294,7 @@
             max(len(entries), MIN_ASSUMED_ENTRIES)
         )
         self.entry_exchange.gate.waits.entry_count = len(entries)
+        self.fleet.evidence.turns.set_gateways(entries)
         region = self.settings.place.region
         in_region = sum(peer.region == region for peer in entries.values())
         self.gateway.calls.picker.link_budget.set_entry_count(
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -14,6 +14,9 @@
 
 from monsoontack.admission.leavingservers import LeavingServers
 from monsoontack.core.records import BackendServer
+from monsoontack.pacing.domainevidence import DomainEvidence, Trouble
+from monsoontack.pacing.domainlosses import DOMAIN_FAILURE_WINDOW_S, is_domain_lost
+from monsoontack.pacing.member import Member
 from monsoontack.routing.ejection import Ejection
 
 log = structlog.get_logger("gateway.fleet")
@@ -22,17 +25,9 @@
 # further consecutive failure. A crashed engine is back after about 1 s.
 INITIAL_AVOID_S = 0.4
 MAX_AVOID_S = 3.0
-# Without a further failure a server is no longer suspect after this time. The record of
-# a dead server has been removed from the store by then.
-SUSPECT_TIMEOUT_S = 6.0
-# If at least this many servers of a failure domain fail within the window, the other
-# servers of the domain become suspect as well.
-MIN_DOMAIN_FAILURES = 2
-DOMAIN_FAILURE_WINDOW_S = 1.0
-# The failure domain itself counts as lost if more than this share of its servers, and
-# at least this many, are lost within the window.
-DOMAIN_LOSS_SHARE = 2 / 3
-MIN_DOMAIN_LOSSES = 3
+# A start that answered 421 is not listed again for this time, in which its record
+# expires.
+OUTDATED_MEMORY_S = 4.0
 # Bounds of the retry time in a refusal of a service without servers. A new server
 # needs about the upper one from its start to its record.
 MIN_EMPTY_RETRY_S = 0.5
@@ -42,56 +37,6 @@
 RECORD_GRACE_S = 2.2
 
 
-@dataclass(slots=True, weakref_slot=True)
-class Member:
-    """One start of a backend server, with this entry's load on it.
-
-    `waiting_tokens` counts the prompt tokens of this entry's runs that wait for their
-    first event, `held_tokens` the KV cache tokens that its runs and copies may take.
-    `last_byte_at` is the time of the last byte from the server. `suspected_at` is the
-    last time at which a running stream of the server stalled, a peer reported the
-    server unreachable or its failure domain became suspect. `silent_at` is the last
-    time at which one of this entry's streams waited for the silent server. `lost_at` is
-    when this entry or a peer first found the server unreachable after its last byte.
-    `longest_gap_s` is the longest recent gap between events. Until `cold_until` the
-    server is slow because it has just started.
-    `restarted` is set when the server has started again; the new process does not know
-    the runs that were sent to this one.
-    """
-
-    server: BackendServer
-    in_flight: int = 0
-    waiting_tokens: int = 0
-    held_tokens: int = 0
-    last_byte_at: float = 0.0
-    suspected_at: float = float("-inf")
-    silent_at: float = float("-inf")
-    avoid_until: float = 0.0
-    consecutive_failures: int = 0
-    failed_at: float = float("-inf")
-    lost_at: float = float("-inf")
-    longest_gap_s: float = 0.0
-    cold_until: float = 0.0
-    restarted: bool = False
-
-    def is_suspect(self, now: float) -> bool:
-        """Whether the server failed recently and has not sent a byte since."""
-        return (
-            self.failed_at > self.last_byte_at
-            and now < self.failed_at + SUSPECT_TIMEOUT_S
-        )
-
-    @property
-    def key(self) -> tuple[str, str]:
-        """Return the key of connections to this start of the server."""
-        return self.server.address, self.limit_key
-
-    @property
-    def limit_key(self) -> str:
-        """Return the name of this start of the server in all entries' limits."""
-        return self.server.start_key
-
-
 @dataclass(slots=True)
 class BackendFleet:
     """All backend servers by service.
@@ -102,7 +47,10 @@
     that said that they are leaving. `missing_until` holds, for servers whose records
     expired during a store outage, the time until which they are kept. `former` holds
     removed servers by `Member.key` as long as runs refer to them. `empty_since` holds
-    the time of the first refusal for lack of servers, by service.
+    the time of the first refusal for lack of servers, by service. `evidence` has the
+    failure domains in doubt. `outdated` holds the starts that answered 421, and until
+    when their records are ignored. `on_outdated` is called with the key of each such
+    start, `on_answered` with each start in doubt that answers.
     """
 
     ejection: Ejection = field(default_factory=Ejection)
@@ -118,6 +66,10 @@
     grace_until: float = 0.0
     on_removed: Callable[[Member], None] = lambda member: None
     on_failed: Callable[[Member], None] = lambda member: None
+    evidence: DomainEvidence = field(default_factory=DomainEvidence)
+    outdated: dict[str, float] = field(default_factory=dict)
+    on_outdated: Callable[[str], None] = lambda start_key: None
+    on_answered: Callable[[str], None] = lambda start_key: None
 
     def __post_init__(self) -> None:
         """Remove servers once responses or other entries say that they are leaving."""
@@ -166,6 +118,8 @@
             return
         if self.leaving.has_left(incarnation, started):
             return
+        if now < self.outdated.get(server.start_key, 0.0):
+            return
         former_key = ""
         if member is not None:
             if member.server.started_unix_ms != started:
@@ -182,7 +136,7 @@
                 return
         member = self._former_member(server)
         if member is None:
-            member = Member(server, cold_until=now + server.cold_left_s)
+            member = Member(server, cold_until=now + server.cold_left_s, listed_at=now)
         self.members[incarnation] = self.starts[member.limit_key] = member
         self.by_service.setdefault(server.service, {})[incarnation] = member
         self.empty_since.pop(server.service, None)
@@ -240,14 +194,30 @@
         if member is not None and self.has_left(member):
             self.remove(incarnation)
 
-    def note_misdirected(self, member: Member) -> None:
+    def note_misdirected(self, member: Member, now: float = 0.0) -> None:
         """Remove a server whose address belongs to another one by now.
 
         If the server has started again elsewhere, the later start is kept.
         """
         current = self.starts.get(member.limit_key)
         if current is not None and current.key == member.key:
-            self.remove(member.server.incarnation)
+            self._remove_outdated(current, now)
+            self.on_outdated(current.limit_key)
+
+    def note_reported_outdated(self, start_key: str, now: float) -> None:
+        """Remove a server whose start is gone, as a peer was answered."""
+        member = self.starts.get(start_key)
+        if member is not None:
+            self._remove_outdated(member, now)
+
+    def _remove_outdated(self, member: Member, now: float) -> None:
+        self._note_trouble(member, Trouble.OUTDATED, now)
+        if member.server.started_unix_ms:
+            # Without a start time, a later start has the same key.
+            outdated = self.outdated.items()
+            self.outdated = {key: until for key, until in outdated if now < until}
+            self.outdated[member.limit_key] = now + OUTDATED_MEMORY_S
+        self.remove(member.server.incarnation)
 
     def _remove_member(self, member: Member) -> None:
         incarnation = member.server.incarnation
@@ -305,19 +275,17 @@
         """
         return [m for m in self.members.values() if m.server.address == address]
 
-    def note_unreachable(self, member: Member, now: float) -> None:
-        """Avoid a server after a failed connection.
-
-        If several servers of its failure domain failed, the whole domain becomes
-        suspect.
-        """
+    def note_unreachable(
+        self, member: Member, now: float, trouble: Trouble = Trouble.SILENT
+    ) -> None:
+        """Avoid a server after a failed connection or a lost request."""
         member.consecutive_failures += 1
         avoid_s = min(
             INITIAL_AVOID_S * 2 ** (member.consecutive_failures - 1), MAX_AVOID_S
         )
         member.avoid_until = max(member.avoid_until, now + avoid_s)
         self._note_lost(member, now)
-        self._suspect_domain(member, now)
+        self._note_trouble(member, trouble, now)
         self.on_failed(member)
 
     def note_reported_unreachable(self, start_key: str, now: float) -> None:
@@ -333,26 +301,25 @@
             return
         self._note_lost(member, now)
         member.suspected_at = now
-        self._suspect_domain(member, now)
-
-    def _suspect_domain(self, member: Member, now: float) -> None:
-        """Suspect all servers of a failure domain if several of them failed."""
-        place = member.server.place
-        peers = [
-            m
-            for m in self.by_service.get(member.server.service, {}).values()
-            if m.server.place == place
+        self._note_trouble(member, Trouble.REPORTED, now)
+
+    def _note_trouble(self, member: Member, trouble: Trouble, now: float) -> None:
+        """Take a server's failure as a sign of its failure domain.
+
+        Neither the end of a server that leaves nor a late answer of a start that is no
+        longer listed is a sign.
+        """
+        if self.is_current(member) and not self.has_left(member):
+            domain = self._domain(member)
+            self.evidence.note_trouble(member, domain, trouble, now)
+
+    def _domain(self, member: Member) -> list[Member]:
+        """Return the servers of a server's service and failure domain."""
+        return [
+            other
+            for other in self.by_service.get(member.server.service, {}).values()
+            if other.server.place == member.server.place
         ]
-        failed_count = sum(now - m.failed_at <= DOMAIN_FAILURE_WINDOW_S for m in peers)
-        if failed_count < MIN_DOMAIN_FAILURES or 2 * failed_count < min(len(peers), 4):
-            return
-        for peer in peers:
-            if (
-                peer.last_byte_at < now - DOMAIN_FAILURE_WINDOW_S
-                and not peer.is_suspect(now)
-            ):
-                peer.failed_at = now
-                peer.suspected_at = now
 
     def _note_lost(self, member: Member, now: float) -> None:
         """Record a failure, and when the first one since the last byte happened."""
@@ -362,18 +329,24 @@
 
     def is_domain_lost(self, member: Member, now: float) -> bool:
         """Whether most servers of a server's failure domain were lost just now."""
-        domain = [
-            m
-            for m in self.by_service.get(member.server.service, {}).values()
-            if m.server.place == member.server.place
-        ]
-        lost_count = sum(now - m.lost_at <= DOMAIN_FAILURE_WINDOW_S for m in domain)
-        share = lost_count / max(len(domain), 1)
-        return lost_count >= MIN_DOMAIN_LOSSES and share > DOMAIN_LOSS_SHARE
+        return is_domain_lost(self._domain(member), now)
 
     def note_alive(self, member: Member, now: float) -> None:
         """Note that a server sent bytes; end its avoidance."""
-        member.last_byte_at = now
+        self.note_bytes(member, now)
         member.consecutive_failures = 0
         if member.avoid_until > now:
             member.avoid_until = now
+
+    def note_bytes(self, member: Member, now: float) -> None:
+        """Note that a server sent bytes, which end the doubt about it."""
+        if self.evidence.note_heard(member, now):
+            self.on_answered(member.limit_key)
+        member.last_byte_at = now
+
+    def note_reported_alive(self, start_key: str, now: float) -> None:
+        """Note that a server in doubt has sent bytes to a peer."""
+        member = self.starts.get(start_key)
+        if member is not None:
+            self.evidence.note_heard(member, now)
+            member.reported_alive_at = now
--- a/monsoontack/gateway/fleet_test.py
+++ b/monsoontack/gateway/fleet_test.py
@@ -4,7 +4,8 @@
 import unittest
 from dataclasses import replace
 
-from monsoontack.gateway.fleet import RECORD_GRACE_S, SUSPECT_TIMEOUT_S, BackendFleet
+from monsoontack.gateway.fleet import RECORD_GRACE_S, BackendFleet
+from monsoontack.pacing.member import SUSPECT_TIMEOUT_S
 from standins.gatewayfakes import HOME, NEAR, SERVICE, make_fleet, make_server
 
 
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -23,6 +23,7 @@
 from monsoontack.gateway.pool import CONNECT_TIMEOUT_S, ConnectionPool
 from monsoontack.gateway.ports import WireFormat
 from monsoontack.gateway.records import REFUSAL_STATUSES, Attempt, CallerRequest
+from monsoontack.pacing.domainevidence import Trouble
 
 NO_PERMIT = ExchangeFailure(
     FailureKind.LIMITED, False, "the server's limit is used up, or it asked for time"
@@ -70,7 +71,7 @@
         connection = await self.pool.acquire(*member.key, timeout_s, request.request_id)
         if isinstance(connection, ExchangeFailure):
             self.gate.give_back(permit)
-            self.fleet.note_unreachable(member, self.now())
+            self._note_no_connection(member, connection)
             return connection
         if not is_wanted():
             self.gate.give_back(permit)
@@ -159,11 +160,15 @@
             return None
         connection = await self.pool.connect(*member.key, timeout_s)
         if isinstance(connection, ExchangeFailure):
-            self.fleet.note_unreachable(member, self.now())
+            self._note_no_connection(member, connection)
             return connection
         self.pool.release(member.key, connection)
         return None
 
+    def _note_no_connection(self, member: Member, failure: ExchangeFailure) -> None:
+        trouble = Trouble.REFUSED if failure.is_refused else Trouble.SILENT
+        self.fleet.note_unreachable(member, self.now(), trouble)
+
     def now(self) -> float:
         """Return the event loop's time in seconds."""
         return asyncio.get_running_loop().time()
--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -77,7 +77,7 @@
         return NO_BETTER_ENGINE
     loads = forwarder.engine_loads(job, {member.server.incarnation})
     may_queue = now >= silent_since + MAX_AVOID_S
-    full = {key for key, engine in loads.items() if not engine.has_free_slot}
+    full = {k for k, e in loads.items() if e.doubtful or not e.has_free_slot}
     better = sound if may_queue else sound - full
     if copy_member is not None and copy_member.server.incarnation in better:
         return None
--- a/monsoontack/gateway/streamoutcome.py
+++ b/monsoontack/gateway/streamoutcome.py
@@ -9,6 +9,7 @@
 from monsoontack.gateway.rollouts import RolloutManager
 from monsoontack.gateway.streamattempt import OpenAttempt, StreamLoss
 from monsoontack.generation.failover import EndCause, FailoverInput, NextStep
+from monsoontack.pacing.domainevidence import Trouble
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
@@ -87,13 +88,14 @@
     if loss.shows_nothing:
         return
     if loss.response_head is not None and loss.response_head.status == 421:
-        fleet.note_misdirected(member)
+        fleet.note_misdirected(member, now)
     elif not (loss.not_run or loss.asks_for_time):
         fleet.ejection.record_failure(start_key, now, rng)
         if loss.is_foreign:
             member.avoid_until = max(member.avoid_until, now + INITIAL_AVOID_S)
         else:
-            fleet.note_unreachable(member, now)
+            trouble = Trouble.RESET if loss.is_broken_off else Trouble.SILENT
+            fleet.note_unreachable(member, now, trouble)
 
 
 def log_lost_engine(
--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -28,12 +28,13 @@
         copy = KvCacheCopy(member.server.address, job.request.request_id)
         chosen = loads.get(member.server.incarnation)
     else:
-        usable = [e for k, e in loads.items() if k not in run.asked.excluded]
-        chosen = choose(run, {e.key: e for e in usable} or loads)
+        chosen = choose(run, run.asked.usable(loads, run.now()))
         if chosen is None:
             return None
         member = members[chosen.key]
     _record_prompt(run, member)
+    run.asked.spend.note_sent(member.server.place, run.now())
+    forwarder.fleet.evidence.note_sent(member, run.now())
     backup = None
     if run.traits.supports_kv_backup and chosen is not None:
         others = [e for k, e in loads.items() if k not in run.asked.excluded]
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -249,7 +249,7 @@
         before = self.answer.count
         complete_events = self.splitter.feed(data)
         now = self.run.now()
-        self.member.last_byte_at = now
+        self.run.forwarder.fleet.note_bytes(self.member, now)
         if not complete_events:
             return
         forwarded = self.answer.accept(parse_events(complete_events))
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -5,6 +5,7 @@
 import structlog
 
 from monsoontack.core.errors import RequestError
+from monsoontack.core.records import BackendServer
 from monsoontack.gateway.askedengines import AskedEngines
 from monsoontack.gateway.errorresponse import error_response
 from monsoontack.gateway.fleet import Member
@@ -177,7 +178,7 @@
         self, loss: StreamLoss, placement: Placement
     ) -> tuple[NextStep, OpenAttempt | None]:
         """Return the next step, and the attempt to which the stream returns, if any."""
-        self._note_loss(loss, placement.member.server.incarnation)
+        self._note_loss(loss, placement.member.server)
         kept, is_copy_used = None, placement.copy is not None
         if loss.is_empty or self.kept.is_whole:
             kept = self.kept.return_to(EMPTY_STAY_S, loss.reason, is_copy_used)
@@ -225,13 +226,13 @@
         """Whether no other engine is asked after an engine's error of this status."""
         return status < 500 and not self.position.has_begun
 
-    def _note_loss(self, loss: StreamLoss, incarnation: str) -> None:
+    def _note_loss(self, loss: StreamLoss, server: BackendServer) -> None:
         """Note which engines are asked last after a failed attempt."""
+        self.asked.note_gone(server.place, loss, self.now())
         if loss.is_silent or not loss.not_run:
             self.has_left_silent_engine = loss.is_silent
-        self.asked.note_loss(
-            incarnation, loss, self.position.last_id, self.has_left_silent_engine
-        )
+        has_left, last_id = self.has_left_silent_engine, self.position.last_id
+        self.asked.note_loss(server.incarnation, loss, last_id, has_left)
         if self.kept.attempt is not None:
             self.asked.excluded.add(self.kept.attempt.record.server)
 
@@ -379,8 +380,7 @@
 
     def _end_failed(self, loss: StreamLoss) -> None:
         """End a stream that cannot be continued."""
-        job = self.job
-        responder = job.responder
+        job, responder = self.job, self.job.responder
         if responder.head_sent:
             job.outcome = "stream_cut"
             responder.abort()
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -118,6 +118,7 @@
             else self.load_exchange.peer_loads.totals(now)
         )
         members = self.fleet.of_service(job.service)
+        doubtful = self.fleet.evidence.doubtful(members, now)
         if self.rollouts is not None:
             members = self.rollouts.eligible_servers(
                 job.service,
@@ -142,5 +143,6 @@
                 avoided=now < member.avoid_until,
                 suspect=member.is_suspect(now),
                 traffic_share=self.fleet.ejection.traffic_share(server.start_key, now),
+                doubtful=member.limit_key in doubtful,
             )
         return loads
--- a/monsoontack/routing/placement.py
+++ b/monsoontack/routing/placement.py
@@ -54,7 +54,9 @@
 
     `avoided` is set for a short time after a failure. A `suspect` engine failed
     recently and has not answered since. `traffic_share` is 0 while an engine is
-    ejected.
+    ejected. A `doubtful` engine may be lost with others of its failure domain.
+    `pace_room` is how many more runs this entry may send to an engine that has just
+    started or recovered, None without such a bound.
     """
 
     key: str
@@ -67,12 +69,32 @@
     avoided: bool = False
     suspect: bool = False
     traffic_share: float = 1.0
+    doubtful: bool = False
+    pace_room: int | None = None
 
     @property
     def has_free_slot(self) -> bool:
         """Whether a new run would start at once, as far as this entry knows."""
         return self.in_flight < self.slots
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether a new run would start at once at an engine that is in use."""
+        return self.has_free_slot and not self.avoided and self.traffic_share > 0
+
+
+def without_held_back(engines: Sequence[EngineCandidate]) -> Sequence[EngineCandidate]:
+    """Return the engines without doubtful and paced ones, if others can take a run.
+
+    Paced engines without room come before doubtful ones, which may not run at all.
+    """
+    trusted = [engine for engine in engines if not engine.doubtful]
+    with_room = [engine for engine in trusted if engine.pace_room != 0]
+    for group in (with_room, trusted):
+        if len(group) == len(engines) or any(engine.is_sound for engine in group):
+            return group
+    return engines
+
 
 def cost_tokens(
     engine: EngineCandidate, place: Place, needed_tokens: int, uncached_tokens: float
@@ -136,6 +158,7 @@
     """Return the engine with the lowest cost for a run, None without engines."""
     if not engines:
         return None
+    engines = without_held_back(engines)
     healthy = [
         e for e in engines if not e.avoided and not e.suspect and e.traffic_share > 0
     ]
@@ -171,5 +194,6 @@
         and not (engine.avoided or engine.suspect)
         and engine.traffic_share > 0.0
     ]
+    others = without_held_back(others)
     in_other_domain = [engine for engine in others if engine.place != primary.place]
     return choose_engine(in_other_domain or others, primary.place, needed_tokens, rng)
--- a/standins/gatewayfakes.py
+++ b/standins/gatewayfakes.py
@@ -24,6 +24,7 @@
     Target,
 )
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.pacing.domainevidence import Trouble
 
 HOME = Place("domain-a", "north")
 NEAR = Place("domain-b", "north")
@@ -222,7 +223,8 @@
         await asyncio.sleep(self.connect_s)
         script = self.scripts[member.server.incarnation]
         if isinstance(script, ExchangeFailure):
-            self.fleet.note_unreachable(member, self.now())
+            trouble = Trouble.REFUSED if script.is_refused else Trouble.SILENT
+            self.fleet.note_unreachable(member, self.now(), trouble)
             return script
         if not is_wanted():
             return ExchangeFailure("unwanted", False)
