Report stale and alive starts and waiting requests to peers

Gateways learn of a domain that restarts one engine at a time, and give free slots to less urgent requests than those that wait elsewhere, since load messages hold neither.

Messages get the optional fields `stale`, `alive` and `waiting`, with bounded lengths. `announce_stale` and `announce_alive` are sent at once, at most four messages ahead of the rate to a peer, which later messages make up for; failed engines, which had no bound, now follow the same rule. A message that waits for the rate no longer delays an urgent one. `peer_waiting`, `view_age_s`, `on_report`, `own_waiting` and `mark_waiting_changed` are the interface for admission. `view_age_s` is infinite while no peer can be reached; a peer whose call failed is tried again every 2 s even without load, so that this ends.

--- a/monsoontack/loadview/exchange.py
+++ b/monsoontack/loadview/exchange.py
@@ -6,26 +6,32 @@
 changed; a peer that does not know the sender answers 409 and gets a full message. A
 message also names engines that just failed, since a dead engine looks the least
 loaded of all, and the engines that received a prompt, since a caller may send the
-same prompt again through another entry. Engines are named by `Member.limit_key`, since
-nothing of this holds for another start of an engine.
+same prompt again through another entry. The requests that wait at an entry are reported
+so that others do not give the next free slot to a less urgent request.
 """
 
 import asyncio
-import json
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Annotated
 
-import msgspec
 import structlog
 
-from monsoontack.core.rawjson import decode_encodable
 from monsoontack.core.rendezvous import ranked, stable_hash
 from monsoontack.gateway.fleet import Member
 from monsoontack.gateway.peers import PeerEntry, call_peer
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.records import RawRequest
 from monsoontack.inbound.responder import Responder
+from monsoontack.loadview.messages import (
+    NO_USAGE,
+    EngineUsage,
+    LoadMessage,
+    WaitingByService,
+    decode_message,
+    encode_message,
+)
+from monsoontack.loadview.outbox import MAX_MESSAGES_PER_S, MAX_PEERS, PeerOutbox
+from monsoontack.loadview.peerloads import REFRESH_INTERVAL_S, PeerLoads
 
 log = structlog.get_logger("gateway.loadnews")
 
@@ -33,148 +39,23 @@
 # The start of a run is sent at once, so that entries do not choose the same engine.
 # The end of a run waits for the next message or for this interval.
 FLUSH_INTERVAL_S = 0.2
-# Interval at which an entry with runs sends a message although nothing changed.
-REFRESH_INTERVAL_S = 2.0
-# A peer that is silent for longer is taken for dead, and its runs are dropped.
-PEER_EXPIRY_S = 2.5 * REFRESH_INTERVAL_S
 CALL_TIMEOUT_S = 0.4
 # Pause after a failed call to a peer. Its runs are dropped at the failure, since an
 # unreachable peer is usually a dead one.
 FAILED_PEER_PAUSE_S = 2.0
-# These bounds limit the work in a large fleet: at 0.2 ms a message, it is 2 % of a
-# core. With 25 peers, each gets a message at most every 0.25 s.
-MAX_PEERS = 32
-MAX_MESSAGES_PER_S = 100
-# Bound of the runs and tokens in a message, whose sums can still be divided.
-MAX_AMOUNT = 2**53
-Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 OK, BAD_REQUEST, UNKNOWN_SENDER = 200, 400, 409
 
 
-@dataclass(frozen=True, slots=True)
-class EngineUsage:
-    """Usage of one engine: runs, and tokens of waiting prompts and in KV memory."""
-
-    runs: int = 0
-    waiting_tokens: int = 0
-    held_tokens: int = 0
-
-    def plus(self, other: "EngineUsage") -> "EngineUsage":
-        """Return the sum of two usages."""
-        return EngineUsage(
-            self.runs + other.runs,
-            self.waiting_tokens + other.waiting_tokens,
-            self.held_tokens + other.held_tokens,
-        )
-
-
-NO_USAGE = EngineUsage()
-
-
-@dataclass(frozen=True, slots=True)
-class LoadMessage:
-    """A message of a peer.
-
-    `is_first` marks the first message of a process, `is_full` a message with the
-    sender's usage of all engines. `usage` maps the start of an engine to its
-    usage, `prompts` the id of a prompt's prefix to the engine that received it;
-    `failed` lists the engines that failed.
-    """
-
-    peer: str
-    is_first: bool
-    is_full: bool
-    usage: dict[str, EngineUsage]
-    prompts: dict[str, str]
-    failed: tuple[str, ...]
-
-
-@dataclass(slots=True)
-class PeerLoads:
-    """Usage reported by peers, by peer and by the start of the engine."""
-
-    usage_by_peer: dict[str, dict[str, EngineUsage]] = field(default_factory=dict)
-    last_heard_at: dict[str, float] = field(default_factory=dict)
-
-    def apply(self, message: LoadMessage, now: float) -> bool:
-        """Apply a message; return False if a full message is needed instead."""
-        self._drop_silent_peers(now)
-        if message.is_full:
-            self.usage_by_peer[message.peer] = {}
-        elif message.peer not in self.usage_by_peer:
-            return False
-        self.last_heard_at[message.peer] = now
-        current = self.usage_by_peer[message.peer]
-        for engine, usage in message.usage.items():
-            if usage == NO_USAGE:
-                current.pop(engine, None)
-            else:
-                current[engine] = usage
-        return True
-
-    def totals(self, now: float) -> dict[str, EngineUsage]:
-        """Return the summed usage of each engine that peers use."""
-        self._drop_silent_peers(now)
-        totals: dict[str, EngineUsage] = {}
-        for peer_usage in self.usage_by_peer.values():
-            for engine, usage in peer_usage.items():
-                totals[engine] = totals.get(engine, NO_USAGE).plus(usage)
-        return totals
-
-    def drop_peer(self, peer: str) -> None:
-        """Drop the runs of a peer; its next message has to be a full one."""
-        self.last_heard_at.pop(peer, None)
-        peer_usage = self.usage_by_peer.pop(peer, None)
-        if peer_usage:
-            log.info(
-                "reported load of peer dropped", peer=peer, engines=len(peer_usage)
-            )
-
-    def _drop_silent_peers(self, now: float) -> None:
-        silent = [
-            peer for peer, at in self.last_heard_at.items() if now > at + PEER_EXPIRY_S
-        ]
-        for peer in silent:
-            self.drop_peer(peer)
-
-
-@dataclass(slots=True)
-class PeerOutbox:
-    """Updates that are not yet sent to one peer.
-
-    `changed` names engines whose figures changed, `failed` engines that failed;
-    `prompts` maps the id of a prompt's prefix to its engine. `is_first` is true until a
-    message was delivered, `needs_full` requests a full message, `last_sent_at` is the
-    time of the last delivered message. `next_send_at` limits the rate of messages, but
-    not failed engines and full messages. Nothing is sent until `paused_until`.
-    """
-
-    peer: PeerEntry
-    changed: set[str] = field(default_factory=set)
-    failed: set[str] = field(default_factory=set)
-    prompts: dict[str, str] = field(default_factory=dict)
-    is_first: bool = True
-    needs_full: bool = True
-    is_sending: bool = False
-    is_scheduled: bool = False
-    last_sent_at: float = float("-inf")
-    next_send_at: float = 0.0
-    paused_until: float = 0.0
-
-    @property
-    def has_changes(self) -> bool:
-        """Whether there are updates since the last message."""
-        return bool(self.changed or self.failed or self.prompts)
-
-
 @dataclass(slots=True)
 class LoadExchange:
     """Sends this entry's usage of engines to peers and receives theirs.
 
     `peer_loads` holds the usage reported by peers, `own_members` the engines whose
-    usage this entry reports. `on_failed` and `on_prompt` are called for the failed
-    engines and the prompts in a peer's message; `recent_prompts` returns the prompts
-    for a full message.
+    usage this entry reports. `on_failed`, `on_stale`, `on_alive` and `on_prompt` are
+    called for the starts of engines and the prompts in a peer's message, `on_report`
+    once a message was applied; `recent_prompts` returns the prompts for a full message.
+    `own_waiting` returns the requests that wait at this entry, by service and priority,
+    with their prompt tokens; it is read when a message is encoded.
     """
 
     name: str
@@ -184,10 +65,19 @@
     outboxes: dict[str, PeerOutbox] = field(default_factory=dict)
     tasks: set[asyncio.Task] = field(default_factory=set)
     on_failed: Callable[[str], None] = lambda engine: None
+    on_stale: Callable[[str], None] = lambda start_key: None
+    on_alive: Callable[[str], None] = lambda start_key: None
     on_prompt: Callable[[str, str], None] = lambda segment_id, engine: None
+    on_report: Callable[[], None] = lambda: None
     recent_prompts: Callable[[], dict[str, str]] = dict
+    own_waiting: Callable[[], WaitingByService] = dict
     now: Callable[[], float] = lambda: asyncio.get_running_loop().time()
 
+    @property
+    def interval_s(self) -> float:
+        """Return the mean interval between messages to one peer, in seconds."""
+        return len(self.outboxes) / MAX_MESSAGES_PER_S
+
     def set_peers(self, entries: dict[str, PeerEntry]) -> None:
         """Replace the peers; of more than `MAX_PEERS`, take the first by hash."""
         names = [n for n, p in entries.items() if p.address and n != self.name]
@@ -210,6 +100,29 @@
         if is_start:
             self.flush()
 
+    def mark_waiting_changed(self) -> None:
+        """Mark the requests that wait here as changed; the next message has them."""
+        for outbox in self.outboxes.values():
+            outbox.waiting_changed = True
+
+    def peer_waiting(self, service: str, now: float) -> dict[int, tuple[int, int]]:
+        """Return the requests of a service that wait at peers, by priority.
+
+        Each value holds the number of requests and the sum of their prompt tokens.
+        Peers that are silent or unreachable are not counted.
+        """
+        return self.peer_loads.waiting(service, now)
+
+    def view_age_s(self, now: float) -> float:
+        """Return the age of the oldest report in use among live peers, in seconds.
+
+        It is 0 if no peer reported runs or waiting requests, and infinite if there are
+        peers but the last call to each of them failed.
+        """
+        if self.outboxes and all(x.is_failing for x in self.outboxes.values()):
+            return float("inf")
+        return self.peer_loads.oldest_age_s(now)
+
     def announce_prompt(self, segment_id: str, member: Member) -> None:
         """Queue which engine gets a prompt; it is sent with the start of the run."""
         for outbox in self.outboxes.values():
@@ -221,18 +134,32 @@
             outbox.failed.add(member.limit_key)
         self.flush()
 
+    def announce_stale(self, start_key: str) -> None:
+        """Send at once that a start of a server answered 421 or refused."""
+        for outbox in self.outboxes.values():
+            outbox.note_starts(stale=start_key)
+        self.flush()
+
+    def announce_alive(self, start_key: str) -> None:
+        """Send at once that a start of a server answered again."""
+        for outbox in self.outboxes.values():
+            outbox.note_starts(alive=start_key)
+        self.flush()
+
     async def run(self) -> None:
-        """Send queued updates, and refresh peers while this entry has runs."""
+        """Send queued updates, and refresh peers while there is load to report."""
         while True:
             await asyncio.sleep(FLUSH_INTERVAL_S)
             self.flush()
-            if any(
-                _usage_of(member) != NO_USAGE for member in self.own_members.values()
-            ):
-                due = self.now() - REFRESH_INTERVAL_S
-                for outbox in self.outboxes.values():
-                    if outbox.last_sent_at <= due:
-                        self._schedule_send(outbox)
+            has_load, due = self._has_load(), self.now() - REFRESH_INTERVAL_S
+            for outbox in self.outboxes.values():
+                if outbox.last_sent_at <= due and (has_load or outbox.is_failing):
+                    self._schedule_send(outbox)
+
+    def _has_load(self) -> bool:
+        return any(self.own_waiting().values()) or any(
+            _usage_of(member) != NO_USAGE for member in self.own_members.values()
+        )
 
     def flush(self) -> None:
         """Send each peer its queued updates, and drop unused engines once sent."""
@@ -248,21 +175,26 @@
         now = self.now()
         if outbox.is_sending or now < outbox.paused_until:
             return
-        if now < outbox.next_send_at and not (outbox.failed or outbox.needs_full):
-            if not outbox.is_scheduled:
-                outbox.is_scheduled = True
-                loop = asyncio.get_running_loop()
-                loop.call_later(
-                    outbox.next_send_at - now, self._run_scheduled_send, outbox
-                )
+        send_at = outbox.send_time(self.interval_s)
+        if now < send_at:
+            self._set_timer(outbox, send_at - now)
             return
         outbox.is_sending = True
         task = asyncio.ensure_future(self._send(outbox))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def _set_timer(self, outbox: PeerOutbox, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        at = loop.time() + delay_s
+        if outbox.timer is not None:
+            if outbox.timer.when() <= at:
+                return
+            outbox.timer.cancel()
+        outbox.timer = loop.call_at(at, self._run_scheduled_send, outbox)
+
     def _run_scheduled_send(self, outbox: PeerOutbox) -> None:
-        outbox.is_scheduled = False
+        outbox.timer = None
         if outbox.has_changes:
             self._schedule_send(outbox)
 
@@ -271,97 +203,88 @@
         try:
             while True:
                 is_full = outbox.needs_full
-                body = self._encode_message(outbox)
-                outbox.changed, outbox.failed, outbox.prompts = set(), set(), {}
+                body = encode_message(self._take_message(outbox))
                 response = await call_peer(
                     self.pool, outbox.peer, PATH, CALL_TIMEOUT_S, body
                 )
                 status = response.status if response is not None else None
                 if status == OK:
-                    outbox.is_first = False
+                    outbox.note_sent(self.now(), self.interval_s)
                     outbox.needs_full = outbox.needs_full and not is_full
-                    outbox.last_sent_at = self.now()
-                    outbox.next_send_at = (
-                        outbox.last_sent_at + len(self.outboxes) / MAX_MESSAGES_PER_S
-                    )
-                    if not (outbox.failed or outbox.needs_full):
-                        return
+                    if not outbox.needs_full:
+                        break
                 elif status == UNKNOWN_SENDER and not is_full:
                     outbox.needs_full = True
                 else:
                     # The peer gets a full message once it answers again, so that no
                     # updates accumulate for a peer that never does.
-                    outbox.needs_full = True
+                    outbox.needs_full = outbox.is_failing = True
                     outbox.paused_until = self.now() + FAILED_PEER_PAUSE_S
                     self.peer_loads.drop_peer(outbox.peer.name)
                     log.info("load message to peer failed", peer=outbox.peer.name)
                     return
         finally:
             outbox.is_sending = False
+        if outbox.is_urgent:
+            self._schedule_send(outbox)
 
-    def _encode_message(self, outbox: PeerOutbox) -> bytes:
-        names = self.own_members if outbox.needs_full else outbox.changed
-        usage_rows = {
-            n: _usage_row(self.own_members[n]) for n in names if n in self.own_members
-        }
-        usage_rows |= {n: [0, 0, 0] for n in names if n not in self.own_members}
-        message = {"name": self.name, "full": outbox.needs_full, "engines": usage_rows}
-        if outbox.is_first:
-            message["first"] = True
-        prompts = self.recent_prompts() if outbox.needs_full else outbox.prompts
-        if prompts:
-            message["prompts"] = prompts
-        if outbox.failed:
-            message["failed"] = sorted(outbox.failed)
-        return json.dumps(message, separators=(",", ":")).encode()
+    def _take_message(self, outbox: PeerOutbox) -> LoadMessage:
+        """Return the next message to a peer, and empty its outbox."""
+        is_full = outbox.needs_full
+        names = self.own_members if is_full else outbox.changed
+        members = self.own_members
+        waiting = None
+        if outbox.waiting_changed or is_full:
+            waiting = self.own_waiting()
+        if is_full and not waiting:
+            waiting = None
+        stale, alive = outbox.take_starts()
+        message = LoadMessage(
+            peer=self.name,
+            is_first=outbox.is_first,
+            is_full=is_full,
+            usage={
+                name: _usage_of(members[name]) if name in members else NO_USAGE
+                for name in names
+            },
+            prompts=self.recent_prompts() if is_full else outbox.prompts,
+            failed=tuple(sorted(outbox.failed)),
+            stale=stale,
+            alive=alive,
+            waiting=waiting,
+        )
+        outbox.changed, outbox.failed, outbox.prompts = set(), set(), {}
+        outbox.waiting_changed = False
+        return message
 
     async def handle(self, raw: RawRequest, responder: Responder) -> None:
         """Apply a peer's message and answer it."""
         try:
-            message = _decode_message(raw.body)
+            message = decode_message(raw.body)
         except ValueError as error:
             log.warning("peer sent a malformed load message", detail=str(error))
             responder.send(BAD_REQUEST, ())
             return
         for engine in message.failed:
             self.on_failed(engine)
+        for start_key in message.stale:
+            self.on_stale(start_key)
+        for start_key in message.alive:
+            self.on_alive(start_key)
         for segment_id, engine in message.prompts.items():
             self.on_prompt(segment_id, engine)
         is_known = self.peer_loads.apply(message, self.now())
+        if is_known:
+            self.on_report()
         outbox = self.outboxes.get(message.peer)
-        if message.is_first and outbox is not None:
-            # A process that just started has no usage of any peer.
-            outbox.needs_full, outbox.paused_until = True, 0.0
-            self._schedule_send(outbox)
+        if outbox is not None:
+            outbox.is_failing = False
+            if message.is_first:
+                # A process that just started has no usage of any peer.
+                outbox.needs_full, outbox.paused_until = True, 0.0
+                self._schedule_send(outbox)
         responder.send(OK if is_known else UNKNOWN_SENDER, ())
 
 
-class _Message(msgspec.Struct):
-    name: str
-    full: bool
-    engines: dict[str, tuple[Amount, Amount, Amount]]
-    first: bool = False
-    prompts: dict[str, str] = {}
-    failed: list[str] = []
-
-
-def _decode_message(body: bytes) -> LoadMessage:
-    """Return a peer's message; raise ValueError if it is malformed."""
-    message = decode_encodable(body, _Message)
-    return LoadMessage(
-        peer=message.name,
-        is_first=message.first,
-        is_full=message.full,
-        usage={k: EngineUsage(*row) for k, row in message.engines.items()},
-        prompts=message.prompts,
-        failed=tuple(message.failed),
-    )
-
-
 def _usage_of(member: Member) -> EngineUsage:
     return EngineUsage(member.in_flight, member.waiting_tokens, member.held_tokens)
-
-
-def _usage_row(member: Member) -> list[int]:
-    amounts = (member.in_flight, member.waiting_tokens, member.held_tokens)
-    return [min(max(amount, 0), MAX_AMOUNT) for amount in amounts]
--- a/monsoontack/loadview/exchange_test.py
+++ b/monsoontack/loadview/exchange_test.py
@@ -9,15 +9,10 @@
 from monsoontack.gateway.peers import PeerEntry, call_peer, peer_pool
 from monsoontack.gateway.records import CallerLimits
 from monsoontack.inbound.connection import BodyBudget, InboundServer
-from monsoontack.loadview.exchange import (
-    MAX_MESSAGES_PER_S,
-    PATH,
-    PEER_EXPIRY_S,
-    EngineUsage,
-    LoadExchange,
-    LoadMessage,
-    PeerLoads,
-)
+from monsoontack.loadview.exchange import PATH, LoadExchange
+from monsoontack.loadview.messages import EngineUsage, LoadMessage, encode_message
+from monsoontack.loadview.outbox import MAX_MESSAGES_PER_S
+from monsoontack.loadview.peerloads import PEER_EXPIRY_S, PeerLoads
 from standins.gatewayfakes import HOME, make_fleet
 
 ONE_RUN = EngineUsage(1, 8000, 9000)
@@ -189,6 +184,72 @@
         self.assertEqual(["e2@0"], failed)
         self.assertEqual({"part-1": "e1@0"}, prompts)
 
+    async def test_stale_and_alive_starts_are_sent_ahead_of_the_rate(self):
+        """Guards against entries that learn one by one that a domain restarted, and
+        against an announcement that waits behind the end of a run."""
+        await self.connect()
+        heard = []
+        self.two.on_stale = lambda start_key: heard.append(("stale", start_key))
+        self.two.on_alive = lambda start_key: heard.append(("alive", start_key))
+        outbox = self.one.outboxes["two"]
+        outbox.next_send_at = self.one.now() + 0.03
+        self.start_run()
+        self.assertIsNotNone(outbox.timer)
+        self.one.announce_stale("e1@0")
+        await self.settle()
+        self.one.announce_alive("e1@0")
+        await self.settle()
+        self.assertEqual([("stale", "e1@0"), ("alive", "e1@0")], heard)
+        self.assertEqual({"e1@0": ONE_RUN}, self.loads_known_to_two())
+
+    async def test_many_announcements_make_few_messages(self):
+        """Guards against a message per engine when a flapping domain is announced."""
+        await self.connect()
+        heard, before = [], self.messages_received["two"]
+        self.two.on_stale = heard.append
+        for number in range(600):
+            self.one.announce_stale(f"e{number}@0")
+            await asyncio.sleep(0)
+        while self.one.outboxes["two"].stale:
+            await asyncio.sleep(0.01)
+        await self.settle()
+        self.assertEqual({f"e{number}@0" for number in range(600)}, set(heard))
+        self.assertLess(self.messages_received["two"] - before, 50)
+
+    async def test_waiting_requests_are_reported(self):
+        """Guards against an entry that gives a free slot to a less urgent request than
+        one that waits elsewhere, and against requests that wait forever elsewhere."""
+        reports, waiting = [], {"chat": {0: (2, 16_000), 2: (1, 10**30)}}
+        self.two.on_report = lambda: reports.append(1)
+        await self.connect()
+        reports.clear()
+        self.one.own_waiting = lambda: waiting
+        self.one.mark_waiting_changed()
+        await self.flush_and_settle()
+        now = self.two.now()
+        self.assertEqual(
+            {0: (2, 16_000), 2: (1, 2**53)}, self.two.peer_waiting("chat", now)
+        )
+        self.assertEqual([1], reports)
+        self.assertLess(self.two.view_age_s(now), 0.5)
+        late = now + PEER_EXPIRY_S + 0.1
+        self.assertEqual({}, self.two.peer_waiting("chat", late))
+        self.one.own_waiting = dict
+        self.one.mark_waiting_changed()
+        self.two.outboxes.clear()
+        await self.flush_and_settle()
+        self.assertEqual({}, self.two.peer_waiting("chat", self.two.now()))
+
+    async def test_view_is_out_of_date_without_any_reachable_peer(self):
+        """Guards against an entry that is cut off and takes all engines for idle."""
+        await self.connect()
+        self.assertEqual(0.0, self.two.view_age_s(self.two.now()))
+        self.listeners[0].close()
+        self.pool.close()
+        self.two.announce_alive("e2@0")
+        await self.settle()
+        self.assertEqual(float("inf"), self.two.view_age_s(self.two.now()))
+
     def restart(self, engine="e1"):
         """Replace an engine by its next start; return the former one."""
         former = self.fleet.members[engine]
@@ -254,7 +315,17 @@
     async def test_malformed_message_changes_nothing(self):
         """Guards against an entry that fails on the message of another version."""
         peer = self.entries["two"]
-        for body in (b"{", b"[]", b'{"name": "x"}', b'{"engines": 5, "name": "x"}'):
+        start = b'{"name": "x", "full": true, "engines": {"e1@0": [1, 1, 1]}, '
+        for body in (
+            b"{",
+            b"[]",
+            b'{"name": "x"}',
+            b'{"engines": 5, "name": "x"}',
+            start + b'"waiting": {"chat": [[0, -1, 5]]}}',
+            start + b'"waiting": {"chat": [[0, 1]]}}',
+            start + b'"stale": [5]}',
+            start + b'"alive": ["a"' + 300 * b', "a"' + b"]}",
+        ):
             response = await call_peer(self.pool, peer, PATH, 1.0, body)
             self.assertEqual(400, response.status)
         self.assertEqual({}, self.loads_known_to_two())
@@ -267,9 +338,9 @@
         await self.settle()
         outbox = next(iter(self.one.outboxes.values()))
         outbox.changed = {"e1@0", "e2@0"}
-        message = json.loads(self.one._encode_message(outbox))
-        self.assertEqual({"e1@0", "e2@0"}, set(message["engines"]))
-        self.assertLess(len(self.one._encode_message(outbox)), 200)
+        body = encode_message(self.one._take_message(outbox))
+        self.assertEqual({"e1@0", "e2@0"}, set(json.loads(body)["engines"]))
+        self.assertLess(len(body), 200)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/monsoontack/loadview/peerloads.py
@@ -0,0 +1,110 @@
+"""What peers reported: their usage of engines and the requests that wait at them."""
+
+from dataclasses import dataclass, field
+
+import structlog
+
+from monsoontack.loadview.messages import (
+    NO_USAGE,
+    EngineUsage,
+    LoadMessage,
+    WaitingByService,
+)
+
+log = structlog.get_logger("gateway.loadnews")
+
+# Interval at which an entry with runs sends a message although nothing changed.
+REFRESH_INTERVAL_S = 2.0
+# A peer that is silent for longer is taken for dead, and its runs are dropped.
+PEER_EXPIRY_S = 2.5 * REFRESH_INTERVAL_S
+
+
+@dataclass(slots=True)
+class PeerLoads:
+    """Usage reported by peers, by peer and by the start of the engine.
+
+    `waiting_by_peer` holds the requests that wait at peers; peers without any are left
+    out.
+    """
+
+    usage_by_peer: dict[str, dict[str, EngineUsage]] = field(default_factory=dict)
+    waiting_by_peer: dict[str, WaitingByService] = field(default_factory=dict)
+    last_heard_at: dict[str, float] = field(default_factory=dict)
+
+    def apply(self, message: LoadMessage, now: float) -> bool:
+        """Apply a message; return False if a full message is needed instead."""
+        self._drop_silent_peers(now)
+        if message.is_full:
+            self.usage_by_peer[message.peer] = {}
+            self.waiting_by_peer.pop(message.peer, None)
+        elif message.peer not in self.usage_by_peer:
+            return False
+        self.last_heard_at[message.peer] = now
+        current = self.usage_by_peer[message.peer]
+        for engine, usage in message.usage.items():
+            if usage == NO_USAGE:
+                current.pop(engine, None)
+            else:
+                current[engine] = usage
+        if message.waiting:
+            self.waiting_by_peer[message.peer] = message.waiting
+        elif message.waiting is not None:
+            self.waiting_by_peer.pop(message.peer, None)
+        return True
+
+    def totals(self, now: float) -> dict[str, EngineUsage]:
+        """Return the summed usage of each engine that peers use."""
+        self._drop_silent_peers(now)
+        totals: dict[str, EngineUsage] = {}
+        for peer_usage in self.usage_by_peer.values():
+            for engine, usage in peer_usage.items():
+                totals[engine] = totals.get(engine, NO_USAGE).plus(usage)
+        return totals
+
+    def waiting(self, service: str, now: float) -> dict[int, tuple[int, int]]:
+        """Return requests of a service that wait at peers, and their prompt tokens.
+
+        They are summed by priority.
+        """
+        self._drop_silent_peers(now)
+        totals: dict[int, tuple[int, int]] = {}
+        for waiting in self.waiting_by_peer.values():
+            for priority, (requests, tokens) in waiting.get(service, {}).items():
+                known_requests, known_tokens = totals.get(priority, (0, 0))
+                totals[priority] = known_requests + requests, known_tokens + tokens
+        return totals
+
+    def oldest_age_s(self, now: float) -> float:
+        """Return the age in seconds of the oldest report in use, 0 without any.
+
+        A peer that reported neither runs nor waiting requests has nothing to refresh,
+        so its silence does not count.
+        """
+        self._drop_silent_peers(now)
+        return max(
+            (
+                now - at
+                for peer, at in self.last_heard_at.items()
+                if self.usage_by_peer[peer] or peer in self.waiting_by_peer
+            ),
+            default=0.0,
+        )
+
+    def drop_peer(self, peer: str) -> None:
+        """Drop what a peer reported; its next message has to be a full one."""
+        self.last_heard_at.pop(peer, None)
+        peer_usage = self.usage_by_peer.pop(peer, None)
+        waiting = self.waiting_by_peer.pop(peer, None)
+        if peer_usage or waiting:
+            log.info(
+                "reported load of peer dropped",
+                peer=peer,
+                engines=len(peer_usage or ()),
+            )
+
+    def _drop_silent_peers(self, now: float) -> None:
+        silent = [
+            peer for peer, at in self.last_heard_at.items() if now > at + PEER_EXPIRY_S
+        ]
+        for peer in silent:
+            self.drop_peer(peer)
