Share outdated and answering starts between gateways

Cause: each gateway learned by a request of its own that a start was gone.

Change: a start that answered 421 is announced and removed at all gateways, unless it has just sent bytes there; a server in doubt that answers is announced as alive.

Measured: unit tests only (pacing, fleet, streams, calls, loadview, daemon pass).

--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -202,12 +202,19 @@
         current = self.starts.get(member.limit_key)
         if current is not None and current.key == member.key:
             self._remove_outdated(current, now)
-            self.on_outdated(current.limit_key)
+            if current.server.started_unix_ms:
+                self.on_outdated(current.limit_key)
 
     def note_reported_outdated(self, start_key: str, now: float) -> None:
-        """Remove a server whose start is gone, as a peer was answered."""
+        """Remove a server whose start is gone, as a peer was answered.
+
+        A server that has just sent bytes is kept, as is one without a start time, whose
+        later start has the same key.
+        """
         member = self.starts.get(start_key)
-        if member is not None:
+        if member is None or not member.server.started_unix_ms:
+            return
+        if member.last_byte_at <= now - DOMAIN_FAILURE_WINDOW_S:
             self._remove_outdated(member, now)
 
     def _remove_outdated(self, member: Member, now: float) -> None:
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -82,11 +82,23 @@
         load_exchange.on_failed = self.note_peer_failure
         load_exchange.recent_prompts = self.recent_prompts
         self.fleet.on_failed = load_exchange.announce_failure
+        self.fleet.on_outdated = load_exchange.announce_stale
+        self.fleet.on_answered = load_exchange.announce_alive
+        load_exchange.on_stale = self.note_peer_stale
+        load_exchange.on_alive = self.note_peer_alive
 
     def note_peer_failure(self, start_key: str) -> None:
         """Mark an engine as suspect because another entry reports its failure."""
         self.fleet.note_reported_unreachable(start_key, self.sender.now())
 
+    def note_peer_stale(self, start_key: str) -> None:
+        """Remove a start of a server that is gone, as another entry reports."""
+        self.fleet.note_reported_outdated(start_key, self.sender.now())
+
+    def note_peer_alive(self, start_key: str) -> None:
+        """End the doubt about a server that has answered another entry."""
+        self.fleet.note_reported_alive(start_key, self.sender.now())
+
     def recent_prompts(self) -> dict[str, str]:
         """Return the engine starts of the most recent prompts by segment id."""
         first = max(len(self.prompt_engines) - MAX_ANNOUNCED_PROMPTS, 0)
