Place streams by the measured speed of engines

A third of the engines of one deployment takes 1.3 times as long for the same work, and placement counted tokens as if all engines were equal. EngineSpeeds compares the step times and prompt reading times of engine starts with their service's; EngineCandidate has them, and choose_engine multiplies the work at an engine by its slowness. With equal speeds the costs and random draws are as before. expected_first_event_s tells the expected wait at an engine in seconds.

Nothing records speeds yet.

--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -26,6 +26,7 @@
 from monsoontack.gateway.streamrun import StreamRun
 from monsoontack.generation.streamtimeouts import StreamTimeouts
 from monsoontack.loadview.exchange import NO_USAGE, LoadExchange
+from monsoontack.routing.enginespeeds import EngineSpeeds
 from monsoontack.routing.placement import (
     EngineCandidate,
 )
@@ -54,6 +55,7 @@
     rollouts: RolloutManager | None = None
     prompt_engines: dict[str, str] = field(default_factory=dict)
     load_exchange: LoadExchange | None = None
+    speeds: EngineSpeeds = field(default_factory=EngineSpeeds)
     crash_detector: CrashDetector = field(init=False)
 
     def __post_init__(self) -> None:
@@ -117,6 +119,7 @@
             if self.load_exchange is None
             else self.load_exchange.peer_loads.totals(now)
         )
+        speeds = self.speeds.of_service(job.service, now)
         members = self.fleet.of_service(job.service)
         if self.rollouts is not None:
             members = self.rollouts.eligible_servers(
@@ -131,6 +134,7 @@
             if not self.sender.gate.may_send(member.limit_key, now):
                 continue
             other = others.get(member.limit_key, NO_USAGE)
+            slowness = speeds.factor(member.limit_key)
             loads[server.incarnation] = EngineCandidate(
                 key=server.incarnation,
                 place=server.place,
@@ -142,5 +146,7 @@
                 avoided=now < member.avoid_until,
                 suspect=member.is_suspect(now),
                 traffic_share=self.fleet.ejection.traffic_share(server.start_key, now),
+                prefill_s_per_token=slowness * speeds.prefill_s_per_token,
+                step_s=slowness * speeds.step_s,
             )
         return loads
--- a/monsoontack/routing/placement.py
+++ b/monsoontack/routing/placement.py
@@ -2,13 +2,15 @@
 
 A generation is delayed by the prompts that its engine prefills before and during
 the generation, and by the KV cache of the engine's runs, so all costs are counted
-in tokens. A new run delays each run at the engine by the new run's prompt, so each
-of those runs adds the length of that prompt to the cost. Distance adds tokens too,
+in tokens. Those of an engine that is slower than the others are multiplied by how much
+longer it takes. A new run delays each run at the engine by the new run's prompt, so
+each of those runs adds the length of that prompt to the cost. Distance adds tokens too,
 because traffic between failure domains and regions is billed. The copy of a run's KV
 cache goes to another failure domain, since engines of one domain fail together.
 """
 
 import random
+import statistics
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -27,6 +29,12 @@
 # Tokens held in the KV cache slow every step slightly; waiting tokens cause most of the
 # delay.
 HELD_TOKEN_WEIGHT = 0.02
+# Speeds that are assumed until an engine is measured.
+DEFAULT_PREFILL_S_PER_TOKEN = 1 / 8000
+DEFAULT_STEP_S = 0.004
+# Duration of a run beside others (users' benchmark). It tells when a full engine has a
+# free slot, since its runs end evenly spread over it.
+RUN_S = 3.9
 # Random cost, so that entries with the same view of the load choose different engines;
 # a tenth of a usual prompt.
 MAX_JITTER_TOKENS = 800
@@ -54,7 +62,8 @@
 
     `avoided` is set for a short time after a failure. A `suspect` engine failed
     recently and has not answered since. `traffic_share` is 0 while an engine is
-    ejected.
+    ejected. `prefill_s_per_token` and `step_s` are the measured times in which the
+    engine reads a prompt token and makes a step, or the service's.
     """
 
     key: str
@@ -67,6 +76,8 @@
     avoided: bool = False
     suspect: bool = False
     traffic_share: float = 1.0
+    prefill_s_per_token: float = DEFAULT_PREFILL_S_PER_TOKEN
+    step_s: float = DEFAULT_STEP_S
 
     @property
     def has_free_slot(self) -> bool:
@@ -74,18 +85,36 @@
         return self.in_flight < self.slots
 
 
+def expected_first_event_s(engine: EngineCandidate, uncached_tokens: float) -> float:
+    """Return the expected time to the first event of a new run, in seconds.
+
+    `uncached_tokens` is the part of the run's prompt that the engine has to prefill. A
+    full engine first has to end as many runs as are in flight above its free slots.
+    """
+    tokens = engine.waiting_tokens + uncached_tokens
+    expected_s = tokens * engine.prefill_s_per_token + engine.step_s
+    runs_before = max(engine.in_flight + 1 - engine.slots, 0)
+    return expected_s + runs_before * RUN_S / max(engine.slots, 1)
+
+
 def cost_tokens(
-    engine: EngineCandidate, place: Place, needed_tokens: int, uncached_tokens: float
+    engine: EngineCandidate,
+    place: Place,
+    needed_tokens: int,
+    uncached_tokens: float,
+    slowness: float = 1.0,
 ) -> float:
-    """Return the cost of a run at an engine, in prompt tokens.
+    """Return the cost of a run at an engine, in prompt tokens of a usual engine.
 
     `needed_tokens` is the KV cache that the run needs, `uncached_tokens` the part of
-    its prompt that the engine has to prefill.
+    its prompt that the engine has to prefill. `slowness` is the time that the engine
+    takes for the same work, in relation to the usual one.
     """
     cost = engine.waiting_tokens + HELD_TOKEN_WEIGHT * engine.held_tokens
     cost += uncached_tokens + engine.in_flight * max(
         uncached_tokens, MIN_RUN_COST_TOKENS
     )
+    cost *= slowness
     if engine.place.region != place.region:
         cost += OTHER_REGION_COST_TOKENS
     elif engine.place != place:
@@ -140,13 +169,15 @@
         e for e in engines if not e.avoided and not e.suspect and e.traffic_share > 0
     ]
     preferred = affinity.preferred(healthy)
+    usual_s = statistics.median(e.prefill_s_per_token for e in engines)
 
     def cost(engine: EngineCandidate) -> float:
         is_cached = engine.key == affinity.last_engine
         uncached_tokens = affinity.prompt_tokens * (
             1.0 - CACHED_PROMPT_SHARE if is_cached else 1.0
         )
-        tokens = cost_tokens(engine, place, needed_tokens, uncached_tokens)
+        slowness = engine.prefill_s_per_token / usual_s
+        tokens = cost_tokens(engine, place, needed_tokens, uncached_tokens, slowness)
         tokens += rng.random() * MAX_JITTER_TOKENS
         return tokens - PREFERRED_DISCOUNT_TOKENS if engine.key == preferred else tokens
 
--- a/monsoontack/routing/placement_test.py
+++ b/monsoontack/routing/placement_test.py
@@ -11,6 +11,7 @@
     PromptAffinity,
     choose_backup,
     choose_engine,
+    expected_first_event_s,
 )
 
 A, B, C = Place("a", "north"), Place("b", "north"), Place("c", "south")
@@ -80,6 +81,45 @@
         loads[4] = replace(loads[4], waiting_tokens=30_000)
         self.assertNotEqual("e4", self.choose(loads, affinity=affinity).key)
 
+    def test_slow_engine_gets_fewer_prompts(self):
+        """Load: every third engine takes 1.3 times as long; guards against queues of
+        equal length, which it takes longer to read."""
+        counts = Counter()
+        for seed in range(200):
+            loads = engines(6, place=A, waiting_tokens=8000, in_flight=1)
+            usual_s = loads[0].prefill_s_per_token
+            for n in (0, 3):
+                loads[n] = replace(loads[n], prefill_s_per_token=1.3 * usual_s)
+            affinity = PromptAffinity(f"p{seed}", 8000)
+            counts[self.choose(loads, seed, affinity=affinity).key] += 1
+        self.assertLess(counts["e0"] + counts["e3"], 20)
+
+    def test_equal_speeds_choose_as_before(self):
+        """Guards against another choice only because the engines were measured."""
+        rng = random.Random(9)
+        for seed in range(100):
+            loads = [
+                replace(e, waiting_tokens=rng.randrange(20_000), in_flight=n % 4)
+                for n, e in enumerate(engines())
+            ]
+            measured = [replace(e, prefill_s_per_token=0.000173) for e in loads]
+            affinity = PromptAffinity(f"p{seed}", 8000)
+            before = self.choose(loads, seed, affinity=affinity).key
+            after = self.choose(measured, seed, affinity=affinity).key
+            self.assertEqual(before, after)
+
+    def test_first_event_follows_queue_speed_and_free_slots(self):
+        """Guards against an admission that expects a full or slow engine to begin as
+        soon as the others."""
+        idle = engines(1)[0]
+        self.assertAlmostEqual(1.0, expected_first_event_s(idle, 8000), delta=0.01)
+        queue = replace(idle, waiting_tokens=8000, prefill_s_per_token=1.3 / 8000)
+        self.assertAlmostEqual(2.6, expected_first_event_s(queue, 8000), delta=0.01)
+        full = replace(idle, in_flight=48)
+        self.assertGreater(
+            expected_first_event_s(full, 8000), expected_first_event_s(idle, 8000)
+        )
+
     def test_runs_of_other_entries_count(self):
         """Pattern: prompts slow the runs of all entries at the same engine."""
         loads = engines(3, in_flight=2)
