Leave a live engine before the first event only where the stream begins sooner

Streams left an engine after 2 x expected + 1 s without a first event, about 3 s, although it only read other prompts, and their prompt was read in vain there and again elsewhere. The limit now runs from the last sign of the engine's work: a byte here, or a prompt that a peer reports as read. Until then a late stream leaves only for an engine where it begins sooner with the reading of its prompt counted, and within the retry budget; a live engine left so does not count as failed. Dead engines are found by the same connection checks, and an engine without any sign of work is left as early as before. The relay also records step times and first events for the measured speeds.

Tests of streams, generation and loadview pass; each of the new decisions taken out fails one of streams_hung_test.QueueTest.

--- a/monsoontack/gateway/streamattempt.py
+++ b/monsoontack/gateway/streamattempt.py
@@ -61,6 +61,7 @@
     `is_silent` that the engine was left, although it might have gone on, `is_kept` that
     its connection is still open, `is_overtaken` that the engine left before has ended,
     `asks_for_time` that it refused the request and wants no other one for some time.
+    `is_queued` means that the engine was left since another one begins sooner.
     """
 
     reason: str
@@ -78,11 +79,12 @@
     is_kept: bool = False
     is_overtaken: bool = False
     asks_for_time: bool = False
+    is_queued: bool = False
 
     @property
     def shows_nothing(self) -> bool:
         """Whether the loss says nothing about the engine, which may be right."""
-        return self.is_empty or self.is_overtaken
+        return self.is_empty or self.is_overtaken or self.is_queued
 
     @property
     def is_error_of_engine(self) -> bool:
@@ -91,6 +93,12 @@
         return head is not None and head.signed and not self.not_run
 
 
+def queued_loss(waited_s: float) -> StreamLoss:
+    """Return the loss of a live engine whose queue the stream leaves."""
+    reason = f"queued: no first event for {waited_s:.2f} s"
+    return StreamLoss(reason, is_silent=True, is_queued=True)
+
+
 def silent_loss(
     silence: str, refuses_connections: bool, is_kept: bool = False
 ) -> StreamLoss:
--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -7,20 +7,24 @@
 """
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from monsoontack.gateway.fleet import MAX_AVOID_S, Member
 from monsoontack.gateway.streamerrors import FULL_RETRY_AFTER_S
 from monsoontack.gateway.streamplace import choose
 from monsoontack.generation.failover import EndCause, NextStep
+from monsoontack.generation.firstevent import begins_sooner
 from monsoontack.generation.silence import (
     NO_BETTER_ENGINE,
     ONLY_END_IS_MISSING,
     why_no_attempt,
 )
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.routing.placement import expected_first_event_s
 
 if TYPE_CHECKING:
+    from monsoontack.gateway.streamrelay import StreamRelay
     from monsoontack.gateway.streamrun import StreamRun
 
 # Interval at which a stream at a silent engine looks for a better one. The search costs
@@ -90,6 +94,68 @@
     return None
 
 
+def is_overdue(relay: "StreamRelay", now: float) -> bool:
+    """Whether an engine counts as silent before an attempt's first event.
+
+    An engine that has sent bytes here or a first event to a peer goes on working.
+    """
+    exchange, member = relay.run.forwarder.load_exchange, relay.member
+    read_at = {} if exchange is None else exchange.peer_loads.read_at
+    progressed_at = max(member.last_byte_at, read_at.get(member.limit_key, 0.0))
+    return relay.first_event_wait.is_overdue(progressed_at, now)
+
+
+def leaves_queue(relay: "StreamRelay", now: float) -> bool:
+    """Whether a stream leaves a live engine's queue, since it begins sooner elsewhere.
+
+    That is checked at intervals once the first event is late.
+    """
+    if relay.answer.count or relay.resumed or not relay.job.route.is_repeatable:
+        return False
+    if relay.silent_since is not None or now < relay.next_queue_check_at:
+        return False
+    if not relay.first_event_wait.is_late(now) or is_overdue(relay, now):
+        return False
+    relay.next_queue_check_at = now + MOVE_CHECK_INTERVAL_S
+    return _begins_sooner_elsewhere(relay.run, relay.member, relay.tokens_ahead)
+
+
+def _begins_sooner_elsewhere(
+    run: "StreamRun", member: Member, tokens_ahead: int
+) -> bool:
+    """Whether a stream begins sooner elsewhere, although its prompt is read there anew.
+
+    Of the `tokens_ahead` prompt tokens that waited at the engine before the stream's
+    own, at most as many still wait as wait there now.
+    """
+    if _find_end_cause(run, has_kv_copy=False) is not None:
+        return False
+    loads, now = run.forwarder.engine_loads(run.job, set()), run.now()
+    here = loads.pop(member.server.incarnation, None)
+    members = run.forwarder.fleet.members
+    sound = {
+        key: engine
+        for key, engine in loads.items()
+        if engine.has_free_slot
+        and engine.traffic_share > 0
+        and not engine.suspect
+        and not is_doubtful(members[key], now)
+    }
+    chosen = choose(run, sound) if here is not None else None
+    if chosen is None:
+        return False
+    own_tokens = run.job.request.prompt_tokens
+    others_tokens = max(here.waiting_tokens - own_tokens, 0)
+    here = replace(
+        here,
+        waiting_tokens=min(tokens_ahead, others_tokens),
+        in_flight=here.in_flight - 1,
+    )
+    reading_s = own_tokens * chosen.prefill_s_per_token
+    here_s = expected_first_event_s(here, own_tokens)
+    return begins_sooner(here_s, expected_first_event_s(chosen, own_tokens), reading_s)
+
+
 def _find_end_cause(run: "StreamRun", has_kv_copy: bool) -> EndCause | None:
     """Return why the stream could not go on at another engine, None if it could."""
     budget = run.forwarder.budgets.for_service(run.job.service)
--- a/monsoontack/gateway/streamoutcome.py
+++ b/monsoontack/gateway/streamoutcome.py
@@ -8,9 +8,11 @@
 from monsoontack.gateway.job import AttemptRecord
 from monsoontack.gateway.rollouts import RolloutManager
 from monsoontack.gateway.streamattempt import OpenAttempt, StreamLoss
+from monsoontack.generation.continuation import ForeignAnswerError
 from monsoontack.generation.failover import EndCause, FailoverInput, NextStep
 
 if TYPE_CHECKING:
+    from monsoontack.gateway.streamrelay import StreamRelay
     from monsoontack.gateway.streamrun import StreamRun
     from monsoontack.gateway.streams import StreamForwarder
 
@@ -96,6 +98,27 @@
             fleet.note_unreachable(member, now)
 
 
+def log_wrong_answer(relay: "StreamRelay", error: ForeignAnswerError) -> None:
+    """Log why an engine's answer is not the rest of the stream."""
+    # The text may quote the engine, so it is not for the caller.
+    log.warning(
+        "answer does not go on with the stream",
+        request=relay.job.request.request_id,
+        server=relay.member.server.incarnation,
+        detail=str(error),
+    )
+
+
+def log_going_on(relay: "StreamRelay", gap_s: float) -> None:
+    """Log that a silent engine sends events again, after a gap of `gap_s` seconds."""
+    log.info(
+        "silent engine goes on",
+        request=relay.job.request.request_id,
+        server=relay.member.server.incarnation,
+        gap_s=round(gap_s, 2),
+    )
+
+
 def log_lost_engine(
     run: "StreamRun",
     member: Member,
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -9,16 +9,29 @@
 from monsoontack.gateway.outbound import FailureKind, HttpExchange
 from monsoontack.gateway.records import ResponseHead
 from monsoontack.gateway.sse import EventSplitter, EventTooLongError, parse_events
-from monsoontack.gateway.streamattempt import OpenAttempt, StreamLoss, silent_loss
+from monsoontack.gateway.streamattempt import (
+    OpenAttempt,
+    StreamLoss,
+    queued_loss,
+    silent_loss,
+)
 from monsoontack.gateway.streamhead import read_head
-from monsoontack.gateway.streammove import MOVE_CHECK_INTERVAL_S, why_stay
+from monsoontack.gateway.streammove import (
+    MOVE_CHECK_INTERVAL_S,
+    is_overdue,
+    leaves_queue,
+    why_stay,
+)
+from monsoontack.gateway.streamoutcome import log_going_on, log_wrong_answer
 from monsoontack.generation.continuation import (
     AnswerEvents,
     EmptyAnswerError,
     ForeignAnswerError,
 )
+from monsoontack.generation.firstevent import FirstEventWait
 from monsoontack.generation.streamtimeouts import decaying_maximum
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.routing.enginespeeds import StepWindow
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
@@ -76,12 +89,15 @@
         self.resumed = placement.copy is not None
         self.splitter = EventSplitter()
         self.answer = AnswerEvents(run.position, self.job.route.is_repeatable)
+        self.tokens_ahead = placement.tokens_ahead
         self.tokens_to_read = tokens_to_read
         self.load = attempt.load
         self.record = attempt.record
-        self.first_event_limit_s = run.stream_timeouts.first_event_limit_s(
-            tokens_to_read
-        )
+        self.speeds = run.forwarder.speeds.of_service(run.job.service, self.sent_at)
+        self.steps = StepWindow()
+        slowness = max(self.speeds.factor(self.member.limit_key), 1.0)
+        limit_s = run.stream_timeouts.first_event_limit_s(tokens_to_read)
+        self.first_event_wait = FirstEventWait(self.sent_at, slowness * limit_s)
         self.next_check_after_s = run.stream_timeouts.liveness_check_delay_s(
             tokens_to_read
         )
@@ -93,6 +109,7 @@
         self.silent_since: float | None = None
         self.waits_for: str | None = None
         self.next_move_check_at = 0.0
+        self.next_queue_check_at = 0.0
 
     async def relay(self) -> StreamLoss | None:
         """Relay events; return None if the stream is complete, else the loss."""
@@ -113,24 +130,15 @@
             self.exchange.abort()
             return StreamLoss(f"{FailureKind.OVERSIZED}: {error}")
         except EmptyAnswerError as error:
-            self._log_wrong_answer(error)
+            log_wrong_answer(self, error)
             return StreamLoss(EMPTY_RESULT, is_empty=True)
         except ForeignAnswerError as error:
             self.exchange.abort()
-            self._log_wrong_answer(error)
+            log_wrong_answer(self, error)
             return StreamLoss(str(FailureKind.FOREIGN), is_foreign=True)
         finally:
             self._cancel_liveness_check()
 
-    def _log_wrong_answer(self, error: ForeignAnswerError) -> None:
-        # The text may quote the engine, so it is not for the caller.
-        log.warning(
-            "answer does not go on with the stream",
-            request=self.job.request.request_id,
-            server=self.member.server.incarnation,
-            detail=str(error),
-        )
-
     async def _relay(self) -> StreamLoss | None:
         exchange, job = self.exchange, self.job
         while True:
@@ -168,11 +176,14 @@
 
     async def _check_silence(self) -> StreamLoss | None:
         """Return a loss if the stream leaves its engine for being silent."""
-        exchange = self.exchange
-        if self.run.now() < self.next_move_check_at:
+        exchange, now = self.exchange, self.run.now()
+        if now < self.next_move_check_at:
             if self.silent_since is not None:
-                self.member.silent_at = self.run.now()
+                self.member.silent_at = now
             return None
+        if leaves_queue(self, now):
+            exchange.abort()
+            return queued_loss(now - self.sent_at)
         silence = await self._detect_silence()
         if silence is None:
             return None
@@ -232,12 +243,7 @@
         self.silent_since = self.waits_for = None
         self.next_move_check_at = 0.0
         self.run.forwarder.fleet.note_alive(self.member, now)
-        log.info(
-            "silent engine goes on",
-            request=self.job.request.request_id,
-            server=self.member.server.incarnation,
-            gap_s=round(now - max(self.run.last_event_at, self.sent_at), 2),
-        )
+        log_going_on(self, now - max(self.run.last_event_at, self.sent_at))
 
     def _poll_timeout_s(self) -> float:
         now = self.run.now()
@@ -284,6 +290,9 @@
                 self.member.longest_gap_s = decaying_maximum(
                     self.member.longest_gap_s, gap_s
                 )
+        step_s = self.steps.note(self.answer.count, run.position.step, now)
+        if step_s is not None:
+            self.speeds.note_steps(self.member.limit_key, step_s)
         run.last_event_at = now
         run.events += 1
         if self.began_at is None:
@@ -300,9 +309,10 @@
         if self.record.first_event_at is None:
             self.record.first_event_at = now
         if not self.resumed:
-            self.run.stream_timeouts.note_first_event(
-                self.tokens_to_read, now - self.sent_at
-            )
+            took_s = now - self.sent_at
+            self.run.stream_timeouts.note_first_event(self.tokens_to_read, took_s)
+            key = self.member.limit_key
+            self.speeds.note_first_event(key, self.tokens_to_read, took_s)
         self.run.forwarder.fleet.note_alive(self.member, now)
 
     async def _detect_silence(self) -> str | None:
@@ -322,7 +332,7 @@
         if self.resumed:
             is_late = waited_s > RESUME_LIMIT_FACTOR * limit_s
             return f"no event {waited_s:.2f} s after it went on" if is_late else None
-        if waited_s > self.first_event_limit_s:
+        if is_overdue(self, now):
             return f"no first event for {waited_s:.2f} s"
         is_suspect = member.suspected_at > max(self.sent_at, member.last_byte_at)
         if not is_suspect and waited_s <= self.next_check_after_s:
--- a/monsoontack/gateway/streams_hung_test.py
+++ b/monsoontack/gateway/streams_hung_test.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.outbound import FailureKind
+from monsoontack.gateway.peers import peer_pool
 from monsoontack.gateway.streammove import is_doubtful
 from monsoontack.gateway.streams_end_test import (
     BOUND,
@@ -24,11 +26,20 @@
     ALL_EVENTS,
     EVENTS,
     GAP_S,
+    engine_script,
     make_event,
     make_forwarder,
     stream_route,
 )
-from standins.gatewayfakes import HOME, NEAR, SERVICE, ScriptedSender, make_job
+from monsoontack.loadview.exchange import EngineUsage, LoadExchange, LoadMessage
+from standins.gatewayfakes import (
+    FAR,
+    HOME,
+    NEAR,
+    SERVICE,
+    ScriptedSender,
+    make_job,
+)
 
 
 def serve_on_two(script, deadline_s):
@@ -125,6 +136,69 @@
         self.assertEqual(dict.fromkeys((4.0, 6.0, 8.0, 10.0), True), seen)
 
 
+class QueueTest(unittest.TestCase):
+    """Streams whose first event is late, at live engines and at hung ones."""
+
+    def serve(self, first_s, lives_until, tokens_ahead=0, is_busy_until=0.5):
+        """Serve a stream at the first of two engines; return the job.
+
+        Until `lives_until`, a peer reports every 0.5 s that the engine has read a
+        prompt, and that it has got another one. The second
+        engine is busy at first.
+        """
+
+        async def scenario():
+            scripts = {NAMES[0]: engine_script(first_s), NAMES[1]: engine_script()}
+            forwarder = make_forwarder(scripts, (HOME, FAR))
+            loads = LoadExchange("me", peer_pool(), now=forwarder.sender.now)
+            forwarder.share_load_with_peers(loads)
+            self.member, other = (forwarder.fleet.members[n] for n in NAMES[:2])
+            other.waiting_tokens = 60_000
+            loop = asyncio.get_running_loop()
+            loop.call_later(is_busy_until, setattr, other, "waiting_tokens", 0)
+            self.member.waiting_tokens = tokens_ahead
+            job = make_job(stream_route(), deadline_s=25.0)
+            task = asyncio.ensure_future(forwarder.serve(job))
+            key = self.member.limit_key
+            while not task.done():
+                now = forwarder.sender.now()
+                if job.tries and now - job.started_at < lives_until:
+                    for tokens in (8000, 0, 8000):
+                        usage = {key: EngineUsage(1, tokens, 9000)}
+                        news = LoadMessage("peer", False, True, usage, {}, ())
+                        if tokens == 0 or "peer" in loads.peer_loads.usage_by_peer:
+                            news = replace(news, is_full=False)
+                        loads.peer_loads.apply(news, now)
+                await asyncio.wait([task], timeout=0.5)
+            return job
+
+        return run_in_virtual_time(scenario())
+
+    def test_wait_that_is_only_a_queue_is_kept(self):
+        """Load: more urgent prompts arrive later through other gateways; guards against
+        a prompt that is read in vain at a live engine and again elsewhere."""
+        job = self.serve(first_s=6.0, lives_until=7.0)
+        self.assertEqual([NAMES[0]], [t.server for t in job.tries])
+        self.assertEqual(ALL_EVENTS, job.responder.body)
+
+    def test_hung_engine_is_left_as_early_as_before(self):
+        """Load: engines hang but accept connections; guards against a wait for an
+        engine from which nobody gets a first event."""
+        job = self.serve(first_s=100.0, lives_until=0.0)
+        self.assertEqual(2, len(job.tries))
+        self.assertLess(job.tries[1].sent_at - job.tries[0].sent_at, 4.0)
+        self.assertEqual(ALL_EVENTS, job.responder.body)
+
+    def test_long_queue_is_left_for_an_idle_engine(self):
+        """Guards against a wait behind many prompts while another engine is idle, and
+        against a live engine that counts as failed since its queue was left."""
+        job = self.serve(100.0, lives_until=30.0, tokens_ahead=24_000)
+        self.assertEqual(2, len(job.tries))
+        self.assertLess(job.tries[1].sent_at - job.tries[0].sent_at, 12.0)
+        self.assertIn("queued", job.tries[0].result)
+        self.assertEqual(0.0, self.member.avoid_until)
+
+
 class StatedTokensTest(EndCase):
     def test_stream_that_all_others_have_forgotten_does_not_end_short(self):
         """Guards against a stream that ends as complete before its last event, because
--- a/monsoontack/loadview/exchange.py
+++ b/monsoontack/loadview/exchange.py
@@ -47,6 +47,8 @@
 MAX_MESSAGES_PER_S = 100
 # Bound of the runs and tokens in a message, whose sums can still be divided.
 MAX_AMOUNT = 2**53
+# Engines whose last read prompt is remembered; larger fleets are not served.
+MAX_READ_ENGINES = 2000
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 OK, BAD_REQUEST, UNKNOWN_SENDER = 200, 400, 409
 
@@ -91,10 +93,15 @@
 
 @dataclass(slots=True)
 class PeerLoads:
-    """Usage reported by peers, by peer and by the start of the engine."""
+    """Usage reported by peers, by peer and by the start of the engine.
+
+    `read_at` is the last time at which a peer reported that an engine had read a
+    prompt, by the start of the engine.
+    """
 
     usage_by_peer: dict[str, dict[str, EngineUsage]] = field(default_factory=dict)
     last_heard_at: dict[str, float] = field(default_factory=dict)
+    read_at: dict[str, float] = field(default_factory=dict)
 
     def apply(self, message: LoadMessage, now: float) -> bool:
         """Apply a message; return False if a full message is needed instead."""
@@ -106,12 +113,23 @@
         self.last_heard_at[message.peer] = now
         current = self.usage_by_peer[message.peer]
         for engine, usage in message.usage.items():
+            before = current.get(engine, NO_USAGE)
+            if usage.waiting_tokens < before.waiting_tokens:
+                # With fewer runs, the prompt may have been given up.
+                if usage.runs >= before.runs:
+                    self._note_read(engine, now)
             if usage == NO_USAGE:
                 current.pop(engine, None)
             else:
                 current[engine] = usage
         return True
 
+    def _note_read(self, engine: str, now: float) -> None:
+        self.read_at.pop(engine, None)
+        self.read_at[engine] = now
+        if len(self.read_at) > MAX_READ_ENGINES:
+            del self.read_at[next(iter(self.read_at))]
+
     def totals(self, now: float) -> dict[str, EngineUsage]:
         """Return the summed usage of each engine that peers use."""
         self._drop_silent_peers(now)
