--- a/monsoontack/loadview/peerloads.py
+++ b/monsoontack/loadview/peerloads.py
@@ -17,6 +17,8 @@
 REFRESH_INTERVAL_S = 2.0
 # A peer that is silent for longer is taken for dead, and its runs are dropped.
 PEER_EXPIRY_S = 2.5 * REFRESH_INTERVAL_S
+# Engines whose last read prompt is remembered; larger fleets are not served.
+MAX_READ_ENGINES = 2000
 
 
 @dataclass(slots=True)
@@ -24,12 +26,14 @@
     """Usage reported by peers, by peer and by the start of the engine.
 
     `waiting_by_peer` holds the requests that wait at peers; peers without any are left
-    out.
+    out. `read_at` is the last time at which a peer reported that an engine had read a
+    prompt, by the start of the engine.
     """
 
     usage_by_peer: dict[str, dict[str, EngineUsage]] = field(default_factory=dict)
     waiting_by_peer: dict[str, WaitingByService] = field(default_factory=dict)
     last_heard_at: dict[str, float] = field(default_factory=dict)
+    read_at: dict[str, float] = field(default_factory=dict)
 
     def apply(self, message: LoadMessage, now: float) -> bool:
         """Apply a message; return False if a full message is needed instead."""
@@ -42,6 +46,11 @@
         self.last_heard_at[message.peer] = now
         current = self.usage_by_peer[message.peer]
         for engine, usage in message.usage.items():
+            before = current.get(engine, NO_USAGE)
+            if usage.waiting_tokens < before.waiting_tokens:
+                # With fewer runs, the prompt may have been given up.
+                if usage.runs >= before.runs:
+                    self._note_read(engine, now)
             if usage == NO_USAGE:
                 current.pop(engine, None)
             else:
@@ -52,6 +61,12 @@
             self.waiting_by_peer.pop(message.peer, None)
         return True
 
+    def _note_read(self, engine: str, now: float) -> None:
+        self.read_at.pop(engine, None)
+        self.read_at[engine] = now
+        if len(self.read_at) > MAX_READ_ENGINES:
+            del self.read_at[next(iter(self.read_at))]
+
     def totals(self, now: float) -> dict[str, EngineUsage]:
         """Return the summed usage of each engine that peers use."""
         self._drop_silent_peers(now)
