--- a/monsoontack/core/supervise.py
+++ b/monsoontack/core/supervise.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import structlog
 
@@ -23,5 +24,16 @@
             await work()
             return
         except Exception:
-            log.exception("background task failed; restarting it", part=repr(work))
+            part = _name_of(work)
+            log.exception("background task failed; restarting it", part=part)
         await asyncio.sleep(RESTART_DELAY_S)
+
+
+def _name_of(work: Callable[[], Awaitable[None]]) -> str:
+    """Return the name of a function.
+
+    The representation of a bound method has that of its object, which took more than
+    200 MB for the exchange of load in a fleet of 31 entries.
+    """
+    function = work.func if isinstance(work, partial) else work
+    return getattr(function, "__qualname__", type(function).__qualname__)
