Pace servers that have just started or recovered

Cause: a restarted engine looks idle, so all gateways send to it at once; the slow start by the clock was not used by gateways.

Change: a server that starts after the gateway was ready, or was found lost, gets at first its equal share of the gateways by turns, at least two requests that wait for their first answer. The pace doubles with an answer in time here or at a peer, once per round, and halves with a late one, a refusal or a loss. Counters and gauges for domains in doubt and paced servers.

Measured: unit tests only (pacing, gateway, routing, loadview).

--- a/monsoontack/gateway/callrun.py
+++ b/monsoontack/gateway/callrun.py
@@ -209,7 +209,7 @@
                 took_s = record.ended_at - started_at
                 rollouts.note_ended(member, job.route.name, result.is_failure, took_s)
         record.result = result_label(result)
-        self.forwarder.record_result(result, started_at)
+        self.forwarder.record_result(result, started_at, job.route.objective_s)
         self._record_crash_evidence(result, started_at)
         if self.repeatable:
             self.forwarder.hedging.record(job.service, self.now() - started_at)
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -27,6 +27,9 @@
 
 # A server that rejected a call for lack of capacity gets no new call for this time.
 FULL_SERVER_AVOID_S = 0.15
+# A server that has just started is well if it answers within this share of the
+# objective, which leaves time for a retry.
+PROMPT_SHARE = 0.5
 # Interval at which a long answer checks whether its caller has left.
 DISCONNECT_POLL_S = 0.1
 
@@ -129,7 +132,12 @@
             if self.sender.gate.may_send(member.limit_key, now)
         }
         avoided = {key for key, m in members.items() if now < m.avoid_until}
-        for unwanted in (doubtful | avoided, avoided):
+        paces = self.fleet.paces
+        rooms = {
+            k: paces.room(m, m.in_flight, m.in_flight, now) for k, m in members.items()
+        }
+        full = {key for key, room in rooms.items() if room == 0}
+        for unwanted in (full | doubtful | avoided, doubtful | avoided, avoided):
             left_out = excluded | unwanted
             if not members.keys() <= left_out:
                 excluded = left_out
@@ -153,14 +161,24 @@
         self.fleet.evidence.note_sent(members[server.start_key], now)
         return members[server.start_key]
 
-    def record_result(self, result: AttemptResult, started_at: float) -> None:
-        """Record a result as evidence about the health of its server."""
+    def record_result(
+        self,
+        result: AttemptResult,
+        started_at: float,
+        objective_s: float = float("inf"),
+    ) -> None:
+        """Record a result as evidence about the health of its server.
+
+        `objective_s` is the time in which the route's answers are due.
+        """
         now = self.sender.now()
         member = result.member
         start_key = member.server.start_key
         if result.is_success:
             latency_s = now - started_at
             self.fleet.note_alive(member, now)
+            is_prompt = latency_s <= PROMPT_SHARE * objective_s
+            self.fleet.paces.note_answered(member, is_prompt, now)
             self.fleet.ejection.record_success(start_key, latency_s, now, self.rng)
             return
         response_head, failure = result.response_head, result.failure
@@ -171,6 +189,7 @@
                 self.fleet.note_misdirected(member, now)
             else:
                 member.avoid_until = max(member.avoid_until, now + FULL_SERVER_AVOID_S)
+                self.fleet.paces.note_trouble(member, now)
             return
         if not result.asks_for_time:
             self.fleet.ejection.record_failure(start_key, now, self.rng)
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -172,6 +172,12 @@
         sender.on_limited_send = lambda service: metrics.limited_sends.labels(
             service
         ).inc()
+        fleet.evidence.on_doubt = lambda service: metrics.domain_doubts.labels(
+            service
+        ).inc()
+        fleet.paces.on_paced = lambda *labels: metrics.paced_starts.labels(
+            *labels
+        ).inc()
         gateway = Gateway(wire, config_state, calls, streams, metrics, rng)
         daemon = cls(settings, config_state, fleet, pool, gateway, metrics)
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
@@ -469,6 +475,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self.fleet.remove_expired(self.gateway.now())
+            self.fleet.is_ready |= self.is_ready
             self._update_gauges()
 
     def _update_gauges(self) -> None:
@@ -489,6 +496,8 @@
         blocked_requests = sum(map(is_request, blamed))
         metrics.blocked_requests.set(blocked_requests)
         metrics.blocked_prompt_parts.set(len(blamed) - blocked_requests)
+        metrics.doubted_domains.set(self.fleet.evidence.count_in_force())
+        metrics.paced_servers.set(len(self.fleet.paces.paces))
         for service, members in self.fleet.by_service.items():
             metrics.servers.labels(service).set(len(members))
         if self.log_writer is not None:
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -17,6 +17,7 @@
 from monsoontack.pacing.domainevidence import DomainEvidence, Trouble
 from monsoontack.pacing.domainlosses import DOMAIN_FAILURE_WINDOW_S, is_domain_lost
 from monsoontack.pacing.member import Member
+from monsoontack.pacing.pace import PaceBook
 from monsoontack.routing.ejection import Ejection
 
 log = structlog.get_logger("gateway.fleet")
@@ -48,9 +49,11 @@
     expired during a store outage, the time until which they are kept. `former` holds
     removed servers by `Member.key` as long as runs refer to them. `empty_since` holds
     the time of the first refusal for lack of servers, by service. `evidence` has the
-    failure domains in doubt. `outdated` holds the starts that answered 421, and until
-    when their records are ignored. `on_outdated` is called with the key of each such
-    start, `on_answered` with each start in doubt that answers.
+    failure domains in doubt, `paces` the servers that have just started or recovered;
+    servers that are listed before `is_ready` count as known. `outdated` holds the
+    starts that answered 421, and until when their records are ignored. `on_outdated`
+    is called with the key of each such start, `on_answered` with each start in doubt
+    that answers.
     """
 
     ejection: Ejection = field(default_factory=Ejection)
@@ -67,6 +70,8 @@
     on_removed: Callable[[Member], None] = lambda member: None
     on_failed: Callable[[Member], None] = lambda member: None
     evidence: DomainEvidence = field(default_factory=DomainEvidence)
+    paces: PaceBook = field(default_factory=PaceBook)
+    is_ready: bool = False
     outdated: dict[str, float] = field(default_factory=dict)
     on_outdated: Callable[[str], None] = lambda start_key: None
     on_answered: Callable[[str], None] = lambda start_key: None
@@ -74,6 +79,8 @@
     def __post_init__(self) -> None:
         """Remove servers once responses or other entries say that they are leaving."""
         self.leaving.on_left = self._remove_leaving
+        self.paces.turns = self.evidence.turns
+        self.paces.servers_of = lambda service: len(self.by_service.get(service, {}))
 
     def note_store_recovered(self, now: float) -> None:
         """Start the grace period in which servers with expired records are kept.
@@ -135,7 +142,8 @@
                 member.server = server
                 return
         member = self._former_member(server)
-        if member is None:
+        is_new = member is None
+        if is_new:
             member = Member(server, cold_until=now + server.cold_left_s, listed_at=now)
         self.members[incarnation] = self.starts[member.limit_key] = member
         self.by_service.setdefault(server.service, {})[incarnation] = member
@@ -154,6 +162,8 @@
             service=server.service,
             version=server.versions[0] if server.versions else "",
         )
+        if is_new and (self.is_ready or former_key):
+            self.paces.begin(member, "started", now)
 
     def _former_member(self, server: BackendServer) -> Member | None:
         """Return a removed server whose record was written again, with its load."""
@@ -230,6 +240,7 @@
         incarnation = member.server.incarnation
         self.missing_until.pop(incarnation, None)
         del self.members[incarnation], self.starts[member.limit_key]
+        self.paces.forget(member.limit_key)
         self.former[member.key] = member
         self.by_service[member.server.service].pop(incarnation, None)
         log.info(
@@ -319,6 +330,10 @@
         if self.is_current(member) and not self.has_left(member):
             domain = self._domain(member)
             self.evidence.note_trouble(member, domain, trouble, now)
+            if trouble.is_connection_lost:
+                self.paces.begin(member, str(trouble), now)
+            else:
+                self.paces.note_trouble(member, now)
 
     def _domain(self, member: Member) -> list[Member]:
         """Return the servers of a server's service and failure domain."""
@@ -356,4 +371,5 @@
         member = self.starts.get(start_key)
         if member is not None:
             self.evidence.note_heard(member, now)
+            self.paces.note_reported_alive(member, now)
             member.reported_alive_at = now
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -37,6 +37,10 @@
     limited_sends: Counter = None
     engine_crashes: Counter = None
     server_statements: Counter = None
+    domain_doubts: Counter = None
+    paced_starts: Counter = None
+    doubted_domains: Gauge = None
+    paced_servers: Gauge = None
     limited_servers: Gauge = None
     waiting_servers: Gauge = None
     blocked_prompt_parts: Gauge = None
@@ -86,6 +90,18 @@
             ("state",),
             registry=registry,
         )
+        metrics.domain_doubts = Counter(
+            "monsoontack_domain_doubts",
+            "Times at which a failure domain came into doubt, by service",
+            ("service",),
+            registry=registry,
+        )
+        metrics.paced_starts = Counter(
+            "monsoontack_paced_starts",
+            "Starts of backend servers that were paced, by service and reason",
+            ("service", "reason"),
+            registry=registry,
+        )
         metrics.store_restorations = Counter(
             "monsoontack_store_restorations",
             "Times at which the store was found to be restored from a copy",
@@ -134,6 +150,8 @@
         self.blocked_requests = gauge(
             "blocked_requests", "Requests that crash servers when they come again"
         )
+        self.doubted_domains = gauge("doubted_domains", "Failure domains in doubt")
+        self.paced_servers = gauge("paced_servers", "Backend servers that are paced")
         self.servers = gauge("servers", "Backend servers in use", ("service",))
         self.store_feed_up = gauge(
             "store_feed_up", "Whether the store answers a feed", ("feed",)
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -166,7 +166,7 @@
         return None
 
     def _note_no_connection(self, member: Member, failure: ExchangeFailure) -> None:
-        trouble = Trouble.REFUSED if failure.is_refused else Trouble.SILENT
+        trouble = Trouble.REFUSED if failure.is_refused else Trouble.UNREACHABLE
         self.fleet.note_unreachable(member, self.now(), trouble)
 
     def now(self) -> float:
--- a/monsoontack/gateway/streamoutcome.py
+++ b/monsoontack/gateway/streamoutcome.py
@@ -89,7 +89,9 @@
         return
     if loss.response_head is not None and loss.response_head.status == 421:
         fleet.note_misdirected(member, now)
-    elif not (loss.not_run or loss.asks_for_time):
+    elif loss.not_run or loss.asks_for_time:
+        fleet.paces.note_trouble(member, now)
+    else:
         fleet.ejection.record_failure(start_key, now, rng)
         if loss.is_foreign:
             member.avoid_until = max(member.avoid_until, now + INITIAL_AVOID_S)
--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -35,6 +35,7 @@
     _record_prompt(run, member)
     run.asked.spend.note_sent(member.server.place, run.now())
     forwarder.fleet.evidence.note_sent(member, run.now())
+    forwarder.fleet.paces.note_prompt(job.request.prompt_tokens)
     backup = None
     if run.traits.supports_kv_backup and chosen is not None:
         others = [e for k, e in loads.items() if k not in run.asked.excluded]
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -19,6 +19,7 @@
 )
 from monsoontack.generation.streamtimeouts import decaying_maximum
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.pacing.pace import is_in_time
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
@@ -273,6 +274,10 @@
         run = self.run
         if self.silent_since is not None:
             self._note_going_on(now)
+        if is_first:
+            predicted_s = run.stream_timeouts.predicted_s(self.tokens_to_read)
+            in_time = is_in_time(now - self.sent_at, predicted_s)
+            run.forwarder.fleet.paces.note_answered(self.member, in_time, now)
         if run.events == 0 or is_first and run.last_event_at == 0.0:
             self._record_first_event(now)
         else:
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -15,7 +15,7 @@
 from monsoontack.core.records import Place
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.crashdetector import CrashDetector
-from monsoontack.gateway.fleet import BackendFleet
+from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.job import Job
 from monsoontack.gateway.records import (
     EngineTraits,
@@ -25,7 +25,7 @@
 from monsoontack.gateway.sender import Sender
 from monsoontack.gateway.streamrun import StreamRun
 from monsoontack.generation.streamtimeouts import StreamTimeouts
-from monsoontack.loadview.exchange import NO_USAGE, LoadExchange
+from monsoontack.loadview.exchange import NO_USAGE, EngineUsage, LoadExchange
 from monsoontack.routing.placement import (
     EngineCandidate,
 )
@@ -84,6 +84,7 @@
         self.fleet.on_failed = load_exchange.announce_failure
         self.fleet.on_outdated = load_exchange.announce_stale
         self.fleet.on_answered = load_exchange.announce_alive
+        self.fleet.paces.on_answered = load_exchange.announce_alive
         load_exchange.on_stale = self.note_peer_stale
         load_exchange.on_alive = self.note_peer_alive
 
@@ -156,5 +157,14 @@
                 suspect=member.is_suspect(now),
                 traffic_share=self.fleet.ejection.traffic_share(server.start_key, now),
                 doubtful=member.limit_key in doubtful,
+                pace_room=self._pace_room(member, other, now),
             )
         return loads
+
+    def _pace_room(self, member: Member, other: EngineUsage, now: float) -> int | None:
+        """Return how many prompts an engine may get that is paced, else None."""
+        paces, own = self.fleet.paces, member.waiting_tokens
+        if not paces.is_paced(member):
+            return None
+        waiting = paces.unread(own), paces.unread(own + other.waiting_tokens)
+        return paces.room(member, *waiting, now)
--- a/monsoontack/generation/streamtimeouts.py
+++ b/monsoontack/generation/streamtimeouts.py
@@ -86,6 +86,10 @@
         usual_s = max(ACCEPTED_GAP_SHARE * max_gap_s, GAP_FACTOR * engine_gap_s)
         return max(min(usual_s, max_gap_s + LIVE_ENGINE_SLACK_S), MIN_SILENCE_LIMIT_S)
 
+    def predicted_s(self, tokens: int) -> float:
+        """Return the usual time in which that many prompt tokens are processed."""
+        return tokens / self.prefill_tokens_per_s
+
     def first_event_limit_s(self, tokens: int) -> float:
         """Return the wait for the first event after which a run fails over.
 
--- a/monsoontack/pacing/domainevidence.py
+++ b/monsoontack/pacing/domainevidence.py
@@ -55,6 +55,7 @@
     OUTDATED = "outdated"
     REFUSED = "refused"
     RESET = "reset"
+    UNREACHABLE = "unreachable"
     SILENT = "silent"
     REPORTED = "reported"
 
@@ -63,6 +64,11 @@
         """Whether one such sign puts the other servers of the domain in doubt."""
         return self in (Trouble.OUTDATED, Trouble.REFUSED, Trouble.RESET)
 
+    @property
+    def is_connection_lost(self) -> bool:
+        """Whether the server itself could not be reached or broke off."""
+        return self in (Trouble.REFUSED, Trouble.RESET, Trouble.UNREACHABLE)
+
 
 @dataclass(slots=True)
 class DomainDoubt:
--- a/standins/gatewayfakes.py
+++ b/standins/gatewayfakes.py
@@ -223,7 +223,7 @@
         await asyncio.sleep(self.connect_s)
         script = self.scripts[member.server.incarnation]
         if isinstance(script, ExchangeFailure):
-            trouble = Trouble.REFUSED if script.is_refused else Trouble.SILENT
+            trouble = Trouble.REFUSED if script.is_refused else Trouble.UNREACHABLE
             self.fleet.note_unreachable(member, self.now(), trouble)
             return script
         if not is_wanted():
