Send calls where they are expected to end sooner, and hedge in time for the objective

Calls went to the server of the own failure domain while it had room by the gateway's own count, also during its slow periods of 600 ms, and idempotent calls were hedged at the 95th percentile, which may leave no time for the second answer. CallTimes measures the calls of each server start; if a tenth of a service's calls takes 1.5 times as long as half of them, a call goes to the server with the lower (in flight + 1) x measured time, of two in the region and one in the other region, with distance counted and within the link budget. A call in flight for longer than usual counts at once. Hedges are sent early enough for the objective, but not before twice the median. With even times the choices are as before.

Tests of routing, calls and hedging pass.

--- a/monsoontack/admission/budgets_test.py
+++ b/monsoontack/admission/budgets_test.py
@@ -42,6 +42,17 @@
         self.run_lookups(slow, 2000, late_every=3)
         self.assertLessEqual(slow.sent, 0.05 * 2000 + 5)
 
+    def test_hedge_comes_early_enough_for_the_objective(self):
+        """Load: one call in six takes 2.5 times as long; guards against a second send
+        whose answer is late as well, and against one that every call gets."""
+        hedging = Hedging()
+        for number in range(200):
+            hedging.record("stock", 0.35 if number % 6 == 0 else 0.11)
+        self.assertAlmostEqual(0.35, hedging.delay_s("stock", True))
+        self.assertAlmostEqual(0.22, hedging.delay_s("stock", True, objective_s=0.4))
+        self.assertAlmostEqual(0.22, hedging.delay_s("stock", True, objective_s=0.1))
+        self.assertAlmostEqual(0.35, hedging.delay_s("stock", True, objective_s=2.0))
+
     def test_non_idempotent_calls_are_never_hedged(self):
         """Guards against a non-idempotent call, such as a booking, that runs twice."""
         hedging = Hedging()
--- a/monsoontack/gateway/callrun.py
+++ b/monsoontack/gateway/callrun.py
@@ -64,9 +64,10 @@
         forwarder.sender.gate.note_request(job.service, self.now())
         if forwarder.rollouts is not None:
             forwarder.rollouts.note_request(job.service)
-        delay_s = forwarder.hedging.delay_s(job.service, self.repeatable)
+        objective_s = job.route.objective_s
+        delay_s = forwarder.hedging.delay_s(job.service, self.repeatable, objective_s)
         if self.repeatable:
-            delay_s = delay_s or DEFAULT_HEDGE_DELAY_SHARE * job.route.objective_s
+            delay_s = delay_s or DEFAULT_HEDGE_DELAY_SHARE * objective_s
             self.hedge_at = job.started_at + delay_s
         if not self._start_attempt():
             return self._no_server_error()
@@ -189,6 +190,8 @@
             left_s=max(job.left_s(started_at), 0.001),
             account=job.account.name if job.account else None,
         )
+        times, key = self.forwarder.times.of_service(job.service), member.limit_key
+        call = times.begin(key, started_at)
         member.in_flight += 1
         rollouts = self.forwarder.rollouts
         if rollouts is not None:
@@ -204,6 +207,7 @@
                 await self._read_response(exchange, result)
         finally:
             member.in_flight -= 1
+            times.end(key, call, self.now(), result.is_success)
             record.ended_at = self.now()
             if rollouts is not None:
                 took_s = record.ended_at - started_at
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -23,6 +23,7 @@
 from monsoontack.gateway.rollouts import RolloutManager
 from monsoontack.gateway.sender import Sender
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.routing.calltimes import CallTimes
 from monsoontack.routing.picker import Picker
 
 # A server that rejected a call for lack of capacity gets no new call for this time.
@@ -46,11 +47,13 @@
     hedging: Hedging
     rng: random.Random
     rollouts: RolloutManager | None = None
+    times: CallTimes = field(default_factory=CallTimes)
     background: set[asyncio.Task] = field(default_factory=set)
     crash_detector: CrashDetector = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the detector of crashed servers."""
+        """Create the detector of crashed servers, and let times decide."""
+        self.picker.times = self.times
         self.crash_detector = CrashDetector(self.sender)
 
     async def serve(self, job: Job) -> None:
--- a/monsoontack/routing/picker.py
+++ b/monsoontack/routing/picker.py
@@ -5,7 +5,9 @@
 nearest group with free slots: the own failure domain, the own region, or the other
 region within the link budget. Within the group, a server that holds the prompt's
 prefix is preferred while its load is below a bound; otherwise the less loaded of two
-random servers is used.
+random servers is used. If the times of a service's calls differ much, a call goes to
+the server at which it is expected to end sooner, of two in the own region and one in
+the other region.
 """
 
 import random
@@ -17,9 +19,15 @@
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import BackendServer, Place, RouteRequest, ServerState
 from monsoontack.core.rendezvous import score
+from monsoontack.routing.calltimes import CallTimes, ServiceTimes
 from monsoontack.routing.ejection import Ejection
 from monsoontack.routing.linkbudget import EntryLinkBudget, LinkBudget
-from monsoontack.routing.load import mean_utilisation, slot_count, utilisation
+from monsoontack.routing.load import (
+    estimated_requests,
+    mean_utilisation,
+    slot_count,
+    utilisation,
+)
 from monsoontack.routing.prefix import PrefixIndex
 
 # A wider group of servers is considered once all servers of a group have this many
@@ -31,6 +39,12 @@
 # hold. It lies deep enough to distinguish conversations with the same system prompt.
 AFFINITY_BLOCK_INDEX = 3
 NO_SERVER_RETRY_S = 1.0
+# Time that a call has to save for traffic to another failure domain or region, which is
+# billed, as for prompts (`OTHER_REGION_COST_TOKENS` at 8 tokens per ms). Half of the
+# latter sends more calls to the other region, and as many are late
+# (`bench.callplacement`).
+OTHER_DOMAIN_COST_S = 0.025
+OTHER_REGION_COST_S = 0.19
 
 
 @dataclass(slots=True)
@@ -41,6 +55,7 @@
     link_budget: LinkBudget
     ejection: Ejection = field(default_factory=Ejection)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    times: CallTimes | None = None
 
     @classmethod
     def for_place(cls, place: Place, live_entries: int = 1, now: float = 0.0):
@@ -74,6 +89,10 @@
                     return Success(self._choose(request, other_region, rng))
                 if not own_region:
                     return Failure(self._link_budget_error(request, now))
+        times = self.times.of_service(request.service) if self.times else None
+        if times is not None and times.is_uneven and not request.prefix_blocks:
+            chosen = self._choose_sooner(request, healthy, times, now, rng)
+            return Success(chosen)
         return Success(
             self._choose(request, self._own_domain_or_region(own_region), rng)
         )
@@ -104,11 +123,52 @@
         own_domain = [s for s in own_region if s.server.place == self.place]
         return own_domain if _has_room(own_domain) else own_region
 
+    def _choose_sooner(
+        self,
+        request: RouteRequest,
+        healthy: list[ServerState],
+        times: ServiceTimes,
+        now: float,
+        rng: random.Random,
+    ) -> BackendServer:
+        """Choose the server at which a call is expected to end sooner.
+
+        One server of the own failure domain, if one there has room, is compared with
+        another one of the region, and the better one with one of the other region, as
+        far as the link budget allows.
+        """
+
+        def expected_s(state: ServerState) -> float:
+            in_flight = estimated_requests(state)
+            expected_s = times.expected_s(state.server.start_key, in_flight, now)
+            return expected_s + self._distance_s(state.server.place)
+
+        own_region, other_region = [], []
+        for state in _with_room(healthy):
+            is_near = state.server.place.region == self.place.region
+            (own_region if is_near else other_region).append(state)
+        own_domain = [s for s in own_region if s.server.place == self.place]
+        best = rng.choice(own_domain or own_region or other_region)
+        others = [s for s in own_region if s is not best]
+        if others:
+            best = min(best, rng.choice(others), key=expected_s)
+        if own_region and other_region:
+            far = rng.choice(other_region)
+            if expected_s(far) < expected_s(best):
+                if self.link_budget.take(request.cause, request.request_bytes, now):
+                    best = far
+        return best.server
+
+    def _distance_s(self, place: Place) -> float:
+        if place.region != self.place.region:
+            return OTHER_REGION_COST_S
+        return 0.0 if place == self.place else OTHER_DOMAIN_COST_S
+
     def _choose(
         self, request: RouteRequest, group: list[ServerState], rng: random.Random
     ) -> BackendServer:
         """Choose among the group's servers with free slots, or all if none has any."""
-        group = [s for s in group if utilisation(s) < FULL_UTILISATION] or group
+        group = _with_room(group)
         if request.prefix_blocks and len(group) > 1:
             preferred = self._choose_by_prefix(request, group)
             if preferred is not None:
@@ -167,6 +227,11 @@
     )
 
 
+def _with_room(group: list[ServerState]) -> list[ServerState]:
+    """Return the servers with free slots, or all if none has any."""
+    return [s for s in group if utilisation(s) < FULL_UTILISATION] or group
+
+
 def _has_room(group: Sequence[ServerState]) -> bool:
     return any(utilisation(state) < FULL_UTILISATION for state in group)
 
--- a/monsoontack/routing/picker_test.py
+++ b/monsoontack/routing/picker_test.py
@@ -10,6 +10,7 @@
     RouteRequest,
     ServerState,
 )
+from monsoontack.routing.calltimes import MIN_CALLS, CallTimes
 from monsoontack.routing.linkbudget import EntryLinkBudget
 from monsoontack.routing.picker import Picker
 
@@ -23,10 +24,24 @@
     return ServerState(server, LoadReport(running, 0, 4, 0.0), **changes)
 
 
-def pick_many(picker, servers, count=200, **fields):
+def end_calls(times, durations_s):
+    """Let calls of these durations end at a server that is not asked in the tests."""
+    service = times.of_service("desk")
+    for took_s in durations_s:
+        service.end("other", service.begin("other", 0.0), took_s, True)
+
+
+def uneven_times():
+    """Return times of which some are 2.5 times as long as the others."""
+    times = CallTimes()
+    end_calls(times, [0.1, 0.1, 0.1, 0.25] * MIN_CALLS)
+    return times
+
+
+def pick_many(picker, servers, count=200, at=0.0, **fields):
     rng = random.Random(7)
     request = RouteRequest("desk", "v1", "account", **fields)
-    results = [picker.pick(request, servers, 0.0, rng) for _ in range(count)]
+    results = [picker.pick(request, servers, at, rng) for _ in range(count)]
     return {result.unwrap().address for result in results}
 
 
@@ -47,6 +62,46 @@
         self.assertNotIn("far", pick_many(picker, [full, near, far]))
         self.assertEqual({"far"}, pick_many(picker, [far]))
 
+    def test_calls_leave_a_slow_spell(self):
+        """Load: servers take 2.5 times as long for 600 ms; guards against calls that
+        wait for the server of the own failure domain while others are idle."""
+        servers = [state("here", in_flight=1), state("near", NEAR), state("far", FAR)]
+        picker = Picker.for_place(HERE)
+        picker.times = uneven_times()
+        self.assertEqual({"near"}, pick_many(picker, servers, at=0.0))
+        idle = [state("here"), *servers[1:]]
+        self.assertEqual({"here"}, pick_many(picker, idle, at=0.0))
+
+    def test_slow_server_of_the_own_domain_is_left(self):
+        """Guards against calls to a server whose call in flight is overdue."""
+        picker = Picker.for_place(HERE)
+        picker.times = uneven_times()
+        here, near = state("here"), state("near", NEAR)
+        picker.times.of_service("desk").begin(here.server.start_key, 0.0)
+        self.assertEqual({"here"}, pick_many(picker, [here, near], at=0.01))
+        self.assertEqual({"near"}, pick_many(picker, [here, near], at=0.3))
+
+    def test_other_region_helps_a_busy_one_within_the_link_budget(self):
+        """Load: bursts of calls in one region; guards against calls that queue there
+        while the other region is idle, and against a link that is used up."""
+        servers = [state("here", running=3), state("near", NEAR, running=3)]
+        picker = Picker(HERE, EntryLinkBudget.for_entries(1000, 0.0))
+        picker.times = uneven_times()
+        servers.append(state("far", FAR))
+        chosen = pick_many(picker, servers, 50, at=0.0, request_bytes=1000)
+        self.assertIn("far", chosen)
+        self.assertIn("here", chosen)
+
+    def test_equal_times_choose_as_before(self):
+        """Guards against another choice only because the calls were measured."""
+        equal = CallTimes()
+        end_calls(equal, [0.1] * 2 * MIN_CALLS)
+        servers = [state("here", running=2), state("near", NEAR), state("far", FAR)]
+        picker = Picker.for_place(HERE)
+        before = pick_many(picker, servers)
+        picker.times = equal
+        self.assertEqual(before, pick_many(picker, servers))
+
     def test_own_requests_since_the_report_count(self):
         """Guards against a burst to the server with the least reported load."""
         busy = state("a", sent_since_report=3)
