Give up slow connections of calls in time, and show measured speeds

A call waited up to 0.35 s for a connection, longer than an objective of 0.4 s with a median of 0.11 s leaves for another server. The limit is now the objective minus two medians, 0.13 s at least, if another server is left; the call has not been sent, so this holds for non-idempotent calls as well. Servers are also compared when a call has been in flight for four medians, although calls take equally long otherwise, since 6 calls had to hang before a server counted as full.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -6,7 +6,8 @@
 decodes in 3.9 s on an idle engine, and in 6.9 s on an engine that prefills two other
 prompts. Every policy gets the same requests. `shared` is the product's decision with
 the load reported by all entries; `own` is the earlier version, in which an entry knew
-only its own requests.
+only its own requests. In `uneven`, every third engine takes 1.3 times as long, and the
+decision knows its speed or not.
 """
 
 import random
@@ -15,7 +16,12 @@
 
 from bench.registry import Figure, measurement
 from monsoontack.core.records import Place
-from monsoontack.routing.placement import EngineCandidate, PromptAffinity, choose_engine
+from monsoontack.routing.placement import (
+    DEFAULT_PREFILL_S_PER_TOKEN,
+    EngineCandidate,
+    PromptAffinity,
+    choose_engine,
+)
 
 ENGINE_COUNT, ENTRY_COUNT, REQUESTS_PER_S = 47, 26, 12.2
 FAILURE_DOMAINS = tuple(Place(f"d{n}", "north" if n < 3 else "south") for n in range(6))
@@ -25,6 +31,7 @@
 # Fraction of its speed at which an engine decodes during a prefill, and the slowdown
 # by each further generation.
 DECODE_SPEED_DURING_PREFILL, SLOWDOWN_PER_GENERATION = 0.08, 0.03
+SLOW_FACTOR, SLOW_INTERVAL = 1.3, 3
 WARM_UP_S, SIMULATED_S = 20.0, 120.0
 # Nine of ten streams end in time to survive the loss of their entry 8 s later. The
 # 90th percentile was 10.9 s when an entry knew only its own requests.
@@ -46,14 +53,17 @@
     """An engine that prefills `queue` in order and decodes `generations`.
 
     An item of `queue` is a generation and the seconds of prefill that remain.
+    `clock_s` is the work done, of which the engine needs `slowness` seconds each.
     """
 
     queue: list[list] = field(default_factory=list)
     generations: list[ModelGeneration] = field(default_factory=list)
     clock_s: float = 0.0
+    slowness: float = 1.0
 
     def advance(self, until: float) -> None:
         """Simulate the engine up to the time `until`."""
+        until /= self.slowness
         while self.clock_s < until:
             step_s, speed = until - self.clock_s, self._decode_speed()
             if self.queue:
@@ -76,7 +86,7 @@
         self.clock_s += step_s
         for generation in self.generations:
             generation.remaining_s -= step_s * speed
-            generation.ended_at = self.clock_s
+            generation.ended_at = self.clock_s * self.slowness
         self.generations = [
             generation
             for generation in self.generations
@@ -110,14 +120,18 @@
 Policy = Callable[[PlacementRequest], int]
 
 
-def product_policy(uses_all_entries: bool) -> Policy:
-    """Return the product's policy with the load of all entries or of its own only."""
+def product_policy(uses_all_entries: bool, knows_speeds: bool = False) -> Policy:
+    """Return the product's policy with the load of all entries or of its own only.
+
+    With `knows_speeds` it has measured the speeds of the engines.
+    """
 
     def choose(request: PlacementRequest) -> int:
         known_entry = None if uses_all_entries else request.entry
         candidates = []
         for number, engine in enumerate(request.engines):
             generations = engine.generations_of(known_entry)
+            slowness = engine.slowness if knows_speeds else 1.0
             waiting = sum(1 for item in engine.queue if item[0] in generations)
             candidate = EngineCandidate(
                 key=str(number),
@@ -127,6 +141,7 @@
                 waiting_tokens=PROMPT_TOKENS * waiting,
                 held_tokens=(PROMPT_TOKENS + OUTPUT_TOKENS) * len(generations),
                 memory_tokens=KV_CAPACITY_TOKENS,
+                prefill_s_per_token=slowness * DEFAULT_PREFILL_S_PER_TOKEN,
             )
             candidates.append(candidate)
         place = FAILURE_DOMAINS[request.entry % len(FAILURE_DOMAINS)]
@@ -163,11 +178,19 @@
 
 
 def simulate(
-    policy: Policy, seed: int, requests_per_s: float = REQUESTS_PER_S
+    policy: Policy,
+    seed: int,
+    requests_per_s: float = REQUESTS_PER_S,
+    slow_factor: float = 1.0,
 ) -> list[float]:
-    """Return the sorted durations of all streams sent after the warm-up, in seconds."""
+    """Return the sorted durations of all streams sent after the warm-up, in seconds.
+
+    Every third engine takes `slow_factor` times as long as the others.
+    """
     arrivals, rng = random.Random(seed), random.Random(seed + 1)
     engines = [ModelEngine() for _ in range(ENGINE_COUNT)]
+    for engine in engines[::SLOW_INTERVAL]:
+        engine.slowness = slow_factor
     generations: list[ModelGeneration] = []
     now = 0.0
     while now < SIMULATED_S:
@@ -212,3 +235,9 @@
             yield Figure.at_most(figure, p90(times_s), "s", SHARED_P90_LIMIT_S)
         else:
             yield Figure(figure, p90(times_s), "s")
+    for name, knows_speeds in (("known", True), ("unknown", False)):
+        policy = product_policy(True, knows_speeds)
+        times_s = simulate(policy, seed, slow_factor=SLOW_FACTOR)
+        mean_s = sum(times_s) / len(times_s)
+        yield Figure(f"placement.uneven.{name}.stream.mean", mean_s, "s")
+        yield Figure(f"placement.uneven.{name}.stream.p90", p90(times_s), "s")
--- a/monsoontack/gateway/callrun.py
+++ b/monsoontack/gateway/callrun.py
@@ -1,6 +1,7 @@
 """Serves one call by attempts, with retries and hedging, until it has a response."""
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from monsoontack.core.errors import RequestError, RunState
@@ -11,6 +12,7 @@
 from monsoontack.gateway.outbound import ExchangeFailure, FailureKind, HttpExchange
 from monsoontack.gateway.records import Attempt, ResponseHead
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.routing.calltimes import ServiceTimes
 
 if TYPE_CHECKING:
     from monsoontack.gateway.calls import CallForwarder
@@ -185,12 +187,13 @@
         record = AttemptRecord(member.server.incarnation, started_at)
         job.tries.append(record)
         result = AttemptResult(member, record)
+        times, key = self.forwarder.times.of_service(job.service), member.limit_key
         attempt = Attempt(
             server=member.server,
             left_s=max(job.left_s(started_at), 0.001),
             account=job.account.name if job.account else None,
+            connect_s=self._connect_limit_s(times),
         )
-        times, key = self.forwarder.times.of_service(job.service), member.limit_key
         call = times.begin(key, started_at)
         member.in_flight += 1
         rollouts = self.forwarder.rollouts
@@ -219,6 +222,11 @@
             self.forwarder.hedging.record(job.service, self.now() - started_at)
         return result
 
+    def _connect_limit_s(self, times: ServiceTimes) -> float:
+        """Return the time for a connection, which is short if others are left."""
+        others = set(self.forwarder.fleet.limit_keys(self.job.service)) - self.excluded
+        return times.connect_limit_s(self.job.route.objective_s) if others else math.inf
+
     def _record_crash_evidence(self, result: AttemptResult, started_at: float) -> None:
         """Record whether the server answered the call or may have ended under it."""
         content, failure = self.job.content, result.failure
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -489,6 +489,7 @@
         metrics.blocked_prompt_parts.set(len(blamed) - blocked_requests)
         for service, members in self.fleet.by_service.items():
             metrics.servers.labels(service).set(len(members))
+        metrics.update_speeds(self.gateway.streams.speeds, self.gateway.calls.times)
         if self.log_writer is not None:
             metrics.log_lines_dropped.set(self.log_writer.dropped)
 
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -15,6 +15,8 @@
 )
 
 from monsoontack.admission.serverstatement import ServerStatement
+from monsoontack.routing.calltimes import CallTimes
+from monsoontack.routing.enginespeeds import EngineSpeeds
 
 ANSWER_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 25.0)
 GAP_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 2.0, 5.0)
@@ -42,6 +44,9 @@
     blocked_prompt_parts: Gauge = None
     blocked_requests: Gauge = None
     servers: Gauge = None
+    prefill_s: Gauge = None
+    step_s: Gauge = None
+    call_s: Gauge = None
     store_feed_up: Gauge = None
     store_restorations: Counter = None
     log_lines_dropped: Gauge = None
@@ -135,6 +140,19 @@
             "blocked_requests", "Requests that crash servers when they come again"
         )
         self.servers = gauge("servers", "Backend servers in use", ("service",))
+        self.prefill_s = gauge(
+            "prefill_seconds_per_token",
+            "Time in which an engine reads a prompt token",
+            ("service",),
+        )
+        self.step_s = gauge(
+            "step_seconds",
+            "Time of an engine's step without disturbances",
+            ("service",),
+        )
+        self.call_s = gauge(
+            "call_seconds", "Usual time of a call at a plain server", ("service",)
+        )
         self.store_feed_up = gauge(
             "store_feed_up", "Whether the store answers a feed", ("feed",)
         )
@@ -142,6 +160,14 @@
             "log_lines_dropped", "Log lines dropped since nobody read them"
         )
 
+    def update_speeds(self, engines: EngineSpeeds, calls: CallTimes) -> None:
+        """Set the measured speeds of all services."""
+        for service, speeds in engines.services.items():
+            self.prefill_s.labels(service).set(speeds.prefill_s_per_token)
+            self.step_s.labels(service).set(speeds.step_s)
+        for service, times in calls.services.items():
+            self.call_s.labels(service).set(times.usual_s)
+
     def count_statement(self, said: ServerStatement) -> None:
         """Count what a response of a server says of it for the first time."""
         state = "leaving" if said.is_leaving else "asked_for_time"
--- a/monsoontack/gateway/records.py
+++ b/monsoontack/gateway/records.py
@@ -4,6 +4,7 @@
 durations end in `_s`. HTTP header names are lower-case bytes.
 """
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -184,6 +185,7 @@
 
     `left_s` is the time that the server may use. `backup` is the address of an engine
     that gets a copy of the run's KV cache; with `copy`, the run resumes from that copy.
+    `connect_s` bounds the time for a new connection.
     """
 
     server: BackendServer
@@ -193,6 +195,7 @@
     backup: str | None = None
     copy: KvCacheCopy | None = None
     last_event_id: str | None = None
+    connect_s: float = math.inf
 
 
 # A caller takes each of these as a promise that its request has not run and never will.
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -66,7 +66,7 @@
         permit = self.gate.take(member.limit_key, self.now())
         if permit is None:
             return NO_PERMIT
-        timeout_s = min(CONNECT_TIMEOUT_S, attempt.left_s)
+        timeout_s = min(CONNECT_TIMEOUT_S, attempt.connect_s, attempt.left_s)
         connection = await self.pool.acquire(*member.key, timeout_s, request.request_id)
         if isinstance(connection, ExchangeFailure):
             self.gate.give_back(permit)
--- a/monsoontack/gateway/statedump.py
+++ b/monsoontack/gateway/statedump.py
@@ -53,6 +53,8 @@
             if is_request(part)
         },
         "limit_parent": permits.parent,
+        "measured_engines": daemon.gateway.streams.speeds.state(),
+        "measured_calls": daemon.gateway.calls.times.state(),
         "permits_expired": permits.expired_permits,
         "servers": [
             _server_state(daemon, member, now)
--- a/monsoontack/routing/calltimes.py
+++ b/monsoontack/routing/calltimes.py
@@ -7,6 +7,7 @@
 how long the calls of the others make them wait. All times are in seconds.
 """
 
+import math
 import statistics
 from collections import deque
 from dataclasses import dataclass, field
@@ -29,6 +30,13 @@
 # A call in flight for this many times the usual time shows that its server is slow.
 # With 1.5, more calls were late in bursts (`bench.callplacement`).
 OVERDUE_FACTOR = 1.2
+# So does one for this many times the usual time even if calls take equally long, since
+# an answer is that late by no noise: the server hangs.
+HUNG_FACTOR = 4.0
+# Least time for a connection: a round trip between regions, and 0.1 s for a busy loop.
+MIN_CONNECT_S = 0.13
+# Usual times that have to be left for another server after a connection that failed.
+SECOND_SERVER_FACTOR = 2.0
 # Servers that get no calls any more are evicted above this number, oldest first.
 MAX_SERVERS = 2000
 
@@ -62,9 +70,30 @@
 
     @property
     def is_uneven(self) -> bool:
-        """Whether calls take so differently long that servers are compared."""
+        """Whether calls take differently long, so that servers are compared."""
         return self.count >= MIN_CALLS and self.tail_s >= UNEVEN_FACTOR * self.usual_s
 
+    def compares_servers(self, now: float) -> bool:
+        """Whether servers are compared, also since one of them seems to hang."""
+        if self.is_uneven or self.count < MIN_CALLS:
+            return self.is_uneven
+        since = now - HUNG_FACTOR * self.usual_s
+        return any(
+            next(iter(times.started_at.values())) < since
+            for times in self.servers.values()
+            if times.started_at
+        )
+
+    def connect_limit_s(self, objective_s: float) -> float:
+        """Return the time for a connection after which another server is in time.
+
+        A call that has not been sent may go to another server, whatever it does.
+        """
+        if self.count < MIN_CALLS:
+            return math.inf
+        latest_s = objective_s - SECOND_SERVER_FACTOR * self.usual_s
+        return max(latest_s, MIN_CONNECT_S)
+
     def begin(self, start_key: str, now: float) -> int:
         """Record that a call is sent; return its number for `end`."""
         times = self.servers.get(start_key)
--- a/monsoontack/routing/calltimes_test.py
+++ b/monsoontack/routing/calltimes_test.py
@@ -1,5 +1,6 @@
 """Tests of the measured times of calls."""
 
+import math
 import unittest
 
 from monsoontack.routing.calltimes import MIN_CALLS, SAMPLE_AGE_S, ServiceTimes
@@ -38,6 +39,13 @@
         end_calls(self.times, "b@1", [1.0] * 24)
         self.assertAlmostEqual(self.times.usual_s, self.times.service_s("b@2", 1.0))
 
+    def test_connection_leaves_time_for_another_server(self):
+        """Load: servers restart, some silently; guards against calls that are late
+        since they wait 0.35 s for a connection, and against limits below the noise."""
+        self.assertAlmostEqual(0.2, self.times.connect_limit_s(0.4))
+        self.assertGreater(self.times.connect_limit_s(0.1), 0.1)
+        self.assertEqual(math.inf, ServiceTimes().connect_limit_s(0.4))
+
     def test_failures_at_once_do_not_look_fast(self):
         """Guards against a server that attracts calls as it fails them at once."""
         end_calls(self.times, "b", [0.001] * 24, is_answered=False)
--- a/monsoontack/routing/picker.py
+++ b/monsoontack/routing/picker.py
@@ -90,7 +90,11 @@
                 if not own_region:
                     return Failure(self._link_budget_error(request, now))
         times = self.times.of_service(request.service) if self.times else None
-        if times is not None and times.is_uneven and not request.prefix_blocks:
+        if (
+            times is not None
+            and not request.prefix_blocks
+            and times.compares_servers(now)
+        ):
             chosen = self._choose_sooner(request, healthy, times, now, rng)
             return Success(chosen)
         return Success(
--- a/monsoontack/routing/picker_test.py
+++ b/monsoontack/routing/picker_test.py
@@ -92,6 +92,18 @@
         self.assertIn("far", chosen)
         self.assertIn("here", chosen)
 
+    def test_hung_server_is_left_although_calls_are_equal(self):
+        """Load: a server hangs; guards against calls that follow those that hang there
+        until it counts as full."""
+        equal = CallTimes()
+        end_calls(equal, [0.1] * 2 * MIN_CALLS)
+        picker = Picker.for_place(HERE)
+        picker.times = equal
+        here, near = state("here", in_flight=1), state("near", NEAR)
+        equal.of_service("desk").begin(here.server.start_key, 0.0)
+        self.assertEqual({"here"}, pick_many(picker, [here, near], at=0.3))
+        self.assertEqual({"near"}, pick_many(picker, [here, near], at=0.5))
+
     def test_equal_times_choose_as_before(self):
         """Guards against another choice only because the calls were measured."""
         equal = CallTimes()
