Subtract what an engine has read of its prompt from the expected first event

A prompt counts as waiting until its first event, so expected times at queues were 0.52 s too long in a trial with 56 modelled engines and random placement, and the measured reading times too short. Half of a usual prompt is now subtracted; the mean error is 0.05 s there (268 of 884 prompts met a queue).

Tests of streams, routing and documents pass (176, 0 failed).

--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -32,6 +32,7 @@
 from monsoontack.generation.streamtimeouts import decaying_maximum
 from monsoontack.inbound.responder import CallerDisconnectedError
 from monsoontack.routing.enginespeeds import StepWindow
+from monsoontack.routing.placement import unread_tokens
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
@@ -311,8 +312,9 @@
         if not self.resumed:
             took_s = now - self.sent_at
             self.run.stream_timeouts.note_first_event(self.tokens_to_read, took_s)
-            key = self.member.limit_key
-            self.speeds.note_first_event(key, self.tokens_to_read, took_s)
+            tokens = self.tokens_to_read - self.tokens_ahead
+            tokens += unread_tokens(self.tokens_ahead)
+            self.speeds.note_first_event(self.member.limit_key, tokens, took_s)
         self.run.forwarder.fleet.note_alive(self.member, now)
 
     async def _detect_silence(self) -> str | None:
--- a/monsoontack/routing/enginespeeds.py
+++ b/monsoontack/routing/enginespeeds.py
@@ -87,11 +87,11 @@
         if step_s > 0:
             self._samples(start_key).steps_s.append(step_s)
 
-    def note_first_event(self, start_key: str, tokens: int, took_s: float) -> None:
+    def note_first_event(self, start_key: str, tokens: float, took_s: float) -> None:
         """Record the time to a first event.
 
         `tokens` are the prompt tokens that the engine had to read before, those of runs
-        ahead included.
+        ahead that it had not read yet included.
         """
         if tokens < MIN_PROMPT_TOKENS or took_s <= 0:
             return
--- a/monsoontack/routing/placement.py
+++ b/monsoontack/routing/placement.py
@@ -32,6 +32,10 @@
 # Speeds that are assumed until an engine is measured.
 DEFAULT_PREFILL_S_PER_TOKEN = 1 / 8000
 DEFAULT_STEP_S = 0.004
+# Half of a usual prompt. A prompt counts as waiting until its first event, so half of
+# the one that an engine reads has been read on average. Without this, expected times
+# at queues were 0.52 s too long, now 0.05 s (268 modelled prompts).
+HALF_PROMPT_TOKENS = 4000
 # Duration of a run beside others (users' benchmark). It tells when a full engine has a
 # free slot, since its runs end evenly spread over it.
 RUN_S = 3.9
@@ -85,13 +89,18 @@
         return self.in_flight < self.slots
 
 
+def unread_tokens(waiting_tokens: float) -> float:
+    """Return how many of an engine's waiting prompt tokens it has not read yet."""
+    return max(waiting_tokens - HALF_PROMPT_TOKENS, waiting_tokens / 2)
+
+
 def expected_first_event_s(engine: EngineCandidate, uncached_tokens: float) -> float:
     """Return the expected time to the first event of a new run, in seconds.
 
     `uncached_tokens` is the part of the run's prompt that the engine has to prefill. A
     full engine first has to end as many runs as are in flight above its free slots.
     """
-    tokens = engine.waiting_tokens + uncached_tokens
+    tokens = unread_tokens(engine.waiting_tokens) + uncached_tokens
     expected_s = tokens * engine.prefill_s_per_token + engine.step_s
     runs_before = max(engine.in_flight + 1 - engine.slots, 0)
     return expected_s + runs_before * RUN_S / max(engine.slots, 1)
