Divide engines among groups of gateways, and send starts ahead of the rate

Above 33 gateways a gateway heard of 32 others and took the rest for idle, and any message, also one with mere ends of runs, delayed the start of the next run by up to 0.3 s at 31 gateways.

Gateways now form groups of at most 33 that exchange load with each other, and services with 12 engines or more for each group are divided among the groups within each failure domain. Engines of other groups count as busier than the own ones; those of one other group take the overflow when the own ones are full. With fewer servers the groups share them, and usage is scaled by region. Up to 33 gateways all stays one group. Starts of runs may go three messages ahead of the rate to a peer, first events one, which later messages make up for; with fewer than five peers the rate is as before.

--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -112,12 +112,10 @@
         now = self.sender.now()
         traits = self.engine_traits(job.service)
         loads = {}
-        others = (
-            {}
-            if self.load_exchange is None
-            else self.load_exchange.peer_loads.totals(now)
-        )
         members = self.fleet.of_service(job.service)
+        others = {}
+        if self.load_exchange is not None:
+            others = self.load_exchange.others_usage(job.service, members, traits, now)
         if self.rollouts is not None:
             members = self.rollouts.eligible_servers(
                 job.service,
--- a/monsoontack/loadview/exchange.py
+++ b/monsoontack/loadview/exchange.py
@@ -11,17 +11,18 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
 import structlog
 
-from monsoontack.core.rendezvous import ranked, stable_hash
 from monsoontack.gateway.fleet import Member
-from monsoontack.gateway.peers import PeerEntry, call_peer
+from monsoontack.gateway.peers import PeerEntry, PeerResponse, call_peer
 from monsoontack.gateway.pool import ConnectionPool
-from monsoontack.gateway.records import RawRequest
+from monsoontack.gateway.records import EngineTraits, RawRequest
 from monsoontack.inbound.responder import Responder
+from monsoontack.loadview.estimate import UsageEstimator
+from monsoontack.loadview.groups import group_of
 from monsoontack.loadview.messages import (
     NO_USAGE,
     EngineUsage,
@@ -30,7 +31,12 @@
     decode_message,
     encode_message,
 )
-from monsoontack.loadview.outbox import MAX_MESSAGES_PER_S, MAX_PEERS, PeerOutbox
+from monsoontack.loadview.outbox import (
+    FIRST_EVENT_AHEAD,
+    MAX_MESSAGES_PER_S,
+    START_AHEAD,
+    PeerOutbox,
+)
 from monsoontack.loadview.peerloads import REFRESH_INTERVAL_S, PeerLoads
 
 log = structlog.get_logger("gateway.loadnews")
@@ -45,6 +51,8 @@
 FAILED_PEER_PAUSE_S = 2.0
 OK, BAD_REQUEST, UNKNOWN_SENDER = 200, 400, 409
 
+PeerCall = Callable[[PeerEntry, bytes], Awaitable[PeerResponse | None]]
+
 
 @dataclass(slots=True)
 class LoadExchange:
@@ -55,7 +63,9 @@
     called for the starts of engines and the prompts in a peer's message, `on_report`
     once a message was applied; `recent_prompts` returns the prompts for a full message.
     `own_waiting` returns the requests that wait at this entry, by service and priority,
-    with their prompt tokens; it is read when a message is encoded.
+    with their prompt tokens; it is read when a message is encoded. `call` sends a
+    message to a peer, over `pool` by default. `start_ahead` and `first_event_ahead` are
+    the messages that starts of runs and first events may be sent ahead of the rate.
     """
 
     name: str
@@ -71,6 +81,10 @@
     on_report: Callable[[], None] = lambda: None
     recent_prompts: Callable[[], dict[str, str]] = dict
     own_waiting: Callable[[], WaitingByService] = dict
+    call: PeerCall | None = None
+    estimator: UsageEstimator = field(default_factory=UsageEstimator)
+    start_ahead: int = START_AHEAD
+    first_event_ahead: int = FIRST_EVENT_AHEAD
     now: Callable[[], float] = lambda: asyncio.get_running_loop().time()
 
     @property
@@ -79,18 +93,39 @@
         return len(self.outboxes) / MAX_MESSAGES_PER_S
 
     def set_peers(self, entries: dict[str, PeerEntry]) -> None:
-        """Replace the peers; of more than `MAX_PEERS`, take the first by hash."""
-        names = [n for n, p in entries.items() if p.address and n != self.name]
-        chosen = ranked(stable_hash(self.name), names)[:MAX_PEERS]
+        """Replace the list of entries; the peers are those of the own group."""
+        group = group_of(self.name, entries)
+        self.estimator.group = group
+        self.estimator.heard = {n: peer.region for n, peer in group.members.items()}
         previous = self.outboxes
         self.outboxes = {}
-        for name in chosen:
+        for name, peer in group.members.items():
             outbox = previous.get(name)
-            is_unchanged = outbox is not None and outbox.peer == entries[name]
-            self.outboxes[name] = outbox if is_unchanged else PeerOutbox(entries[name])
+            is_unchanged = outbox is not None and outbox.peer == peer
+            self.outboxes[name] = outbox if is_unchanged else PeerOutbox(peer)
             if not is_unchanged:
                 self._schedule_send(self.outboxes[name])
 
+    def others_usage(
+        self, service: str, servers: list[Member], traits: EngineTraits, now: float
+    ) -> dict[str, EngineUsage]:
+        """Return the usage of a service's servers by other entries, by their start.
+
+        Up to 33 entries it is the sum of the reports of all, else an estimate.
+        """
+        totals = self.peer_loads.totals(now)
+        if self.estimator.group.count == 1:
+            return totals
+        usage_by_peer = self.peer_loads.usage_by_peer
+        return self.estimator.estimate(usage_by_peer, service, servers, traits)
+
+    def sharing_count(self, server_count: int) -> int:
+        """Return how many entries, this one included, share its servers of a service.
+
+        `server_count` is the number of all servers of the service.
+        """
+        return self.estimator.sharing_count(server_count)
+
     def mark_changed(self, members: Iterable[Member], is_start: bool) -> None:
         """Mark the figures of engines as changed; send the start of a run at once."""
         for member in members:
@@ -98,7 +133,18 @@
             for outbox in self.outboxes.values():
                 outbox.changed.add(member.limit_key)
         if is_start:
-            self.flush()
+            self._send_ahead(self.start_ahead)
+
+    def mark_prompt_read(self, member: Member) -> None:
+        """Send that an engine has read a prompt, soon after the starts of runs."""
+        self.mark_changed([member], is_start=False)
+        if self.first_event_ahead:
+            self._send_ahead(self.first_event_ahead)
+
+    def _send_ahead(self, messages: int) -> None:
+        for outbox in self.outboxes.values():
+            outbox.ahead = max(outbox.ahead, messages)
+        self.flush()
 
     def mark_waiting_changed(self) -> None:
         """Mark the requests that wait here as changed; the next message has them."""
@@ -204,9 +250,7 @@
             while True:
                 is_full = outbox.needs_full
                 body = encode_message(self._take_message(outbox))
-                response = await call_peer(
-                    self.pool, outbox.peer, PATH, CALL_TIMEOUT_S, body
-                )
+                response = await self._call(outbox.peer, body)
                 status = response.status if response is not None else None
                 if status == OK:
                     outbox.note_sent(self.now(), self.interval_s)
@@ -228,6 +272,11 @@
         if outbox.is_urgent:
             self._schedule_send(outbox)
 
+    async def _call(self, peer: PeerEntry, body: bytes) -> PeerResponse | None:
+        if self.call is not None:
+            return await self.call(peer, body)
+        return await call_peer(self.pool, peer, PATH, CALL_TIMEOUT_S, body)
+
     def _take_message(self, outbox: PeerOutbox) -> LoadMessage:
         """Return the next message to a peer, and empty its outbox."""
         is_full = outbox.needs_full
@@ -254,7 +303,7 @@
             waiting=waiting,
         )
         outbox.changed, outbox.failed, outbox.prompts = set(), set(), {}
-        outbox.waiting_changed = False
+        outbox.waiting_changed, outbox.ahead = False, 0
         return message
 
     async def handle(self, raw: RawRequest, responder: Responder) -> None:
--- a/monsoontack/loadview/outbox.py
+++ b/monsoontack/loadview/outbox.py
@@ -1,8 +1,9 @@
 """Updates that wait for one peer, and the rate of messages to it.
 
 The messages of an entry are limited to `MAX_MESSAGES_PER_S` for all peers together,
-whatever the traffic and the number of entries. Urgent updates may go ahead of the
-rate by a few messages, which later ones make up for.
+whatever the traffic and the number of entries. Updates that others wait for may go
+ahead of the rate by a few messages, which later ones make up for; ends of runs, which
+only make an engine look busier than it is, may not.
 """
 
 import asyncio
@@ -16,9 +17,14 @@
 # core. With 25 peers, each gets a message at most every 0.25 s.
 MAX_PEERS = 32
 MAX_MESSAGES_PER_S = 100
-# Urgent messages to one peer that may be sent ahead of the rate: the engines of a
-# domain that restarts are found unreachable a few at a time.
-MAX_URGENT_AHEAD = 4
+# Messages to one peer that may be sent ahead of the rate. The engines of a domain that
+# restarts are found unreachable a few at a time. Starts of runs come in bursts, and the
+# next one of any entry should know of them. A first event frees the engine for the next
+# prompt.
+URGENT_AHEAD, START_AHEAD, FIRST_EVENT_AHEAD = 4, 3, 1
+# With few peers the rate delays a start by less than two round trips between regions,
+# so starts and first events do not go ahead of it.
+MIN_AHEAD_INTERVAL_S = 0.05
 
 
 @dataclass(slots=True)
@@ -31,7 +37,8 @@
     when the requests that wait at this entry have changed. `is_first` is true until a
     message was delivered, `needs_full` requests a full message, `last_sent_at` is the
     time of the last delivered message. `next_send_at` limits the rate of messages other
-    than full ones; `timer` is set while a message waits for it. Nothing is sent until
+    than full ones; starts of runs and first events may be `ahead` of it by so many
+    messages. `timer` is set while a message waits for the rate. Nothing is sent until
     `paused_until`. `is_failing` is set while calls to the peer fail.
     """
 
@@ -42,6 +49,7 @@
     alive: set[str] = field(default_factory=set)
     prompts: dict[str, str] = field(default_factory=dict)
     waiting_changed: bool = False
+    ahead: int = 0
     is_first: bool = True
     needs_full: bool = True
     is_failing: bool = False
@@ -70,9 +78,10 @@
         """
         if self.needs_full:
             return float("-inf")
+        ahead = self.ahead if interval_s >= MIN_AHEAD_INTERVAL_S else 0
         if self.is_urgent:
-            return self.next_send_at - MAX_URGENT_AHEAD * interval_s
-        return self.next_send_at
+            ahead = URGENT_AHEAD
+        return self.next_send_at - ahead * interval_s
 
     def note_sent(self, now: float, interval_s: float) -> None:
         """Count a delivered message against the rate."""
