Place calls by the calls that other gateways report, and show the age of the view

A gateway knew only its own calls in flight. With 31 gateways and 6 servers these are 0 or 1, so gateways kept sending calls to a server that others had filled.

Load messages get the optional field `calls`, the mean number of calls in flight at each plain server over 2 s, once a second at most and only in messages that streams cause. Placement adds it to the own calls in flight. The gauge `monsoontack_load_view_age_seconds` has the age of the oldest report in use.

--- a/monsoontack/core/records.py
+++ b/monsoontack/core/records.py
@@ -142,12 +142,13 @@
 
     `sent_since_report` and `ended_since_report` count the requests that this entry has
     sent, and those that ended, since the time of the load report. `in_flight` counts
-    this entry's requests that are still running.
+    this entry's requests that are still running, and may include a mean of those of
+    other entries.
     """
 
     server: BackendServer
     load: LoadReport | None = None
-    in_flight: int = 0
+    in_flight: float = 0
     sent_since_report: int = 0
     ended_since_report: int = 0
     leaving: bool = False
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -23,6 +23,7 @@
 from monsoontack.gateway.rollouts import RolloutManager
 from monsoontack.gateway.sender import Sender
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.loadview.exchange import LoadExchange
 from monsoontack.routing.picker import Picker
 
 # A server that rejected a call for lack of capacity gets no new call for this time.
@@ -35,8 +36,8 @@
 class CallForwarder:
     """Forwards calls to plain services.
 
-    `background` holds the running attempts of non-idempotent calls whose callers have
-    disconnected.
+    `load_exchange`, if there is one, has the calls of other entries. `background` holds
+    the running attempts of non-idempotent calls whose callers have disconnected.
     """
 
     fleet: BackendFleet
@@ -46,6 +47,7 @@
     hedging: Hedging
     rng: random.Random
     rollouts: RolloutManager | None = None
+    load_exchange: LoadExchange | None = None
     background: set[asyncio.Task] = field(default_factory=set)
     crash_detector: CrashDetector = field(init=False)
 
@@ -137,14 +139,22 @@
             request_bytes=len(job.request.raw.body),
             cause="call",
         )
+        others = {}
+        if self.load_exchange is not None:
+            others = self.load_exchange.peer_calls(now)
         states = [
-            ServerState(member.server, in_flight=member.in_flight)
+            ServerState(member.server, in_flight=member.in_flight + others.get(key, 0))
             for key, member in members.items()
             if key not in excluded
         ]
         choice = self.picker.pick(route, states, now, self.rng)
         server = choice.value_or(None)
-        return None if server is None else members[server.start_key]
+        if server is None:
+            return None
+        member = members[server.start_key]
+        if self.load_exchange is not None:
+            self.load_exchange.note_call(member)
+        return member
 
     def record_result(self, result: AttemptResult, started_at: float) -> None:
         """Record a result as evidence about the health of its server."""
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -175,6 +175,7 @@
         daemon = cls(settings, config_state, fleet, pool, gateway, metrics)
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
         streams.share_load_with_peers(load_exchange)
+        calls.load_exchange = load_exchange
         for forwarder in (calls, streams):
             forwarder.crash_detector.on_crash = daemon._on_server_crash
         daemon.background_jobs.append(load_exchange.run)
@@ -489,6 +490,7 @@
         metrics.blocked_prompt_parts.set(len(blamed) - blocked_requests)
         for service, members in self.fleet.by_service.items():
             metrics.servers.labels(service).set(len(members))
+        metrics.load_view_age_s.set(self.gateway.streams.load_exchange.view_age_s(now))
         if self.log_writer is not None:
             metrics.log_lines_dropped.set(self.log_writer.dropped)
 
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -44,6 +44,7 @@
     servers: Gauge = None
     store_feed_up: Gauge = None
     store_restorations: Counter = None
+    load_view_age_s: Gauge = None
     log_lines_dropped: Gauge = None
 
     @classmethod
@@ -138,6 +139,10 @@
         self.store_feed_up = gauge(
             "store_feed_up", "Whether the store answers a feed", ("feed",)
         )
+        self.load_view_age_s = gauge(
+            "load_view_age_seconds",
+            "Age of the oldest report in use of another gateway's load",
+        )
         self.log_lines_dropped = gauge(
             "log_lines_dropped", "Log lines dropped since nobody read them"
         )
--- a/monsoontack/loadview/estimate.py
+++ b/monsoontack/loadview/estimate.py
@@ -85,10 +85,10 @@
         self, usage_by_peer: Mapping[str, Mapping[str, EngineUsage]], part_count: int
     ) -> dict[str, EngineUsage]:
         """Return the reported usage, scaled by region to all that use the own part."""
-        factors = self._factors(part_count)
+        factors = self.factors(part_count)
         sums: dict[str, list[float]] = {}
         for peer, peer_usage in usage_by_peer.items():
-            factor = factors.get(self.heard.get(peer, ""), 1.0)
+            factor = factors.get(peer, 1.0)
             for key, usage in peer_usage.items():
                 total = sums.setdefault(key, [0.0, 0.0, 0.0])
                 total[0] += factor * usage.runs
@@ -99,8 +99,11 @@
             for key, total in sums.items()
         }
 
-    def _factors(self, part_count: int) -> dict[str, float]:
-        """Return by which factor the usage of peers of a region stands for others."""
+    def factors(self, part_count: int) -> dict[str, float]:
+        """Return for how many gateways of its region the usage of each peer stands.
+
+        The gateways are those that use the own one of `part_count` parts.
+        """
         if part_count == self.group.count:
             return {}
         counts: dict[str, int] = {}
@@ -108,7 +111,10 @@
             counts[region] = counts.get(region, 0) + 1
         sharing = self.group.sharing(part_count)
         sharing[self.group.region] -= 1
-        return {region: max(sharing[region] / counts[region], 1.0) for region in counts}
+        return {
+            peer: max(sharing[region] / counts[region], 1.0)
+            for peer, region in self.heard.items()
+        }
 
     def _parts(
         self, service: str, servers: list[Member], part_count: int
--- a/monsoontack/loadview/exchange.py
+++ b/monsoontack/loadview/exchange.py
@@ -21,6 +21,7 @@
 from monsoontack.gateway.pool import ConnectionPool
 from monsoontack.gateway.records import EngineTraits, RawRequest
 from monsoontack.inbound.responder import Responder
+from monsoontack.loadview.callload import REPORT_INTERVAL_S, OwnCalls
 from monsoontack.loadview.estimate import UsageEstimator
 from monsoontack.loadview.groups import group_of
 from monsoontack.loadview.messages import (
@@ -82,6 +83,7 @@
     recent_prompts: Callable[[], dict[str, str]] = dict
     own_waiting: Callable[[], WaitingByService] = dict
     call: PeerCall | None = None
+    own_calls: OwnCalls = field(default_factory=OwnCalls)
     estimator: UsageEstimator = field(default_factory=UsageEstimator)
     start_ahead: int = START_AHEAD
     first_event_ahead: int = FIRST_EVENT_AHEAD
@@ -159,6 +161,17 @@
         """
         return self.peer_loads.waiting(service, now)
 
+    def note_call(self, member: Member) -> None:
+        """Include a plain server in the reports of calls; no message is sent for it."""
+        self.own_calls.members[member.limit_key] = member
+
+    def peer_calls(self, now: float) -> dict[str, float]:
+        """Return the mean number of other entries' calls in flight at each server.
+
+        It is a mean over some seconds, scaled by region above 33 entries.
+        """
+        return self.peer_loads.calls(self.estimator.factors(1), now)
+
     def view_age_s(self, now: float) -> float:
         """Return the age of the oldest report in use among live peers, in seconds.
 
@@ -196,6 +209,7 @@
         """Send queued updates, and refresh peers while there is load to report."""
         while True:
             await asyncio.sleep(FLUSH_INTERVAL_S)
+            self.own_calls.sample(FLUSH_INTERVAL_S)
             self.flush()
             has_load, due = self._has_load(), self.now() - REFRESH_INTERVAL_S
             for outbox in self.outboxes.values():
@@ -288,6 +302,7 @@
         if is_full and not waiting:
             waiting = None
         stale, alive = outbox.take_starts()
+        calls = self._calls_report(outbox)
         message = LoadMessage(
             peer=self.name,
             is_first=outbox.is_first,
@@ -301,11 +316,21 @@
             stale=stale,
             alive=alive,
             waiting=waiting,
+            calls=calls,
         )
         outbox.changed, outbox.failed, outbox.prompts = set(), set(), {}
         outbox.waiting_changed, outbox.ahead = False, 0
         return message
 
+    def _calls_report(self, outbox: PeerOutbox) -> dict[str, int] | None:
+        now = self.now()
+        if now < outbox.calls_due_at and not outbox.needs_full:
+            return None
+        outbox.calls_due_at = now + REPORT_INTERVAL_S
+        report, had_calls = self.own_calls.report(), outbox.has_calls
+        outbox.has_calls = bool(report)
+        return report if report or had_calls else None
+
     async def handle(self, raw: RawRequest, responder: Responder) -> None:
         """Apply a peer's message and answer it."""
         try:
--- a/monsoontack/loadview/messages.py
+++ b/monsoontack/loadview/messages.py
@@ -3,9 +3,10 @@
 A message holds the usage of the engines whose figures changed, or of all of them. It
 also names starts of engines that just failed (`failed`), that answered a wrong start or
 refused (`stale`) or that answered again (`alive`), the engines that received a prompt,
-and the requests that wait at the sender. Versions before `stale`, `alive` and `waiting`
-ignore these fields and do not send them. Engines are named by `Member.limit_key`, since
-nothing of this holds for another start of an engine.
+and the requests that wait at the sender. `calls` has the mean number of calls of the
+sender in flight at plain servers. Versions before `stale`, `alive`, `waiting` and
+`calls` ignore these fields and do not send them. Engines are named by
+`Member.limit_key`, since nothing of this holds for another start of an engine.
 """
 
 import json
@@ -16,6 +17,7 @@
 import msgspec
 
 from monsoontack.core.rawjson import decode_encodable
+from monsoontack.loadview.callload import MAX_SERVERS
 
 # Bound of the runs and tokens in a message, whose sums can still be divided.
 MAX_AMOUNT = 2**53
@@ -36,6 +38,7 @@
 Waiting = Annotated[
     dict[str, WaitingRows], msgspec.Meta(max_length=MAX_WAITING_SERVICES)
 ]
+Calls = Annotated[dict[str, Amount], msgspec.Meta(max_length=MAX_SERVERS)]
 # Waiting requests by service and priority: their number and their prompt tokens.
 WaitingByService = dict[str, dict[int, tuple[int, int]]]
 
@@ -69,7 +72,8 @@
     usage, `prompts` the id of a prompt's prefix to the engine that received it;
     `failed` lists the engines that failed, `stale` starts that answered 421 or refused,
     `alive` starts that answered again. `waiting` has all requests that wait at the
-    sender; None means that they are as before.
+    sender, `calls` the mean number of its calls in flight at each plain server, in
+    hundredths; None means that they are as before.
     """
 
     peer: str
@@ -81,6 +85,7 @@
     stale: tuple[str, ...] = ()
     alive: tuple[str, ...] = ()
     waiting: WaitingByService | None = None
+    calls: dict[str, int] | None = None
 
 
 class _Message(msgspec.Struct):
@@ -93,6 +98,7 @@
     stale: Starts = []
     alive: Starts = []
     waiting: Waiting | None = None
+    calls: Calls | None = None
 
 
 def encode_message(message: LoadMessage) -> bytes:
@@ -119,6 +125,8 @@
             document[name] = starts
     if message.waiting is not None:
         document["waiting"] = _waiting_document(message.waiting)
+    if message.calls is not None:
+        document["calls"] = message.calls
     return json.dumps(document, separators=(",", ":")).encode()
 
 
@@ -141,6 +149,7 @@
         stale=tuple(message.stale),
         alive=tuple(message.alive),
         waiting=waiting,
+        calls=message.calls,
     )
 
 
--- a/monsoontack/loadview/messages_test.py
+++ b/monsoontack/loadview/messages_test.py
@@ -21,6 +21,7 @@
     stale=("e3@0",),
     alive=("e4@0",),
     waiting={"chat": {0: (2, 16_000)}},
+    calls={"e5@0": 174},
 )
 
 
--- a/monsoontack/loadview/outbox.py
+++ b/monsoontack/loadview/outbox.py
@@ -34,12 +34,14 @@
     `changed` names engines whose figures changed, `failed` engines that failed,
     `stale` starts that answered 421 or refused, `alive` starts that answered again;
     `prompts` maps the id of a prompt's prefix to its engine. `waiting_changed` is set
-    when the requests that wait at this entry have changed. `is_first` is true until a
-    message was delivered, `needs_full` requests a full message, `last_sent_at` is the
-    time of the last delivered message. `next_send_at` limits the rate of messages other
-    than full ones; starts of runs and first events may be `ahead` of it by so many
-    messages. `timer` is set while a message waits for the rate. Nothing is sent until
-    `paused_until`. `is_failing` is set while calls to the peer fail.
+    when the requests that wait at this entry have changed. `calls_due_at` is when the
+    peer may be told of calls again, `has_calls` whether the last report had any.
+    `is_first` is true until a message was delivered, `needs_full` requests a full
+    message, `last_sent_at` is the time of the last delivered message. `next_send_at`
+    limits the rate of messages other than full ones; starts of runs and first events
+    may be `ahead` of it by so many messages. `timer` is set while a message waits for
+    the rate. Nothing is sent until `paused_until`. `is_failing` is set while calls to
+    the peer fail.
     """
 
     peer: PeerEntry
@@ -49,6 +51,8 @@
     alive: set[str] = field(default_factory=set)
     prompts: dict[str, str] = field(default_factory=dict)
     waiting_changed: bool = False
+    calls_due_at: float = 0.0
+    has_calls: bool = False
     ahead: int = 0
     is_first: bool = True
     needs_full: bool = True
--- a/monsoontack/loadview/peerloads.py
+++ b/monsoontack/loadview/peerloads.py
@@ -1,9 +1,11 @@
 """What peers reported: their usage of engines and the requests that wait at them."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import structlog
 
+from monsoontack.loadview.callload import UNIT
 from monsoontack.loadview.messages import (
     NO_USAGE,
     EngineUsage,
@@ -23,12 +25,14 @@
 class PeerLoads:
     """Usage reported by peers, by peer and by the start of the engine.
 
-    `waiting_by_peer` holds the requests that wait at peers; peers without any are left
-    out.
+    `waiting_by_peer` holds the requests that wait at peers, `calls_by_peer` the mean
+    number of their calls in flight by the start of the server, in hundredths; peers
+    without any are left out.
     """
 
     usage_by_peer: dict[str, dict[str, EngineUsage]] = field(default_factory=dict)
     waiting_by_peer: dict[str, WaitingByService] = field(default_factory=dict)
+    calls_by_peer: dict[str, dict[str, int]] = field(default_factory=dict)
     last_heard_at: dict[str, float] = field(default_factory=dict)
 
     def apply(self, message: LoadMessage, now: float) -> bool:
@@ -37,6 +41,7 @@
         if message.is_full:
             self.usage_by_peer[message.peer] = {}
             self.waiting_by_peer.pop(message.peer, None)
+            self.calls_by_peer.pop(message.peer, None)
         elif message.peer not in self.usage_by_peer:
             return False
         self.last_heard_at[message.peer] = now
@@ -46,10 +51,14 @@
                 current.pop(engine, None)
             else:
                 current[engine] = usage
-        if message.waiting:
-            self.waiting_by_peer[message.peer] = message.waiting
-        elif message.waiting is not None:
-            self.waiting_by_peer.pop(message.peer, None)
+        for reported, known in (
+            (message.waiting, self.waiting_by_peer),
+            (message.calls, self.calls_by_peer),
+        ):
+            if reported:
+                known[message.peer] = reported
+            elif reported is not None:
+                known.pop(message.peer, None)
         return True
 
     def totals(self, now: float) -> dict[str, EngineUsage]:
@@ -74,6 +83,19 @@
                 totals[priority] = known_requests + requests, known_tokens + tokens
         return totals
 
+    def calls(self, factors: Mapping[str, float], now: float) -> dict[str, float]:
+        """Return the mean number of peers' calls in flight at each server.
+
+        `factors` holds for how many gateways the report of a peer stands, 1 if absent.
+        """
+        self._drop_silent_peers(now)
+        totals: dict[str, float] = {}
+        for peer, means in self.calls_by_peer.items():
+            factor = UNIT * factors.get(peer, 1.0)
+            for server, mean in means.items():
+                totals[server] = totals.get(server, 0.0) + factor * mean
+        return totals
+
     def oldest_age_s(self, now: float) -> float:
         """Return the age in seconds of the oldest report in use, 0 without any.
 
@@ -95,6 +117,7 @@
         self.last_heard_at.pop(peer, None)
         peer_usage = self.usage_by_peer.pop(peer, None)
         waiting = self.waiting_by_peer.pop(peer, None)
+        self.calls_by_peer.pop(peer, None)
         if peer_usage or waiting:
             log.info(
                 "reported load of peer dropped",
--- a/monsoontack/routing/load.py
+++ b/monsoontack/routing/load.py
@@ -12,7 +12,7 @@
 from monsoontack.core.records import ServerState
 
 
-def estimated_requests(state: ServerState) -> int:
+def estimated_requests(state: ServerState) -> float:
     """Return the estimated number of requests that run or wait at a server."""
     if state.load is None:
         return state.in_flight
