Size parts of the servers by the gateways that share them

With fewer parts than groups, parts of equal size were shared by one or two groups each, so engines of some parts would have got twice the load. Servers are now cut into a slice for each group, and a part has the slices of its groups; the same cut keeps most servers in their part when the number of parts changes. Timers of peers that leave the group are cancelled.

--- a/monsoontack/loadview/estimate.py
+++ b/monsoontack/loadview/estimate.py
@@ -119,10 +119,11 @@
     def _parts(
         self, service: str, servers: list[Member], part_count: int
     ) -> dict[str, int]:
-        keys = [part_count, *(member.limit_key for member in servers)]
+        keys = [self.group.count, part_count, *(member.limit_key for member in servers)]
         cached = self.parts.get(service)
         if cached is None or cached[0] != keys:
-            cached = self.parts[service] = keys, parts_of(servers, part_count)
+            parts = parts_of(servers, self.group.count, part_count)
+            cached = self.parts[service] = keys, parts
         return cached[1]
 
 
--- a/monsoontack/loadview/estimate_test.py
+++ b/monsoontack/loadview/estimate_test.py
@@ -61,16 +61,28 @@
         """Guards against a part whose servers are all in the domain that restarts, and
         against a restart that moves servers whose load the new part does not know."""
         servers = engines(704)
-        parts = parts_of(servers, 12)
+        parts = parts_of(servers, 12, 12)
         sizes = Counter(parts.values())
         self.assertEqual(12, len(sizes))
         self.assertLessEqual(max(sizes.values()) - min(sizes.values()), 3)
         left = [m for m in servers if m.server.place != PLACES[0]]
         self.assertEqual({m.limit_key: parts[m.limit_key] for m in left},
-                         parts_of(left, 12))  # fmt: skip
+                         parts_of(left, 12, 12))  # fmt: skip
         by_domain = Counter(parts[m.limit_key] for m in left)
         self.assertGreater(min(by_domain.values()), 40)
 
+    def test_parts_have_servers_in_proportion_to_their_gateways(self):
+        """Guards against a part that twice as many gateways use as another one of the
+        same size."""
+        entries = gateways(390)
+        group = group_of("gateway-0", entries)
+        part_count = group.part_count(100)
+        self.assertEqual(8, part_count)
+        sizes = Counter(parts_of(engines(100), group.count, part_count).values())
+        for part in range(part_count):
+            groups = len(range(part, group.count, part_count))
+            self.assertAlmostEqual(100 * groups / 12, sizes[part], delta=3)
+
 
 class EstimateTest(unittest.TestCase):
     def setUp(self):
@@ -99,7 +111,7 @@
         return choose_engine(candidates, PLACES[0], 9000, random.Random(1)).key
 
     def own_and_other_parts(self, servers):
-        parts = parts_of(servers, 3)
+        parts = parts_of(servers, 3, 3)
         own = self.group.index % 3
         return [[k for k, p in parts.items() if (p == own) is is_own]
                 for is_own in (True, False)]  # fmt: skip
--- a/monsoontack/loadview/exchange.py
+++ b/monsoontack/loadview/exchange.py
@@ -101,6 +101,9 @@
         self.estimator.heard = {n: peer.region for n, peer in group.members.items()}
         previous = self.outboxes
         self.outboxes = {}
+        for name, outbox in previous.items():
+            if outbox.timer is not None and group.members.get(name) != outbox.peer:
+                outbox.timer.cancel()
         for name, peer in group.members.items():
             outbox = previous.get(name)
             is_unchanged = outbox is not None and outbox.peer == peer
--- a/monsoontack/loadview/groups.py
+++ b/monsoontack/loadview/groups.py
@@ -76,9 +76,13 @@
     return GatewayGroup(regions[name], own, count, members, sizes)
 
 
-def parts_of(servers: Iterable[Member], part_count: int) -> dict[str, int]:
+def parts_of(
+    servers: Iterable[Member], group_count: int, part_count: int
+) -> dict[str, int]:
     """Return the part of each server, by its start.
 
+    The servers are cut into a slice for each group, and a part has the slices of the
+    groups that share it, so that parts have servers in proportion to their gateways.
     The servers of each failure domain are divided by themselves, so that every part has
     servers in all domains and the restart of one domain moves no others. A server that
     starts again under its name returns to its part.
@@ -90,8 +94,9 @@
         domains[server.place.failure_domain].append((rank, member.limit_key))
     parts = {}
     for domain, ranks in domains.items():
-        # The parts that get one server more than others differ between domains.
+        # The slices that get one server more than others differ between domains.
         offset = stable_hash(domain)
         for position, (_, key) in enumerate(sorted(ranks)):
-            parts[key] = (position * part_count // len(ranks) + offset) % part_count
+            index = (position * group_count // len(ranks) + offset) % group_count
+            parts[key] = index % part_count
     return parts
