--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -23,6 +23,7 @@
 from monsoontack.gateway.rollouts import RolloutManager
 from monsoontack.gateway.sender import Sender
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.loadview.exchange import LoadExchange
 from monsoontack.routing.calltimes import CallTimes
 from monsoontack.routing.picker import Picker
 
@@ -39,8 +40,8 @@
 class CallForwarder:
     """Forwards calls to plain services.
 
-    `background` holds the running attempts of non-idempotent calls whose callers have
-    disconnected.
+    `load_exchange`, if there is one, has the calls of other entries. `background` holds
+    the running attempts of non-idempotent calls whose callers have disconnected.
     """
 
     fleet: BackendFleet
@@ -51,6 +52,7 @@
     rng: random.Random
     rollouts: RolloutManager | None = None
     times: CallTimes = field(default_factory=CallTimes)
+    load_exchange: LoadExchange | None = None
     background: set[asyncio.Task] = field(default_factory=set)
     crash_detector: CrashDetector = field(init=False)
 
@@ -152,8 +154,11 @@
             request_bytes=len(job.request.raw.body),
             cause="call",
         )
+        others = {}
+        if self.load_exchange is not None:
+            others = self.load_exchange.peer_calls(now)
         states = [
-            ServerState(member.server, in_flight=member.in_flight)
+            ServerState(member.server, in_flight=member.in_flight + others.get(key, 0))
             for key, member in members.items()
             if key not in excluded
         ]
@@ -161,8 +166,11 @@
         server = choice.value_or(None)
         if server is None:
             return None
-        self.fleet.evidence.note_sent(members[server.start_key], now)
-        return members[server.start_key]
+        member = members[server.start_key]
+        self.fleet.evidence.note_sent(member, now)
+        if self.load_exchange is not None:
+            self.load_exchange.note_call(member)
+        return member
 
     def record_result(
         self,
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -127,14 +127,12 @@
         now = self.sender.now()
         traits = self.engine_traits(job.service)
         loads = {}
-        others = (
-            {}
-            if self.load_exchange is None
-            else self.load_exchange.peer_loads.totals(now)
-        )
         speeds = self.speeds.of_service(job.service, now)
         members = self.fleet.of_service(job.service)
         doubtful = self.fleet.evidence.doubtful(members, now)
+        others = {}
+        if self.load_exchange is not None:
+            others = self.load_exchange.others_usage(job.service, members, traits, now)
         if self.rollouts is not None:
             members = self.rollouts.eligible_servers(
                 job.service,
--- a/monsoontack/routing/placement.py
+++ b/monsoontack/routing/placement.py
@@ -75,8 +75,8 @@
     `pace_room` is how many more runs this entry may send to an engine that has just
     started or recovered, None without such a bound; `in_turn` is set if this is one of
     the few entries that may, and knows too little of the others to leave it to them.
-    `prefill_s_per_token` and `step_s` are the measured times in which the engine reads a
-    prompt token and makes a step, or the service's.
+    `prefill_s_per_token` and `step_s` are the measured times in which the engine reads
+    a prompt token and makes a step, or the service's.
     """
 
     key: str
