Merge measured speeds, pace and the view of load across gateways

The admission reads each engine's measured prefill rate, its pace and its doubt from the candidates, tells peers what waits here, and reads what waits there.

--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -23,10 +23,15 @@
 from monsoontack.gateway.rollouts import RolloutManager
 from monsoontack.gateway.sender import Sender
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.loadview.exchange import LoadExchange
+from monsoontack.routing.calltimes import CallTimes
 from monsoontack.routing.picker import Picker
 
 # A server that rejected a call for lack of capacity gets no new call for this time.
 FULL_SERVER_AVOID_S = 0.15
+# A server that has just started is well if it answers within this share of the
+# objective, which leaves time for a retry.
+PROMPT_SHARE = 0.5
 # Interval at which a long answer checks whether its caller has left.
 DISCONNECT_POLL_S = 0.1
 
@@ -35,8 +40,8 @@
 class CallForwarder:
     """Forwards calls to plain services.
 
-    `background` holds the running attempts of non-idempotent calls whose callers have
-    disconnected.
+    `load_exchange`, if there is one, has the calls of other entries. `background` holds
+    the running attempts of non-idempotent calls whose callers have disconnected.
     """
 
     fleet: BackendFleet
@@ -46,11 +51,14 @@
     hedging: Hedging
     rng: random.Random
     rollouts: RolloutManager | None = None
+    times: CallTimes = field(default_factory=CallTimes)
+    load_exchange: LoadExchange | None = None
     background: set[asyncio.Task] = field(default_factory=set)
     crash_detector: CrashDetector = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the detector of crashed servers."""
+        """Create the detector of crashed servers, and let times decide."""
+        self.picker.times = self.times
         self.crash_detector = CrashDetector(self.sender)
 
     async def serve(self, job: Job) -> None:
@@ -111,11 +119,12 @@
         expires, so servers are told apart by their start here.
 
         Servers whose `avoid_until` is in the future, after a rejected call or a
-        failure, are used only if no other server is left. Servers with a stated limit
-        are used only with a permit.
+        failure, are used only if no other server is left, as are those in doubt.
+        Servers with a stated limit are used only with a permit.
         """
         now = self.sender.now()
         candidates = self.fleet.of_service(job.service)
+        doubtful = self.fleet.evidence.doubtful(candidates, now)
         if self.rollouts is not None:
             candidates = self.rollouts.eligible_servers(
                 job.service,
@@ -128,8 +137,16 @@
             if self.sender.gate.may_send(member.limit_key, now)
         }
         avoided = {key for key, m in members.items() if now < m.avoid_until}
-        if len(avoided | excluded) < len(members):
-            excluded = excluded | avoided
+        paces = self.fleet.paces
+        rooms = {
+            k: paces.room(m, m.in_flight, m.in_flight, now) for k, m in members.items()
+        }
+        full = {key for key, room in rooms.items() if room == 0}
+        for unwanted in (full | doubtful | avoided, doubtful | avoided, avoided):
+            left_out = excluded | unwanted
+            if not members.keys() <= left_out:
+                excluded = left_out
+                break
         route = RouteRequest(
             service=job.service,
             version="",
@@ -137,23 +154,42 @@
             request_bytes=len(job.request.raw.body),
             cause="call",
         )
+        others = {}
+        if self.load_exchange is not None:
+            others = self.load_exchange.peer_calls(now)
         states = [
-            ServerState(member.server, in_flight=member.in_flight)
+            ServerState(member.server, in_flight=member.in_flight + others.get(key, 0))
             for key, member in members.items()
             if key not in excluded
         ]
         choice = self.picker.pick(route, states, now, self.rng)
         server = choice.value_or(None)
-        return None if server is None else members[server.start_key]
-
-    def record_result(self, result: AttemptResult, started_at: float) -> None:
-        """Record a result as evidence about the health of its server."""
+        if server is None:
+            return None
+        member = members[server.start_key]
+        self.fleet.evidence.note_sent(member, now)
+        if self.load_exchange is not None:
+            self.load_exchange.note_call(member)
+        return member
+
+    def record_result(
+        self,
+        result: AttemptResult,
+        started_at: float,
+        objective_s: float = float("inf"),
+    ) -> None:
+        """Record a result as evidence about the health of its server.
+
+        `objective_s` is the time in which the route's answers are due.
+        """
         now = self.sender.now()
         member = result.member
         start_key = member.server.start_key
         if result.is_success:
             latency_s = now - started_at
             self.fleet.note_alive(member, now)
+            is_prompt = latency_s <= PROMPT_SHARE * objective_s
+            self.fleet.paces.note_answered(member, is_prompt, now)
             self.fleet.ejection.record_success(start_key, latency_s, now, self.rng)
             return
         response_head, failure = result.response_head, result.failure
@@ -161,9 +197,10 @@
             return
         if response_head is not None and response_head.not_run:
             if result.is_misdirected:
-                self.fleet.note_misdirected(member)
+                self.fleet.note_misdirected(member, now)
             else:
                 member.avoid_until = max(member.avoid_until, now + FULL_SERVER_AVOID_S)
+                self.fleet.paces.note_trouble(member, now)
             return
         if not result.asks_for_time:
             self.fleet.ejection.record_failure(start_key, now, self.rng)
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -150,6 +150,7 @@
         """Build a gateway and connect its components."""
         config_state = ConfigState(settings.revoke_s)
         fleet = BackendFleet()
+        fleet.evidence.turns.name = settings.name
         pool = ConnectionPool(wire.response_request_id, keep_alive_s)
         fleet.on_removed = lambda member: pool.close_server(*member.key)
         pool.is_used = fleet.starts.__contains__
@@ -171,12 +172,19 @@
         sender.on_limited_send = lambda service: metrics.limited_sends.labels(
             service
         ).inc()
+        fleet.evidence.on_doubt = lambda service: metrics.domain_doubts.labels(
+            service
+        ).inc()
+        fleet.paces.on_paced = lambda *labels: metrics.paced_starts.labels(
+            *labels
+        ).inc()
         gateway = Gateway(wire, config_state, calls, streams, metrics, rng)
         daemon = cls(settings, config_state, fleet, pool, gateway, metrics)
         load_exchange = LoadExchange(settings.name, daemon.peer_pool)
         streams.share_load_with_peers(load_exchange)
         streams.admission.on_wait = metrics.observe_wait
         streams.admission.on_refused = metrics.count_admission_refusal
+        calls.load_exchange = load_exchange
         for forwarder in (calls, streams):
             forwarder.crash_detector.on_crash = daemon._on_server_crash
         daemon.background_jobs.append(load_exchange.run)
@@ -295,6 +303,7 @@
             max(len(entries), MIN_ASSUMED_ENTRIES)
         )
         self.entry_exchange.gate.waits.entry_count = len(entries)
+        self.fleet.evidence.turns.set_gateways(entries)
         region = self.settings.place.region
         in_region = sum(peer.region == region for peer in entries.values())
         self.gateway.calls.picker.link_budget.set_entry_count(
@@ -469,6 +478,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self.fleet.remove_expired(self.gateway.now())
+            self.fleet.is_ready |= self.is_ready
             self._update_gauges()
 
     def _update_gauges(self) -> None:
@@ -490,8 +500,12 @@
         metrics.blocked_requests.set(blocked_requests)
         metrics.blocked_prompt_parts.set(len(blamed) - blocked_requests)
         metrics.update_waiting(self.gateway.streams.admission.own_waiting())
+        metrics.doubted_domains.set(self.fleet.evidence.count_in_force(now))
+        metrics.paced_servers.set(len(self.fleet.paces.paces))
         for service, members in self.fleet.by_service.items():
             metrics.servers.labels(service).set(len(members))
+        metrics.update_speeds(self.gateway.streams.speeds, self.gateway.calls.times)
+        metrics.load_view_age_s.set(self.gateway.streams.load_exchange.view_age_s(now))
         if self.log_writer is not None:
             metrics.log_lines_dropped.set(self.log_writer.dropped)
 
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -15,6 +15,8 @@
 )
 
 from monsoontack.admission.serverstatement import ServerStatement
+from monsoontack.routing.calltimes import CallTimes
+from monsoontack.routing.enginespeeds import EngineSpeeds
 
 ANSWER_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 25.0)
 GAP_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 2.0, 5.0)
@@ -37,13 +39,21 @@
     limited_sends: Counter = None
     engine_crashes: Counter = None
     server_statements: Counter = None
+    domain_doubts: Counter = None
+    paced_starts: Counter = None
+    doubted_domains: Gauge = None
+    paced_servers: Gauge = None
     limited_servers: Gauge = None
     waiting_servers: Gauge = None
     blocked_prompt_parts: Gauge = None
     blocked_requests: Gauge = None
     servers: Gauge = None
+    prefill_s: Gauge = None
+    step_s: Gauge = None
+    call_s: Gauge = None
     store_feed_up: Gauge = None
     store_restorations: Counter = None
+    load_view_age_s: Gauge = None
     log_lines_dropped: Gauge = None
     admission_wait_s: Histogram = None
     admission_refusals: Counter = None
@@ -90,6 +100,18 @@
             ("state",),
             registry=registry,
         )
+        metrics.domain_doubts = Counter(
+            "monsoontack_domain_doubts",
+            "Times at which a failure domain came into doubt, by service",
+            ("service",),
+            registry=registry,
+        )
+        metrics.paced_starts = Counter(
+            "monsoontack_paced_starts",
+            "Starts of backend servers that were paced, by service and reason",
+            ("service", "reason"),
+            registry=registry,
+        )
         metrics.store_restorations = Counter(
             "monsoontack_store_restorations",
             "Times at which the store was found to be restored from a copy",
@@ -151,7 +173,22 @@
         self.blocked_requests = gauge(
             "blocked_requests", "Requests that crash servers when they come again"
         )
+        self.doubted_domains = gauge("doubted_domains", "Failure domains in doubt")
+        self.paced_servers = gauge("paced_servers", "Backend servers that are paced")
         self.servers = gauge("servers", "Backend servers in use", ("service",))
+        self.prefill_s = gauge(
+            "prefill_seconds_per_token",
+            "Time in which an engine reads a prompt token",
+            ("service",),
+        )
+        self.step_s = gauge(
+            "step_seconds",
+            "Time of an engine's step without disturbances",
+            ("service",),
+        )
+        self.call_s = gauge(
+            "call_seconds", "Usual time of a call at a plain server", ("service",)
+        )
         self.store_feed_up = gauge(
             "store_feed_up", "Whether the store answers a feed", ("feed",)
         )
@@ -160,6 +197,10 @@
             "Streams that wait at this gateway to be sent",
             ("service", "priority"),
         )
+        self.load_view_age_s = gauge(
+            "load_view_age_seconds",
+            "Age of the oldest report in use of another gateway's load",
+        )
         self.log_lines_dropped = gauge(
             "log_lines_dropped", "Log lines dropped since nobody read them"
         )
@@ -183,6 +224,14 @@
         for row in self.waiting_rows:
             self.waiting_streams.labels(*row).set(rows.get(row, 0))
 
+    def update_speeds(self, engines: EngineSpeeds, calls: CallTimes) -> None:
+        """Set the measured speeds of all services."""
+        for service, speeds in engines.services.items():
+            self.prefill_s.labels(service).set(speeds.prefill_s_per_token)
+            self.step_s.labels(service).set(speeds.step_s)
+        for service, times in calls.services.items():
+            self.call_s.labels(service).set(times.usual_s)
+
     def count_statement(self, said: ServerStatement) -> None:
         """Count what a response of a server says of it for the first time."""
         state = "leaving" if said.is_leaving else "asked_for_time"
--- a/monsoontack/gateway/statedump.py
+++ b/monsoontack/gateway/statedump.py
@@ -54,6 +54,8 @@
         },
         "waiting_streams": daemon.gateway.streams.admission.describe(),
         "limit_parent": permits.parent,
+        "measured_engines": daemon.gateway.streams.speeds.state(),
+        "measured_calls": daemon.gateway.calls.times.state(),
         "permits_expired": permits.expired_permits,
         "servers": [
             _server_state(daemon, member, now)
--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -85,8 +85,7 @@
         copy = KvCacheCopy(member.server.address, job.request.request_id)
         chosen = loads.get(member.server.incarnation)
     else:
-        usable = {k: e for k, e in loads.items() if k not in run.asked.excluded}
-        usable = usable or loads
+        usable = run.asked.usable(loads, run.now())
         if allowed is None and run.waiting_request is not None:
             gate = forwarder.admission
             allowed = gate.with_room(job.service, run.waiting_request, usable)
@@ -96,6 +95,9 @@
             return None
         member = members[chosen.key]
     _record_prompt(run, member)
+    run.asked.spend.note_sent(member.server.place, run.now())
+    forwarder.fleet.evidence.note_sent(member, run.now())
+    forwarder.fleet.paces.note_prompt(job.request.prompt_tokens)
     backup = None
     if run.traits.supports_kv_backup and chosen is not None:
         others = [e for k, e in loads.items() if k not in run.asked.excluded]
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -15,7 +15,7 @@
 from monsoontack.core.records import Place
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.crashdetector import CrashDetector
-from monsoontack.gateway.fleet import BackendFleet
+from monsoontack.gateway.fleet import BackendFleet, Member
 from monsoontack.gateway.job import Job
 from monsoontack.gateway.records import (
     EngineTraits,
@@ -27,7 +27,8 @@
 from monsoontack.gateway.sender import Sender
 from monsoontack.gateway.streamrun import StreamRun
 from monsoontack.generation.streamtimeouts import StreamTimeouts
-from monsoontack.loadview.exchange import NO_USAGE, LoadExchange
+from monsoontack.loadview.exchange import NO_USAGE, EngineUsage, LoadExchange
+from monsoontack.routing.enginespeeds import EngineSpeeds
 from monsoontack.routing.placement import (
     EngineCandidate,
 )
@@ -58,6 +59,7 @@
     rollouts: RolloutManager | None = None
     prompt_engines: dict[str, str] = field(default_factory=dict)
     load_exchange: LoadExchange | None = None
+    speeds: EngineSpeeds = field(default_factory=EngineSpeeds)
     crash_detector: CrashDetector = field(init=False)
     admission: AdmissionGate = field(init=False)
 
@@ -65,9 +67,7 @@
         """Create the detector of crashed engines, and the gate for streams."""
         self.crash_detector = CrashDetector(self.sender)
         self.admission = AdmissionGate(
-            lambda service: self.service_loads(service, set()),
-            lambda service: self.stream_timeouts(service).prefill_tokens_per_s,
-            self.rng,
+            lambda service: self.service_loads(service, set()), self.rng
         )
         self.fleet.on_added = lambda member: self.admission.wake(member.server.service)
 
@@ -98,13 +98,29 @@
         load_exchange.on_failed = self.note_peer_failure
         load_exchange.recent_prompts = self.recent_prompts
         load_exchange.on_report = self.admission.wake_all
+        load_exchange.own_waiting = self.admission.own_waiting
+        self.admission.peer_waiting = load_exchange.peer_waiting
+        self.admission.on_waiting_changed = load_exchange.mark_waiting_changed
         self.admission.own_factor = load_exchange.unheard_factor
         self.fleet.on_failed = load_exchange.announce_failure
+        self.fleet.on_outdated = load_exchange.announce_stale
+        self.fleet.on_answered = load_exchange.announce_alive
+        self.fleet.paces.on_answered = load_exchange.announce_alive
+        load_exchange.on_stale = self.note_peer_stale
+        load_exchange.on_alive = self.note_peer_alive
 
     def note_peer_failure(self, start_key: str) -> None:
         """Mark an engine as suspect because another entry reports its failure."""
         self.fleet.note_reported_unreachable(start_key, self.sender.now())
 
+    def note_peer_stale(self, start_key: str) -> None:
+        """Remove a start of a server that is gone, as another entry reports."""
+        self.fleet.note_reported_outdated(start_key, self.sender.now())
+
+    def note_peer_alive(self, start_key: str) -> None:
+        """End the doubt about a server that has answered another entry."""
+        self.fleet.note_reported_alive(start_key, self.sender.now())
+
     def recent_prompts(self) -> dict[str, str]:
         """Return the engine starts of the most recent prompts by segment id."""
         first = max(len(self.prompt_engines) - MAX_ANNOUNCED_PROMPTS, 0)
@@ -136,12 +152,12 @@
         now = self.sender.now()
         traits = self.engine_traits(service)
         loads = {}
-        others = (
-            {}
-            if self.load_exchange is None
-            else self.load_exchange.peer_loads.totals(now)
-        )
+        speeds = self.speeds.of_service(service, now)
         members = self.fleet.of_service(service)
+        doubtful = self.fleet.evidence.doubtful(members, now)
+        others = {}
+        if self.load_exchange is not None:
+            others = self.load_exchange.others_usage(service, members, traits, now)
         if self.rollouts is not None:
             members = self.rollouts.eligible_servers(
                 service,
@@ -155,6 +171,8 @@
             if not self.sender.gate.may_send(member.limit_key, now):
                 continue
             other = others.get(member.limit_key, NO_USAGE)
+            slowness = speeds.factor(member.limit_key)
+            room = self._pace_room(member, other, now)
             loads[server.incarnation] = EngineCandidate(
                 key=server.incarnation,
                 place=server.place,
@@ -166,5 +184,18 @@
                 avoided=now < member.avoid_until,
                 suspect=member.is_suspect(now),
                 traffic_share=self.fleet.ejection.traffic_share(server.start_key, now),
+                doubtful=member.limit_key in doubtful,
+                prefill_s_per_token=slowness * speeds.prefill_s_per_token,
+                step_s=slowness * speeds.step_s,
+                pace_room=room,
+                in_turn=bool(room) and self.fleet.paces.pulls,
             )
         return loads
+
+    def _pace_room(self, member: Member, other: EngineUsage, now: float) -> int | None:
+        """Return how many prompts an engine may get that is paced, else None."""
+        paces, own = self.fleet.paces, member.waiting_tokens
+        if not paces.is_paced(member):
+            return None
+        waiting = paces.unread(own), paces.unread(own + other.waiting_tokens)
+        return paces.room(member, *waiting, now)
--- a/monsoontack/scheduling/capacity.py
+++ b/monsoontack/scheduling/capacity.py
@@ -8,7 +8,11 @@
 import math
 from dataclasses import dataclass, field, replace
 
-from monsoontack.routing.placement import MAX_KV_CACHE_SHARE, EngineCandidate
+from monsoontack.routing.placement import (
+    MAX_KV_CACHE_SHARE,
+    EngineCandidate,
+    without_held_back,
+)
 from monsoontack.scheduling.urgency import WaitingRequest
 
 # Unread tokens that a less urgent request may have at its engine, its own prompt
@@ -74,21 +78,25 @@
 class EngineRoom:
     """Room at one engine, with what has been placed there since the last look.
 
-    `rate` is its prefill rate in tokens per second, `unread` the number of prompt
-    tokens that it has yet to read.
+    `unread` is the number of prompt tokens that it has yet to read.
     """
 
     engine: EngineCandidate
     unread: float
-    rate: float
     in_flight: int = field(init=False)
     held_tokens: int = field(init=False)
+    placed: int = 0
 
     def __post_init__(self) -> None:
         """Begin with the known runs."""
         self.in_flight = self.engine.in_flight
         self.held_tokens = self.engine.held_tokens
 
+    @property
+    def rate(self) -> float:
+        """Return the engine's prefill rate in tokens per second."""
+        return 1 / self.engine.prefill_s_per_token
+
     def own_tokens(self, request: WaitingRequest) -> int:
         """Return the tokens of the request's prompt that this engine has to read."""
         is_cached = request.cached_at == self.engine.key
@@ -97,11 +105,18 @@
     def add(self, request: WaitingRequest) -> None:
         """Count a request that was placed at the engine."""
         self.in_flight += 1
+        self.placed += 1
         self.unread += self.own_tokens(request)
         self.held_tokens += request.needed_tokens
 
     def has_space(self, request: WaitingRequest, is_most_urgent: bool) -> bool:
-        """Whether a slot and KV cache for the whole request are free."""
+        """Whether a slot and KV cache for the whole request are free.
+
+        An engine that has just started or recovered takes as many as its pace allows.
+        """
+        pace_room = self.engine.pace_room
+        if pace_room is not None and self.placed >= pace_room:
+            return False
         share = MOST_URGENT_KV_SHARE if is_most_urgent else KV_SHARE
         kv_limit = share * self.engine.memory_tokens
         # An engine without runs takes any request that fits at all.
@@ -183,16 +198,12 @@
 
 def usable_engines(engines: dict[str, EngineCandidate]) -> list[EngineCandidate]:
     """Return the engines that may get new requests, all if none is sound."""
-    sound = [engine for engine in engines.values() if _is_sound(engine)]
-    return sound or list(engines.values())
-
-
-def _is_sound(engine: EngineCandidate) -> bool:
-    if engine.avoided or engine.suspect or engine.traffic_share <= 0:
-        return False
-    # Candidates without a pace have no such fields.
-    is_doubtful = getattr(engine, "doubtful", False)
-    return not is_doubtful and getattr(engine, "pace_room", None) != 0
+    sound = [
+        engine
+        for engine in engines.values()
+        if not engine.avoided and not engine.suspect and engine.traffic_share > 0
+    ]
+    return list(without_held_back(sound or list(engines.values())))
 
 
 def read_time_s(tokens: int, rate: float) -> float:
--- a/monsoontack/scheduling/decisions_test.py
+++ b/monsoontack/scheduling/decisions_test.py
@@ -11,11 +11,13 @@
 RATE = 8000.0
 URGENT = WaitingRequest(1, "a", 0, 8000, 9000, 0.0, 4.0, 25.0)
 OTHER = WaitingRequest(2, "a", 2, 8000, 9000, 0.0, 10.0, 25.0)
-IDLE = EngineCandidate("e", Place("d", "r"), 1, 16, 0, 9000, 88_000)
+IDLE = EngineCandidate(
+    "e", Place("d", "r"), 1, 16, 0, 9000, 88_000, prefill_s_per_token=1 / RATE
+)
 
 
 def can_begin(request, unread=0.0, now=0.0, **changes):
-    room = EngineRoom(replace(IDLE, **changes), unread, RATE)
+    room = EngineRoom(replace(IDLE, **changes), unread)
     return room.can_begin(request, request is URGENT, now)
 
 
@@ -59,6 +61,7 @@
         self.assertFalse(can_begin(URGENT, held_tokens=80_000))
         self.assertTrue(can_begin(URGENT, now=0.6, held_tokens=80_000))
         self.assertFalse(can_begin(OTHER, in_flight=16))
+        self.assertFalse(can_begin(OTHER, pace_room=0))
 
     def test_tokens_read_since_the_last_report_do_not_count(self):
         """Guards against engines that are idle until a report says so, and against an
--- a/monsoontack/scheduling/gate.py
+++ b/monsoontack/scheduling/gate.py
@@ -65,21 +65,21 @@
 class AdmissionGate:
     """Lets the streams of services with different priorities begin in order.
 
-    `engines` returns the engines of a service that may get requests, by their keys,
-    `prefill_rate` the prefill rate of one of them in tokens per second.
+    `engines` returns the engines of a service that may get requests, by their keys.
     `priorities` holds the priorities of the services for which the gate is in force,
     `peer_waiting` returns what waits for a service at peers, `own_factor` the number of
     gateways if this one hears no other, else 1. `draining_error` returns
     the refusal for the time (seconds) that a caller has left, once the entry drains.
     `on_wait` is called with service, priority and seconds when a stream begins,
-    `on_refused` with service and reason.
+    `on_refused` with service and reason, `on_waiting_changed` after a look at which
+    streams waited.
     """
 
     engines: Callable[[str], dict[str, EngineCandidate]]
-    prefill_rate: Callable[[str], float]
     rng: random.Random
     priorities: dict[str, frozenset[int]] = field(default_factory=dict)
     peer_waiting: Callable[[str, float], PeerWaiting] = lambda service, now: {}
+    on_waiting_changed: Callable[[], None] = lambda: None
     own_factor: Callable[[], int] = lambda: 1
     draining_error: Callable[[float], RequestError] | None = None
     on_wait: Callable[[str, int, float], None] = lambda service, priority, wait_s: None
@@ -210,7 +210,7 @@
         """Return the keys of the engines that can begin a further attempt now."""
         state, now = self._state(service), _now()
         is_top = state.is_most_urgent(request)
-        rooms = state.look(engines, self.prefill_rate(service), now)
+        rooms = state.look(engines, now)
         return {
             room.engine.key for room in rooms if room.can_begin(request, is_top, now)
         }
@@ -259,7 +259,7 @@
             return
         state.peer_waiting = self.peer_waiting(service, now)
         engines = with_unheard_peers(engines, self.own_factor())
-        rooms = state.look(engines, self.prefill_rate(service), now)
+        rooms = state.look(engines, now)
         by_key = {room.engine.key: room for room in rooms}
         for request, fitting in state.admissible(rooms, now):
             entrant = self.entrants[request.number]
@@ -277,6 +277,10 @@
         else:
             self._refuse_hopeless(service, state, now)
         self._note_waits(service, state, now)
+        rows = state.rows()
+        if rows != state.reported_rows:
+            state.reported_rows = rows
+            self.on_waiting_changed()
 
     def _note_waits(self, service: str, state: ServiceState, now: float) -> None:
         """Log the streams that have begun to wait."""
--- a/monsoontack/scheduling/queue.py
+++ b/monsoontack/scheduling/queue.py
@@ -7,6 +7,7 @@
 """
 
 import random
+import statistics
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
@@ -43,10 +44,11 @@
 class ServiceState:
     """State of the admission for one service at one entry.
 
-    `top_priority` is the most urgent priority of the service. `rate` is the prefill
-    rate of one engine in tokens per second. `draws` holds, by engine, when the entry
-    drew last and whether it may use the room there. `peer_waiting` maps priorities to
-    the requests and prompt tokens that wait at peers.
+    `top_priority` is the most urgent priority of the service. `rate` is the usual
+    prefill rate of its engines in tokens per second. `draws` holds, by engine, when the
+    entry drew last and whether it may use the room there. `peer_waiting` maps
+    priorities to the requests and prompt tokens that wait at peers, `reported_rows` to
+    those that waited here at the last look.
     """
 
     top_priority: int
@@ -62,15 +64,13 @@
     engine_count: int = 1
     begun_tokens: int = 0
     had_waiting: bool = False
+    reported_rows: dict[int, tuple[int, int]] = field(default_factory=dict)
 
-    def look(
-        self, engines: dict[str, EngineCandidate], rate: float, now: float
-    ) -> list[EngineRoom]:
-        """Return the room at the usable engines by the latest load reports.
-
-        `rate` is the prefill rate of one engine in tokens per second.
-        """
-        self.rate = rate
+    def look(self, engines: dict[str, EngineCandidate], now: float) -> list[EngineRoom]:
+        """Return the room at the usable engines by the latest load reports."""
+        self.rate = 1 / statistics.median(
+            engine.prefill_s_per_token for engine in engines.values()
+        )
         for key, progress in list(self.progress.items()):
             if now > progress.looked_at + MAX_UNSEEN_S:
                 del self.progress[key]
@@ -78,14 +78,12 @@
         for key, engine in engines.items():
             # Engines that are not usable now may be so at the next look.
             progress = self.progress.setdefault(key, ReadProgress())
-            progress.unread(engine.waiting_tokens, rate, now)
+            progress.unread(engine.waiting_tokens, 1 / engine.prefill_s_per_token, now)
         usable = usable_engines(engines)
         self.engine_count = len(usable)
         return [
             EngineRoom(
-                engine,
-                engine.waiting_tokens - self.progress[engine.key].read_tokens,
-                rate,
+                engine, engine.waiting_tokens - self.progress[engine.key].read_tokens
             )
             for engine in usable
         ]
--- a/standins/simulatedservice.py
+++ b/standins/simulatedservice.py
@@ -125,8 +125,7 @@
     def __post_init__(self) -> None:
         """Create the gate."""
         rng = random.Random(self.name)
-        rate = lambda service: PREFILL_TOKENS_PER_S  # noqa: E731
-        self.gate = AdmissionGate(lambda service: self.engines(), rate, rng)
+        self.gate = AdmissionGate(lambda service: self.engines(), rng)
         self.gate.configure({"s": frozenset((0, 2))})
         self.gate.peer_waiting = self._peer_waiting
         if self.service.is_cut_off:
