--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -58,7 +58,6 @@
     admission_wait_s: Histogram = None
     admission_refusals: Counter = None
     waiting_streams: Gauge = None
-    waiting_rows: set[tuple[str, int]] = field(default_factory=set)
 
     @classmethod
     def create(cls) -> "GatewayMetrics":
@@ -215,14 +214,10 @@
 
     def update_waiting(self, waiting: dict[str, dict[int, tuple[int, int]]]) -> None:
         """Set the numbers of waiting streams, given by service and priority."""
-        rows = {
-            (service, priority): count
-            for service, by_priority in waiting.items()
-            for priority, (count, _) in by_priority.items()
-        }
-        self.waiting_rows.update(rows)
-        for row in self.waiting_rows:
-            self.waiting_streams.labels(*row).set(rows.get(row, 0))
+        self.waiting_streams.clear()
+        for service, by_priority in waiting.items():
+            for priority, (count, _) in by_priority.items():
+                self.waiting_streams.labels(service, priority).set(count)
 
     def update_speeds(self, engines: EngineSpeeds, calls: CallTimes) -> None:
         """Set the measured speeds of all services."""
