--- a/monsoontack/gateway/streams_hung_test.py
+++ b/monsoontack/gateway/streams_hung_test.py
@@ -152,6 +152,7 @@
             forwarder = make_forwarder(scripts, (HOME, FAR))
             loads = LoadExchange("me", peer_pool(), now=forwarder.sender.now)
             forwarder.share_load_with_peers(loads)
+            self.speeds = forwarder.speeds
             self.member, other = (forwarder.fleet.members[n] for n in NAMES[:2])
             other.waiting_tokens = 60_000
             loop = asyncio.get_running_loop()
@@ -182,6 +183,11 @@
         a prompt that is read in vain at a live engine and again elsewhere."""
         job = self.serve(first_s=6.0, lives_until=7.0)
         self.assertEqual([NAMES[0]], [t.server for t in job.tries])
+        # The stream has also measured its engine.
+        speeds = self.speeds.of_service(SERVICE, 100.0)
+        self.assertAlmostEqual(GAP_S, speeds.step_s, 3)
+        (measured,) = speeds.engines.values()
+        self.assertEqual(1, len(measured.prompts_s))
         self.assertEqual(ALL_EVENTS, job.responder.body)
 
     def test_hung_engine_is_left_as_early_as_before(self):
--- a/monsoontack/routing/calltimes.py
+++ b/monsoontack/routing/calltimes.py
@@ -30,9 +30,9 @@
 # A call in flight for this many times the usual time shows that its server is slow.
 # With 1.5, more calls were late in bursts (`bench.callplacement`).
 OVERDUE_FACTOR = 1.2
-# So does one for this many times the usual time even if calls take equally long, since
-# an answer is that late by no noise: the server hangs.
-HUNG_FACTOR = 4.0
+# So does one for this many times the usual time even if calls take equally long. In a
+# model with servers that hang for 2 s, 4.0 left more calls late.
+HUNG_FACTOR = 2.5
 # Least time for a connection: a round trip between regions, and 0.1 s for a busy loop.
 MIN_CONNECT_S = 0.13
 # Usual times that have to be left for another server after a connection that failed.
