--- a/monsoontack/generation/streamtimeouts.py
+++ b/monsoontack/generation/streamtimeouts.py
@@ -90,16 +90,14 @@
         """Return the usual time in which that many prompt tokens are processed."""
         return tokens / self.prefill_tokens_per_s
 
-    def first_event_limit_s(self, tokens: int) -> float:
+    def first_event_limit_s(self, tokens: int, slot_wait_s: float = 0.0) -> float:
         """Return the wait for the first event after which a run fails over.
 
         `tokens` is the number of prompt tokens to process, including those ahead
-        in the queue.
+        in the queue. `slot_wait_s` is the expected time until there is a free slot.
         """
-        return (
-            FIRST_EVENT_FACTOR * tokens / self.prefill_tokens_per_s
-            + FIRST_EVENT_MARGIN_S
-        )
+        expected_s = tokens / self.prefill_tokens_per_s + slot_wait_s
+        return FIRST_EVENT_FACTOR * expected_s + FIRST_EVENT_MARGIN_S
 
     def min_first_event_s(self, tokens: int) -> float:
         """Return a time within which no engine processes that many prompt tokens."""
--- a/monsoontack/loadview/exchange_test.py
+++ b/monsoontack/loadview/exchange_test.py
@@ -32,6 +32,18 @@
         self.assertEqual(EngineUsage(2, 16_000, 18_000), totals["e1"])
         self.assertEqual(ONE_RUN, totals["e2"])
 
+    def test_prompt_that_was_read_is_told_from_one_that_was_given_up(self):
+        """Load: engines hang; guards against a stream that waits for a hung engine,
+        since a peer's stream has left it."""
+        for runs, is_read in ((1, True), (0, False)):
+            loads = PeerLoads()
+            for at, usage in enumerate(
+                (EngineUsage(1, 8000, 9000), EngineUsage(runs, 0, 9000 * runs))
+            ):
+                message = LoadMessage("p", False, at == 0, {"e": usage}, {}, ())
+                loads.apply(message, float(at))
+            self.assertEqual({"e": 1.0} if is_read else {}, loads.read_at)
+
     def test_ended_runs_leave_the_totals(self):
         """Guards against engines that look busy forever."""
         loads = PeerLoads()
