Scale waiting requests to all gateways that share the servers

Of a service with few servers above 33 gateways, a gateway hears of the waiting requests of its own group only, while all groups use the same servers. `peer_waiting` now scales them by region like the usage; up to 33 gateways it is the sum as before.

--- a/monsoontack/loadview/estimate.py
+++ b/monsoontack/loadview/estimate.py
@@ -28,12 +28,14 @@
     """Estimates the usage of other gateways for the gateway of a `group`.
 
     `heard` holds the region of each peer that this gateway hears from. `parts` caches
-    the part of each server by service, with the servers from which it follows.
+    the part of each server by service, with the servers from which it follows;
+    `server_counts` holds the number of servers at the last estimate.
     """
 
     group: GatewayGroup = field(default_factory=GatewayGroup)
     heard: Mapping[str, str] = field(default_factory=dict)
     parts: dict[str, tuple[list, dict[str, int]]] = field(default_factory=dict)
+    server_counts: dict[str, int] = field(default_factory=dict)
 
     def estimate(
         self,
@@ -47,6 +49,7 @@
         `usage_by_peer` is what live peers reported, `servers` all servers of the
         service, `traits` those of its engines.
         """
+        self.server_counts[service] = len(servers)
         part_count = self.group.part_count(len(servers))
         usage = self.scaled_totals(usage_by_peer, part_count)
         if part_count == 1:
@@ -75,6 +78,10 @@
             usage[member.limit_key] = expected.plus(heard)
         return usage
 
+    def waiting_factors(self, service: str) -> dict[str, float]:
+        """Return for how many gateways the waiting requests of each peer stand."""
+        return self.factors(self.group.part_count(self.server_counts.get(service, 0)))
+
     def sharing_count(self, server_count: int) -> int:
         """Return how many gateways, this one included, use the same servers."""
         return (
--- a/monsoontack/loadview/estimate_test.py
+++ b/monsoontack/loadview/estimate_test.py
@@ -130,6 +130,7 @@
                     usage.get(key, NO_USAGE),
                 )
             self.assertIn(self.choose(servers, usage), own)
+            self.assertEqual({}, self.estimator.waiting_factors("chat"))
 
     def test_a_full_part_overflows_into_one_other(self):
         """Guards against streams that wait or end as `full` while another group has
@@ -155,6 +156,8 @@
         usage = self.estimate(servers, dict.fromkeys(self.group.members, run))
         self.assertEqual({servers[0].limit_key}, set(usage))
         self.assertEqual(67, usage[servers[0].limit_key].runs)
+        factors = self.estimator.waiting_factors("chat")
+        self.assertEqual(67, round(sum(factors.values())))
         self.assertEqual(68, self.estimator.sharing_count(6))
         self.assertLessEqual(self.estimator.sharing_count(120), 33)
 
--- a/monsoontack/loadview/exchange.py
+++ b/monsoontack/loadview/exchange.py
@@ -149,9 +149,11 @@
         """Return the requests of a service that wait at peers, by priority.
 
         Each value holds the number of requests and the sum of their prompt tokens.
-        Peers that are silent or unreachable are not counted.
+        Peers that are silent or unreachable are not counted. Above 33 entries, the
+        numbers are scaled by region to all entries that share the servers.
         """
-        return self.peer_loads.waiting(service, now)
+        factors = self.estimator.waiting_factors(service)
+        return self.peer_loads.waiting(service, factors, now)
 
     def note_call(self, member: Member) -> None:
         """Include a plain server in the reports of calls; no message is sent for it."""
--- a/monsoontack/loadview/peerloads.py
+++ b/monsoontack/loadview/peerloads.py
@@ -70,18 +70,28 @@
                 totals[engine] = totals.get(engine, NO_USAGE).plus(usage)
         return totals
 
-    def waiting(self, service: str, now: float) -> dict[int, tuple[int, int]]:
+    def waiting(
+        self, service: str, factors: Mapping[str, float], now: float
+    ) -> dict[int, tuple[int, int]]:
         """Return requests of a service that wait at peers, and their prompt tokens.
 
-        They are summed by priority.
+        They are summed by priority. `factors` holds for how many gateways the report of
+        a peer stands, 1 if absent.
         """
         self._drop_silent_peers(now)
         totals: dict[int, tuple[int, int]] = {}
-        for waiting in self.waiting_by_peer.values():
+        for peer, waiting in self.waiting_by_peer.items():
+            factor = factors.get(peer, 1)
             for priority, (requests, tokens) in waiting.get(service, {}).items():
                 known_requests, known_tokens = totals.get(priority, (0, 0))
-                totals[priority] = known_requests + requests, known_tokens + tokens
-        return totals
+                totals[priority] = (
+                    known_requests + factor * requests,
+                    known_tokens + factor * tokens,
+                )
+        return {
+            priority: (round(requests), round(tokens))
+            for priority, (requests, tokens) in totals.items()
+        }
 
     def calls(self, factors: Mapping[str, float], now: float) -> dict[str, float]:
         """Return the mean number of peers' calls in flight at each server.
