--- a/monsoontack/loadview/exchange.py
+++ b/monsoontack/loadview/exchange.py
@@ -277,7 +277,8 @@
                     return
         finally:
             outbox.is_sending = False
-        if outbox.is_urgent:
+        if outbox.is_urgent or outbox.ahead:
+            # These came during the call and should not wait for the next flush.
             self._schedule_send(outbox)
 
     async def _call(self, peer: PeerEntry, body: bytes) -> PeerResponse | None:
