Doubt a start once a later one is listed at its address

Cause: an engine that is back under a new id stays listed under the former one for up to 3.6 s, and requests for it get 421.

Change: the former start is in doubt from the new record until it sends a byte.

--- a/bench/domainmodel.py
+++ b/bench/domainmodel.py
@@ -222,7 +222,7 @@
     def _candidates(self, gateway: Gateway) -> list[EngineCandidate]:
         fleet, now, found = gateway.fleet, self.clock, []
         members = fleet.of_service(SERVICE)
-        doubtful = fleet.evidence.doubtful(members, now)
+        doubtful = fleet.doubtful(members, now) if self.rule == "now" else ()
         for member in members:
             runs, waiting = gateway.view.get(member.limit_key, (0, 0))
             paces, own, room = fleet.paces, member.waiting_tokens, None
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -119,7 +119,7 @@
         """
         now = self.sender.now()
         candidates = self.fleet.of_service(job.service)
-        doubtful = self.fleet.evidence.doubtful(candidates, now)
+        doubtful = self.fleet.doubtful(candidates, now)
         if self.rollouts is not None:
             candidates = self.rollouts.eligible_servers(
                 job.service,
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -145,6 +145,7 @@
         is_new = member is None
         if is_new:
             member = Member(server, cold_until=now + server.cold_left_s, listed_at=now)
+            self._note_superseded(server, now)
         self.members[incarnation] = self.starts[member.limit_key] = member
         self.by_service.setdefault(server.service, {})[incarnation] = member
         self.empty_since.pop(server.service, None)
@@ -165,6 +166,13 @@
         if is_new and (self.is_ready or former_key):
             self.paces.begin(member, STARTED, now)
 
+    def _note_superseded(self, server: BackendServer, now: float) -> None:
+        """Note which starts ended since a later one is listed at their address."""
+        for other in self.at_address(server.address):
+            if other.server.service == server.service:
+                if other.server.started_unix_ms < server.started_unix_ms:
+                    other.superseded_at = now
+
     def _former_member(self, server: BackendServer) -> Member | None:
         """Return a removed server whose record was written again, with its load."""
         member = self.former.pop((server.address, server.start_key), None)
@@ -255,6 +263,16 @@
         """Return the servers of a service that accept new requests."""
         return list(self.by_service.get(service, {}).values())
 
+    def doubtful(self, members: Iterable[Member], now: float) -> set[str]:
+        """Return the keys of the starts among a service's servers that may be gone.
+
+        That holds for servers of a failure domain in doubt, and for those at whose
+        address a later start is listed, until they send a byte.
+        """
+        found = self.evidence.doubtful(members, now)
+        superseded = {m.limit_key for m in members if m.superseded_at >= m.heard_at}
+        return found | superseded
+
     def limit_keys(self, service: str) -> list[str]:
         """Return the keys under which limits of a service's servers are known."""
         return [member.limit_key for member in self.of_service(service)]
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -131,7 +131,7 @@
             else self.load_exchange.peer_loads.totals(now)
         )
         members = self.fleet.of_service(job.service)
-        doubtful = self.fleet.evidence.doubtful(members, now)
+        doubtful = self.fleet.doubtful(members, now)
         if self.rollouts is not None:
             members = self.rollouts.eligible_servers(
                 job.service,
--- a/monsoontack/pacing/domainevidence_test.py
+++ b/monsoontack/pacing/domainevidence_test.py
@@ -122,6 +122,18 @@
         fleet.note_unreachable(fleet.members["s1"], T, Trouble.REFUSED)
         self.assertEqual(set(), doubtful(fleet, T))
 
+    def test_start_with_a_later_one_at_its_address_is_in_doubt(self):
+        """Guards against requests to engines that are back under new ids, while their
+        former records stay listed for seconds."""
+        fleet = make_fleet({"s1": HOME, "s2": HOME})
+        address = fleet.members["s1"].server.address
+        later = replace(make_server("s3"), address=address, started_unix_ms=9)
+        fleet.put(later, False, T)
+        members = fleet.of_service(SERVICE)
+        self.assertEqual({"s1@0"}, fleet.doubtful(members, T))
+        fleet.note_bytes(fleet.members["s1"], T + 1)
+        self.assertEqual(set(), fleet.doubtful(members, T + 1))
+
     def test_outdated_start_is_removed_at_all_gateways_and_not_listed_again(self):
         """Guards against an engine that ended and is tried once by each gateway, since
         its record stays listed for 3.6 s."""
--- a/monsoontack/pacing/member.py
+++ b/monsoontack/pacing/member.py
@@ -24,6 +24,7 @@
     `lost_at` is when this entry or a peer first found the server unreachable after its
     last byte. `longest_gap_s` is the longest recent gap between events. Until
     `cold_until` the server is slow because it has just started.
+    A later start was listed at its address at `superseded_at`.
     `restarted` is set when the server has started again; the new process does not know
     the runs that were sent to this one.
     """
@@ -45,6 +46,7 @@
     listed_at: float = 0.0
     reported_alive_at: float = float("-inf")
     domain_failed_at: float = float("-inf")
+    superseded_at: float = float("-inf")
 
     @property
     def heard_at(self) -> float:
