--- a/monsoontack/gateway/statedump.py
+++ b/monsoontack/gateway/statedump.py
@@ -18,6 +18,10 @@
     leaving = daemon.fleet.leaving
     config_state, relayed = daemon.config_state, daemon.relayed_stores
     blamed = daemon.gateway.guard.blamed
+    fleet = daemon.fleet
+    doubtful = set().union(
+        *(fleet.doubtful(fleet.of_service(s), now) for s in fleet.by_service)
+    )
     return {
         "name": daemon.settings.name,
         "ready": daemon.is_ready,
@@ -55,7 +59,7 @@
         "limit_parent": permits.parent,
         "permits_expired": permits.expired_permits,
         "servers": [
-            _server_state(daemon, member, now)
+            _server_state(daemon, member, doubtful, now)
             for member in daemon.fleet.members.values()
         ],
     }
@@ -69,7 +73,9 @@
     }
 
 
-def _server_state(daemon: "GatewayDaemon", member: Member, now: float) -> dict:
+def _server_state(
+    daemon: "GatewayDaemon", member: Member, doubtful: set[str], now: float
+) -> dict:
     server = member.server
     return {
         "server": server.incarnation,
@@ -80,6 +86,8 @@
         "waiting_tokens": member.waiting_tokens,
         "held_tokens": member.held_tokens,
         "avoided": now < member.avoid_until,
+        "doubtful": member.limit_key in doubtful,
+        "pace": daemon.fleet.paces.pace_of(member),
         "may_get_requests": daemon.entry_exchange.gate.may_send(server.start_key, now),
         "share": round(daemon.fleet.ejection.traffic_share(server.start_key, now), 3),
     }
--- a/monsoontack/pacing/pace.py
+++ b/monsoontack/pacing/pace.py
@@ -101,6 +101,11 @@
         """Whether a server is paced."""
         return member.limit_key in self.paces
 
+    def pace_of(self, member: Member) -> int | None:
+        """Return the pace of a server in requests, None if it is not paced."""
+        pace = self.paces.get(member.limit_key)
+        return None if pace is None else int(pace.requests)
+
     def begin(self, member: Member, reason: str, now: float) -> None:
         """Pace a server that has started or was found lost.
 
