--- a/bench/domainmodel.py
+++ b/bench/domainmodel.py
@@ -120,7 +120,8 @@
         if self.rule != "now":
             fleet = BackendFleet(evidence=NoEvidence(), paces=NoPaces())
         fleet.evidence.turns.name = name
-        fleet.evidence.turns.set_gateways(names)
+        fleet.evidence.turns.region = "north"
+        fleet.evidence.turns.set_gateways(dict.fromkeys(names, "north"))
         gateway = Gateway(name, PLACES[int(name[1:]) % 3], fleet)
         for engine in self.engines.values():
             fleet.put(engine.server, False, 0.0)
@@ -221,7 +222,7 @@
     def _candidates(self, gateway: Gateway) -> list[EngineCandidate]:
         fleet, now, found = gateway.fleet, self.clock, []
         members = fleet.of_service(SERVICE)
-        doubtful = fleet.evidence.doubtful(members, now)
+        doubtful = fleet.doubtful(members, now) if self.rule == "now" else ()
         for member in members:
             runs, waiting = gateway.view.get(member.limit_key, (0, 0))
             paces, own, room = fleet.paces, member.waiting_tokens, None
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -154,7 +154,7 @@
         loads = {}
         speeds = self.speeds.of_service(service, now)
         members = self.fleet.of_service(service)
-        doubtful = self.fleet.evidence.doubtful(members, now)
+        doubtful = self.fleet.doubtful(members, now)
         others = {}
         if self.load_exchange is not None:
             others = self.load_exchange.others_usage(service, members, traits, now)
