--- a/standins/gatewayprocess.py
+++ b/standins/gatewayprocess.py
@@ -34,6 +34,7 @@
 ready = "127.0.0.1:{ready}"
 [limits]
 memory_mb = {memory_mb}
+{descriptors}
 [bounds]
 grace_s = {grace_s}
 revoke_ms = 5000
@@ -110,7 +111,9 @@
 
     @classmethod
     @contextlib.asynccontextmanager
-    async def started(cls, memory_mb: int = 200) -> AsyncIterator["GatewayProcess"]:
+    async def started(
+        cls, memory_mb: int = 200, max_fds: int | None = None
+    ) -> AsyncIterator["GatewayProcess"]:
         """Start the simulators and the gateway, and wait until the gateway is ready."""
         store = SimulatedPlatformStore()
         await store.start()
@@ -126,7 +129,9 @@
             store.put("servers", name, engines[name].entry(service, zone))
         store.put("config", "main", config())
         with tempfile.TemporaryDirectory() as folder:
-            found = cls.write_settings(store, engines, Path(folder), memory_mb)
+            found = cls.write_settings(
+                store, engines, Path(folder), memory_mb, max_fds=max_fds
+            )
             try:
                 await found.start()
                 yield found
@@ -143,8 +148,12 @@
         name: str = "gateway-1",
         store_address: str | None = None,
         grace_s: int = 4,
+        max_fds: int | None = None,
     ) -> "GatewayProcess":
-        """Write the settings file of a gateway that listens on free ports."""
+        """Write the settings file of a gateway that listens on free ports.
+
+        Without `max_fds` the file states no limit on descriptors.
+        """
         ports = PortBlock()
         front, ready, first, second = (ports.take() for _ in range(4))
         text = SETTINGS.format(
@@ -155,6 +164,7 @@
             ready=ready,
             memory_mb=memory_mb,
             grace_s=grace_s,
+            descriptors="" if max_fds is None else f"max_fds = {max_fds}",
             store=store_address or store.address,
         )
         settings = folder / f"{name}.toml"
