Account for the memory of callers' connections, and limit their input

Only the bytes of bodies were counted, while each received piece, header object, pipelined request and unsent answer costs memory of its own, and a request that is read in full was kept from completion by incomplete ones. Connections were not limited.

A memory account counts what each connection to a caller or server costs in the process. Its limit follows from memory_mb. In a shortage connections pause, one at a time has the turn to complete its upload, ordinary requests have a reserve, and a few connections that hold most for longest without progress are refused with 503 or closed. Bytes are parsed only if there is memory for what they will cost. Pieces of bodies are joined. Reads are 16 KiB and share one buffer; input above 10 ms in one iteration of the loop waits for the next ones. Header lines, bytes of a line, empty lines, connections in all and per address, and the rate of slow bodies have checked settings, by default derived from the published limits, max_fds, or off. Refusals are counted by reason, with one log line per reason and second. A request that offers an upgrade is read with its body instead of being run without it.

connection_test and others are unchanged but for the name of the guard; drain_test has a larger account, since connections now count and its fake ones never end.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -49,8 +49,13 @@
 from monsoontack.gateway.streams import StreamForwarder
 from monsoontack.gateway.suspectgate import PATH as TURN_PATH
 from monsoontack.gateway.suspectgate import turn_call
-from monsoontack.inbound.connection import BodyBudget, InboundServer, listen_on
+from monsoontack.inbound.account import account_limit_bytes
+from monsoontack.inbound.limits import InboundLimits, other_connections
+from monsoontack.inbound.memoryguard import MemoryGuard
+from monsoontack.inbound.processload import LoopDelay, resident_bytes
+from monsoontack.inbound.refusals import RefusalReport
 from monsoontack.inbound.responder import Responder
+from monsoontack.inbound.server import InboundServer, listen_on
 from monsoontack.loadview.exchange import PATH as LOAD_PATH
 from monsoontack.loadview.exchange import LoadExchange
 from monsoontack.routing.linkbudget import EntryLinkBudget
@@ -61,8 +66,6 @@
 
 log = structlog.get_logger("gateway.daemon")
 
-# Share of the process's memory that request bodies may take.
-BODY_MEMORY_SHARE = 0.2
 DRAIN_CHECK_INTERVAL_S = 0.05
 # A draining entry closes connections that have been idle for this time. The request of
 # a new connection follows within a round trip, which takes 30 ms between regions.
@@ -138,6 +141,13 @@
     front: InboundServer | None = None
     background_jobs: list[Callable[[], Awaitable[None]]] = field(default_factory=list)
     stopping: asyncio.Event = field(default_factory=asyncio.Event)
+    loop_delay: LoopDelay = field(default_factory=LoopDelay)
+    refusals: RefusalReport = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Count refused input by reason."""
+        metrics = self.metrics
+        self.refusals = RefusalReport(metrics.refused_input, metrics.bad_requests)
 
     @classmethod
     def from_settings(
@@ -342,6 +352,8 @@
         """Apply changed bounds; changed addresses take effect only after a restart."""
         self.settings = settings
         self.config_state.revoke_s = settings.revoke_s
+        if self.front is not None:
+            self.front.inbound = settings.inbound
         log.info("settings reloaded", revoke_s=settings.revoke_s)
 
     @property
@@ -368,6 +380,7 @@
         await self._listen()
         work = [partial(self._run_feed, feed) for feed in self.feeds]
         work += [*self.background_jobs, self._tick, self._watch_settings]
+        work.append(self.loop_delay.run)
         tasks = [asyncio.ensure_future(run_with_restarts(item)) for item in work]
         log.info(
             "gateway started",
@@ -410,18 +423,32 @@
             self.reload()
 
     async def _listen(self) -> None:
-        budget = BodyBudget(int(self.settings.memory_bytes * BODY_MEMORY_SHARE))
+        memory = MemoryGuard(account_limit_bytes(self.settings.memory_bytes))
         self.front = InboundServer(
             self.gateway.handle,
             self.config_state.limits,
-            budget,
+            memory,
             closing=self.should_close_connections,
-            on_bad_request=self._on_bad_request,
+            inbound=self.settings.inbound,
+            on_refusal=self.refusals.note,
         )
+        self.pool.account = self.peer_pool.account = memory.account
         limits = CallerLimits()
-        ready = InboundServer(self._answer_ready, lambda: limits, budget)
-        operator = InboundServer(self._answer_operator, lambda: limits, budget)
-        peers = InboundServer(self._answer_peer, lambda: limits, budget)
+        others = InboundLimits(connections=other_connections(self.settings.max_fds))
+        ready, operator, peers = (
+            InboundServer(
+                handler,
+                lambda: limits,
+                memory,
+                inbound=others,
+                on_refusal=self.refusals.note,
+            )
+            for handler in (
+                self._answer_ready,
+                self._answer_operator,
+                self._answer_peer,
+            )
+        )
         for server, address in (
             (self.front, self.settings.front_address),
             (ready, self.settings.ready_address),
@@ -430,10 +457,6 @@
         ):
             self.listeners.append(await listen_on(server, address))
 
-    def _on_bad_request(self, status: int, detail: str) -> None:
-        self.metrics.bad_requests.labels(str(status)).inc()
-        log.info("invalid request rejected", status=status, detail=detail)
-
     async def _answer_ready(self, raw: RawRequest, responder: Responder) -> None:
         status = OK if self.is_ready else UNAVAILABLE
         responder.send(status, ())
@@ -489,9 +512,21 @@
         metrics.blocked_prompt_parts.set(len(blamed) - blocked_requests)
         for service, members in self.fleet.by_service.items():
             metrics.servers.labels(service).set(len(members))
+        self._update_input_gauges()
         if self.log_writer is not None:
             metrics.log_lines_dropped.set(self.log_writer.dropped)
 
+    def _update_input_gauges(self) -> None:
+        metrics, front = self.metrics, self.front
+        account = front.memory.account
+        metrics.accounted_bytes.set(account.used_bytes)
+        metrics.account_limit_bytes.set(account.limit_bytes)
+        metrics.resident_bytes.set(resident_bytes())
+        metrics.caller_connections.set(len(front.connections))
+        if front.turns is not None:
+            metrics.longest_input_s.set(front.turns.longest_s)
+        metrics.loop_delay_s.set(self.loop_delay.longest_s)
+
     async def _drain(self) -> None:
         """Wait for requests to end, end those left at the deadline, and close."""
         self.draining = True
--- a/monsoontack/gateway/daemon_test.py
+++ b/monsoontack/gateway/daemon_test.py
@@ -20,7 +20,8 @@
 from monsoontack.gateway.records import CallerLimits
 from monsoontack.gateway.relay import RelayedStore
 from monsoontack.gateway.settings import GatewaySettings
-from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.memoryguard import MemoryGuard
+from monsoontack.inbound.server import InboundServer
 from monsoontack.routing.linkbudget import LINK_BYTES_PER_S
 from monsoontack.store.api import KindList, KindObject, Unavailable
 from monsoontack.store.cache import KindCache
@@ -160,7 +161,7 @@
         )
         limits = CallerLimits()
         server = InboundServer(
-            self.daemon._answer_peer, lambda: limits, BodyBudget(10**6)
+            self.daemon._answer_peer, lambda: limits, MemoryGuard(10**6)
         )
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(server.make_connection, "127.0.0.1", 0)
--- a/monsoontack/gateway/drain_test.py
+++ b/monsoontack/gateway/drain_test.py
@@ -20,7 +20,8 @@
     RawRequest,
     RequestKind,
 )
-from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.memoryguard import MemoryGuard
+from monsoontack.inbound.server import InboundServer
 from standins.gatewayfakes import (
     FakeTransport,
     ScriptedSender,
@@ -125,7 +126,7 @@
         self.daemon.front = InboundServer(
             gateway.handle,
             CallerLimits,
-            BodyBudget(10**6),
+            MemoryGuard(10**8),
             closing=self.daemon.should_close_connections,
         )
 
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -28,6 +28,7 @@
     requests: Counter = None
     sends: Counter = None
     bad_requests: Counter = None
+    refused_input: Counter = None
     answer_s: Histogram = None
     first_event_s: Histogram = None
     worst_gap_s: Histogram = None
@@ -45,6 +46,12 @@
     store_feed_up: Gauge = None
     store_restorations: Counter = None
     log_lines_dropped: Gauge = None
+    accounted_bytes: Gauge = None
+    account_limit_bytes: Gauge = None
+    resident_bytes: Gauge = None
+    caller_connections: Gauge = None
+    longest_input_s: Gauge = None
+    loop_delay_s: Gauge = None
 
     @classmethod
     def create(cls) -> "GatewayMetrics":
@@ -69,6 +76,12 @@
             ("status",),
             registry=registry,
         )
+        metrics.refused_input = Counter(
+            "monsoontack_refused_input",
+            "Requests and connections refused or closed before they were forwarded",
+            ("reason",),
+            registry=registry,
+        )
         metrics.limited_sends = Counter(
             "monsoontack_limited_sends",
             "Requests sent to backend servers that have stated a limit, by service",
@@ -138,6 +151,22 @@
         self.store_feed_up = gauge(
             "store_feed_up", "Whether the store answers a feed", ("feed",)
         )
+        self.accounted_bytes = gauge(
+            "accounted_bytes", "Memory that the account holds for callers and engines"
+        )
+        self.account_limit_bytes = gauge(
+            "account_limit_bytes", "Limit of the memory account"
+        )
+        self.resident_bytes = gauge("resident_bytes", "Resident memory of the process")
+        self.caller_connections = gauge(
+            "caller_connections", "Open connections of callers"
+        )
+        self.longest_input_s = gauge(
+            "longest_input_seconds", "Longest handling of one read from a caller"
+        )
+        self.loop_delay_s = gauge(
+            "loop_delay_seconds", "Longest delay of a timer in the last 10 to 20 s"
+        )
         self.log_lines_dropped = gauge(
             "log_lines_dropped", "Log lines dropped since nobody read them"
         )
--- a/monsoontack/gateway/mutations_test.py
+++ b/monsoontack/gateway/mutations_test.py
@@ -28,7 +28,8 @@
 from monsoontack.gateway.rollouts import decode_evidence
 from monsoontack.gateway.sse import EventSplitter, EventTooLongError, parse_events
 from monsoontack.generation.continuation import ForeignAnswerError
-from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.memoryguard import MemoryGuard
+from monsoontack.inbound.server import InboundServer
 from monsoontack.loadview.exchange import LoadExchange
 from monsoontack.rollout.evidence import Counts
 from monsoontack.store.api import KindObject
@@ -86,7 +87,7 @@
                 responder.send(200, (), b"ok")
 
             limits = CallerLimits(1000, 5000, 3.0, 15.0)
-            server = InboundServer(handle, lambda: limits, BodyBudget(10**6))
+            server = InboundServer(handle, lambda: limits, MemoryGuard(10**6))
             connection = server.make_connection()
             connection.connection_made(FakeTransport())
             for start in range(0, len(data), 7):
@@ -97,7 +98,7 @@
             return seen, server
 
         seen, server = run_in_virtual_time(scenario())
-        self.assertEqual(0, server.budget.used_bytes)
+        self.assertEqual(0, server.memory.account.used_bytes)
         for raw in seen:
             self.assertEqual(1, sum(name == b"host" for name, _ in raw.headers))
 
--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -17,6 +17,8 @@
 
 from monsoontack.gateway.deadpeer import DeadPeerDetection
 from monsoontack.gateway.records import Headers
+from monsoontack.inbound.account import MemoryAccount
+from monsoontack.inbound.serverholding import ServerHolding
 
 # Buffered body bytes of one response above which reading from the server pauses until
 # a slow caller has caught up.
@@ -148,7 +150,9 @@
         self,
         response_request_id: Callable[[Headers], str | None],
         on_free: Callable[["OutboundConnection"], None],
+        account: MemoryAccount | None = None,
     ) -> None:
+        self.holding = ServerHolding(account)
         self.response_request_id = response_request_id
         self.on_free = on_free
         self.transport: asyncio.Transport | None = None
@@ -177,6 +181,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options that detect dead peers."""
         self.transport = transport
+        self.holding.open()
         sock = transport.get_extra_info("socket")
         if sock is not None:
             self.dead_peers = DeadPeerDetection(sock)
@@ -191,6 +196,7 @@
         self.recent_request_ids.append(exchange.request_id)
         exchange.connection = self
         self.transport.write(data)
+        self.holding.update(self.transport, 0)
 
     @property
     def is_open(self) -> bool:
@@ -215,6 +221,7 @@
 
     def resume(self) -> None:
         """Resume reading after a pause for a slow caller."""
+        self.holding.update(self.transport, 0)
         if self.is_reading_paused and self.transport is not None:
             self.is_reading_paused = False
             self.transport.resume_reading()
@@ -334,6 +341,7 @@
             return
         exchange.parts.append(data)
         exchange.buffered_bytes += len(data)
+        self.holding.update(self.transport, exchange.buffered_bytes)
         exchange.wake()
         if (
             exchange.buffered_bytes > READ_BUFFER_HIGH_BYTES
@@ -382,6 +390,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the active exchange."""
         self.is_reusable = False
+        self.holding.close()
         kind = FailureKind.CLOSED if error is None else FailureKind.RESET
         self._fail(kind, str(error or "connection closed"))
 
--- a/monsoontack/gateway/pool.py
+++ b/monsoontack/gateway/pool.py
@@ -15,6 +15,7 @@
     OutboundConnection,
 )
 from monsoontack.gateway.records import Headers
+from monsoontack.inbound.account import MemoryAccount
 
 # Longer than a round trip between regions with one retransmission. After it, a
 # request with a latency objective of 0.3 s can still be served by another server.
@@ -31,7 +32,8 @@
 class ConnectionPool:
     """Idle connections of this process by address and incarnation of the server.
 
-    `is_used` tells whether an incarnation may get further requests. `opened` and
+    `is_used` tells whether an incarnation may get further requests. `account` counts
+    what the connections hold, if there is one. `opened` and
     `reused` count the connections that were opened and those that were taken from the
     pool.
     """
@@ -40,6 +42,7 @@
     keep_alive_s: Callable[[Headers], float | None]
     is_used: Callable[[str], bool] = lambda incarnation: True
     idle: dict[tuple[str, str], list[OutboundConnection]] = field(default_factory=dict)
+    account: MemoryAccount | None = None
     opened: int = 0
     reused: int = 0
 
@@ -74,7 +77,9 @@
             self.release(key, connection)
 
         def make_connection() -> OutboundConnection:
-            return OutboundConnection(self.response_request_id, return_to_pool)
+            return OutboundConnection(
+                self.response_request_id, return_to_pool, self.account
+            )
 
         try:
             host, port = parse_address(address)
--- a/monsoontack/gateway/relay_test.py
+++ b/monsoontack/gateway/relay_test.py
@@ -16,7 +16,8 @@
 from monsoontack.gateway.peers import PeerEntry, call_peer, peer_pool
 from monsoontack.gateway.records import CallerLimits
 from monsoontack.gateway.relay import RelayedStore, RelayServer
-from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.memoryguard import MemoryGuard
+from monsoontack.inbound.server import InboundServer
 from monsoontack.store.api import (
     HistoryGone,
     KindChanges,
@@ -61,7 +62,7 @@
         self.relay = RelayServer({"k": self.cache})
         self.handler = self.relay.handle
         limits = CallerLimits()
-        server = InboundServer(self.handle, lambda: limits, BodyBudget(10**6))
+        server = InboundServer(self.handle, lambda: limits, MemoryGuard(10**6))
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(server.make_connection, "127.0.0.1", 0)
         port = self.listener.sockets[0].getsockname()[1]
--- a/monsoontack/gateway/settings.py
+++ b/monsoontack/gateway/settings.py
@@ -1,8 +1,9 @@
 """Settings of a gateway: its VM, its addresses and the limits in force."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from monsoontack.core.records import Place
+from monsoontack.inbound.limits import InboundLimits
 
 # Fraction of `propagation_limit_s` after which a watch of the store times out,
 # which is also the interval at which an unchanged kind is confirmed. The rest covers
@@ -18,7 +19,9 @@
     Addresses are `ip:port`. A change in the store must take effect at every entry
     within `propagation_limit_s`. `is_first_start` is true if the whole deployment
     is starting for the first time. `expected_max_entries` is an upper estimate
-    of the number of entries in the deployment.
+    of the number of entries in the deployment. `max_fds` is the number of descriptors
+    that the process may have open, None if it is not stated. `inbound` limits callers,
+    beside the limits of the configuration.
     """
 
     name: str
@@ -39,6 +42,8 @@
     propagation_limit_s: float = 2.5
     is_first_start: bool = False
     expected_max_entries: int = 8
+    max_fds: int | None = None
+    inbound: InboundLimits = field(default_factory=InboundLimits)
 
     @property
     def watch_timeout_s(self) -> float:
--- a/monsoontack/inbound/connection.py
+++ b/monsoontack/inbound/connection.py
@@ -1,132 +1,67 @@
-"""HTTP/1.1 server for the connections of callers.
+"""HTTP/1.1 server side of the connections of callers.
 
 The requests of one connection are served in order. A request is passed to the
-handler once its body is complete. Reading pauses while the request bodies of all
-connections together exceed a budget. To prevent request smuggling, the parser
-accepts no ambiguous request: `Content-Length` together with chunked encoding,
-repeated lengths, folded headers and invalid characters are refused with 400, and
-the connection is closed.
+handler once its body is complete. Reading pauses while the process is short of memory,
+while a request waits for the one before it, and when the input of other connections
+has occupied the event loop for long.
 """
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
-
-import httptools
-
-from monsoontack.gateway.records import CallerLimits, RawRequest
-from monsoontack.inbound.responder import Responder, reason_phrase, set_reset_on_close
+from time import perf_counter
+from typing import TYPE_CHECKING
+
+from monsoontack.gateway.records import RawRequest
+from monsoontack.inbound.account import Holding
+from monsoontack.inbound.costs import CONNECTION_BYTES, HEADER_LINE_BYTES, SERVED_BYTES
+from monsoontack.inbound.progress import RequestProgress
+from monsoontack.inbound.requestreader import InputRefusal, RequestReader
+from monsoontack.inbound.responder import (
+    Responder,
+    refusal_response,
+    set_reset_on_close,
+)
+
+if TYPE_CHECKING:
+    from monsoontack.inbound.server import InboundServer
 
 # After a refusal, the remaining bytes of the caller are read and discarded for this
 # time before the connection is closed; a reset could destroy the refusal in transit.
 LINGERING_CLOSE_S = 0.5
 # Unsent bytes above which writes to a slow caller wait.
 WRITE_BUFFER_HIGH_BYTES = 65_536
-# Header fields that make a request ambiguous if they occur more than once.
-SINGLETON_HEADERS = frozenset((b"host", b"content-length", b"transfer-encoding"))
-# Bytes received without any body data: trailers and chunk extensions of a request.
-MAX_FRAMING_BYTES = 65_536
-# Holds one second of new connections during a burst at a large entry.
-LISTEN_BACKLOG = 512
-# Callers that disappeared without closing the connection are detected after this time.
-TCP_USER_TIMEOUT_MS = 10_000
-
-
-@dataclass(slots=True)
-class BodyBudget:
-    """Limit on the bytes of request bodies that all connections hold together."""
-
-    limit_bytes: int
-    used_bytes: int = 0
-    paused_connections: set["InboundConnection"] = field(default_factory=set)
-
-    def add(self, connection: "InboundConnection", size_bytes: int) -> bool:
-        """Count bytes as in use; return False if the connection must pause reading."""
-        self.used_bytes += size_bytes
-        if self.used_bytes <= self.limit_bytes:
-            return True
-        self.paused_connections.add(connection)
-        return False
-
-    def release(self, size_bytes: int) -> None:
-        """Release bytes; paused connections resume once the budget has room."""
-        self.used_bytes -= size_bytes
-        if self.used_bytes <= self.limit_bytes and self.paused_connections:
-            paused_connections, self.paused_connections = self.paused_connections, set()
-            for connection in paused_connections:
-                connection.resume_reading()
-
-
-@dataclass(slots=True)
-class InboundServer:
-    """State shared by the connections of one listening address.
-
-    `handler` serves one request with a `Responder`. `limits` returns the limits in
-    force. While `closing` returns true, connections are closed after their response.
-    """
-
-    handler: Callable[[RawRequest, Responder], Awaitable[None]]
-    limits: Callable[[], CallerLimits]
-    budget: BodyBudget
-    closing: Callable[[], bool] = lambda: False
-    connections: set["InboundConnection"] = field(default_factory=set)
-    tasks: set[asyncio.Task] = field(default_factory=set)
-    on_bad_request: Callable[[int, str], None] = lambda status, detail: None
+# A caller that has not read this much, and reads nothing, is closed in a shortage of
+# memory. Below it closing frees little.
+MIN_UNSENT_BYTES = 32_768
+# Reasons for which reading is paused; they are combined in a bit mask.
+PIPELINED, MEMORY, TURN = 1, 2, 4
+NO_MEMORY = InputRefusal(503, "memory", "not enough memory")
+UNREAD_ANSWER = InputRefusal(0, "unread_answer", "caller does not read its answer")
 
-    def make_connection(self) -> "InboundConnection":
-        """Return the protocol object of a new connection."""
-        return InboundConnection(self)
 
-    @property
-    def has_active_requests(self) -> bool:
-        """Whether a request is being received or served on any connection."""
-        return any(not c.is_idle for c in self.connections)
-
-    def close_idle(self, min_idle_s: float = 0.0) -> None:
-        """Close the connections that have had no active request for some time."""
-        for connection in list(self.connections):
-            idle_s = connection.now() - connection.idle_since
-            if connection.is_idle and idle_s >= min_idle_s:
-                connection.transport.close()
-
-    def unsent_connections(self) -> int:
-        """Return the number of connections whose caller has not read everything."""
-        transports = (connection.transport for connection in self.connections)
-        return sum(item.get_write_buffer_size() > 0 for item in transports)
-
-    def abort_all(self) -> None:
-        """Abort all connections, with a reset where bytes are dropped."""
-        for connection in list(self.connections):
-            transport = connection.transport
-            if transport.get_write_buffer_size() > 0:
-                set_reset_on_close(transport, True)
-            transport.abort()
-
-
-class InboundConnection(asyncio.Protocol):
+class InboundConnection(asyncio.BufferedProtocol):
     """Server side of the connection of one caller."""
 
-    def __init__(self, server: InboundServer) -> None:
+    def __init__(self, server: "InboundServer") -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpRequestParser(self)
+        self.address = ""
+        self.reader = RequestReader(server.limits, server.inbound, self.now)
         self.is_http10 = False
-        self.target = b""
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.header_bytes = 0
-        self.is_reading_head = True
-        self.framing_bytes = 0
-        self.body: list[bytes] = []
-        self.body_bytes = 0
-        self.queue: deque[RawRequest] = deque()
+        self.queue: deque[tuple[RawRequest, int]] = deque()
+        self.queued_bytes = 0
+        self.unparsed = b""
         self.current: Responder | None = None
+        self.current_bytes = 0
+        self.unsent_bytes = 0
+        self.holding = Holding(self._resume_after_shortage, self.shed)
+        self.progress: RequestProgress | None = None
         self.is_refused = False
-        self.is_reading = True
+        self.was_used = False
+        self.pauses = 0
         self.is_congested = False
         self.drain_future: asyncio.Future | None = None
         self.timeout_timer: asyncio.TimerHandle | None = None
-        self.request_started_at: float | None = None
         self.idle_since = 0.0
 
     def now(self) -> float:
@@ -136,29 +71,36 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being received, queued or served."""
-        return (
-            self.current is None and not self.queue and self.request_started_at is None
-        )
+        return self.current is None and not self.queue and self.progress is None
+
+    def idle_s(self) -> float:
+        """Return for how long the connection has had no request; -1 if it has one."""
+        return self.now() - self.idle_since if self.is_idle else -1.0
 
     def should_close(self) -> bool:
         """Whether to close after the response; false while requests are queued."""
         return self.server.closing() and not self.queue
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the idle timeout."""
+        """Start the idle timeout, or refuse the connection if there are too many."""
         self.transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
-        self.server.connections.add(self)
-        self.idle_since = self.now()
+        peer = transport.get_extra_info("peername")
+        self.address = peer[0] if peer else ""
+        self.idle_since = self.holding.progress_at = self.now()
+        refusal = self.server.admit(self)
+        if refusal is not None:
+            self.is_refused = True
+            self.server.refuse_connection(self, refusal)
+            return
+        self.holding.held_bytes = CONNECTION_BYTES
+        self.server.memory.account.open(self.holding)
         self._schedule_timeout_check()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Release resources and notify the current request of the disconnect."""
-        self.server.connections.discard(self)
-        self.server.budget.paused_connections.discard(self)
-        self._discard_body()
-        for raw in self.queue:
-            self.server.budget.release(len(raw.body))
+        self.server.forget(self)
+        self.server.memory.account.close(self.holding)
         self.queue.clear()
         if self.timeout_timer is not None:
             self.timeout_timer.cancel()
@@ -173,10 +115,12 @@
     def pause_writing(self) -> None:
         """Mark the write buffer as full: the caller reads too slowly."""
         self.is_congested = True
+        self.update_holding()
 
     def resume_writing(self) -> None:
         """Resume writers that wait in `drain`."""
         self.is_congested = False
+        self.update_holding()
         self._resume_drain()
 
     async def drain(self, disconnected: asyncio.Future) -> None:
@@ -195,105 +139,105 @@
         if not self.transport.is_closing():
             self.transport.write(data)
 
+    def get_buffer(self, size_hint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share.
+
+        The event loop calls `buffer_updated` before another connection reads.
+        """
+        return self.server.buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Handle bytes that were read into the buffer."""
+        if not self.is_refused:
+            self._receive(bytes(self.server.buffer[:size]))
+
     def data_received(self, data: bytes) -> None:
-        """Feed the parser and enforce the size limits of heads and framing."""
-        if self.is_refused:
-            return
-        if self.request_started_at is None:
-            self.request_started_at = self.now()
-        if self.is_reading_head:
-            self.header_bytes += len(data)
+        """Handle bytes in parts of the size of the buffer."""
+        step = len(self.server.buffer)
+        for start in range(0, len(data), step):
+            if not self.is_refused:
+                self._receive(data[start : start + step])
+
+    def _receive(self, data: bytes) -> None:
+        """Parse bytes, or keep them as they are until there is memory for more.
+
+        A head can cost more than 20 times its bytes once it is parsed.
+        """
+        if self.reader.is_reading_head:
+            self.holding.coming_bytes += data.count(b"\n") * HEADER_LINE_BYTES
+        if self.unparsed or not self.server.memory.account.may_read(self.holding):
+            self.unparsed += data
+            if self.progress is None:
+                self.progress = RequestProgress(self.now(), self.now())
+            self.update_holding()
         else:
-            self.framing_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.refuse(400, "upgrade is not supported")
-        except httptools.HttpParserError as error:
-            self.refuse(400, str(error))
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        started_at = perf_counter()
+        self.holding.coming_bytes = 0
+        reader = self.reader
+        reader.feed(data)
+        self.was_used = True
+        self._note_progress(bool(reader.complete))
+        while reader.complete:
+            item = reader.complete.popleft()
+            self.is_http10 = reader.is_http10
+            self.queue.append(item)
+            self.queued_bytes += item[1]
+        if self.current is None and self.queue:
+            self._serve_next()
+        if reader.refusal is not None:
+            self.refuse(reader.refusal)
+        elif reader.awaits_continue and self.current is None:
+            reader.awaits_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self.queue and not self.is_refused:
+            self._pause(PIPELINED)
+        self.update_holding()
+        turns = self.server.turns
+        if not turns.note(perf_counter() - started_at) and not self.pauses:
+            self._pause(TURN)
+            turns.wait(self._resume_turn)
+
+    def _note_progress(self, is_next: bool) -> None:
+        """Record that bytes have arrived; `is_next` if a request was completed."""
+        now = self.holding.progress_at = self.now()
+        if not self.reader.is_reading_request:
+            self.progress = None
+        elif self.progress is None or is_next:
+            self.progress = RequestProgress(now, now)
         else:
-            self._check_size_limits()
-
-    def _check_size_limits(self) -> None:
-        if (
-            self.is_reading_head
-            and self.header_bytes > self.server.limits().header_bytes
-        ):
-            self.refuse(431, "request head too large")
-        elif self.framing_bytes > MAX_FRAMING_BYTES:
-            self.refuse(431, "trailers or chunk extensions too large")
-
-    def on_message_begin(self) -> None:
-        """Start a new request."""
-        self.target, self.headers, self.body = b"", [], []
-        self.body_bytes = 0
-        self.is_reading_head = True
-
-    def on_url(self, url: bytes) -> None:
-        """Append to the request target, which may arrive in parts."""
-        self.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header; trailers, which follow the checked head, are dropped."""
-        if self.is_reading_head:
-            self.headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        """Validate the head, and answer `Expect: 100-continue`."""
-        self.is_reading_head = False
-        self.header_bytes = self.framing_bytes = 0
-        limits = self.server.limits()
-        size = len(self.target) + sum(len(n) + len(v) + 4 for n, v in self.headers)
-        if size > limits.header_bytes:
-            self.refuse(431, "request head too large")
-            return
-        detail = find_head_error(self.headers, self.parser.get_http_version())
-        if detail:
-            self.refuse(400, detail)
+            self.progress.received_at = now
+
+    def update_holding(self) -> None:
+        """Count what the connection holds, and pause it if memory is short."""
+        guard, holding = self.server.memory, self.holding
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes < self.unsent_bytes:
+            holding.progress_at = self.now()
+        self.unsent_bytes = unsent_bytes
+        input_bytes = self.reader.held_bytes + self.queued_bytes + len(self.unparsed)
+        guard.account.set(
+            holding, CONNECTION_BYTES + input_bytes + self.current_bytes + unsent_bytes
+        )
+        holding.sheddable = unsent_bytes >= MIN_UNSENT_BYTES or (
+            not self.is_refused and (self.current is None or input_bytes > 0)
+        )
+        if guard.account.used_bytes <= guard.account.soft_limit_bytes:
             return
-        declared = next((v for n, v in self.headers if n == b"content-length"), b"0")
-        if int(declared) > limits.body_bytes:
-            self.refuse(413, "request body too large")
+        guard.watch()
+        if self.progress is None or self.is_refused or self.pauses & MEMORY:
             return
-        if (b"expect", b"100-continue") in self.headers and self.current is None:
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, data: bytes) -> None:
-        """Collect a part of the body; refuse or pause if it exceeds a limit."""
-        self.framing_bytes = 0
-        if self.is_refused:
-            return
-        self.body.append(data)
-        self.body_bytes += len(data)
-        if self.body_bytes > self.server.limits().body_bytes:
-            self.refuse(413, "request body too large")
-        elif not self.server.budget.add(self, len(data)):
-            self._pause_reading()
-
-    def on_message_complete(self) -> None:
-        """Queue the complete request, and serve it if no other one is being served."""
-        if self.is_refused:
-            return
-        self.is_http10 = self.parser.get_http_version() == "1.0"
-        raw = RawRequest(
-            method=self.parser.get_method(),
-            target=self.target,
-            headers=tuple(self.headers),
-            body=b"".join(self.body),
-            keep_alive=self.parser.should_keep_alive(),
-            received_at=self.now(),
-        )
-        self.body, self.body_bytes = [], 0
-        self.is_reading_head = True
-        self.request_started_at = None
-        self.queue.append(raw)
-        if self.current is None:
-            self._serve_next()
-        else:
-            self._pause_reading()
+        if not guard.account.may_read(holding):
+            self._pause(MEMORY)
+            guard.account.pause(holding, self.now())
 
     def _serve_next(self) -> None:
-        raw = self.queue.popleft()
+        raw, cost_bytes = self.queue.popleft()
+        self.queued_bytes -= cost_bytes
+        self.current_bytes = cost_bytes + SERVED_BYTES
+        self.server.memory.account.end_reading(self.holding)
         self.current = Responder(self, raw)
         task = asyncio.ensure_future(self._serve(raw, self.current))
         self.server.tasks.add(task)
@@ -303,57 +247,110 @@
         try:
             await self.server.handler(raw, responder)
         finally:
-            self.server.budget.release(len(raw.body))
             self._finish_request(responder)
 
     def _finish_request(self, responder: Responder) -> None:
         self.current = None
+        self.current_bytes = 0
         if self.transport.is_closing():
+            self.update_holding()
             return
         if not responder.finished:
             self.transport.abort()
             return
         if not responder.keep_alive or self.is_refused:
-            self.transport.close()
+            self._close()
             return
         self.idle_since = self.now()
         if self.queue:
             self._serve_next()
         else:
-            self.resume_reading()
+            self._unpause(PIPELINED)
+        self.update_holding()
 
-    def refuse(self, status: int, detail: str) -> None:
-        """Refuse an invalid request with an empty response and close the connection."""
+    def refuse(self, refusal: InputRefusal) -> None:
+        """Refuse the request that is being received and close the connection.
+
+        While another request is being served, the connection is closed after its
+        response instead.
+        """
         if self.is_refused:
             return
         self.is_refused = True
-        self.server.on_bad_request(status, detail)
-        self._discard_body()
-        if self.current is not None:
+        self.server.on_refusal(refusal)
+        self.reader.refuse(refusal.status, refusal.reason, refusal.detail)
+        self.queue.clear()
+        self.queued_bytes, self.progress, self.unparsed = 0, None, b""
+        self._read_on()
+        self.update_holding()
+        if self.current is None:
+            self.write(refusal_response(refusal.status))
+            self._close_later()
+
+    def shed(self) -> None:
+        """Free what the connection holds, because memory is short."""
+        before_bytes = self.holding.held_bytes
+        self.update_holding()
+        if self.transport.is_closing() and not self.unsent_bytes:
             return
-        lines = (
-            b"HTTP/1.1 %d %s" % (status, reason_phrase(status)),
-            b"content-length: 0",
-            b"connection: close",
-        )
-        self.write(b"\r\n".join(lines) + b"\r\n\r\n")
-        asyncio.get_running_loop().call_later(LINGERING_CLOSE_S, self.transport.close)
+        if self.holding.held_bytes < before_bytes:
+            # The caller has read on since the last count.
+            return
+        if self.unsent_bytes >= MIN_UNSENT_BYTES or self.transport.is_closing():
+            self.server.on_refusal(UNREAD_ANSWER)
+            self._abort_unsent()
+        elif self.is_idle:
+            self.transport.close()
+        else:
+            self.refuse(NO_MEMORY)
 
-    def _discard_body(self) -> None:
-        self.server.budget.release(self.body_bytes)
-        self.body, self.body_bytes = [], 0
+    def _abort_unsent(self) -> None:
+        set_reset_on_close(self.transport, True)
+        self.transport.abort()
 
-    def _pause_reading(self) -> None:
-        if self.is_reading and not self.transport.is_closing():
-            self.is_reading = False
+    def _close(self) -> None:
+        """Close after a response; unread bytes of the caller must not cause a reset."""
+        if not self.pauses:
+            self.transport.close()
+            return
+        self.is_refused, self.progress, self.unparsed = True, None, b""
+        self.idle_since = self.now()
+        self._read_on()
+        self.update_holding()
+        self._close_later()
+
+    def _close_later(self) -> None:
+        asyncio.get_running_loop().call_later(LINGERING_CLOSE_S, self.transport.close)
+
+    def _pause(self, reason: int) -> None:
+        if not self.pauses and not self.transport.is_closing():
             self.transport.pause_reading()
+        self.pauses |= reason
 
-    def resume_reading(self) -> None:
-        """Resume reading after a pause."""
-        if not self.is_reading and not self.transport.is_closing():
-            self.is_reading = True
+    def _unpause(self, reason: int) -> None:
+        if not self.pauses & reason:
+            return
+        self.pauses &= ~reason
+        if not self.pauses and not self.transport.is_closing():
             self.transport.resume_reading()
 
+    def _read_on(self) -> None:
+        """End all pauses, since what arrives is discarded."""
+        self.server.memory.account.end_reading(self.holding)
+        self._unpause(PIPELINED | MEMORY | TURN)
+
+    def _resume_turn(self) -> None:
+        self._unpause(TURN)
+
+    def _resume_after_shortage(self, paused_s: float) -> None:
+        if self.progress is not None:
+            self.progress.paused_s += paused_s
+            self.progress.received_at += paused_s
+        self._unpause(MEMORY)
+        data, self.unparsed = self.unparsed, b""
+        if data:
+            self._parse(data)
+
     def _schedule_timeout_check(self) -> None:
         limits = self.server.limits()
         delay_s = min(limits.header_timeout_s, limits.idle_timeout_s) / 4
@@ -361,48 +358,27 @@
         self.timeout_timer = loop.call_later(max(delay_s, 0.05), self._check_timeouts)
 
     def _check_timeouts(self) -> None:
-        if self.transport.is_closing():
-            return
+        self.update_holding()
         limits, now = self.server.limits(), self.now()
-        if self.current is None and not self.is_refused:
-            started_at = self.request_started_at
-            allowed_s = limits.header_timeout_s
-            if not self.is_reading_head:
-                allowed_s = limits.idle_timeout_s
-            if started_at is not None:
-                if now - started_at > allowed_s:
-                    self.refuse(408, "request took too long to arrive")
-            elif now - self.idle_since > limits.idle_timeout_s:
-                self.transport.close()
+        if self.transport.is_closing():
+            if now - self.holding.progress_at > limits.idle_timeout_s:
+                self._abort_unsent()
                 return
+        elif self.current is None and not self.is_refused:
+            if self.progress is None:
+                if now - self.idle_since > limits.idle_timeout_s:
+                    self.transport.close()
+            elif not self.pauses & MEMORY:
+                self._check_progress(now)
         self._schedule_timeout_check()
 
-
-def find_head_error(headers: list[tuple[bytes, bytes]], version: str) -> str:
-    """Return why a head is ambiguous or unsupported, or an empty string."""
-    seen: set[bytes] = set()
-    for name, value in headers:
-        if name in SINGLETON_HEADERS:
-            if name in seen:
-                return f"repeated header {name.decode()}"
-            seen.add(name)
-        if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
-            return "unsupported transfer encoding"
-    if b"host" not in seen:
-        return "request without a host"
-    if b"transfer-encoding" in seen and version == "1.0":
-        return "chunked request in HTTP/1.0"
-    return ""
-
-
-async def listen_on(server: InboundServer, address: str) -> asyncio.Server:
-    """Listen at `ip:port` and return the listener."""
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(
-        server.make_connection,
-        host,
-        int(port),
-        backlog=LISTEN_BACKLOG,
-        reuse_address=True,
-    )
+    def _check_progress(self, now: float) -> None:
+        refusal = self.progress.refusal(
+            now,
+            self.reader.is_reading_head,
+            self.reader.received_body_bytes,
+            self.server.limits(),
+            self.server.inbound.min_body_bytes_s,
+        )
+        if refusal is not None:
+            self.refuse(refusal)
--- a/monsoontack/inbound/connection_ends_test.py
+++ b/monsoontack/inbound/connection_ends_test.py
@@ -8,7 +8,8 @@
 from monsoontack.gateway.outbound import HttpExchange
 from monsoontack.gateway.outbound_test import OutboundConnection, response_request_id
 from monsoontack.gateway.records import CallerLimits
-from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.memoryguard import MemoryGuard
+from monsoontack.inbound.server import InboundServer
 from standins.gatewayfakes import FakeTransport
 
 TAIL_BYTES = 60_000
@@ -35,7 +36,7 @@
             finished.set()
 
         finished = asyncio.Event()
-        server = InboundServer(handle, CallerLimits, BodyBudget(10**6))
+        server = InboundServer(handle, CallerLimits, MemoryGuard(10**6))
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(server.make_connection, "127.0.0.1", 0)
         self.addCleanup(listener.close)
@@ -80,7 +81,7 @@
 
         first, second = asyncio.Event(), asyncio.Event()
         server = InboundServer(
-            handle, CallerLimits, BodyBudget(10**6), closing=lambda: closing
+            handle, CallerLimits, MemoryGuard(10**6), closing=lambda: closing
         )
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(server.make_connection, "127.0.0.1", 0)
--- a/monsoontack/inbound/connection_test.py
+++ b/monsoontack/inbound/connection_test.py
@@ -5,8 +5,9 @@
 
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.records import CallerLimits
-from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.memoryguard import MemoryGuard
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.inbound.server import InboundServer
 from standins.gatewayfakes import FakeTransport
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n"
@@ -24,7 +25,7 @@
         self.server = InboundServer(
             self.handle,
             lambda: LIMITS,
-            BodyBudget(budget),
+            MemoryGuard(budget),
             closing=lambda: self.is_closing,
         )
         self.connection = self.connect()
--- a/monsoontack/inbound/responder.py
+++ b/monsoontack/inbound/responder.py
@@ -9,6 +9,10 @@
 from monsoontack.gateway.outbound import BODYLESS_STATUSES
 from monsoontack.gateway.records import Headers, RawRequest
 
+# `Retry-After` of a refusal for lack of memory or connections: the stalled connections
+# that hold most are closed within about this time.
+RETRY_AFTER_S = 1
+
 
 class CallerConnection(Protocol):
     """Interface of a caller's connection that a response is written to."""
@@ -139,6 +143,15 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def refusal_response(status: int) -> bytes:
+    """Return the response to input that is refused; the connection closes after it."""
+    lines = [b"HTTP/1.1 %d %s" % (status, reason_phrase(status))]
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        lines.append(b"retry-after: %d" % RETRY_AFTER_S)
+    lines += [b"content-length: 0", b"connection: close"]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
 def reason_phrase(status: int) -> bytes:
     """Return the reason phrase of a status code."""
     try:
--- a/monsoontack/inbound/responder_test.py
+++ b/monsoontack/inbound/responder_test.py
@@ -4,7 +4,8 @@
 import unittest
 
 from monsoontack.gateway.records import CallerLimits
-from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.memoryguard import MemoryGuard
+from monsoontack.inbound.server import InboundServer
 
 HANG_GUARD_S = 30.0
 
@@ -23,7 +24,7 @@
             end(responder, server)
 
         read = asyncio.Event()
-        server = InboundServer(handle, CallerLimits, BodyBudget(10**6))
+        server = InboundServer(handle, CallerLimits, MemoryGuard(10**6))
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(server.make_connection, "127.0.0.1", 0)
         address = listener.sockets[0].getsockname()
--- a/monsoontack/loadview/exchange_test.py
+++ b/monsoontack/loadview/exchange_test.py
@@ -8,7 +8,8 @@
 
 from monsoontack.gateway.peers import PeerEntry, call_peer, peer_pool
 from monsoontack.gateway.records import CallerLimits
-from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.memoryguard import MemoryGuard
+from monsoontack.inbound.server import InboundServer
 from monsoontack.loadview.exchange import (
     MAX_MESSAGES_PER_S,
     PATH,
@@ -82,7 +83,7 @@
             self.messages_received[name] += 1
             await entry.handle(raw, responder)
 
-        server = InboundServer(handle, lambda: limits, BodyBudget(10**6))
+        server = InboundServer(handle, lambda: limits, MemoryGuard(10**6))
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(server.make_connection, "127.0.0.1", 0)
         self.listeners.append(listener)
--- a/monsoontack/platform/check.py
+++ b/monsoontack/platform/check.py
@@ -35,6 +35,15 @@
     "bounds.canary_share",
     "bounds.canary_tolerance",
 )
+OPTIONAL_COUNTS = (
+    ("limits.max_fds", 1),
+    ("inbound.header_lines", 0),
+    ("inbound.line_bytes", 0),
+    ("inbound.empty_lines", 0),
+    ("inbound.connections_per_address", 0),
+    ("inbound.connections", 0),
+    ("inbound.min_body_bytes_s", 0),
+)
 
 
 def check_settings(path: Path) -> list[FieldError]:
@@ -54,6 +63,11 @@
         if value is not None and not _is_positive(value):
             message = f"is {value!r}; give a number above 0"
             errors.append(FieldError(str(path), name, message))
+    for name, least in OPTIONAL_COUNTS:
+        value = _find_value(document, name)
+        if value is not None and not _is_count(value, least):
+            message = f"is {value!r}; give a whole number of {least} or more"
+            errors.append(FieldError(str(path), name, message))
     return errors + _check_zone(path, document)
 
 
@@ -150,6 +164,11 @@
     return is_number and value > 0
 
 
+def _is_count(value: Any, least: int) -> bool:
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return is_number and value >= least
+
+
 def _is_port_range(value: Any) -> bool:
     if not isinstance(value, list) or len(value) != 2:
         return False
--- a/monsoontack/platform/check_test.py
+++ b/monsoontack/platform/check_test.py
@@ -67,6 +67,23 @@
         self.assertEqual(expected, set(paths))
         self.assertNotIsInstance(read, Success)
 
+    def test_limits_on_callers_are_read_and_checked(self):
+        """Guards against limits on callers that are ignored or take any value."""
+        text = VALID_SETTINGS.replace("[limits]", "[limits]\nmax_fds = 4164")
+        text += "\n[inbound]\nheader_lines = 100\nconnections_per_address = 40\n"
+        paths, read = self.check(text)
+        self.assertEqual([], paths)
+        settings, _ = read.unwrap()
+        self.assertEqual((4164, 2460), (settings.max_fds, settings.inbound.connections))
+        self.assertEqual(100, settings.inbound.header_lines)
+        self.assertEqual(40, settings.inbound.connections_per_address)
+        stated, _ = self.check(text + "connections = 77\n")[1].unwrap()
+        self.assertEqual(77, stated.inbound.connections)
+        for line in ("line_bytes = -1", "empty_lines = 1.5", 'connections = "all"'):
+            paths, read = self.check(text + line + "\n")
+            self.assertEqual(["inbound." + line.partition(" ")[0]], paths)
+            self.assertNotIsInstance(read, Success)
+
     def test_malformed_toml(self):
         """Guards against a crash on a partially written file."""
         paths, read = self.check("node_name = ")
--- a/monsoontack/platform/settings.py
+++ b/monsoontack/platform/settings.py
@@ -1,7 +1,9 @@
 """Reads the platform's settings file of a process (TOML) into GatewaySettings."""
 
 import os
+from dataclasses import replace
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -9,12 +11,17 @@
 from monsoontack.core.errors import FieldError, FieldErrors
 from monsoontack.core.records import Place
 from monsoontack.gateway.settings import GatewaySettings
+from monsoontack.inbound.limits import InboundLimits, caller_connections
 
 SETTINGS_PATH_VARIABLE = "MONSOONTACK_BOOT"
 DEFAULT_SETTINGS_PATH = "/etc/monsoontack/node.toml"
 BYTES_PER_MEGABYTE = 1_000_000
 
 
+# A limit where 0 means derived from other limits, or off.
+_Limit = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Listen(msgspec.Struct):
     front: str
     ready: str
@@ -22,6 +29,25 @@
 
 class _Limits(msgspec.Struct):
     memory_mb: float
+    max_fds: Annotated[int, msgspec.Meta(ge=1)] | None = None
+
+
+class _Inbound(msgspec.Struct):
+    """Limits on callers, as in `InboundLimits`."""
+
+    header_lines: _Limit = 0
+    line_bytes: _Limit = 0
+    empty_lines: _Limit = 0
+    connections_per_address: _Limit = 0
+    connections: _Limit = 0
+    min_body_bytes_s: _Limit = InboundLimits().min_body_bytes_s
+
+    def limits(self, max_fds: int | None) -> InboundLimits:
+        """Return the limits; that on all connections follows from the descriptors."""
+        limits = InboundLimits(**msgspec.structs.asdict(self))
+        return replace(
+            limits, connections=limits.connections or caller_connections(max_fds)
+        )
 
 
 class _Bounds(msgspec.Struct):
@@ -61,6 +87,7 @@
     platform: _Platform
     zones: dict[str, str]
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    inbound: _Inbound = msgspec.field(default_factory=_Inbound)
     # True only at the very first start of the whole system.
     first_start: bool = False
 
@@ -94,6 +121,8 @@
         canary_share=bounds.canary_share,
         canary_tolerance=bounds.canary_tolerance,
         is_first_start=file.first_start,
+        max_fds=file.limits.max_fds,
+        inbound=file.inbound.limits(file.limits.max_fds),
         propagation_limit_s=min(bounds.config_apply_ms, bounds.drain_ms) / 1000,
     )
     return Success((settings, file.zones))
--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -45,12 +45,13 @@
 from weakref import WeakKeyDictionary
 
 from monsoontack.gateway.records import CallerLimits, RawRequest
-from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.memoryguard import MemoryGuard
 from monsoontack.inbound.responder import (
     CallerDisconnectedError,
     Responder,
     reason_phrase,
 )
+from monsoontack.inbound.server import InboundServer
 
 REQUEST_ID_HEADER = b"x-monsoontack-request-id"
 LIMIT_HEADER = b"server-limit"
@@ -203,7 +204,7 @@
 
     async def _listen(self, port: int) -> None:
         limits = CallerLimits(body_bytes=10**7)
-        self.server = InboundServer(self.handle, lambda: limits, BodyBudget(10**8))
+        self.server = InboundServer(self.handle, lambda: limits, MemoryGuard(10**8))
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
             self.server.make_connection, "127.0.0.1", port
--- a/standins/gatewayprocess.py
+++ b/standins/gatewayprocess.py
@@ -34,7 +34,6 @@
 ready = "127.0.0.1:{ready}"
 [limits]
 memory_mb = {memory_mb}
-{descriptors}
 [bounds]
 grace_s = {grace_s}
 revoke_ms = 5000
@@ -164,9 +163,10 @@
             ready=ready,
             memory_mb=memory_mb,
             grace_s=grace_s,
-            descriptors="" if max_fds is None else f"max_fds = {max_fds}",
             store=store_address or store.address,
         )
+        if max_fds is not None:
+            text = text.replace("[limits]", f"[limits]\nmax_fds = {max_fds}")
         settings = folder / f"{name}.toml"
         settings.write_text(text)
         addresses = (f"http://127.0.0.1:{port}" for port in (front, ready, first))
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -21,8 +21,9 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from monsoontack.gateway.records import CallerLimits, RawRequest
-from monsoontack.inbound.connection import BodyBudget, InboundServer
+from monsoontack.inbound.memoryguard import MemoryGuard
 from monsoontack.inbound.responder import Responder
+from monsoontack.inbound.server import InboundServer
 
 PATH_PREFIX = "/api/objects/"
 PAGE_SIZE = 3
@@ -80,7 +81,7 @@
     async def start(self) -> None:
         """Start listening on a free loopback port."""
         limits = CallerLimits(body_bytes=10**7)
-        self.server = InboundServer(self.handle, lambda: limits, BodyBudget(10**8))
+        self.server = InboundServer(self.handle, lambda: limits, MemoryGuard(10**8))
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
             self.server.make_connection, "127.0.0.1", 0
