--- a/monsoontack/inbound/account.py
+++ b/monsoontack/inbound/account.py
@@ -65,9 +65,10 @@
 
     `resume` is called with the length of the pause in seconds when a paused connection
     may read on, `shed` to refuse or close it. `progress_at` is the time at which bytes
-    were last received or sent. `coming_bytes` is what the bytes that were received, but
-    not parsed yet, will cost in addition. `waited_s` is the length of the former pauses
-    of the request that is being received. A holding is `sheddable` while its connection
+    were last received or sent. `coming_bytes` is what the request will need in addition
+    to `held_bytes`, as far as that is known: for bytes that are not parsed yet, and for
+    the rest of a body of known length. `waited_s` is the length of the former pauses of
+    the request that is being received. A holding is `sheddable` while its connection
     can be refused or closed without loss of an answer that is under way.
     """
 
--- a/monsoontack/inbound/connection.py
+++ b/monsoontack/inbound/connection.py
@@ -51,6 +51,7 @@
         self.queue: deque[tuple[RawRequest, int]] = deque()
         self.queued_bytes = 0
         self.unparsed = b""
+        self.unparsed_cost = 0
         self.current: Responder | None = None
         self.current_bytes = 0
         self.unsent_bytes = 0
@@ -164,7 +165,9 @@
         A head can cost more than 20 times its bytes once it is parsed.
         """
         if self.reader.is_reading_head:
-            self.holding.coming_bytes += data.count(b"\n") * HEADER_LINE_BYTES
+            cost_bytes = data.count(b"\n") * HEADER_LINE_BYTES
+            self.unparsed_cost += cost_bytes
+            self.holding.coming_bytes += cost_bytes
         if self.unparsed or not self.server.memory.account.may_read(self.holding):
             self.unparsed += data
             if self.progress is None:
@@ -175,7 +178,7 @@
 
     def _parse(self, data: bytes) -> None:
         started_at = perf_counter()
-        self.holding.coming_bytes = 0
+        self.unparsed_cost = 0
         reader = self.reader
         reader.feed(data)
         self.was_used = True
@@ -217,6 +220,7 @@
         if unsent_bytes < self.unsent_bytes:
             holding.progress_at = self.now()
         self.unsent_bytes = unsent_bytes
+        holding.coming_bytes = self.reader.missing_bytes + self.unparsed_cost
         input_bytes = self.reader.held_bytes + self.queued_bytes + len(self.unparsed)
         guard.account.set(
             holding, CONNECTION_BYTES + input_bytes + self.current_bytes + unsent_bytes
@@ -280,7 +284,8 @@
         self.server.on_refusal(refusal)
         self.reader.refuse(refusal.status, refusal.reason, refusal.detail)
         self.queue.clear()
-        self.queued_bytes, self.progress, self.unparsed = 0, None, b""
+        self.queued_bytes, self.progress = 0, None
+        self.unparsed, self.unparsed_cost = b"", 0
         self._read_on()
         self.update_holding()
         if self.current is None:
@@ -313,7 +318,8 @@
         if not self.pauses:
             self.transport.close()
             return
-        self.is_refused, self.progress, self.unparsed = True, None, b""
+        self.is_refused, self.progress = True, None
+        self.unparsed, self.unparsed_cost = b"", 0
         self.idle_since = self.now()
         self._read_on()
         self.update_holding()
--- a/monsoontack/inbound/requestreader.py
+++ b/monsoontack/inbound/requestreader.py
@@ -65,6 +65,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
         self.header_cost = 0
+        self.declared_bytes = 0
         self.head_bytes = 0
         self.framing_bytes = 0
         self.empty_bytes = 0
@@ -85,6 +86,11 @@
         """Return the number of bytes received of the incomplete body."""
         return len(self.body)
 
+    @property
+    def missing_bytes(self) -> int:
+        """Return the bytes of the body that were declared and have not arrived."""
+        return max(self.declared_bytes - len(self.body), 0)
+
     @property
     def is_reading_request(self) -> bool:
         """Whether a request has begun and is incomplete."""
@@ -162,6 +168,7 @@
         self.is_reading_head = True
         self.has_begun = self.awaits_continue = False
         self.body_framing = None
+        self.declared_bytes = 0
 
     def on_message_begin(self) -> None:
         """Start a new request."""
@@ -215,7 +222,8 @@
             self.refuse(400, "malformed", detail)
             return
         declared = next((v for n, v in self.headers if n == b"content-length"), b"0")
-        if int(declared) > published.body_bytes:
+        self.declared_bytes = int(declared)
+        if self.declared_bytes > published.body_bytes:
             self.refuse(413, "body_bytes", "request body too large")
             return
         self.header_cost += len(self.target)
