Limit heads at the entry beside agents, and refuse bodies behind its upgrades

uvicorn bounds neither the size nor the time of a head, and runs a request with a body that offers h2c without the body, as the gateway did. Its protocol class is extended: heads above 64 KiB get 431, heads that take over 10 s get 408, and a body behind an offered upgrade gets 400 before the application sees the request.

--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -34,6 +34,7 @@
 from monsoontack.entry.routedpicker import RoutedPicker
 from monsoontack.entry.vmlist import VmListPoller
 from monsoontack.generation.progress import MONITOR_INTERVAL_S, ProcessPauseDetector
+from monsoontack.inbound.agentshttp import LimitedHttpProtocol
 from monsoontack.ledger.service import Ledger
 from monsoontack.settings.models import EntrySettings
 from monsoontack.store.api import ObjectStore
@@ -192,7 +193,7 @@
         host=host.strip("[]"),
         port=int(port),
         loop="none",
-        http="httptools",
+        http=LimitedHttpProtocol,
         ws="none",
         lifespan="off",
         log_config=None,
