--- a/monsoontack/scheduling/gate.py
+++ b/monsoontack/scheduling/gate.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -20,7 +21,7 @@
 from monsoontack.core.errors import RequestError
 from monsoontack.inbound.responder import CallerDisconnectedError
 from monsoontack.routing.placement import EngineCandidate
-from monsoontack.scheduling.capacity import with_unheard_peers
+from monsoontack.scheduling.capacity import EngineRoom, with_unheard_peers
 from monsoontack.scheduling.queue import PeerWaiting, ServiceState
 from monsoontack.scheduling.urgency import WaitingRequest
 
@@ -88,7 +89,7 @@
     entrants: dict[int, Entrant] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=itertools.count)
     looked_at: dict[str, float] = field(default_factory=dict)
-    timers: dict[str, asyncio.TimerHandle] = field(default_factory=dict)
+    timers: dict[str, tuple[float, asyncio.TimerHandle]] = field(default_factory=dict)
 
     def configure(self, priorities: dict[str, frozenset[int]]) -> None:
         """Apply the priorities of each service in a new configuration."""
@@ -225,23 +226,26 @@
     def _look_soon(self, service: str) -> None:
         """Look at a service's streams now, or once the last look is long enough ago."""
         due_at = self.looked_at.get(service, 0.0) + MIN_LOOK_INTERVAL_S
-        timer = self.timers.get(service)
-        if timer is not None and timer.when() <= due_at:
+        timer_at, _ = self.timers.get(service, (math.inf, None))
+        if timer_at <= max(due_at, _now()):
             return
         self._schedule(service, max(due_at - _now(), 0.0))
 
     def _schedule(self, service: str, delay_s: float) -> None:
-        timer = self.timers.pop(service, None)
+        self._cancel_timer(service)
+        # The time is kept beside the handle, since uvloop's handles of timers that are
+        # due have no `when`.
+        timer = asyncio.get_running_loop().call_later(delay_s, self._look, service)
+        self.timers[service] = _now() + delay_s, timer
+
+    def _cancel_timer(self, service: str) -> None:
+        _, timer = self.timers.pop(service, (math.inf, None))
         if timer is not None:
             timer.cancel()
-        loop = asyncio.get_running_loop()
-        self.timers[service] = loop.call_later(delay_s, self._look, service)
 
     def _look(self, service: str) -> None:
         """Let the streams begin that can, and refuse those that cannot in time."""
-        timer = self.timers.pop(service, None)
-        if timer is not None:
-            timer.cancel()
+        self._cancel_timer(service)
         state, now = self.states[service], _now()
         self.looked_at[service] = now
         if not state.waiting:
@@ -276,13 +280,15 @@
             self._refuse_draining(service, state, now)
         else:
             self._refuse_hopeless(service, state, now)
-        self._note_waits(service, state, now)
+        self._note_waits(service, state, rooms, now)
         rows = state.rows()
         if rows != state.reported_rows:
             state.reported_rows = rows
             self.on_waiting_changed()
 
-    def _note_waits(self, service: str, state: ServiceState, now: float) -> None:
+    def _note_waits(
+        self, service: str, state: ServiceState, rooms: list[EngineRoom], now: float
+    ) -> None:
         """Log the streams that have begun to wait."""
         entrants = [self.entrants[number] for number in state.waiting]
         if all(entrant.ahead is not None for entrant in entrants):
@@ -300,6 +306,7 @@
                 ahead=ahead,
                 waiting_at_peers=dict(state.peer_waiting),
                 to_objective_s=round(request.objective_at - now, 2),
+                **state.room_counts(rooms, request, now),
             )
 
     def _pass_all(self, state: ServiceState) -> None:
--- a/monsoontack/scheduling/queue.py
+++ b/monsoontack/scheduling/queue.py
@@ -167,6 +167,19 @@
             return True
         return any(room.has_space(request, is_most_urgent=False) for room in rooms)
 
+    def room_counts(
+        self, rooms: list[EngineRoom], request: WaitingRequest, now: float
+    ) -> dict[str, int]:
+        """Return how many engines lack what a request waits for, for the log."""
+        is_top = self.is_most_urgent(request)
+        return {
+            "engines": len(rooms),
+            "without_space": sum(not r.has_space(request, is_top) for r in rooms),
+            "paced": sum(r.engine.pace_room is not None for r in rooms),
+            "reading": sum(r.unread > 0 for r in rooms),
+            "with_room": sum(r.can_begin(request, is_top, now) for r in rooms),
+        }
+
     def begin(self, request: WaitingRequest, now: float) -> None:
         """Take a request that begins out of the queue, and count it for its account."""
         self.waiting.pop(request.number, None)
