--- a/monsoontack/inbound/costs.py
+++ b/monsoontack/inbound/costs.py
@@ -13,17 +13,7 @@
 # Task, response and job of a request that is being served; streams hold more state of
 # their attempts than calls.
 SERVED_BYTES = 4_000
-# A pair of name and value with its place in a list.
-HEADER_PAIR_BYTES = 80
-# The least that a header line costs, of which the bytes of the line are a small part.
+# A header without the bytes of its line: a pair of two bytes objects in a list.
+HEADER_BYTES = 135
+# The least that a header line costs.
 HEADER_LINE_BYTES = 121
-# Head of a bytes object, with the rounding of the allocator.
-BYTES_OBJECT_BYTES = 41
-
-
-def header_cost(name: bytes, value: bytes) -> int:
-    """Return the cost of a header; values of up to one byte are shared objects."""
-    cost = HEADER_PAIR_BYTES + BYTES_OBJECT_BYTES + len(name)
-    if len(value) > 1:
-        cost += BYTES_OBJECT_BYTES + len(value)
-    return cost
--- a/monsoontack/inbound/requestreader.py
+++ b/monsoontack/inbound/requestreader.py
@@ -13,7 +13,7 @@
 import httptools
 
 from monsoontack.gateway.records import CallerLimits, RawRequest
-from monsoontack.inbound.costs import REQUEST_BYTES, header_cost
+from monsoontack.inbound.costs import HEADER_BYTES, REQUEST_BYTES
 from monsoontack.inbound.limits import InboundLimits
 
 # Header fields that make a request ambiguous if they occur more than once.
@@ -63,12 +63,13 @@
         self.keep_alive = True
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body = bytearray()
+        self.body: bytes | bytearray = b""
         self.header_cost = 0
         self.declared_bytes = 0
         self.head_bytes = 0
         self.framing_bytes = 0
         self.empty_bytes = 0
+        self.derived_from: CallerLimits | None = None
         self.max_lines = self.max_line_bytes = self.max_body_bytes = 0
         self.ignores_head = False
         self.body_framing: bytes | None = None
@@ -77,7 +78,7 @@
     def held_bytes(self) -> int:
         """Return the cost of the request that is incomplete, in bytes."""
         if self.is_reading_head:
-            return self.header_cost + self.head_bytes
+            return self.head_bytes + len(self.headers) * HEADER_BYTES
         # A growing bytearray has up to an eighth to spare.
         return self.header_cost + len(self.body) + len(self.body) // 8
 
@@ -116,6 +117,8 @@
 
         The parser would ignore them without a word.
         """
+        if data[:1] not in (b"\r", b"\n"):
+            return data
         rest = data.lstrip(LINE_BREAKS)
         self.empty_bytes += len(data) - len(rest)
         published = self.published()
@@ -151,6 +154,8 @@
     def _check_sizes(self) -> None:
         if self.is_reading_head and self.head_bytes > self.published().header_bytes:
             self.refuse(431, "head_bytes", "request head too large")
+        elif self.is_reading_head and len(self.headers) > self.max_lines:
+            self.refuse(431, "header_lines", "too many header lines")
         elif self.framing_bytes > MAX_FRAMING_BYTES:
             detail = "trailers or chunk extensions too large"
             self.refuse(431, "framing_bytes", detail)
@@ -164,7 +169,7 @@
     def _reset(self) -> None:
         self.target, self.headers = b"", []
         self.header_cost = self.head_bytes = self.framing_bytes = self.empty_bytes = 0
-        self.body = bytearray()
+        self.body = b""
         self.is_reading_head = True
         self.has_begun = self.awaits_continue = False
         self.body_framing = None
@@ -174,10 +179,11 @@
         """Start a new request."""
         if self.ignores_head:
             return
-        head_bytes = self.head_bytes
-        self._reset()
-        self.head_bytes, self.has_begun = head_bytes, True
+        self.has_begun, self.empty_bytes = True, 0
         published = self.published()
+        if published is self.derived_from:
+            return
+        self.derived_from = published
         self.max_lines = self.limits.max_header_lines(published)
         self.max_line_bytes = self.limits.max_line_bytes(published)
         self.max_body_bytes = published.body_bytes
@@ -191,13 +197,9 @@
         """Collect a header; trailers, which follow the checked head, are dropped."""
         if not self.is_reading_head or self.refusal is not None:
             return
-        if len(self.headers) >= self.max_lines:
-            self.refuse(431, "header_lines", "too many header lines")
-        elif len(name) + len(value) > self.max_line_bytes:
+        self.headers.append((name.lower(), value))
+        if len(value) + len(name) > self.max_line_bytes:
             self.refuse(431, "line_bytes", "line of the request head too long")
-        else:
-            self.headers.append((name.lower(), value))
-            self.header_cost += header_cost(name, value)
 
     def on_headers_complete(self) -> None:
         """Validate the head."""
@@ -214,6 +216,9 @@
         if size > published.header_bytes:
             self.refuse(431, "head_bytes", "request head too large")
             return
+        if len(self.headers) > self.max_lines:
+            self.refuse(431, "header_lines", "too many header lines")
+            return
         if len(self.target) > self.max_line_bytes:
             self.refuse(431, "line_bytes", "request target too long")
             return
@@ -226,7 +231,7 @@
         if self.declared_bytes > published.body_bytes:
             self.refuse(413, "body_bytes", "request body too large")
             return
-        self.header_cost += len(self.target)
+        self.header_cost = size + len(self.headers) * HEADER_BYTES
         self.awaits_continue = CONTINUE in self.headers
         if self.parser.should_upgrade():
             self.body_framing = find_body_framing(self.headers)
@@ -236,7 +241,12 @@
         self.framing_bytes = 0
         if self.refusal is not None:
             return
-        self.body += data
+        if not self.body:
+            self.body = data
+        elif isinstance(self.body, bytes):
+            self.body = bytearray(self.body + data)
+        else:
+            self.body += data
         if len(self.body) > self.max_body_bytes:
             self.refuse(413, "body_bytes", "request body too large")
 
