--- a/monsoontack/pacing/pace_test.py
+++ b/monsoontack/pacing/pace_test.py
@@ -84,6 +84,17 @@
             book.note_reported_alive(self.member, T + count + HOLD_S / 2)
         self.assertEqual(1, book.paces[self.member.limit_key].requests)
 
+    def test_late_answer_takes_back_a_round(self):
+        """Guards against an engine that answered well once and is then overloaded."""
+        book = books(31)[0]
+        book.begin(self.member, "started", T)
+        for count in (1, 2):
+            book.note_answered(self.member, True, T + count * ROUND_S)
+        self.assertEqual(4, book.pace_of(self.member))
+        book.note_answered(self.member, False, T + 1.0)
+        book.note_reported_alive(self.member, T + 1.0 + HOLD_S / 2)
+        self.assertEqual(2, book.pace_of(self.member))
+
     def test_answers_of_one_round_count_once(self):
         """Guards against full pace after one answer that many gateways report."""
         book = books(31)[0]
--- a/monsoontack/pacing/restart_test.py
+++ b/monsoontack/pacing/restart_test.py
@@ -90,6 +90,9 @@
             rank_key = f"{SERVICE}/{HOME.failure_domain}", HOME.region
             sender.fleet.evidence.turns.ranks[rank_key] = PROBING_GATEWAYS
             streams, calls = make_streams(sender), make_calls(sender)
+            for name in ("b0", "b1"):
+                # Runs that make the other domain dearer.
+                sender.fleet.members[name].in_flight = 3
             tries = []
             for number in range(6):
                 for kind, forwarder in (
@@ -97,6 +100,7 @@
                     (RequestKind.ONCE, calls),
                 ):
                     job = make_job(make_route(kind), f"{kind}{number}", 9.0)
+                    streams.prompt_engines.clear()
                     await forwarder.serve(job)
                     tries += [record.server[0] for record in job.tries]
             return tries
@@ -122,6 +126,24 @@
 
         self.assertEqual("streamed", run_in_virtual_time(scenario()).outcome)
 
+    def test_stream_goes_to_a_paced_engine_only_within_its_pace(self):
+        """Guards against a second prompt for an engine that has just started and looks
+        less busy than the others."""
+
+        async def scenario():
+            fleet = make_fleet({"s1": HOME, "s2": HOME})
+            sender = ScriptedSender(fleet, {"s1": answer, "s2": answer})
+            fleet.put(replace(make_server("s1"), started_unix_ms=5), False, 0.0)
+            fleet.members["s1"].in_flight = 1
+            fleet.members["s1"].waiting_tokens = 8000
+            fleet.members["s2"].in_flight = 7
+            fleet.members["s2"].waiting_tokens = 40_000
+            job = make_job(make_route(RequestKind.STREAM), "id-1", 9.0)
+            await make_streams(sender).serve(job)
+            return [record.server for record in job.tries]
+
+        self.assertEqual(["s2"], run_in_virtual_time(scenario()))
+
     def test_call_goes_to_a_paced_server_only_within_its_pace(self):
         """Guards against calls of all gateways to a server that has just started, and
         against none at all if it is the only one that is left."""
@@ -185,6 +207,14 @@
             engines[5] = replace(engines[5], in_flight=8)
             self.assertNotIn("f", self.chosen(engines))
 
+    def test_copy_stays_in_the_domain_rather_than_at_lost_engines(self):
+        """Guards against a copy that is sent to an engine which is lost with its
+        domain."""
+        engines = self.engines()
+        engines = engines[:2] + [replace(e, doubtful=True) for e in engines[2:]]
+        backup = choose_backup(engines, engines[0], 9000, make_rng())
+        self.assertEqual("b", backup.key)
+
     def test_paced_engines_come_before_doubtful_ones(self):
         """Guards against requests to lost engines while a started one is there."""
         engines = self.engines(doubtful=True)
