Count the failure domains in doubt for the gauge

Cause: since the daemon's tick called a method that did not exist, failed every 0.25 s and blocked the loop for 0.1 s each time; expired records were not removed and gauges stopped. No unit test ran the tick.

Change: the method exists; a test runs the tick and the state dump with a domain in doubt.

--- a/monsoontack/pacing/domainevidence.py
+++ b/monsoontack/pacing/domainevidence.py
@@ -186,6 +186,11 @@
                 found |= {m.limit_key for m in domain if _is_unheard(m, doubt)}
         return found
 
+    def count_in_force(self, now: float) -> int:
+        """Return the number of failure domains in doubt, by service."""
+        self._end_old(now)
+        return sum(doubt.in_force for doubt in self.doubts.values())
+
     def _holds(self, doubt: DomainDoubt, domain: Iterable[Member], now: float) -> bool:
         """Whether the signs put the servers that were not heard since in doubt."""
         troubled = doubt.troubled
--- a/monsoontack/pacing/restart_test.py
+++ b/monsoontack/pacing/restart_test.py
@@ -8,8 +8,11 @@
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.calls import CallForwarder
+from monsoontack.gateway.daemon import GatewayDaemon
+from monsoontack.gateway.daemon_test import SETTINGS
 from monsoontack.gateway.outbound import ExchangeFailure, FailureKind
 from monsoontack.gateway.records import EngineTraits, RequestKind, ServiceTraits
+from monsoontack.gateway.statedump import dump_state
 from monsoontack.gateway.streams import StreamForwarder
 from monsoontack.pacing.domainevidence import PROBING_GATEWAYS, Trouble
 from monsoontack.pacing.domainspend import DomainSpend
@@ -22,6 +25,7 @@
     NEAR,
     SERVICE,
     ScriptedSender,
+    ScriptedWire,
     make_fleet,
     make_job,
     make_rng,
@@ -161,6 +165,35 @@
         self.assertEqual(({"s2"}, "s1"), run_in_virtual_time(scenario()))
 
 
+class PacingGaugesTest(unittest.TestCase):
+    def test_daemon_shows_domains_in_doubt_and_paced_servers(self):
+        """Guards against a task of the daemon that fails every 0.25 s: gauges stop, no
+        expired record is removed, and each failure blocks the loop for 0.1 s."""
+
+        async def scenario():
+            daemon = GatewayDaemon.from_settings(
+                SETTINGS, ScriptedWire(), lambda headers: None, make_rng()
+            )
+            fleet, now = daemon.fleet, daemon.gateway.now()
+            for name in ("s1", "s2", "s3"):
+                fleet.put(make_server(name), False, now)
+            fleet.note_unreachable(fleet.members["s1"], now, Trouble.REFUSED)
+            tick = asyncio.ensure_future(daemon._tick())
+            await asyncio.sleep(0.6)
+            self.assertFalse(tick.done())
+            tick.cancel()
+            dump_state(daemon)
+            return daemon.metrics.render().decode()
+
+        shown = run_in_virtual_time(scenario())
+        for line in (
+            "monsoontack_doubted_domains 1.0",
+            "monsoontack_paced_servers 1.0",
+            f'monsoontack_domain_doubts_total{{service="{SERVICE}"}} 1.0',
+        ):
+            self.assertIn(line, shown)
+
+
 class DomainSpendTest(unittest.TestCase):
     def test_third_attempt_within_a_second_goes_elsewhere(self):
         """Guards against a request that spends its retries on one lost domain because
