--- a/bench/domainmodel.py
+++ b/bench/domainmodel.py
@@ -238,12 +238,11 @@
                     own + waiting,
                     0,
                     10**9,
-                    now < member.avoid_until,
-                    member.is_suspect(now),
-                    1.0,
-                    member.limit_key in doubtful,
-                    room,
-                    bool(room) and paces.pulls,
+                    avoided=now < member.avoid_until,
+                    suspect=member.is_suspect(now),
+                    doubtful=member.limit_key in doubtful,
+                    pace_room=room,
+                    in_turn=bool(room) and paces.pulls,
                 )
             )
         return found
--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -1,5 +1,6 @@
 """Admission of a stream, and the engines of its next attempt."""
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 from monsoontack.gateway.streamoutcome import close_attempt
 from monsoontack.generation.failover import NextStep
 from monsoontack.routing.placement import (
+    COPY_KV_SHARE,
     EngineCandidate,
     PromptAffinity,
     choose_backup,
@@ -102,7 +104,14 @@
     backup = None
     if run.traits.supports_kv_backup and chosen is not None:
         others = [e for k, e in loads.items() if k not in run.asked.excluded]
-        kept = choose_backup(others, chosen, run.needed_tokens, forwarder.rng)
+        waits = forwarder.admission.is_in_force(job.service)
+        kept = choose_backup(
+            others,
+            chosen,
+            run.needed_tokens,
+            forwarder.rng,
+            COPY_KV_SHARE if waits else math.inf,
+        )
         backup = members[kept.key] if kept is not None else None
     if chosen is None:
         return Placement(member, copy, backup, 0)
--- a/monsoontack/routing/placement.py
+++ b/monsoontack/routing/placement.py
@@ -9,6 +9,7 @@
 cache goes to another failure domain, since engines of one domain fail together.
 """
 
+import math
 import random
 import statistics
 from collections.abc import Sequence
@@ -57,6 +58,10 @@
 SUSPECT_COST_TOKENS = 20_000
 # An engine may preempt runs when its KV cache is filled above this share.
 MAX_KV_CACHE_SHARE = 0.92
+# Share of an engine's KV cache up to which it takes copies for services whose streams
+# wait for KV cache. A copy saves the prefill of one prompt in the rare case that its
+# run's engine is lost, while copies of all runs halved the number of runs.
+COPY_KV_SHARE = 0.5
 # Cost of an engine without a free slot or enough free KV cache: a new run waits seconds
 # for another to end.
 FULL_COST_TOKENS = 100_000
@@ -235,11 +240,13 @@
     primary: EngineCandidate,
     needed_tokens: int,
     rng: random.Random,
+    max_kv_share: float = math.inf,
 ) -> EngineCandidate | None:
     """Return the engine that keeps a copy of a run's KV cache.
 
     The engine is in another failure domain than the run, or at least on another VM
-    if no usable engine is in another failure domain.
+    if no usable engine is in another failure domain. With the copy it uses at most
+    `max_kv_share` of its KV cache.
     """
     others = [
         engine
@@ -247,6 +254,7 @@
         if engine.key != primary.key
         and not (engine.avoided or engine.suspect)
         and engine.traffic_share > 0.0
+        and engine.held_tokens + needed_tokens <= max_kv_share * engine.memory_tokens
     ]
     others = without_held_back(others)
     in_other_domain = [engine for engine in others if engine.place != primary.place]
