--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -531,7 +531,8 @@
             metrics.servers.labels(service).set(len(members))
         metrics.update_speeds(self.gateway.streams.speeds, self.gateway.calls.times)
         metrics.load_view_age_s.set(self.gateway.streams.load_exchange.view_age_s(now))
-        self._update_input_gauges()
+        if self.front is not None:
+            self._update_input_gauges()
         if self.log_writer is not None:
             metrics.log_lines_dropped.set(self.log_writer.dropped)
 
--- a/monsoontack/routing/placement.py
+++ b/monsoontack/routing/placement.py
@@ -59,9 +59,9 @@
 # An engine may preempt runs when its KV cache is filled above this share.
 MAX_KV_CACHE_SHARE = 0.92
 # Share of an engine's KV cache up to which it takes copies for services whose streams
-# wait for KV cache. A copy saves the prefill of one prompt in the rare case that its
-# run's engine is lost, while copies of all runs halved the number of runs.
-COPY_KV_SHARE = 0.5
+# wait for KV cache, so that the rest is left to runs. With 0.5, runs that lost their
+# engine in the restart of a failure domain had to read twice as many prompts again.
+COPY_KV_SHARE = 0.75
 # Cost of an engine without a free slot or enough free KV cache: a new run waits seconds
 # for another to end.
 FULL_COST_TOKENS = 100_000
