Leave servers out and pace them only in fleets of eight gateways or more

A few gateways learn of a restart with few requests, and lose more by leaving a third of the engines idle. The suspicion after two lost servers of a domain stays as it was there.

--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -162,6 +162,7 @@
         fleet = BackendFleet()
         fleet.evidence.turns.name = settings.name
         fleet.evidence.turns.region = settings.place.region
+        fleet.set_gateways({})
         pool = ConnectionPool(wire.response_request_id, keep_alive_s)
         fleet.on_removed = lambda member: pool.close_server(*member.key)
         pool.is_used = fleet.starts.__contains__
@@ -315,7 +316,7 @@
         )
         self.entry_exchange.gate.waits.entry_count = len(entries)
         regions = {name: peer.region for name, peer in entries.items()}
-        self.fleet.evidence.turns.set_gateways(regions)
+        self.fleet.set_gateways(regions)
         region = self.settings.place.region
         in_region = sum(peer.region == region for peer in entries.values())
         self.gateway.calls.picker.link_budget.set_entry_count(
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -6,7 +6,7 @@
 later.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from weakref import WeakValueDictionary
 
@@ -18,6 +18,7 @@
 from monsoontack.pacing.domainlosses import DOMAIN_FAILURE_WINDOW_S, is_domain_lost
 from monsoontack.pacing.member import Member
 from monsoontack.pacing.pace import STARTED, PaceBook
+from monsoontack.pacing.turns import MIN_GATEWAYS
 from monsoontack.routing.ejection import Ejection
 
 log = structlog.get_logger("gateway.fleet")
@@ -83,6 +84,15 @@
         self.paces.turns = self.evidence.turns
         self.paces.servers_of = lambda service: len(self.by_service.get(service, {}))
 
+    def set_gateways(self, regions: Mapping[str, str]) -> None:
+        """Apply the regions of all gateways, by name.
+
+        Servers that restart are left out and paced only in fleets of many gateways.
+        """
+        self.evidence.turns.set_gateways(regions)
+        is_large = self.evidence.turns.count >= MIN_GATEWAYS
+        self.evidence.leaves_out = self.paces.is_in_force = is_large
+
     def note_store_recovered(self, now: float) -> None:
         """Start the grace period in which servers with expired records are kept.
 
--- a/monsoontack/gateway/fleet_test.py
+++ b/monsoontack/gateway/fleet_test.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from monsoontack.gateway.fleet import RECORD_GRACE_S, BackendFleet
+from monsoontack.pacing.domainevidence import Trouble
 from monsoontack.pacing.member import SUSPECT_TIMEOUT_S
 from standins.gatewayfakes import HOME, NEAR, SERVICE, make_fleet, make_server
 
@@ -13,6 +14,18 @@
     def names(self, fleet):
         return {m.server.incarnation for m in fleet.of_service(SERVICE)}
 
+    def test_small_fleets_leave_no_server_out(self):
+        """Load: a domain restarts beside four gateways; guards against a third of the
+        servers that is idle for some seconds, when few requests would be rejected."""
+        for count, leaves_out in ((4, False), (8, True)):
+            fleet = make_fleet({f"s{n}": HOME for n in range(4)})
+            fleet.set_gateways({f"g{n}": HOME.region for n in range(count)})
+            fleet.evidence.turns.ranks.clear()
+            fleet.note_unreachable(fleet.members["s0"], 1.0, Trouble.REFUSED)
+            members = fleet.of_service(SERVICE)
+            self.assertEqual(leaves_out, bool(fleet.doubtful(members, 1.0)))
+            self.assertEqual(leaves_out, bool(fleet.paces.paces))
+
     def test_leaving_server_never_returns_under_its_id(self):
         """Guards against a late record that puts a leaving server back into use."""
         fleet = make_fleet({"s1": HOME, "s2": HOME})
--- a/monsoontack/pacing/domainevidence.py
+++ b/monsoontack/pacing/domainevidence.py
@@ -100,12 +100,15 @@
 
     `lone` has the addresses of servers that were found gone alone, and until when that
     is remembered. `on_doubt` is called with the service when a domain becomes doubtful.
+    Unless it `leaves_out` servers in doubt, they are only suspected once two servers of
+    their domain are found gone.
     """
 
     turns: GatewayTurns = field(default_factory=GatewayTurns)
     doubts: dict[tuple[str, Place], DomainDoubt] = field(default_factory=dict)
     lone: dict[str, float] = field(default_factory=dict)
     on_doubt: Callable[[str], None] = lambda service: None
+    leaves_out: bool = True
 
     def note_trouble(
         self, member: Member, domain: Iterable[Member], trouble: Trouble, now: float
@@ -182,7 +185,7 @@
                 if doubt.in_force:
                     _clear_suspicion(domain)
                 self._log_end(key, doubt, now)
-            elif not self._may_probe(key, doubt, now):
+            elif self.leaves_out and not self._may_probe(key, doubt, now):
                 found |= {m.limit_key for m in domain if _is_unheard(m, doubt)}
         return found
 
--- a/monsoontack/pacing/pace.py
+++ b/monsoontack/pacing/pace.py
@@ -82,7 +82,8 @@
     """Servers that are paced, by the key of their start.
 
     `servers_of` returns the number of listed servers of a service. `mean_prompt` is
-    the mean length of the prompts that this gateway sent, in tokens.
+    the mean length of the prompts that this gateway sent, in tokens. No server is paced
+    unless `is_in_force`.
     """
 
     turns: GatewayTurns = field(default_factory=GatewayTurns)
@@ -91,6 +92,7 @@
     on_answered: Callable[[str], None] = lambda start_key: None
     on_paced: Callable[[str, str], None] = lambda service, reason: None
     mean_prompt: float = 0.0
+    is_in_force: bool = True
 
     @property
     def pulls(self) -> bool:
@@ -116,6 +118,8 @@
         if key in self.paces:
             self.note_trouble(member, now)
             return
+        if not self.is_in_force:
+            return
         each = self.turns.count / max(self.servers_of(service), 1)
         factor = PULLED_START_FACTOR if self.pulls else START_FACTOR
         start = max(MIN_START_PACE, ceil(factor * each))
--- a/monsoontack/pacing/restart_test.py
+++ b/monsoontack/pacing/restart_test.py
@@ -16,6 +16,7 @@
 from monsoontack.gateway.streams import StreamForwarder
 from monsoontack.pacing.domainevidence import PROBING_GATEWAYS, Trouble
 from monsoontack.pacing.domainspend import DomainSpend
+from monsoontack.pacing.turns import MIN_GATEWAYS
 from monsoontack.routing.linkbudget import EntryLinkBudget
 from monsoontack.routing.picker import Picker
 from monsoontack.routing.placement import EngineCandidate, choose_backup, choose_engine
@@ -175,6 +176,8 @@
                 SETTINGS, ScriptedWire(), lambda headers: None, make_rng()
             )
             fleet, now = daemon.fleet, daemon.gateway.now()
+            # Servers are paced in fleets of many gateways.
+            fleet.set_gateways({f"g{n}": HOME.region for n in range(MIN_GATEWAYS)})
             for name in ("s1", "s2", "s3"):
                 fleet.put(make_server(name), False, now)
             fleet.note_unreachable(fleet.members["s1"], now, Trouble.REFUSED)
--- a/monsoontack/pacing/turns.py
+++ b/monsoontack/pacing/turns.py
@@ -14,6 +14,11 @@
 # Ranks that are kept. A ranking of 390 gateways takes 0.1 ms, and 20 servers that
 # restart at once are asked about with each request.
 MAX_KEPT_RANKS = 1024
+# Gateways from which servers in doubt are left out and servers that return are paced.
+# Fewer learn of a restart with few requests, and lose more by leaving a third of the
+# servers idle: with 4 gateways and 18 engines the value of answers fell from 0.73 to
+# 0.65 of what was owed.
+MIN_GATEWAYS = 8
 
 
 @dataclass(slots=True)
