--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -332,7 +332,7 @@
             INITIAL_AVOID_S * 2 ** (member.consecutive_failures - 1), MAX_AVOID_S
         )
         member.avoid_until = max(member.avoid_until, now + avoid_s)
-        self._note_lost(member, now)
+        member.note_lost(now)
         self._note_trouble(member, trouble, now)
         self.on_failed(member)
 
@@ -347,7 +347,7 @@
             return
         if member.last_byte_at > now - DOMAIN_FAILURE_WINDOW_S:
             return
-        self._note_lost(member, now)
+        member.note_lost(now)
         member.suspected_at = now
         self._note_trouble(member, Trouble.REPORTED, now)
 
@@ -373,12 +373,6 @@
             if other.server.place == member.server.place
         ]
 
-    def _note_lost(self, member: Member, now: float) -> None:
-        """Record a failure, and when the first one since the last byte happened."""
-        if member.lost_at <= member.last_byte_at:
-            member.lost_at = now
-        member.failed_at = now
-
     def is_domain_lost(self, member: Member, now: float) -> bool:
         """Whether most servers of a server's failure domain were lost just now."""
         return is_domain_lost(self._domain(member), now)
--- a/monsoontack/gateway/streamoutcome.py
+++ b/monsoontack/gateway/streamoutcome.py
@@ -11,6 +11,7 @@
 from monsoontack.generation.continuation import ForeignAnswerError
 from monsoontack.generation.failover import EndCause, FailoverInput, NextStep
 from monsoontack.pacing.domainevidence import Trouble
+from monsoontack.pacing.pace import is_in_time
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrelay import StreamRelay
@@ -160,3 +161,10 @@
             run.forwarder.budgets.for_service(run.job.service).left(now), 1
         ),
     )
+
+
+def note_paced_answer(relay: "StreamRelay", now: float) -> None:
+    """Let the pace of a server follow from the time of an attempt's first event."""
+    predicted_s = relay.run.stream_timeouts.predicted_s(relay.tokens_to_read)
+    in_time = is_in_time(now - relay.sent_at, predicted_s)
+    relay.run.forwarder.fleet.paces.note_answered(relay.member, in_time, now)
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -22,7 +22,11 @@
     leaves_queue,
     why_stay,
 )
-from monsoontack.gateway.streamoutcome import log_going_on, log_wrong_answer
+from monsoontack.gateway.streamoutcome import (
+    log_going_on,
+    log_wrong_answer,
+    note_paced_answer,
+)
 from monsoontack.generation.continuation import (
     AnswerEvents,
     EmptyAnswerError,
@@ -31,7 +35,6 @@
 from monsoontack.generation.firstevent import FirstEventWait
 from monsoontack.generation.streamtimeouts import decaying_maximum
 from monsoontack.inbound.responder import CallerDisconnectedError
-from monsoontack.pacing.pace import is_in_time
 from monsoontack.routing.enginespeeds import StepWindow
 from monsoontack.routing.placement import unread_tokens
 
@@ -273,10 +276,13 @@
     async def _write(self, data: bytes) -> None:
         if not data:
             return
-        responder = self.job.responder
+        self._begin_answer()
+        await self.job.responder.write(data)
+
+    def _begin_answer(self) -> None:
+        head, responder = self.response_head, self.job.responder
         if not responder.head_sent:
-            responder.begin(self.response_head.status, self.response_head.forwarded)
-        await responder.write(data)
+            responder.begin(head.status, head.forwarded)
 
     def _record_progress(self, now: float, is_first: bool) -> None:
         """Record the arrival of events; comments keep no stalled stream alive."""
@@ -284,9 +290,7 @@
         if self.silent_since is not None:
             self._note_going_on(now)
         if is_first:
-            predicted_s = run.stream_timeouts.predicted_s(self.tokens_to_read)
-            in_time = is_in_time(now - self.sent_at, predicted_s)
-            run.forwarder.fleet.paces.note_answered(self.member, in_time, now)
+            note_paced_answer(self, now)
         if run.events == 0 or is_first and run.last_event_at == 0.0:
             self._record_first_event(now)
         else:
@@ -348,10 +352,8 @@
         if not is_suspect and waited_s <= self.next_check_after_s:
             return None
         self.next_check_after_s = waited_s + CONNECTION_CHECK_INTERVAL_S
-        timeout_s = (
-            SUSPECT_CHECK_TIMEOUT_S if is_suspect else CONNECTION_CHECK_TIMEOUT_S
-        )
-        timeout_s = min(timeout_s, self.job.left_s(now))
+        limit_s = SUSPECT_CHECK_TIMEOUT_S if is_suspect else CONNECTION_CHECK_TIMEOUT_S
+        timeout_s = min(limit_s, self.job.left_s(now))
         failure = await run.forwarder.sender.check_connection(member, timeout_s)
         self.refuses_connections = failure is not None and failure.is_refused
         return None if failure is None else f"no new connection, {failure.detail}"
@@ -399,8 +401,5 @@
             reason = "ended before the first event"
             return StreamLoss(reason, is_broken_off=True, may_be_empty=True)
         await self._write(self.answer.end(self.run.may_end_empty(self.member)))
-        if not self.job.responder.head_sent:
-            self.job.responder.begin(
-                self.response_head.status, self.response_head.forwarded
-            )
+        self._begin_answer()
         return None
--- a/monsoontack/pacing/member.py
+++ b/monsoontack/pacing/member.py
@@ -58,6 +58,12 @@
         failed_at = max(self.failed_at, self.domain_failed_at)
         return failed_at > self.heard_at and now < failed_at + SUSPECT_TIMEOUT_S
 
+    def note_lost(self, now: float) -> None:
+        """Record a failure, and when the first one since the last byte happened."""
+        if self.lost_at <= self.last_byte_at:
+            self.lost_at = now
+        self.failed_at = now
+
     @property
     def key(self) -> tuple[str, str]:
         """Return the key of connections to this start of the server."""
