--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -12,6 +12,7 @@
 from monsoontack.generation.failover import NextStep
 from monsoontack.routing.placement import (
     COPY_KV_SHARE,
+    WAITING_COPY_KV_SHARE,
     EngineCandidate,
     PromptAffinity,
     choose_backup,
@@ -104,13 +105,8 @@
     backup = None
     if run.traits.supports_kv_backup and chosen is not None:
         others = [e for k, e in loads.items() if k not in run.asked.excluded]
-        waits = forwarder.admission.is_in_force(job.service)
         kept = choose_backup(
-            others,
-            chosen,
-            run.needed_tokens,
-            forwarder.rng,
-            COPY_KV_SHARE if waits else math.inf,
+            others, chosen, run.needed_tokens, forwarder.rng, _copy_kv_share(run)
         )
         backup = members[kept.key] if kept is not None else None
     if chosen is None:
@@ -119,6 +115,14 @@
     return Placement(member, copy, backup, ahead, slot_wait_s(chosen))
 
 
+def _copy_kv_share(run: "StreamRun") -> float:
+    """Return the share of an engine's KV cache up to which it takes a copy."""
+    admission, service = run.forwarder.admission, run.job.service
+    if not admission.is_in_force(service):
+        return math.inf
+    return WAITING_COPY_KV_SHARE if admission.has_waiting(service) else COPY_KV_SHARE
+
+
 def choose(
     run: "StreamRun", loads: dict[str, EngineCandidate]
 ) -> EngineCandidate | None:
--- a/monsoontack/scheduling/gate.py
+++ b/monsoontack/scheduling/gate.py
@@ -105,6 +105,13 @@
         """Whether streams of the service wait for their turn."""
         return service in self.priorities
 
+    def has_waiting(self, service: str) -> bool:
+        """Whether streams of the service wait, here or at a peer by its last report."""
+        state = self.states.get(service)
+        if state is None:
+            return False
+        return bool(state.waiting) or bool(self.peer_waiting(service, _now()))
+
     def own_waiting(self) -> dict[str, dict[int, tuple[int, int]]]:
         """Return requests and prompt tokens that wait, by service and priority."""
         rows = {service: state.rows() for service, state in self.states.items()}
