--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -54,7 +54,8 @@
     recovered; servers that are listed before `is_ready` count as known. `outdated`
     holds the starts that answered 421, and until when their records are ignored.
     `on_outdated` is called with the key of each such start, `on_answered` with each
-    start in doubt that answers.
+    start in doubt that answers. `lost_at` is the last time at which a server of a
+    service was found gone.
     """
 
     ejection: Ejection = field(default_factory=Ejection)
@@ -75,6 +76,7 @@
     paces: PaceBook = field(default_factory=PaceBook)
     is_ready: bool = False
     outdated: dict[str, float] = field(default_factory=dict)
+    lost_at: dict[str, float] = field(default_factory=dict)
     on_outdated: Callable[[str], None] = lambda start_key: None
     on_answered: Callable[[str], None] = lambda start_key: None
 
@@ -358,6 +360,8 @@
         longer listed is a sign.
         """
         if self.is_current(member) and not self.has_left(member):
+            if trouble.is_strong:
+                self.lost_at[member.server.service] = now
             domain = self._domain(member)
             self.evidence.note_trouble(member, domain, trouble, now)
             if trouble.is_connection_lost:
--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -24,6 +24,10 @@
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
 
+# Failure domains that restart one after the other do so within about 7 s of each other,
+# so copies are worth their KV cache for some such intervals after a loss.
+LOSS_MEMORY_S = 20.0
+
 
 @dataclass(slots=True)
 class FirstAttempt:
@@ -120,7 +124,11 @@
     admission, service = run.forwarder.admission, run.job.service
     if not admission.is_in_force(service):
         return math.inf
-    return WAITING_COPY_KV_SHARE if admission.has_waiting(service) else COPY_KV_SHARE
+    lost_at = run.forwarder.fleet.lost_at.get(service, -math.inf)
+    is_calm = run.now() > lost_at + LOSS_MEMORY_S
+    if is_calm and admission.has_waiting(service):
+        return WAITING_COPY_KV_SHARE
+    return COPY_KV_SHARE
 
 
 def choose(
--- a/monsoontack/routing/placement.py
+++ b/monsoontack/routing/placement.py
@@ -62,8 +62,8 @@
 # wait for KV cache, so that the rest is left to runs. With 0.5, runs that lost their
 # engine in the restart of a failure domain had to read twice as many prompts again.
 COPY_KV_SHARE = 0.75
-# The same while streams wait. A copy saves the prefill of one prompt if its run's engine
-# is lost, but takes the KV cache in which a waiting stream could begin.
+# The same while streams wait and no engine was lost lately. A copy saves the prefill of
+# one prompt if its run's engine is lost, but takes KV cache from a waiting stream.
 WAITING_COPY_KV_SHARE = 0.4
 # Cost of an engine without a free slot or enough free KV cache: a new run waits seconds
 # for another to end.
