--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -54,8 +54,7 @@
     recovered; servers that are listed before `is_ready` count as known. `outdated`
     holds the starts that answered 421, and until when their records are ignored.
     `on_outdated` is called with the key of each such start, `on_answered` with each
-    start in doubt that answers. `lost_at` is the last time at which a server of a
-    service was found gone.
+    start in doubt that answers. `lost_at` is when a service last lost a server.
     """
 
     ejection: Ejection = field(default_factory=Ejection)
@@ -371,11 +370,8 @@
 
     def _domain(self, member: Member) -> list[Member]:
         """Return the servers of a server's service and failure domain."""
-        return [
-            other
-            for other in self.by_service.get(member.server.service, {}).values()
-            if other.server.place == member.server.place
-        ]
+        place, service = member.server.place, member.server.service
+        return [m for m in self.of_service(service) if m.server.place == place]
 
     def is_domain_lost(self, member: Member, now: float) -> bool:
         """Whether most servers of a server's failure domain were lost just now."""
--- a/monsoontack/routing/placement_test.py
+++ b/monsoontack/routing/placement_test.py
@@ -148,6 +148,14 @@
             backup = choose_backup(loads, loads[0], NEEDED_TOKENS, random.Random(seed))
             self.assertEqual(C, backup.place)
 
+    def test_copies_leave_kv_cache_to_waiting_runs(self):
+        """Load: a burst; guards against copies that take the KV cache in which other
+        streams could begin."""
+        loads = [replace(e, held_tokens=e.memory_tokens // 2) for e in engines()]
+        rng = random.Random(1)
+        self.assertIsNone(choose_backup(loads, loads[0], NEEDED_TOKENS, rng, 0.4))
+        self.assertIsNotNone(choose_backup(loads, loads[0], NEEDED_TOKENS, rng, 0.75))
+
     def test_copy_within_the_domain_if_there_is_no_other(self):
         """Guards against runs without a copy while one domain is left."""
         loads = [e for e in engines() if e.place == A]
