Review: case 10 is an entry, streams cut for a pause before their end

Done: a script with two gateways, a SIGHUP and servers that pause for 1 s before the end of an answer.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,9 @@
-"""A version that turns bad before its deadline already has all requests."""
+"""Streams whose servers pause before the end are cut, also around a SIGHUP."""
 
 import asyncio
 import os
 import random
+import signal
 import sys
 import time
 from pathlib import Path
@@ -11,133 +12,127 @@
 
 from rig import Received, Rig, Server, main
 
-GATEWAYS = 3
-CALLERS_PER_GATEWAY = 10
-PAUSE_S = 0.65
+GATEWAYS = 2
+CLIENTS_PER_GATEWAY = 30
+ENGINES = 4
+# Events of a stream (130 on the sheet, up to 180), and the time between two of them.
+EVENTS, GAP_S = (100, 180), 0.03
+STATED_TOKENS = 180
+# Time to read the prompt, also for a stream that goes on at another engine.
+READ_S = 0.6
+SILENCE_S = 1.0
 CALM_S = 4.0
-SPAN_S, WATCH_S = 15.0, 24.0
-# The version is sound for this time after the order, and fails a part of the requests
-# from then on. With BAD_AFTER_S=0 in the environment it is bad from the start.
-BAD_AFTER_S = float(os.environ.get("BAD_AFTER_S", "10"))
-BAD_SHARE = 0.45
-CANARY_SHARE, CANARY_TOLERANCE = 0.1, 50
-ROLLBACK_S = 5.0
+# Requests count that were sent up to `config_apply_ms` after the SIGHUP.
+CONFIG_APPLY_S = 2.5
+WATCH_S = 16.0
 
 
-class Rollout:
-    """The order, what the new version answers, and the platform's part in it."""
+class Streams:
+    """Streams by request id: gateway, time, what its server sent, what came."""
 
-    def __init__(self, rig: Rig, is_bad: bool) -> None:
+    def __init__(self, rig: Rig, is_trouble: bool) -> None:
         self.rig = rig
-        self.is_bad = is_bad
-        self.ordered_at = time.monotonic()
-        self.sent_at: dict[str, float] = {}
-        self.bad_answers: list[float] = []
+        self.silence_s = SILENCE_S if is_trouble else 0.0
         self.rng = random.Random(58)
+        self.lengths: dict[str, int] = {}
+        self.signalled_at: dict[str, float] = {}
+        self.cut: list[str] = []
+        self.whole = 0
 
-    async def serve(self, server: Server, request: Received) -> bool | None:
-        """Answer a request of the new version; None for the usual answer."""
-        is_due = time.monotonic() >= self.ordered_at + BAD_AFTER_S
-        if not self.is_bad or not is_due or self.rng.random() >= BAD_SHARE:
-            return None
-        await asyncio.sleep(server.work_s)
-        server.answer(request, 500, b"failed")
-        self.bad_answers.append(time.monotonic())
-        self.rig.record.note("new version fails", f"{request.request_id}")
-        return True
-
-    async def follow(self) -> None:
-        """Stop the old engines once the order is complete, as the platform does."""
-        state = None
-        while True:
-            await asyncio.sleep(0.05)
-            status = self.rig.store.kinds["rollouts"]["desk"]["status"] or {}
-            if status.get("state") == state:
-                continue
-            state = status.get("state")
-            since_s = time.monotonic() - self.ordered_at
-            self.rig.record.note("status of the order", f"{status} at {since_s:.2f} s")
-            if state == "complete":
-                for name, server in list(self.rig.servers.items()):
-                    if server.service == "desk" and server.version == "v1":
-                        self.rig.store.remove("servers", name)
-                        await server.close()
-
-    async def call(self, gateway) -> None:
-        """Send lookups and bookings on a kept connection."""
-        client, number = self.rig.client(gateway), 0
-        while True:
-            request_id, number = self.rig.next_id(), number + 1
-            self.sent_at[request_id] = time.monotonic()
-            is_booking = number % 2 == 0
-            answer = await client.send(
-                "POST" if is_booking else "GET",
-                "/book/x" if is_booking else "/look/x",
-                request_id,
-                body=b"part 7" if is_booking else b"",
-            )
+    async def serve(self, server: Server, request: Received) -> bool:
+        """Send the events after `Last-Event-Id`, pause, and end the answer."""
+        length = self.lengths[request.request_id]
+        last = int(request.headers.get("last-event-id", "0"))
+        await asyncio.sleep(READ_S)
+        server.begin_stream(request)
+        for number in range(last + 1, length + 1):
+            server.send_chunk(request, f"id: {number}\ndata: t{number}\n\n".encode())
+            await request.writer.drain()
+            await asyncio.sleep(GAP_S)
+        self.rig.record.note(
+            "server has sent all events",
+            f"{request.request_id} at {server.name}, after event {last}",
+        )
+        if last < length:
+            await asyncio.sleep(self.silence_s)
+        if request.writer.transport.is_closing():
             self.rig.record.note(
-                f"client gets {answer.status}", f"{request_id} {answer.cause}"
+                "server finds its connection reset",
+                f"{request.request_id} at {server.name}",
             )
-            await asyncio.sleep(PAUSE_S)
+            return False
+        request.writer.write(b"0\r\n\r\n")
+        return True
 
-    def breaks(self) -> list[str]:
-        """Return how EXPOSURE was broken."""
-        if not self.is_bad:
-            return []
-        until = self.ordered_at + SPAN_S
-        total = exposed = late = 0
-        bound = float("inf")
-        if len(self.bad_answers) >= 50:
-            bound = self.bad_answers[49] + ROLLBACK_S
-        for server in self.rig.servers.values():
-            is_new = server.service == "desk" and server.version == "v2"
-            for request in server.arrivals:
-                sent_at = self.sent_at[request.request_id]
-                if self.ordered_at <= request.at <= until:
-                    total += 1
-                    exposed += is_new
-                late += is_new and sent_at > bound
-        allowed = CANARY_SHARE * total + CANARY_TOLERANCE
+    async def client(self, gateway, delay_s: float) -> None:
+        """Use a connection once, then send one stream on it."""
+        client = self.rig.client(gateway)
+        await client.send("GET", "/look/x", self.rig.next_id())
+        await asyncio.sleep(delay_s)
+        request_id = self.rig.next_id()
+        self.lengths[request_id] = self.rng.randint(*EVENTS)
+        headers = {
+            "X-Monsoontack-Model": "m",
+            "X-Monsoontack-Token-Usage": f"800,{STATED_TOKENS}",
+            "X-Monsoontack-Prefix-Hash": f"5c1e07a2:200,{request_id}:600",
+        }
+        sent_at = time.monotonic()
+        answer = await client.send(
+            "POST", "/plan/x", request_id, headers, b"survey " * 20, 25_000
+        )
+        events = answer.body.count(b"data: ")
+        since_s = sent_at - self.signalled_at[gateway.name]
         self.rig.record.note(
-            "total",
-            f"{exposed} of {total} requests to the new version by the deadline,"
-            f" {allowed:.0f} allowed; {len(self.bad_answers)} bad answers, {late}"
-            " requests sent over 5 s after the 50th",
+            "stream client gets",
+            f"{request_id} from {gateway.name}, sent {since_s:.2f} s after SIGHUP:"
+            f" {answer.status}, {events} of {self.lengths[request_id]} events,"
+            f" whole: {answer.is_whole} {answer.cause}",
         )
-        found = []
-        if exposed > allowed:
-            found.append(f"{exposed} of {total} requests, {allowed:.0f} allowed")
-        if late:
-            found.append(f"{late} requests sent over 5 s after the 50th bad answer")
-        return found
+        self.whole += answer.is_whole and answer.status == 200
+        is_cut = not answer.is_whole and answer.cause == "IncompleteReadError"
+        if is_cut and 0 <= since_s <= CONFIG_APPLY_S:
+            self.cut.append(request_id)
 
 
 async def case(rig: Rig, is_trouble: bool) -> str:
-    """Run the case; return how EXPOSURE was broken."""
+    """Run the case; return how LOST was broken."""
     for number, zone in enumerate(("zone-a", "zone-b", "zone-a")):
-        server = Server(f"desk-v1-{number}", "desk", zone, rig.record, slots=12)
-        server.work_s = 0.03
+        server = Server(f"desk-{number}", "desk", zone, rig.record, slots=12)
+        await rig.add_server(server)
+    streams = Streams(rig, is_trouble)
+    for number in range(ENGINES):
+        zone = "zone-b" if number % 2 else "zone-a"
+        server = Server(f"plan-{number}", "planner", zone, rig.record, 32, 96)
+        server.serve = streams.serve
         await rig.add_server(server)
     await rig.add_gateways(GATEWAYS)
-    rollout = Rollout(rig, is_trouble)
-    for gateway in rig.gateways:
-        for _ in range(CALLERS_PER_GATEWAY):
-            rig.tasks.append(asyncio.ensure_future(rollout.call(gateway)))
     await asyncio.sleep(CALM_S)
-    order = {"service": "desk", "target": "v2", "over_s": SPAN_S}
-    rig.store.put("rollouts", "desk", order)
-    rollout.ordered_at = time.monotonic()
-    rig.record.note("operator orders a rollout", str(order))
-    for number, zone in enumerate(("zone-a", "zone-b", "zone-a")):
-        server = Server(f"desk-v2-{number}", "desk", zone, rig.record, slots=12)
-        server.work_s, server.version = 0.03, "v2"
-        server.serve = rollout.serve
-        await rig.add_server(server)
-    rig.tasks.append(asyncio.ensure_future(rollout.follow()))
+    for gateway in rig.gateways:
+        for number in range(CLIENTS_PER_GATEWAY):
+            delay_s = 0.5 + 1.8 * number / CLIENTS_PER_GATEWAY
+            task = asyncio.ensure_future(streams.client(gateway, delay_s))
+            rig.tasks.append(task)
+    await asyncio.sleep(0.3)
+    for gateway in rig.gateways:
+        text = gateway.settings.read_text()
+        gateway.settings.write_text(
+            text.replace("retry_extra = 150", "retry_extra = 151")
+        )
+        os.kill(gateway.process.pid, signal.SIGHUP)
+        streams.signalled_at[gateway.name] = time.monotonic()
+        rig.record.note("platform sends SIGHUP", gateway.name)
     await asyncio.sleep(WATCH_S)
-    found = rollout.breaks()
-    return f"EXPOSURE: {'; '.join(found)}" if found else ""
+    rig.record.note(
+        "total",
+        f"{streams.whole} streams whole, {len(streams.cut)} cut by the gateways, ends"
+        f" {[gateway.ends for gateway in rig.gateways]}",
+    )
+    if not streams.cut:
+        return ""
+    return (
+        f"LOST: {len(streams.cut)} of {len(streams.lengths)} streams that were sent"
+        " within 2.5 s after a SIGHUP were cut"
+    )
 
 
 if __name__ == "__main__":
