--- a/review/rig.py
+++ b/review/rig.py
@@ -202,14 +202,18 @@
     forgotten: int = 0
 
     def _record_change(self, kind: str, item: dict, removed: bool) -> None:
-        now = time.monotonic()
-        self.change_times.append(now)
-        while self.change_times[0] < now - HISTORY_S:
+        self.change_times.append(time.monotonic())
+        SimulatedPlatformStore._record_change(self, kind, item, removed)
+        self._drop_history()
+
+    def _drop_history(self) -> None:
+        since = time.monotonic() - HISTORY_S
+        while self.change_times and self.change_times[0] < since:
             self.change_times.pop(0)
             self.forgotten = self.changes.pop(0)[0]
-        SimulatedPlatformStore._record_change(self, kind, item, removed)
 
     async def _watch(self, kind: str, query: dict) -> tuple[int, object]:
+        self._drop_history()
         if int(query["watch"]) < self.forgotten:
             return 410, {}
         return await SimulatedPlatformStore._watch(self, kind, query)
