A stream leaves the gate only to an engine that the gate has looked at

Cause: a look at the gate asks once which engines may be used, and the placement of each stream asks again. If the canary limit is reached by one stream, the next is placed at the other version, which the look has no room for: KeyError in AdmissionGate._decide. The same happens to a stream whose former attempts exclude all sound engines, as the gate does not look at suspect ones while there are others.

Evidence: the new test ends with KeyError('s1') in the timer's callback on, and all six streams are refused.

Change: the gate gives each stream an EngineOffer, and a stream is placed only at what that offers. If the eligible engines have changed, the same look goes over the remaining streams again with the new ones. An error of one stream, or of the look, lets streams go on as without the gate and is logged.

--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -19,6 +19,7 @@
     choose_engine,
     slot_wait_s,
 )
+from monsoontack.scheduling.offer import EngineOffer
 from monsoontack.scheduling.urgency import WaitingRequest
 
 if TYPE_CHECKING:
@@ -35,9 +36,9 @@
 
     run: "StreamRun"
 
-    def begin(self, engines: set[str]) -> tuple[str, object] | None:
-        """Open the attempt at one of these engines, if one can be used."""
-        attempt = self.run.open_attempt(NextStep.RESTART, engines)
+    def begin(self, offer: EngineOffer) -> tuple[str, object] | None:
+        """Open the attempt at an engine of the offer, if one can be used."""
+        attempt = self.run.open_attempt(NextStep.RESTART, offer)
         if attempt is None:
             return None
         return attempt.member.server.incarnation, attempt
@@ -77,12 +78,13 @@
 
 
 def place_attempt(
-    run: "StreamRun", step: NextStep, allowed: set[str] | None = None
+    run: "StreamRun", step: NextStep, offer: EngineOffer | None = None
 ) -> Placement | None:
     """Return the engines of the next attempt, or None if no engine is available.
 
-    A new start goes to one of the `allowed` engines if one of them may be used, else,
-    while streams of the service wait for their turn, to one that can begin it now.
+    A stream that leaves the gate goes to an engine of the `offer`. Later attempts go to
+    an engine that can begin them now if there is one, while streams of the service wait
+    for their turn.
     """
     forwarder, job = run.forwarder, run.job
     loads = forwarder.engine_loads(job, set())
@@ -94,11 +96,13 @@
         chosen = loads.get(member.server.incarnation)
     else:
         usable = run.asked.usable(loads, run.now())
-        if allowed is None and run.waiting_request is not None:
+        if offer is not None:
+            usable = offer.choose(usable)
+        elif run.waiting_request is not None:
             gate = forwarder.admission
             allowed = gate.with_room(job.service, run.waiting_request, usable)
-        preferred = {k: e for k, e in usable.items() if k in (allowed or ())}
-        chosen = choose(run, preferred or usable)
+            usable = {k: e for k, e in usable.items() if k in allowed} or usable
+        chosen = choose(run, usable)
         if chosen is None:
             return None
         member = members[chosen.key]
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -40,6 +40,7 @@
     next_step,
 )
 from monsoontack.inbound.responder import CallerDisconnectedError
+from monsoontack.scheduling.offer import EngineOffer
 from monsoontack.scheduling.urgency import WaitingRequest
 
 if TYPE_CHECKING:
@@ -312,13 +313,10 @@
         return member if gate.may_send(member.limit_key, now) else None
 
     def open_attempt(
-        self, step: NextStep, allowed: set[str] | None = None
+        self, step: NextStep, offer: EngineOffer | None = None
     ) -> OpenAttempt | None:
-        """Begin to count the next attempt; return None if no engine is available.
-
-        A new start goes to one of the `allowed` engines if that is possible.
-        """
-        placement = place_attempt(self, step, allowed)
+        """Begin to count the next attempt; return None if no engine can be used."""
+        placement = place_attempt(self, step, offer)
         if placement is None:
             return None
         job, member = self.job, placement.member
--- a/monsoontack/gateway/streams_admission_test.py
+++ b/monsoontack/gateway/streams_admission_test.py
@@ -9,6 +9,7 @@
 from monsoontack.gateway.drain_test import ROUTES, Harness
 from monsoontack.gateway.job import Job
 from monsoontack.gateway.records import GatewayAccount, GatewayConfig, RequestKind
+from monsoontack.gateway.rollouts import RolloutManager, ServiceRollout, StoredOrder
 from monsoontack.gateway.routes import stream_priorities
 from monsoontack.gateway.streamplace import FirstAttempt
 from monsoontack.gateway.streams_test import (
@@ -17,7 +18,17 @@
     make_forwarder,
     stream_route,
 )
-from standins.gatewayfakes import HOME, NEAR, SERVICE, make_job, make_route
+from monsoontack.rollout.evidence import EvidenceCounters
+from monsoontack.rollout.order import CanaryGate, RolloutOrder
+from monsoontack.scheduling.gate import MIN_LOOK_INTERVAL_S
+from standins.gatewayfakes import (
+    HOME,
+    NEAR,
+    SERVICE,
+    make_job,
+    make_route,
+    make_server,
+)
 
 URGENT = stream_route(name="urgent", priority=0, objective_s=4.0)
 OTHER = stream_route(name="other", priority=2, objective_s=10.0)
@@ -147,6 +158,72 @@
         self.assertEqual(8, ran)
 
 
+class ChangedEnginesTest(unittest.TestCase):
+    """Engines that may be used for a stream, but not as the gate has looked at them."""
+
+    def test_canary_limit_reached_while_streams_begin(self):
+        """Guards against streams placed at engines of the other version, which the gate
+        has not looked at, when the canary limit is reached within one look."""
+        errors = []
+
+        async def scenario(forwarder):
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: errors.append(context))
+            for name, place in (("s3", HOME), ("s4", NEAR)):
+                server = replace(make_server(name, place), versions=("v2",))
+                forwarder.fleet.put(server, False, 0.0)
+                forwarder.sender.scripts[name] = engine_script()
+            forwarder.rollouts = rollout_with_limit(1.0)
+            jobs = [new_job(i, OTHER) for i in range(6)]
+            tasks = [asyncio.ensure_future(forwarder.serve(job)) for job in jobs]
+            await asyncio.sleep(MIN_LOOK_INTERVAL_S + 0.01)
+            sent = [item.server.incarnation for item in forwarder.sender.sent]
+            await asyncio.gather(*tasks)
+            return jobs, sent
+
+        forwarder, (jobs, sent) = serve_jobs(scenario)
+        self.assertEqual([], errors)
+        self.assertEqual(["streamed"] * 6, [job.outcome for job in jobs])
+        # One of the new version, and one for each engine of the old one.
+        self.assertEqual(["s1", "s2"], sorted(set(sent) & {"s1", "s2"}))
+        self.assertEqual(3, len(sent))
+        for member in forwarder.fleet.members.values():
+            self.assertEqual((0, 0, 0), load_of(member))
+
+    def test_stream_whose_begin_fails_does_not_stop_the_others(self):
+        """Guards against an error in one stream that keeps all others waiting."""
+
+        async def scenario(forwarder):
+            asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+            jobs = [new_job(i, OTHER) for i in range(3)]
+            begin = FirstAttempt.begin
+
+            def fail_once(attempt, engines):
+                if attempt.run.job is jobs[0]:
+                    raise RuntimeError("no engine")
+                return begin(attempt, engines)
+
+            with patch.object(FirstAttempt, "begin", fail_once):
+                await asyncio.gather(*(forwarder.serve(job) for job in jobs))
+            return jobs
+
+        _, jobs = serve_jobs(scenario)
+        self.assertEqual(["streamed"] * 3, [job.outcome for job in jobs])
+
+
+def rollout_with_limit(tolerance: float) -> RolloutManager:
+    """Return the rollout of version `v2` that may get this many requests."""
+    order = RolloutOrder(SERVICE, "v2", 60.0)
+    rollouts = RolloutManager("a", "1", 0.1, tolerance, None, None)
+    rollouts.by_service[SERVICE] = ServiceRollout(
+        StoredOrder("rollouts/s", 1, order),
+        CanaryGate(0.0, tolerance),
+        EvidenceCounters(),
+        0.0,
+    )
+    return rollouts
+
+
 class PrioritiesTest(unittest.TestCase):
     """The services for which the admission is in force."""
 
--- a/monsoontack/scheduling/gate.py
+++ b/monsoontack/scheduling/gate.py
@@ -14,7 +14,6 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import structlog
 
@@ -22,6 +21,8 @@
 from monsoontack.inbound.responder import CallerDisconnectedError
 from monsoontack.routing.placement import EngineCandidate
 from monsoontack.scheduling.capacity import EngineRoom, with_unheard_peers
+from monsoontack.scheduling.entrant import Entrant, Stream
+from monsoontack.scheduling.offer import EngineOffer
 from monsoontack.scheduling.queue import PeerWaiting, ServiceState
 from monsoontack.scheduling.urgency import WaitingRequest
 
@@ -32,34 +33,9 @@
 # Least time between two looks at a service. A look takes about 0.7 ms with 56 engines,
 # 30 peers and 50 waiting streams, and load reports arrive 100 times a second.
 MIN_LOOK_INTERVAL_S = 0.02
-
-
-class Stream(Protocol):
-    """What the gate does with the stream that waits."""
-
-    def begin(self, engines: set[str]) -> tuple[str, object] | None:
-        """Place the stream at one of these engines and count its load.
-
-        Return the key of the engine and the attempt, None if no engine can be used.
-        """
-
-    def abandon(self, attempt: object) -> None:
-        """End the counts of an attempt that will not be sent."""
-
-
-@dataclass(slots=True, eq=False)
-class Entrant:
-    """A stream at the gate; `decided` gets its attempt or its refusal.
-
-    `ahead` is the number of requests that were before it when it began to wait, None
-    until then.
-    """
-
-    request: WaitingRequest
-    stream: Stream
-    decided: asyncio.Future
-    came_at: float
-    ahead: int | None = None
+# Passes over the waiting streams in one look: a canary limit that is reached changes
+# the eligible engines once.
+MAX_PASSES = 3
 
 
 @dataclass(slots=True)
@@ -259,6 +235,9 @@
             return
         try:
             self._decide(service, state, now)
+        except Exception:
+            log.exception("gate failed; waiting streams go on", service=service)
+            self._pass_all(state)
         finally:
             if state.waiting:
                 self._schedule(service, TICK_S)
@@ -269,19 +248,12 @@
             self._pass_all(state)
             return
         state.peer_waiting = self.peer_waiting(service, now)
-        engines = with_unheard_peers(engines, self.own_factor())
-        rooms = state.look(engines, now)
-        by_key = {room.engine.key: room for room in rooms}
-        for request, fitting in state.admissible(rooms, now):
-            entrant = self.entrants[request.number]
-            begun = entrant.stream.begin({room.engine.key for room in fitting})
-            if begun is None:
-                continue
-            key, attempt = begun
-            by_key[key].add(request)
-            state.begin(request, now)
-            self._note_begin(service, entrant, len(fitting), now)
-            entrant.decided.set_result(attempt)
+        rooms = self._rooms(state, engines, now)
+        for _ in range(MAX_PASSES):
+            if self._begin_streams(service, state, engines, rooms, now):
+                break
+            engines = self.engines(service)
+            rooms = self._rooms(state, engines, now) if engines else []
         state.note_rate(now)
         if self.draining_error is not None:
             self._refuse_draining(service, state, now)
@@ -293,6 +265,46 @@
             state.reported_rows = rows
             self.on_waiting_changed()
 
+    def _rooms(
+        self, state: ServiceState, engines: dict[str, EngineCandidate], now: float
+    ) -> list[EngineRoom]:
+        return state.look(with_unheard_peers(engines, self.own_factor()), now)
+
+    def _begin_streams(
+        self,
+        service: str,
+        state: ServiceState,
+        engines: dict[str, EngineCandidate],
+        rooms: list[EngineRoom],
+        now: float,
+    ) -> bool:
+        """Begin the streams that can at these engines.
+
+        Return whether all were considered; the eligible engines may change meanwhile.
+        """
+        by_key = {room.engine.key: room for room in rooms}
+        for request, fitting in state.admissible(rooms, now):
+            entrant = self.entrants[request.number]
+            with_room = frozenset(room.engine.key for room in fitting)
+            offer = EngineOffer(with_room, frozenset(by_key), frozenset(engines))
+            try:
+                begun = entrant.stream.begin(offer)
+            except Exception:
+                log.exception("stream at the gate failed; it goes on", service=service)
+                self._pass(state, request.number)
+                continue
+            if begun is None:
+                if self.engines(service).keys() != engines.keys():
+                    return False
+                continue
+            key, attempt = begun
+            if key in by_key:
+                by_key[key].add(request)
+            state.begin(request, now)
+            self._note_begin(service, entrant, len(fitting), now)
+            entrant.decide(attempt)
+        return True
+
     def _note_waits(
         self, service: str, state: ServiceState, rooms: list[EngineRoom], now: float
     ) -> None:
@@ -319,10 +331,12 @@
     def _pass_all(self, state: ServiceState) -> None:
         """Let all streams go on as without the gate."""
         for number in list(state.waiting):
-            del state.waiting[number]
-            decided = self.entrants[number].decided
-            if not decided.done():
-                decided.set_result(None)
+            self._pass(state, number)
+
+    def _pass(self, state: ServiceState, number: int) -> None:
+        """Let one stream go on as without the gate."""
+        state.waiting.pop(number, None)
+        self.entrants[number].decide(None)
 
     def _note_begin(
         self, service: str, entrant: Entrant, room: int, now: float
@@ -377,10 +391,8 @@
         error: RequestError,
     ) -> None:
         state.waiting.pop(request.number, None)
-        decided = self.entrants[request.number].decided
-        if not decided.done():
+        if self.entrants[request.number].decide(error):
             self.on_refused(service, error.code)
-            decided.set_result(error)
 
 
 def _now() -> float:
--- a/standins/simulatedservice.py
+++ b/standins/simulatedservice.py
@@ -11,6 +11,7 @@
 from monsoontack.inbound.responder import CallerDisconnectedError
 from monsoontack.routing.placement import EngineCandidate
 from monsoontack.scheduling.gate import AdmissionGate
+from monsoontack.scheduling.offer import EngineOffer
 from monsoontack.scheduling.urgency import WaitingRequest
 
 PREFILL_TOKENS_PER_S = 8000.0
@@ -168,9 +169,10 @@
     gateway: Gateway
     request: WaitingRequest
 
-    def begin(self, engines: set[str]) -> tuple[str, str]:
-        """Count the request at one of the engines."""
+    def begin(self, offer: EngineOffer) -> tuple[str, str]:
+        """Count the request at one of the engines with room."""
         loads, rng = self.gateway.engines(), self.gateway.gate.rng
+        engines = offer.with_room
         key = min(sorted(engines), key=lambda k: (_cost(loads[k]), rng.random()))
         tokens, needed = self.request.prompt_tokens, self.request.needed_tokens
         self.gateway.add(key, 1, tokens, needed)
@@ -250,7 +252,8 @@
                 outcome.code, outcome.ended_at = "gone", loop.time()
                 return outcome
         else:
-            got = stream.begin(set(self.engines))[0]
+            keys = frozenset(self.engines)
+            got = stream.begin(EngineOffer(keys, keys, keys))[0]
         outcome.ended_at = loop.time()
         if isinstance(got, RequestError):
             outcome.status, outcome.code = got.status, got.code
