An error in a callback of the event loop no longer takes the process's memory

Any other exception in a timer, done callback or signal handler would do the same.

Cause: uvloop formats the bound method of a failed callback before it calls any handler. The object is a data class, whose generated representation walks through gateway, fleet and exchange over and over. The default handler also formats transport, protocol and arguments, and writes to a pipe that may block.

Evidence: core/reprs_test.py finds 156 classes with such a representation on the code before; callbacks_test.py shows that a failing callback kept InputTurns and MemoryGuard from going on.

Change: data classes that change or hold such ones have no representation of their fields, and a test checks this for the whole product. All processes log errors in callbacks by names only (core/callbacks.py); gateways count them (monsoontack_loop_errors_total), agents as loop_errors. Turns and shedding go on with the next connection after an error of one.

--- a/monsoontack/admission/admit.py
+++ b/monsoontack/admission/admit.py
@@ -91,7 +91,7 @@
         return self.fleet_requests < self.slots - margin * math.sqrt(self.slots)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ServiceAdmission:
     """Admission state of one service.
 
@@ -113,7 +113,7 @@
         )
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Admission:
     """Admission control of one entry.
 
--- a/monsoontack/admission/crashblame.py
+++ b/monsoontack/admission/crashblame.py
@@ -77,7 +77,7 @@
     suspects: dict[str, int]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class _Evidence:
     """Crashes that a part may have caused, with the accounts of its requests.
 
--- a/monsoontack/admission/crashguard.py
+++ b/monsoontack/admission/crashguard.py
@@ -48,7 +48,7 @@
 TURN_S = 2.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class CrashGuard:
     """Blocked parts of requests at one entry.
 
--- a/monsoontack/admission/crashrecords.py
+++ b/monsoontack/admission/crashrecords.py
@@ -82,7 +82,7 @@
 NO_NEWS = CrashNews({}, {})
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class CrashRecords:
     """All crash records by the start of the server, and the records of their parts.
 
--- a/monsoontack/admission/drainadmission.py
+++ b/monsoontack/admission/drainadmission.py
@@ -88,7 +88,7 @@
         )
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class DrainAdmission:
     """The drain, and how long the requests of each route take.
 
--- a/monsoontack/admission/fairshare.py
+++ b/monsoontack/admission/fairshare.py
@@ -21,7 +21,7 @@
 RECOMPUTE_INTERVAL_PER_ACCOUNT_S = 2e-4
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class AccountUsage:
     """Usage of one account at this entry.
 
@@ -63,7 +63,7 @@
         return self.in_flight + self.recent_refusals / DECAY_TIME_S * mean_duration_s
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class FairShare:
     """Fair shares of the accounts of one service at one entry.
 
--- a/monsoontack/admission/hedge.py
+++ b/monsoontack/admission/hedge.py
@@ -23,7 +23,7 @@
 MIN_DELAY_FACTOR = 2.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class RecentLatencies:
     """Recent latencies of one service, their 95th percentile and their median.
 
@@ -55,7 +55,7 @@
         return min(self.delay_s, max(latest_s, MIN_DELAY_FACTOR * self.usual_s))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Hedging:
     """Hedging budget and delays of one entry.
 
--- a/monsoontack/admission/leavingservers.py
+++ b/monsoontack/admission/leavingservers.py
@@ -24,7 +24,7 @@
 FORGET_AFTER_S = 600.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class LeavingServers:
     """The latest start of each server that is leaving, by name, in Unix ms.
 
--- a/monsoontack/admission/limitgate.py
+++ b/monsoontack/admission/limitgate.py
@@ -42,7 +42,7 @@
     expires_at: float | None = None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class LimitGate:
     """Limits and waits of all servers, and this entry's permits.
 
--- a/monsoontack/admission/permits.py
+++ b/monsoontack/admission/permits.py
@@ -72,7 +72,7 @@
     waits: Mapping[str, float]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Child:
     """The last report of a child, when it arrived, and its wants not yet granted."""
 
@@ -81,7 +81,7 @@
     wants: dict[str, float]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Bucket:
     """Token bucket from which the root of a tree or fragment mints permits."""
 
@@ -95,7 +95,7 @@
         self.at = now
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class PermitNode:
     """One entry's part in the division of limits.
 
--- a/monsoontack/admission/retrybudget.py
+++ b/monsoontack/admission/retrybudget.py
@@ -12,7 +12,7 @@
 MAX_SAVED_RETRIES = 20.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class RetryBudget:
     """Retry budget of one entry.
 
--- a/monsoontack/admission/statedlimits.py
+++ b/monsoontack/admission/statedlimits.py
@@ -63,7 +63,7 @@
     return math.inf if record.rate is None else record.rate
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StatedLimits:
     """Known limits by server; a server's key identifies one start of it.
 
--- a/monsoontack/admission/statedwaits.py
+++ b/monsoontack/admission/statedwaits.py
@@ -34,7 +34,7 @@
 MAX_RECORDS = 4_096
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StatedWait:
     """The wait of one server, which ends at `until` (event loop's time).
 
@@ -64,7 +64,7 @@
         return 0.0 if self.may_send(now) else RETURN_STEP_S
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StatedWaits:
     """Servers that asked for time, by `BackendServer.start_key`.
 
--- a/monsoontack/admission/suspectturns.py
+++ b/monsoontack/admission/suspectturns.py
@@ -23,7 +23,7 @@
     until: float
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class SuspectTurns:
     """Turns that this entry has given, by the id of what is under suspicion."""
 
--- a/monsoontack/admission/windowbudget.py
+++ b/monsoontack/admission/windowbudget.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class WindowBudget:
     """Retry budget over a sliding window.
 
--- a/monsoontack/agent/daemon.py
+++ b/monsoontack/agent/daemon.py
@@ -18,6 +18,7 @@
 )
 from monsoontack.agent.server import make_server
 from monsoontack.agent.servicehttp import HttpService
+from monsoontack.core.callbacks import log_loop_errors
 from monsoontack.settings.models import AgentSettings
 
 HOUSEKEEPING_INTERVAL_S = 0.25
@@ -96,6 +97,7 @@
             agent.apply_phase()
 
     loop = asyncio.get_running_loop()
+    log_loop_errors(loop, lambda: agent.counters.add("loop_errors"))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminate)
 
--- a/monsoontack/agent/drain.py
+++ b/monsoontack/agent/drain.py
@@ -26,7 +26,7 @@
     ENDED = "ended"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class DrainState:
     """State machine of the shutdown; times are in seconds of the loop's clock."""
 
--- a/monsoontack/agent/fencing.py
+++ b/monsoontack/agent/fencing.py
@@ -26,7 +26,7 @@
     message: str
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class CallFences:
     """Highest fencing number admitted for each client account and key.
 
@@ -75,7 +75,7 @@
             del self.highest_fences[key]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class OrderFence:
     """Highest lease epoch received in an order.
 
--- a/monsoontack/agent/links.py
+++ b/monsoontack/agent/links.py
@@ -42,7 +42,7 @@
         )
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Link:
     """State of one link; each connection gets a new `number`.
 
--- a/monsoontack/agent/load.py
+++ b/monsoontack/agent/load.py
@@ -21,7 +21,7 @@
     blocks: tuple[int, ...]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class TokenProgress:
     """Arrival times of tokens from the engine, and the gaps within single runs."""
 
@@ -51,7 +51,7 @@
         return ordered[min(len(ordered) - 1, len(ordered) * 99 // 100)]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EngineView:
     """The agent's view of its backend server, without the streams.
 
--- a/monsoontack/agent/schedule.py
+++ b/monsoontack/agent/schedule.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class FrameSchedule:
     """Intervals and last send times of one link, in seconds of the loop's clock."""
 
--- a/monsoontack/agent/streamlog.py
+++ b/monsoontack/agent/streamlog.py
@@ -38,7 +38,7 @@
 MAX_CHUNK_TOKENS = 4_096
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Stream:
     """One generation in the log.
 
@@ -75,7 +75,7 @@
         )
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StreamLog:
     """All streams of one agent, by generation.
 
--- a/monsoontack/client/client.py
+++ b/monsoontack/client/client.py
@@ -67,7 +67,7 @@
     finish: str
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class AnswerProgress:
     """State of one answer: what has been received, and the reconnects."""
 
--- a/monsoontack/config/proposal.py
+++ b/monsoontack/config/proposal.py
@@ -165,7 +165,7 @@
     return edit.finish(lease_epoch)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class _Edit:
     """Application of a proposal to a revision.
 
--- a/monsoontack/core/boundedlog.py
+++ b/monsoontack/core/boundedlog.py
@@ -30,7 +30,7 @@
 CUT = "..."
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EventRateLimiter:
     """Token bucket of one event; `left_out` counts the omitted lines."""
 
@@ -50,7 +50,7 @@
         return True
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class LineWriter:
     """Writes lines to a file descriptor without blocking.
 
@@ -123,7 +123,7 @@
     return value if isinstance(value, int) else text
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class BoundedOutput:
     """Final structlog processor: renders an event as JSON and writes or drops it."""
 
--- a/monsoontack/core/changes.py
+++ b/monsoontack/core/changes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ChangeCounter:
     """Counts the changes of one or several tables in their order.
 
--- a/monsoontack/core/supervise.py
+++ b/monsoontack/core/supervise.py
@@ -6,10 +6,11 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from functools import partial
 
 import structlog
 
+from monsoontack.core.callbacks import name_of
+
 log = structlog.get_logger("core.supervise")
 
 # Short compared with the seconds for which cached data stays valid, and long enough
@@ -24,16 +25,6 @@
             await work()
             return
         except Exception:
-            part = _name_of(work)
+            part = name_of(work)
             log.exception("background task failed; restarting it", part=part)
         await asyncio.sleep(RESTART_DELAY_S)
-
-
-def _name_of(work: Callable[[], Awaitable[None]]) -> str:
-    """Return the name of a function.
-
-    The representation of a bound method has that of its object, which took more than
-    200 MB for the exchange of load in a fleet of 31 entries.
-    """
-    function = work.func if isinstance(work, partial) else work
-    return getattr(function, "__qualname__", type(function).__qualname__)
--- a/monsoontack/entry/context.py
+++ b/monsoontack/entry/context.py
@@ -26,7 +26,7 @@
 NOT_READY_RETRY_S = 1.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EntryContext:
     """Components of a running entry. `draining` becomes true at SIGTERM."""
 
--- a/monsoontack/entry/daemon.py
+++ b/monsoontack/entry/daemon.py
@@ -11,6 +11,7 @@
 import uvicorn
 
 from monsoontack.admission.admit import Admission as FairAdmission
+from monsoontack.core.callbacks import log_loop_errors
 from monsoontack.core.counters import Counters
 from monsoontack.core.records import Place
 from monsoontack.entry.app import caller_app, operator_app
@@ -51,7 +52,7 @@
 UPDATE_INTERVAL_S = 1.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EntryComponents:
     """Replaceable components; None selects the default implementation."""
 
@@ -133,6 +134,7 @@
     components = components or EntryComponents()
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
+    log_loop_errors(loop)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     async with aiohttp.ClientSession() as http:
--- a/monsoontack/entry/dispatch.py
+++ b/monsoontack/entry/dispatch.py
@@ -26,14 +26,14 @@
 RESULT_GRACE_S = 0.5
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class _PendingCall:
     link: Link
     result: asyncio.Future
     on_silence: Callable[[], None]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class LinkDispatcher:
     """Implements `monsoontack.ledger.ports.Dispatcher` over the link pool.
 
--- a/monsoontack/entry/enginechoice.py
+++ b/monsoontack/entry/enginechoice.py
@@ -12,7 +12,7 @@
 from monsoontack.generation.silence import SilentEngines, why_stay
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EngineChoice:
     """Chooses engines with the entry's picker and avoids those found silent."""
 
--- a/monsoontack/entry/linklimits.py
+++ b/monsoontack/entry/linklimits.py
@@ -9,7 +9,7 @@
 MAX_BACKOFF_S = 5.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Backoff:
     """Delay before the next connection attempt to an address that failed."""
 
--- a/monsoontack/gateway/askedengines.py
+++ b/monsoontack/gateway/askedengines.py
@@ -14,7 +14,7 @@
 MAX_WRONG_ANSWERS = 2
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class AskedEngines:
     """Engines of the failed attempts of one stream, by their incarnations.
 
--- a/monsoontack/gateway/attemptresult.py
+++ b/monsoontack/gateway/attemptresult.py
@@ -9,7 +9,7 @@
 from monsoontack.gateway.records import ResponseHead
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class AttemptResult:
     """Result of one attempt of a call.
 
--- a/monsoontack/gateway/budgets.py
+++ b/monsoontack/gateway/budgets.py
@@ -13,7 +13,7 @@
 USED_BUDGET_SHARE = 0.8
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class RetryBudgets:
     """Retry budgets of this entry.
 
--- a/monsoontack/gateway/calls.py
+++ b/monsoontack/gateway/calls.py
@@ -36,7 +36,7 @@
 DISCONNECT_POLL_S = 0.1
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class CallForwarder:
     """Forwards calls to plain services.
 
--- a/monsoontack/gateway/configstate.py
+++ b/monsoontack/gateway/configstate.py
@@ -43,7 +43,7 @@
 STALE_PEER_TTL_S = 5.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ConfigState:
     """Newest configuration of this process; times are of the boot clock.
 
--- a/monsoontack/gateway/crashdetector.py
+++ b/monsoontack/gateway/crashdetector.py
@@ -45,7 +45,7 @@
     at: float
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class CrashDetector:
     """Checks the servers that broke off requests; `on_crash` is called for crashes.
 
--- a/monsoontack/gateway/daemon.py
+++ b/monsoontack/gateway/daemon.py
@@ -17,6 +17,7 @@
 from monsoontack.admission.requestcontent import is_request
 from monsoontack.admission.serverstatement import ServerStatement
 from monsoontack.core.boundedlog import LineWriter
+from monsoontack.core.callbacks import log_loop_errors
 from monsoontack.core.supervise import run_with_restarts
 from monsoontack.gateway.budgets import RetryBudgets
 from monsoontack.gateway.calls import CallForwarder
@@ -109,7 +110,7 @@
 UNAVAILABLE = 503
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class GatewayDaemon:
     """All components of a running gateway.
 
@@ -392,6 +393,7 @@
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then drain and return."""
         loop = asyncio.get_running_loop()
+        log_loop_errors(loop, self.metrics.loop_errors.inc)
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_signal_handler(signal.SIGINT, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._on_sighup)
--- a/monsoontack/gateway/entryexchange.py
+++ b/monsoontack/gateway/entryexchange.py
@@ -65,7 +65,7 @@
 PeerCall = Callable[[PeerEntry, bytes], Awaitable[PeerResponse | None]]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Neighbour:
     """State of the exchange with one entry.
 
@@ -85,7 +85,7 @@
     next_report_at: float = 0.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EntryExchange:
     """Exchanges records and permits with the neighbours in the tree of entries.
 
--- a/monsoontack/gateway/entryregistry.py
+++ b/monsoontack/gateway/entryregistry.py
@@ -39,7 +39,7 @@
 KEPT_AFTER_RESTORATION_S = 30.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EntryList:
     """Listener that holds all entries by name and calls `on_change` at each change.
 
@@ -119,7 +119,7 @@
     return PeerEntry(item.name, region, address, item.revision)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EntryRegistration:
     """Keeps this entry's object in the store.
 
--- a/monsoontack/gateway/entryremoval.py
+++ b/monsoontack/gateway/entryremoval.py
@@ -36,7 +36,7 @@
 OUTAGE_REMOVE_AFTER_S = 3600.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class SilentEntryRemover:
     """Probes the entries of a region while this entry ranks first in it.
 
--- a/monsoontack/gateway/explain.py
+++ b/monsoontack/gateway/explain.py
@@ -93,7 +93,7 @@
     fields: dict
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Explanation:
     """Timeline of a request and cause of its outcome.
 
--- a/monsoontack/gateway/feedcodec.py
+++ b/monsoontack/gateway/feedcodec.py
@@ -62,7 +62,7 @@
     row: _Row
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class FeedEncoder:
     """Encodes the content of caches and keeps each body until its cache changes.
 
--- a/monsoontack/gateway/fleet.py
+++ b/monsoontack/gateway/fleet.py
@@ -39,7 +39,7 @@
 RECORD_GRACE_S = 2.2
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class BackendFleet:
     """All backend servers by service.
 
--- a/monsoontack/gateway/handler.py
+++ b/monsoontack/gateway/handler.py
@@ -30,7 +30,7 @@
 COMPLETE_OUTCOMES = ("answered", "streamed")
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Gateway:
     """Serves the requests of one entry.
 
--- a/monsoontack/gateway/job.py
+++ b/monsoontack/gateway/job.py
@@ -10,7 +10,7 @@
 from monsoontack.inbound.responder import Responder
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class AttemptRecord:
     """One attempt of a request: its server, result and times (event loop's clock).
 
@@ -26,7 +26,7 @@
     worst_gap_s: float = 0.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Job:
     """A request that is being served.
 
--- a/monsoontack/gateway/metrics.py
+++ b/monsoontack/gateway/metrics.py
@@ -22,7 +22,7 @@
 GAP_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 2.0, 5.0)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class GatewayMetrics:
     """All metrics of one gateway process."""
 
@@ -65,6 +65,7 @@
     caller_connections: Gauge = None
     longest_input_s: Gauge = None
     loop_delay_s: Gauge = None
+    loop_errors: Counter = None
 
     @classmethod
     def create(cls) -> "GatewayMetrics":
@@ -124,6 +125,11 @@
             ("service", "reason"),
             registry=registry,
         )
+        metrics.loop_errors = Counter(
+            "monsoontack_loop_errors",
+            "Callbacks of the event loop that failed",
+            registry=registry,
+        )
         metrics.store_restorations = Counter(
             "monsoontack_store_restorations",
             "Times at which the store was found to be restored from a copy",
--- a/monsoontack/gateway/newestlist.py
+++ b/monsoontack/gateway/newestlist.py
@@ -34,7 +34,7 @@
     return first is not None and (second is None or first > second)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class NewestList:
     """`KindStore` that reads through other entries, for objects with a rank."""
 
--- a/monsoontack/gateway/pool.py
+++ b/monsoontack/gateway/pool.py
@@ -28,7 +28,7 @@
 MAX_IDLE_CONNECTIONS_PER_SERVER = 32
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ConnectionPool:
     """Idle connections of this process by address and incarnation of the server.
 
--- a/monsoontack/gateway/readtree.py
+++ b/monsoontack/gateway/readtree.py
@@ -95,7 +95,7 @@
     ]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class DirectReadLimiter:
     """Limits how often an entry reads the store directly; shared by its feeds.
 
--- a/monsoontack/gateway/relay.py
+++ b/monsoontack/gateway/relay.py
@@ -66,7 +66,7 @@
         return f"{FEEDS_PATH.decode()}{self.kind}?{query}"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class RelayServer:
     """Answers requests of peers from the caches of this entry's feeds."""
 
--- a/monsoontack/gateway/rollouts.py
+++ b/monsoontack/gateway/rollouts.py
@@ -84,7 +84,7 @@
     order: RolloutOrder
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ServiceRollout:
     """This entry's state of one rollout order.
 
@@ -107,7 +107,7 @@
         return self.stored.order
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class RolloutManager:
     """Rollout orders by service, with the reports and evaluations of this entry.
 
--- a/monsoontack/gateway/sender.py
+++ b/monsoontack/gateway/sender.py
@@ -31,7 +31,7 @@
 LEAVING = ExchangeFailure(FailureKind.LEAVING, False, "the server is leaving")
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Sender:
     """Sends requests; `on_sent` is called with the service of each one sent.
 
--- a/monsoontack/gateway/sse.py
+++ b/monsoontack/gateway/sse.py
@@ -25,7 +25,7 @@
     """The stream has an event longer than `MAX_EVENT_BYTES`."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EventSplitter:
     """Buffers bytes and returns complete events.
 
--- a/monsoontack/gateway/streamattempt.py
+++ b/monsoontack/gateway/streamattempt.py
@@ -13,7 +13,7 @@
     from monsoontack.gateway.streamrelay import StreamRelay
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, repr=False)
 class Placement:
     """Engines of one attempt.
 
@@ -30,7 +30,7 @@
     slot_wait_s: float = 0.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class OpenAttempt:
     """An attempt from its placement until its outcome is recorded.
 
@@ -48,7 +48,7 @@
         return self.placement.member
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StreamLoss:
     """Reason for which an attempt ended before the stream was complete.
 
--- a/monsoontack/gateway/streamload.py
+++ b/monsoontack/gateway/streamload.py
@@ -6,7 +6,7 @@
 from monsoontack.loadview.exchange import LoadExchange
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class AttemptLoad:
     """Load of one attempt on its engine, and on the engine that gets its copy.
 
--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -30,7 +30,7 @@
 LOSS_MEMORY_S = 20.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class FirstAttempt:
     """The first attempt of a stream that waits at the gate."""
 
--- a/monsoontack/gateway/streams.py
+++ b/monsoontack/gateway/streams.py
@@ -40,7 +40,7 @@
 MAX_ANNOUNCED_PROMPTS = 200
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StreamForwarder:
     """Serves streams.
 
--- a/monsoontack/gateway/suspectgate.py
+++ b/monsoontack/gateway/suspectgate.py
@@ -65,7 +65,7 @@
     return call
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, repr=False)
 class HeldTurn:
     """A turn of this entry: the entry that gave it, its request, and when it ends."""
 
@@ -78,7 +78,7 @@
     """Return None, for an entry without others."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class SuspectGate:
     """What is under suspicion at one entry.
 
--- a/monsoontack/generation/attempts.py
+++ b/monsoontack/generation/attempts.py
@@ -12,7 +12,7 @@
 from monsoontack.core.records import TokenChunk
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class AttemptLog:
     """Accepted tokens of one generation and the attempt that may extend them.
 
--- a/monsoontack/generation/continuation.py
+++ b/monsoontack/generation/continuation.py
@@ -45,7 +45,7 @@
     """A whole answer with a fitting head has no event for the stream."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StreamEvent:
     """One event or comment of an answer, with its bytes and the id if it has one.
 
--- a/monsoontack/generation/progress.py
+++ b/monsoontack/generation/progress.py
@@ -19,7 +19,7 @@
 MIN_PROCESS_PAUSE_S = 0.5
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class LinkProgress:
     """State of a link's connection and engine, according to its frames.
 
@@ -60,7 +60,7 @@
         return self.queued > 0 or self.running >= max(self.slots, 1)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ProgressMonitor:
     """Progress of one attempt's stream.
 
@@ -98,7 +98,7 @@
         return waited > FIRST_TOKEN_LIMIT_S * self.first_token_wait_factor
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ProcessPauseDetector:
     """Detects pauses of this process, such as after SIGSTOP.
 
--- a/monsoontack/generation/resume.py
+++ b/monsoontack/generation/resume.py
@@ -162,7 +162,7 @@
 Action = StartAttempt | AttachStream | CancelAttempt | FailStream
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class GenerationState:
     """State of one generation at an entry.
 
--- a/monsoontack/generation/silence.py
+++ b/monsoontack/generation/silence.py
@@ -44,7 +44,7 @@
     return NO_BETTER_ENGINE
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class SilentEngines:
     """Engines that were found silent; `found_at` holds the last time by address."""
 
--- a/monsoontack/generation/streamtimeouts.py
+++ b/monsoontack/generation/streamtimeouts.py
@@ -44,7 +44,7 @@
     return max(gap_s, longest_s * (1 - GAP_DECAY))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StreamTimeouts:
     """Event gaps and prefill rate of one service, and the timeouts based on them.
 
--- a/monsoontack/inbound/account.py
+++ b/monsoontack/inbound/account.py
@@ -59,7 +59,7 @@
     return int(max(usable_bytes, memory_bytes * MIN_ACCOUNT_SHARE))
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Holding:
     """What one connection holds.
 
@@ -92,7 +92,7 @@
         return max(until - self.progress_at, 0.0)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class MemoryAccount:
     """What all connections hold together; sizes are estimated bytes in the process.
 
--- a/monsoontack/inbound/memoryguard.py
+++ b/monsoontack/inbound/memoryguard.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from monsoontack.core.callbacks import call_guarded
 from monsoontack.inbound.account import SHED_INTERVAL_S, MemoryAccount
 
 
@@ -21,6 +22,6 @@
     def _decide(self) -> None:
         self.timer = None
         for holding in self.account.to_shed(asyncio.get_running_loop().time()):
-            holding.shed()
+            call_guarded(holding.shed)
         if self.account.is_short:
             self.watch()
--- a/monsoontack/inbound/processload.py
+++ b/monsoontack/inbound/processload.py
@@ -22,7 +22,7 @@
         return 0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class LoopDelay:
     """Longest delay of a timer in the present and the last period, in seconds."""
 
--- a/monsoontack/inbound/progress.py
+++ b/monsoontack/inbound/progress.py
@@ -15,7 +15,7 @@
 SLOW_BODY = InputRefusal(408, "slow_body", "request body took too long to arrive")
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class RequestProgress:
     """When a request began to arrive and last went on, in seconds of one clock.
 
--- a/monsoontack/inbound/server.py
+++ b/monsoontack/inbound/server.py
@@ -42,7 +42,7 @@
     """Ignore a refusal."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class InboundServer:
     """State shared by the connections of one listening address.
 
--- a/monsoontack/inbound/turns.py
+++ b/monsoontack/inbound/turns.py
@@ -9,6 +9,8 @@
 from collections import deque
 from collections.abc import Callable
 
+from monsoontack.core.callbacks import call_guarded
+
 # Time that input may take in one iteration of the loop; the shortest objective is
 # 0.19 s, and other work of an iteration takes some ms.
 INPUT_BUDGET_S = 0.01
@@ -59,6 +61,6 @@
         self.is_scheduled = False
         self.spent_s = 0.0
         for _ in range(min(RESUMED_CONNECTIONS, len(self.waiting))):
-            self.waiting.popleft()()
+            call_guarded(self.waiting.popleft())
         if self.waiting:
             self._schedule()
--- a/monsoontack/ledger/idempotent.py
+++ b/monsoontack/ledger/idempotent.py
@@ -21,7 +21,7 @@
 RETRYABLE_STATUSES = frozenset((502, 503, 504))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class IdempotentCalls:
     """Runs idempotent calls; one instance per process."""
 
@@ -92,7 +92,7 @@
         self.hedging.record(call.service, self.clock.now() - started_at)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class CallAttempts:
     """Attempts of one call in the order of their start.
 
--- a/monsoontack/ledger/limits.py
+++ b/monsoontack/ledger/limits.py
@@ -11,7 +11,7 @@
 FAILURES_UNTIL_DOWN = 2
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class WriteBudget:
     """Token bucket for this entry's share of the fleet's call record writes.
 
@@ -60,7 +60,7 @@
         )
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StoreHealth:
     """Circuit breaker for store calls.
 
--- a/monsoontack/ledger/records.py
+++ b/monsoontack/ledger/records.py
@@ -21,7 +21,7 @@
     """Do nothing, for calls that only wait for their result."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, repr=False)
 class ServiceCall:
     """One call to a plain service; `key` is empty if the caller sent none.
 
--- a/monsoontack/ledger/service.py
+++ b/monsoontack/ledger/service.py
@@ -65,7 +65,7 @@
 REPLAYED_HEADER = ("idempotency-replayed", "true")
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Ledger:
     """Runs calls; one instance per process.
 
--- a/monsoontack/loadview/callload.py
+++ b/monsoontack/loadview/callload.py
@@ -23,7 +23,7 @@
 MAX_SERVERS = 64
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class OwnCalls:
     """Smoothed calls in flight of this entry, by the start of the server."""
 
--- a/monsoontack/loadview/estimate.py
+++ b/monsoontack/loadview/estimate.py
@@ -23,7 +23,7 @@
 MAX_OVERFLOW_MEMORY_SHARE = 0.5
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class UsageEstimator:
     """Estimates the usage of other gateways for the gateway of a `group`.
 
--- a/monsoontack/loadview/exchange.py
+++ b/monsoontack/loadview/exchange.py
@@ -54,7 +54,7 @@
 PeerCall = Callable[[PeerEntry, bytes], Awaitable[PeerResponse | None]]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class LoadExchange:
     """Sends this entry's usage of engines to peers and receives theirs.
 
--- a/monsoontack/loadview/outbox.py
+++ b/monsoontack/loadview/outbox.py
@@ -27,7 +27,7 @@
 MIN_AHEAD_INTERVAL_S = 0.05
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class PeerOutbox:
     """Updates that are not yet sent to one peer.
 
--- a/monsoontack/loadview/peerloads.py
+++ b/monsoontack/loadview/peerloads.py
@@ -23,7 +23,7 @@
 MAX_READ_ENGINES = 2000
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class PeerLoads:
     """Usage reported by peers, by peer and by the start of the engine.
 
--- a/monsoontack/membership/view.py
+++ b/monsoontack/membership/view.py
@@ -46,7 +46,7 @@
     GONE = "gone"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Member:
     """The process that was last seen at an address.
 
@@ -76,7 +76,7 @@
     needs_slow_start: bool = False
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class MembershipView:
     """All known processes by address.
 
--- a/monsoontack/pacing/domainevidence.py
+++ b/monsoontack/pacing/domainevidence.py
@@ -70,7 +70,7 @@
         return self in (Trouble.REFUSED, Trouble.RESET, Trouble.UNREACHABLE)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class DomainDoubt:
     """Signs of the servers of one service and failure domain.
 
@@ -94,7 +94,7 @@
         return signs.count(Trouble.OUTDATED) > 1
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class DomainEvidence:
     """Failure domains in doubt, by service and place.
 
--- a/monsoontack/pacing/domainspend.py
+++ b/monsoontack/pacing/domainspend.py
@@ -19,7 +19,7 @@
 MIN_DOMAIN_SERVERS = 3
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class DomainSpend:
     """Times of one request's attempts, by place; `lost_at` those of lost ones."""
 
--- a/monsoontack/pacing/member.py
+++ b/monsoontack/pacing/member.py
@@ -9,7 +9,7 @@
 SUSPECT_TIMEOUT_S = 6.0
 
 
-@dataclass(slots=True, weakref_slot=True)
+@dataclass(slots=True, weakref_slot=True, repr=False)
 class Member:
     """One start of a backend server, with this entry's load on it.
 
--- a/monsoontack/pacing/pace.py
+++ b/monsoontack/pacing/pace.py
@@ -59,7 +59,7 @@
 PROMPT_WEIGHT = 0.05
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Pace:
     """Pace of one start of a server.
 
@@ -77,7 +77,7 @@
     is_known_to_all: bool
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class PaceBook:
     """Servers that are paced, by the key of their start.
 
--- a/monsoontack/pacing/turns.py
+++ b/monsoontack/pacing/turns.py
@@ -21,7 +21,7 @@
 MIN_GATEWAYS = 8
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class GatewayTurns:
     """The gateway `name` among all gateways; `regions` has their regions by name.
 
--- a/monsoontack/platform/responses.py
+++ b/monsoontack/platform/responses.py
@@ -86,7 +86,7 @@
     store_revision: StoreRevision
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class UnreadableRecords:
     """Logs each unreadable state of an object once.
 
--- a/monsoontack/platform/store.py
+++ b/monsoontack/platform/store.py
@@ -82,7 +82,7 @@
     era: int = 0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StoreLineage:
     """Which copy of its data the store serves.
 
@@ -112,7 +112,7 @@
         return era
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class PlatformStore:
     """Calls to the store at `address` (`ip:port`).
 
--- a/monsoontack/relaying/answers.py
+++ b/monsoontack/relaying/answers.py
@@ -9,7 +9,7 @@
 from monsoontack.store.api import KindChanges, KindList
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, repr=False)
 class FeedRead:
     """A list of a kind, or a watch for changes after a revision of at most `wait_s`.
 
--- a/monsoontack/relaying/relayedstore.py
+++ b/monsoontack/relaying/relayedstore.py
@@ -64,7 +64,7 @@
 STALE_PEER_PAUSE_SHARE = 0.9 * ROUND_SHARE
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class RelayedStore:
     """`KindStore` that reads from peers first and otherwise from the store.
 
--- a/monsoontack/rollout/activerollout.py
+++ b/monsoontack/rollout/activerollout.py
@@ -35,7 +35,7 @@
 STEP_CHECK_ALPHA = 0.001  # probability that an interim check stops a good version
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ActiveRollout:
     """State of one rollout in the controller's memory.
 
--- a/monsoontack/rollout/analysis.py
+++ b/monsoontack/rollout/analysis.py
@@ -89,7 +89,7 @@
     log_evidence: float
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Reference:
     """Counts of the old version over the last one or two reference periods."""
 
@@ -114,7 +114,7 @@
         return list(map(add, self.current, self.previous))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Tally:
     """Requests and events (failures or slow requests) of both versions."""
 
--- a/monsoontack/rollout/evidence.py
+++ b/monsoontack/rollout/evidence.py
@@ -61,7 +61,7 @@
     return [0] * BUCKET_COUNT
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Counts:
     """Ended requests, failed requests and latency histograms.
 
@@ -146,7 +146,7 @@
     return window
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, repr=False)
 class EvidenceReport:
     """Cumulative counters of one entry since it started.
 
@@ -160,7 +160,7 @@
     counts: Mapping[EvidenceKey, Counts]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EvidenceCounters:
     """Counters of one entry, limited to `MAX_COUNTER_KEYS` keys.
 
@@ -205,7 +205,7 @@
         return EvidenceReport(entry, incarnation, revision, rollout_uid, copies)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class _EntryState:
     incarnation: int
     counts: Mapping[EvidenceKey, Counts]
@@ -213,7 +213,7 @@
     former_incarnations: tuple[int, ...] = ()
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EvidenceAggregator:
     """Aggregates the reports of all entries into windows.
 
--- a/monsoontack/rollout/guard.py
+++ b/monsoontack/rollout/guard.py
@@ -33,7 +33,7 @@
 FINAL_PHASES = frozenset({"complete", "rolled_back"})
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class WatchedRollout:
     """State of one rollout in the guard.
 
--- a/monsoontack/rollout/order.py
+++ b/monsoontack/rollout/order.py
@@ -103,7 +103,7 @@
         return f"{self.service}:{self.target}:{self.span_s:g}"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class CanaryGate:
     """Limits the requests that one entry sends to the new version of an order.
 
@@ -172,7 +172,7 @@
         self.failures += failed
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, repr=False)
 class EntryEvidence:
     """Counts of one incarnation of an entry.
 
@@ -185,7 +185,7 @@
     new_open: int = 0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class OrderEvaluation:
     """The lease holder's evaluation of an order; times are of the loop's clock.
 
--- a/monsoontack/rollout/plan.py
+++ b/monsoontack/rollout/plan.py
@@ -34,7 +34,7 @@
     return min(engines, max(MIN_ENGINES, math.ceil(engines * share / 100.0)))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class LoadRateLimiter:
     """Token bucket that limits weight loads to the rate of the weight store, in bytes.
 
--- a/monsoontack/routing/calltimes.py
+++ b/monsoontack/routing/calltimes.py
@@ -41,7 +41,7 @@
 MAX_SERVERS = 2000
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ServerTimes:
     """Calls of one start of a server.
 
@@ -55,7 +55,7 @@
     started_at: dict[int, float] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ServiceTimes:
     """Times of the calls of one service; servers are named by their start."""
 
@@ -153,7 +153,7 @@
             del self.servers[oldest]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class CallTimes:
     """Times of the calls of all services that one gateway forwards, by service."""
 
--- a/monsoontack/routing/ejection.py
+++ b/monsoontack/routing/ejection.py
@@ -30,7 +30,7 @@
 MAX_EJECTED_SHARE = 0.5
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ServerHealth:
     """Health of one server as seen by this entry; times are in seconds."""
 
@@ -43,7 +43,7 @@
     slow_start_at: float | None = None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Ejection:
     """Health of all servers that one entry uses, by `BackendServer.start_key`.
 
--- a/monsoontack/routing/enginespeeds.py
+++ b/monsoontack/routing/enginespeeds.py
@@ -52,7 +52,7 @@
 MAX_ENGINES = 2000
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EngineSamples:
     """Samples of one start of an engine: seconds a step and seconds a prompt token."""
 
@@ -68,7 +68,7 @@
         return quantile(self.steps_s, STEP_QUANTILE)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ServiceSpeeds:
     """Speeds of the engines of one service; engines are named by their start."""
 
@@ -154,7 +154,7 @@
         return samples
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EngineSpeeds:
     """Speeds of all engines that one gateway uses, by service."""
 
@@ -183,7 +183,7 @@
         }
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StepWindow:
     """Measures the steps of one answer in windows of events."""
 
--- a/monsoontack/routing/linkbudget.py
+++ b/monsoontack/routing/linkbudget.py
@@ -36,7 +36,7 @@
         ...
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class TokenBucket:
     """Token bucket that refills at `rate` per second up to `burst`.
 
@@ -72,7 +72,7 @@
         return max(reserved_tokens - self.tokens, 0.0) / self.rate
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EntryLinkBudget:
     """Equal share of the link's rate for one entry, without coordination.
 
--- a/monsoontack/routing/picker.py
+++ b/monsoontack/routing/picker.py
@@ -47,7 +47,7 @@
 OTHER_REGION_COST_S = 0.19
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class Picker:
     """Selects servers for one entry, which runs at `place`."""
 
--- a/monsoontack/routing/prefix.py
+++ b/monsoontack/routing/prefix.py
@@ -15,7 +15,7 @@
 MAX_BLOCKS_PER_SERVER = 4096
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ServerCache:
     """Blocks that one server probably holds, least recently used first."""
 
@@ -23,7 +23,7 @@
     sequence: int | None = None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class PrefixIndex:
     """Probable cache contents of all linked servers.
 
--- a/monsoontack/scheduling/capacity.py
+++ b/monsoontack/scheduling/capacity.py
@@ -42,7 +42,7 @@
 PREDICTION_WEIGHT_S = 1.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ReadProgress:
     """Prompt tokens that an engine has read although no first event shows it yet.
 
@@ -74,7 +74,7 @@
         return max(tokens - self.read_tokens, 0.0)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class EngineRoom:
     """Room at one engine, with what has been placed there since the last look.
 
@@ -144,7 +144,7 @@
         return self.unread + own <= limit and self.has_space(request, False)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class BeginRate:
     """Measured rate at which this entry's waiting prompts begin, in tokens per second.
 
--- a/monsoontack/scheduling/entrant.py
+++ b/monsoontack/scheduling/entrant.py
@@ -22,7 +22,7 @@
         """End the counts of an attempt that will not be sent."""
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Entrant:
     """A stream at the gate; `decided` gets its attempt or its refusal.
 
--- a/monsoontack/scheduling/gate.py
+++ b/monsoontack/scheduling/gate.py
@@ -38,7 +38,7 @@
 MAX_PASSES = 3
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class AdmissionGate:
     """Lets the streams of services with different priorities begin in order.
 
--- a/monsoontack/scheduling/queue.py
+++ b/monsoontack/scheduling/queue.py
@@ -40,7 +40,7 @@
 PeerWaiting = Mapping[int, tuple[int, int]]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ServiceState:
     """State of the admission for one service at one entry.
 
--- a/monsoontack/scheduling/returns.py
+++ b/monsoontack/scheduling/returns.py
@@ -32,7 +32,7 @@
     objective_at: float
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class ReturnSchedule:
     """Return times of the refused callers of one service.
 
--- a/monsoontack/scheduling/urgency.py
+++ b/monsoontack/scheduling/urgency.py
@@ -18,7 +18,7 @@
 READ_TIME_FACTOR = 1.25
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class WaitingRequest:
     """A request that waits to be sent to an engine.
 
--- a/monsoontack/store/cache.py
+++ b/monsoontack/store/cache.py
@@ -17,7 +17,7 @@
 MAX_KEPT_CHANGES = 256
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class KindCache:
     """Objects of a kind by name, with the changes since `oldest_revision`.
 
--- a/monsoontack/store/faulty.py
+++ b/monsoontack/store/faulty.py
@@ -14,7 +14,7 @@
 from monsoontack.store.api import Ambiguous, ObjectStore, Unavailable
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class FaultRates:
     """Probabilities of the faults of a call, and delays in seconds.
 
@@ -35,7 +35,7 @@
     stall_s: float = 20.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class FaultyStore:
     """`ObjectStore` that forwards calls to `inner` and injects faults.
 
--- a/monsoontack/store/feed.py
+++ b/monsoontack/store/feed.py
@@ -57,7 +57,7 @@
         ...
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class KindFeed:
     """Reads all objects of one kind and passes them and their changes to a listener.
 
--- a/monsoontack/store/memory.py
+++ b/monsoontack/store/memory.py
@@ -21,7 +21,7 @@
 )
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class StoreFaults:
     """Faults to inject.
 
@@ -33,7 +33,7 @@
     delay_s: float = 0.0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, repr=False)
 class MemoryStore:
     """`ObjectStore` that keeps its objects in a dictionary."""
 
