Changes kept for peers hold no former versions of an object

Cause: KindCache keeps the last 256 changes of a kind for peers that read from it, each with the whole object: 1.5 MB a change. The bound is a count of what others size. FeedEncoder kept one encoded body for each revision that a peer stated.

Change: of the changes of one object only the last is kept. A reader that lacks several needs no other, as with a list, and its object is the one in the cache, so the history has no objects of its own. Bodies are kept by what the peer lacks, and up to 2 MiB.

--- a/monsoontack/gateway/feedcodec.py
+++ b/monsoontack/gateway/feedcodec.py
@@ -39,6 +39,9 @@
 MAX_REVISION = 2**63 - 1
 # Levels of arrays around an object's content, which has been checked where it was read.
 ENVELOPE_LEVELS = 3
+# Bytes of encoded bodies that are kept beside the newest one. Most peers lack the same
+# changes; a body is encoded again for a peer that lacks more.
+MAX_KEPT_BODY_BYTES = 2_097_152
 # Upper bound of a peer's decompressed body.
 MAX_DECODED_BYTES = 4 * MAX_RESPONSE_BYTES
 
@@ -67,8 +70,9 @@
     """Encodes the content of caches and keeps each body until its cache changes.
 
     `revisions` maps the id of a cache to the revision at which its bodies were encoded.
-    `bodies` maps the id of a cache and the revision that the peer has to headers and
-    body.
+    `bodies` maps the id of a cache and the revision of the first change that the peer
+    lacks, None for a list, to headers and body; the oldest are dropped above
+    `MAX_KEPT_BODY_BYTES`.
     """
 
     revisions: dict[int, int] = field(default_factory=dict)
@@ -103,16 +107,25 @@
             stale_keys = [key for key in self.bodies if key[0] == id(cache)]
             for key in stale_keys:
                 del self.bodies[key]
-        key = (id(cache), after)
-        if key not in self.bodies:
-            self.bodies[key] = _compress(_encode_rows(cache, after))
-        return self.bodies[key]
+        changes = None if after is None else cache.changes_since(after) or ()
+        if changes == ():
+            return (), b"[]"
+        key = (id(cache), None if changes is None else changes[0].object.revision)
+        found = self.bodies.get(key)
+        if found is None:
+            found = self.bodies[key] = _compress(_encode_rows(cache, changes))
+            while self.kept_bytes() > MAX_KEPT_BODY_BYTES and len(self.bodies) > 1:
+                del self.bodies[next(iter(self.bodies))]
+        return found
+
+    def kept_bytes(self) -> int:
+        """Return the size of all bodies that are kept."""
+        return sum(len(body) for _, body in self.bodies.values())
 
 
-def _encode_rows(cache: KindCache, after: int | None) -> bytes:
-    if after is None:
+def _encode_rows(cache: KindCache, changes: tuple[KindChange, ...] | None) -> bytes:
+    if changes is None:
         return msgspec.json.encode([_to_row(item) for item in cache.objects.values()])
-    changes = cache.changes_since(after) or ()
     return msgspec.json.encode([(c.removed, _to_row(c.object)) for c in changes])
 
 
--- a/monsoontack/gateway/relay_test.py
+++ b/monsoontack/gateway/relay_test.py
@@ -1,6 +1,7 @@
 """Tests of reading the store through peers, over loopback sockets."""
 
 import asyncio
+import random
 import time
 import unittest
 from dataclasses import replace
@@ -11,6 +12,7 @@
     AGE_HEADER,
     DEFLATE,
     ENCODING_HEADER,
+    MAX_KEPT_BODY_BYTES,
     REVISION_HEADER,
 )
 from monsoontack.gateway.peers import PeerEntry, call_peer, peer_pool
@@ -361,6 +363,22 @@
         self.assertLess(len(body), 50_000)
         self.assertIs(body, self.relay.encoder.encode(self.cache, None, 0.0)[1])
 
+    async def test_bodies_for_peers_with_different_revisions_are_bounded(self):
+        """Guards against one kept body for each revision that a peer may state."""
+        rng = random.Random(1)
+        self.cache.replace_all((), 1)
+        for number in range(2, 102):
+            spec = {"text": rng.randbytes(50_000).hex()}
+            self.cache.changed(KindObject(f"o{number}", number, spec, None))
+        encoder = self.relay.encoder
+        for after in range(1, 102, 4):
+            _, body = encoder.encode(self.cache, after, 0.0)
+            kept = max(MAX_KEPT_BODY_BYTES, len(body))
+            self.assertLessEqual(encoder.kept_bytes(), kept)
+        _, last = encoder.encode(self.cache, 100, 0.0)
+        self.assertIs(last, encoder.encode(self.cache, 100, 0.0)[1])
+        self.assertEqual(b"[]", encoder.encode(self.cache, 101, 0.0)[1])
+
     async def test_fresh_peer_is_not_reported_as_stale(self):
         """Guards against callers being told to wait although another entry would
         serve them."""
--- a/monsoontack/store/cache.py
+++ b/monsoontack/store/cache.py
@@ -1,11 +1,12 @@
 """Cache of all objects of one kind, from which peers can read them.
 
 The cache sits between a feed and its listener. It keeps the most recent changes
-and knows the age of its content.
+and knows the age of its content. Of the changes of one object it keeps the last one,
+which has the state that is in the cache anyway. So the changes take memory for the
+names of removed objects only, however large the objects are.
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -22,9 +23,10 @@
     """Objects of a kind by name, with the changes since `oldest_revision`.
 
     Readers that have a revision of at least `oldest_revision` need only the
-    changes. Content that was last confirmed more than `max_age_s` ago is not
-    served to peers. An object for which `is_newer` says that the state in the cache is
-    newer than a written one stays as it is: a restored store has former states.
+    changes, which are ordered by revision and kept by name. Content that was last
+    confirmed more than `max_age_s` ago is not served to peers. An object for which
+    `is_newer` says that the state in the cache is newer than a written one stays as it
+    is: a restored store has former states.
     `path` names the entries through which the content came from the store, the last one
     first.
     """
@@ -34,7 +36,7 @@
     boot_clock: Callable[[], float] = boot_time
     is_newer: Callable[[KindObject, KindObject | None], bool] = lambda one, other: False
     objects: dict[str, KindObject] = field(default_factory=dict)
-    changes: deque[KindChange] = field(default_factory=deque)
+    changes: dict[str, KindChange] = field(default_factory=dict)
     revision: int = 0
     oldest_revision: int = 0
     is_loaded: bool = False
@@ -97,10 +99,13 @@
         return self.boot_clock() - self.confirmed_at
 
     def changes_since(self, revision: int) -> tuple[KindChange, ...] | None:
-        """Return the changes after a revision, or None if some are no longer kept."""
+        """Return the last change of each object that changed after a revision.
+
+        Return None if some are no longer kept.
+        """
         if not self.is_loaded or revision < self.oldest_revision:
             return None
-        return tuple(c for c in self.changes if c.object.revision > revision)
+        return tuple(c for c in self.changes.values() if c.object.revision > revision)
 
     async def wait(self, timeout_s: float) -> None:
         """Wait for the next change or confirmation, at most `timeout_s`."""
@@ -113,9 +118,10 @@
 
     def _append(self, change: KindChange) -> None:
         self.revision = max(self.revision, change.object.revision)
-        self.changes.append(change)
+        self.changes.pop(change.object.name, None)
+        self.changes[change.object.name] = change
         if len(self.changes) > MAX_KEPT_CHANGES:
-            dropped = self.changes.popleft()
+            dropped = self.changes.pop(next(iter(self.changes)))
             self.oldest_revision = max(self.oldest_revision, dropped.object.revision)
         self._wake_waiters()
 
