Ids that callers choose are remembered in at most 64 characters

Found by looking for the same cause, a bound on a count of what others size, on related paths; not seen in use.

Cause: the ids of prompt parts and requests were remembered as long as callers sent them, up to 16 KB: 2,000 engines of prompts (32 MB), the names of 4,000 return times (64 MB), and 16 to 272 request ids of each connection to a server.

Evidence: the new tests on keep ids of 7,000 and 16,000 characters.

Change: longer ids are replaced by their hash where they are read or remembered (core/boundedid.py), as the parts that may crash engines already were. What is forwarded to servers does not change.

--- a/monsoontack/admission/requestcontent.py
+++ b/monsoontack/admission/requestcontent.py
@@ -3,10 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import xxhash
+from monsoontack.core.boundedid import bounded_id, hashed_id
 
-# Ids of parts come from callers. Longer ones are replaced by a hash.
-MAX_PART_CHARACTERS = 64
 # Parts kept of one request. Prompts have few parts that others share.
 MAX_PARTS = 32
 # Begins the id of a whole request. Ids of prompt parts that begin so are hashed, so
@@ -60,6 +58,4 @@
 
 
 def _bounded(text: str) -> str:
-    if len(text) <= MAX_PART_CHARACTERS and not is_request(text):
-        return text
-    return xxhash.xxh3_128_hexdigest(text.encode())
+    return hashed_id(text) if is_request(text) else bounded_id(text)
--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from monsoontack.core.boundedid import bounded_id
 from monsoontack.gateway.deadpeer import DeadPeerDetection
 from monsoontack.gateway.records import Headers
 from monsoontack.inbound.account import MemoryAccount
@@ -173,9 +174,7 @@
         self.framing_bytes = 0
         self.skipped_responses = 0
         self.skipped_bytes = 0
-        self.recent_request_ids: deque[str | None] = deque(
-            maxlen=MAX_RECENT_REQUEST_IDS
-        )
+        self.recent_request_ids: deque[str] = deque(maxlen=MAX_RECENT_REQUEST_IDS)
         self.failed_request_ids: set[str] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -193,7 +192,8 @@
         self.exchange = exchange
         self.is_head_request = is_head
         self.framing_bytes = self.skipped_responses = self.skipped_bytes = 0
-        self.recent_request_ids.append(exchange.request_id)
+        if exchange.request_id is not None:
+            self.recent_request_ids.append(bounded_id(exchange.request_id))
         exchange.connection = self
         self.transport.write(data)
         self.holding.note_sent(self.transport, len(data))
@@ -205,10 +205,10 @@
 
     def has_recently_sent(self, request_id: str | None) -> bool:
         """Whether a late response to an earlier send would match this request id."""
-        return request_id is not None and (
-            request_id in self.recent_request_ids
-            or request_id in self.failed_request_ids
-        )
+        if request_id is None:
+            return False
+        kept_id = bounded_id(request_id)
+        return kept_id in self.recent_request_ids or kept_id in self.failed_request_ids
 
     def abort(self) -> None:
         """Reset the connection and fail the active exchange."""
@@ -311,7 +311,7 @@
         exchange.ends_with_connection = self.is_close_delimited
         exchange.has_head = True
         if expected is not None and status >= 400:
-            self.failed_request_ids.add(expected)
+            self.failed_request_ids.add(bounded_id(expected))
             if len(self.failed_request_ids) >= MAX_FAILED_REQUEST_IDS:
                 self.is_reusable = False
         if exchange.on_head is not None:
--- a/monsoontack/gateway/outbound_test.py
+++ b/monsoontack/gateway/outbound_test.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from monsoontack.core.boundedid import MAX_ID_CHARACTERS
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.outbound import (
     MAX_FAILED_REQUEST_IDS,
@@ -423,5 +424,24 @@
         self.assertIsNotNone(same)
 
 
+class RememberedIdsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_ids_kept_of_requests_are_bounded(self):
+        """Guards against connections to servers that fill the memory with the request
+        ids of callers, who choose their length."""
+        connection = OutboundConnection(response_request_id, lambda free: None)
+        connection.connection_made(FakeTransport())
+        sent = [f"{number:x}" + "i" * 16_000 for number in range(20)]
+        for request_id in sent:
+            connection.start(HttpExchange(request_id), b"")
+            connection.exchange = None
+        connection.start(HttpExchange(None), b"")
+        kept = [*connection.recent_request_ids, *connection.failed_request_ids]
+        size = sum(len(item or "") for item in kept)
+        self.assertLessEqual(size, 16 * MAX_ID_CHARACTERS)
+        self.assertTrue(connection.has_recently_sent(sent[-1]))
+        self.assertFalse(connection.has_recently_sent(sent[-1] + "i"))
+        self.assertFalse(connection.has_recently_sent(None))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/monsoontack/gateway/records.py
+++ b/monsoontack/gateway/records.py
@@ -139,7 +139,7 @@
 class PromptSegment:
     """A segment of a prompt; other requests may share all but the last one.
 
-    `segment_id` is the id of the segment.
+    `segment_id` is the id of the segment, or what stands for a long one.
     """
 
     segment_id: str
--- a/monsoontack/gateway/streamplace.py
+++ b/monsoontack/gateway/streamplace.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from monsoontack.core.boundedid import bounded_id
 from monsoontack.core.errors import RequestError
 from monsoontack.gateway.fleet import Member
 from monsoontack.gateway.records import KvCacheCopy
@@ -59,7 +60,8 @@
     if not gate.is_in_force(job.service) or run.position.last_id is not None:
         return None
     account = job.account.name if job.account else ""
-    names = (job.content.request, run.segment_id and f"{account}:{run.segment_id}")
+    prompt_name = run.segment_id and bounded_id(f"{account}:{run.segment_id}")
+    names = (job.content.request, prompt_name)
     run.waiting_request = WaitingRequest(
         number=0,
         account=account,
--- a/monsoontack/platform/wire.py
+++ b/monsoontack/platform/wire.py
@@ -4,6 +4,7 @@
 dropped before a request is forwarded to a backend server.
 """
 
+from monsoontack.core.boundedid import bounded_id
 from monsoontack.core.errors import RequestError
 from monsoontack.gateway.records import (
     Attempt,
@@ -279,7 +280,8 @@
     for item in (value or "").split(","):
         if item.strip():
             segment_id, _, tokens = item.strip().partition(":")
-            segments.append(PromptSegment(segment_id, _parse_tokens(tokens)))
+            segment = PromptSegment(bounded_id(segment_id), _parse_tokens(tokens))
+            segments.append(segment)
     return tuple(segments)
 
 
--- a/monsoontack/platform/wire_test.py
+++ b/monsoontack/platform/wire_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from monsoontack.core.boundedid import MAX_ID_CHARACTERS
 from monsoontack.core.errors import RequestError
 from monsoontack.gateway.records import Attempt, KvCacheCopy, RawRequest
 from monsoontack.platform.wire import PlatformWireFormat, keep_alive_s
@@ -44,6 +45,17 @@
         self.assertEqual((25.0, "key-1", "12"), deadline_key_and_event(request))
         self.assertEqual(("h.example", "/a/b"), (request.host, request.path))
 
+    def test_ids_of_prompt_parts_are_bounded(self):
+        """Guards against remembered prompts that fill the memory, since callers choose
+        the length of their ids."""
+        ids = ["a" * 7000, "a" * 6999 + "b", "c" * MAX_ID_CHARACTERS]
+        value = ",".join(f"{item}:10" for item in ids).encode()
+        request = parse_request((b"x-monsoontack-prefix-hash", value))
+        found = [part.segment_id for part in request.prompt_segments]
+        self.assertEqual(3, len(set(found)))
+        self.assertLessEqual(max(map(len, found)), MAX_ID_CHARACTERS)
+        self.assertEqual(ids[2], found[2])
+
     def test_callers_cannot_set_system_headers(self):
         """Guards against callers that choose their account or reserve KV cache."""
         names = (
