A stream returns to a silent engine when the next one answers late

Cause: after 0.5 s of silence a stream asks another engine and keeps the first connection for 0.3 s. An engine that reads the prompt answers later than that, so the only connection that could end the stream was reset while the silence was still that of a sound engine.

Change: a silence of up to 1.5 s at an engine that accepts connections may be a pause. Meanwhile a stream leaves only for a copy or for an engine that should answer within 0.3 s, and if that has brought no event by then, it is given up instead of the first one.

--- a/monsoontack/gateway/keptattempt.py
+++ b/monsoontack/gateway/keptattempt.py
@@ -4,7 +4,9 @@
 engine then has nothing to add, and only the first one knows that the stream is whole.
 So its connection is reset once the next attempt has brought an event, or after a short
 time, and until then the stream may return to it. What it sends meanwhile is used only
-then, or if its answer ends before the next attempt has brought an event.
+then. The stream returns if the answer ends before the next attempt has brought an
+event, and also if that has brought none when the time is over, as long as the silence
+may be the pause of a sound engine.
 """
 
 import asyncio
@@ -16,22 +18,20 @@
 from monsoontack.gateway.crashdetector import BROKEN_OFF_KINDS
 from monsoontack.gateway.streamattempt import OpenAttempt, StreamLoss
 from monsoontack.gateway.streamoutcome import close_attempt, record_result
+from monsoontack.generation.silence import KEPT_S, SOUND_PAUSE_S, may_pause
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
 
 log = structlog.get_logger("gateway.streams")
 
-# An engine must not still work on a run 0.4 s after the next one has begun it. The
-# reset takes some milliseconds to arrive.
-KEPT_S = 0.3
-
 
 class KeptAttempt:
     """The attempt that a stream has left with its connection open, if there is one.
 
     Its outcome is recorded when the connection is reset, or when the stream has
-    returned to it and ends. `loss` is the reason for which it was left.
+    returned to it and ends. `loss` is the reason for which it was left. `is_due` is set
+    once the stream has to return to it, and the next attempt is given up.
     """
 
     def __init__(self, run: "StreamRun") -> None:
@@ -39,12 +39,18 @@
         self.attempt: OpenAttempt | None = None
         self.loss: StreamLoss | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.is_due = False
 
     @property
     def is_whole(self) -> bool:
         """Whether the rest of the answer has come since the stream left."""
         return self.attempt is not None and self.attempt.relay.exchange.is_complete
 
+    @property
+    def takes_over(self) -> bool:
+        """Whether the engine that was left has ended, or has to be returned to."""
+        return self.is_due or self.is_whole
+
     def keep(self, attempt: OpenAttempt, loss: StreamLoss) -> None:
         """Keep the connection of an attempt that the stream leaves now."""
         self.reset("another engine was left")
@@ -54,9 +60,20 @@
 
     def _expire(self) -> None:
         # An answer that has ended meanwhile is no work for its engine any more.
-        if not self.is_whole:
+        if self.is_whole:
+            return
+        relay, run = self.attempt.relay, self.run
+        silent_s = run.now() - run.last_event_at
+        if relay.exchange.failure is None and may_pause(silent_s, relay.is_reachable):
+            self.is_due = True
+            run.wake_attempt()
+        else:
             self.reset("time")
 
+    def pause_left_s(self) -> float:
+        """Return the time for which the silence may still be a pause, in seconds."""
+        return max(self.run.last_event_at + SOUND_PAUSE_S - self.run.now(), 0.0)
+
     def return_to(
         self, stay_s: float, because: str, is_copy_used: bool
     ) -> OpenAttempt | None:
@@ -116,3 +133,4 @@
     def _release(self) -> None:
         self.timer.cancel()
         self.attempt = self.loss = self.timer = None
+        self.is_due = False
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -33,6 +33,7 @@
     ForeignAnswerError,
 )
 from monsoontack.generation.firstevent import FirstEventWait
+from monsoontack.generation.silence import may_pause
 from monsoontack.generation.streamtimeouts import decaying_maximum
 from monsoontack.inbound.responder import CallerDisconnectedError
 from monsoontack.routing.enginespeeds import StepWindow
@@ -73,8 +74,9 @@
     event: those of runs ahead and the attempt's own. `resumed` attempts start from a
     copy of the KV cache. `began_at` is the time of the attempt's first event;
     `has_gone_on` is set once events have come for some time after it. By the latest
-    check, the engine `refuses_connections`. `silent_since` is the time at which it was
-    found silent, None unless it still is; `waits_for` is what keeps the stream there.
+    check, the engine `refuses_connections` or is not `is_reachable`. `silent_since` is
+    the time at which it was found silent, None unless it still is; `waits_for` is what
+    keeps the stream there.
     """
 
     def __init__(
@@ -113,6 +115,7 @@
         self.began_at: float | None = None
         self.has_gone_on = False
         self.refuses_connections = False
+        self.is_reachable = True
         self.silent_since: float | None = None
         self.waits_for: str | None = None
         self.next_move_check_at = 0.0
@@ -152,7 +155,7 @@
             await exchange.wait(self._poll_timeout_s())
             if job.responder.is_disconnected:
                 raise CallerDisconnectedError
-            if self.run.kept.is_whole:
+            if self.answer.count == 0 and self.run.kept.takes_over:
                 exchange.abort()
                 return StreamLoss("overtaken", is_overtaken=True)
             if self.response_head is None and exchange.has_head:
@@ -222,8 +225,15 @@
 
     def _waits_at_silent_engine(self, silence: str) -> bool:
         """Whether the stream stays at its silent engine until the next check."""
+        silent_s = self.run.now() - self.run.last_event_at
+        can_return = self.answer.count > 0 and may_pause(silent_s, self.is_reachable)
         waits_for = why_stay(
-            self.run, self.member, self.backup, self.answer.count, self.silent_since
+            self.run,
+            self.member,
+            self.backup,
+            self.answer.count,
+            self.silent_since,
+            can_return,
         )
         if waits_for is None:
             return False
@@ -372,7 +382,9 @@
             return False
         check, member = self.liveness_check, self.member
         if not check.done() or check.exception() or check.result() is not None:
+            self.is_reachable = False
             return True
+        self.is_reachable = True
         live_silence_limit_s = self.run.stream_timeouts.live_silence_limit_s(
             self.job.route.max_gap_s, member.longest_gap_s
         )
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -71,7 +71,8 @@
     `has_left_silent_engine` is set while only refusals have followed an engine that was
     left for its silence. That engine might have gone on, so the stream goes on trying
     until its deadline. `kept` has the attempt that was left last, for a short time.
-    `waiting_request` is what waits at the gate, None if the stream does not.
+    `attempt` is the present one. `waiting_request` is what waits at the gate, None if
+    the stream does not.
     """
 
     def __init__(self, forwarder: "StreamForwarder", job: Job) -> None:
@@ -95,6 +96,7 @@
         self.broken_off = 0
         self.has_left_silent_engine = False
         self.kept = KeptAttempt(self)
+        self.attempt: OpenAttempt | None = None
         self.waiting_request: WaitingRequest | None = None
         request = job.request
         self.segment_id = (
@@ -139,7 +141,7 @@
         self._end_failed(loss)
 
     def _is_wanted(self) -> bool:
-        is_of_use = self.job.is_wanted() and not self.kept.is_whole
+        is_of_use = self.job.is_wanted() and not self.kept.takes_over
         return is_of_use and not self.is_blocked()
 
     async def _run_attempts(self, attempt: OpenAttempt | None) -> StreamLoss | None:
@@ -178,6 +180,9 @@
         kept, is_copy_used = None, placement.copy is not None
         if loss.is_empty or self.kept.is_whole:
             kept = self.kept.return_to(EMPTY_STAY_S, loss.reason, is_copy_used)
+        elif self.kept.is_due:
+            because, stay_s = "the next one is late", self.kept.pause_left_s()
+            kept = self.kept.return_to(stay_s, because, is_copy_used)
         elif loss.may_be_empty:
             stay_s = MOVE_CHECK_INTERVAL_S
             kept = self.kept.return_to(stay_s, loss.reason, is_copy_used)
@@ -283,6 +288,11 @@
         """Allow one more attempt, since a pause limits the rate of further ones."""
         self.total_attempts = min(self.total_attempts, MAX_TOTAL_ATTEMPTS - 1)
 
+    def wake_attempt(self) -> None:
+        """Let the relay of the present attempt look at its state."""
+        if self.attempt is not None and self.attempt.relay is not None:
+            self.attempt.relay.exchange.wake()
+
     def is_blocked(self) -> bool:
         """Whether the request has been blocked since it arrived."""
         job = self.job
@@ -338,6 +348,7 @@
     async def _run_attempt(self, attempt: OpenAttempt) -> StreamLoss | None:
         """Run one attempt; return None if the stream is complete, else the loss."""
         loss: StreamLoss | None = StreamLoss("unsent", not_run=True)
+        self.attempt = attempt
         try:
             if attempt.relay is None:
                 self.counted_attempts += 1
