An answer without a length that ends during the upload is not complete

What callers saw: a part of an answer as the whole one (MIXED), where a server answers a long upload at once with a 200 without a length, sends a part and ends its side of the connection before it has the whole request.

Cause: the clean end of a connection completed an answer without a length, whatever was still unsent of the request.

Change: a success that ends with its connection fails if bytes of the request are still buffered, or not acknowledged by the server. The call ends with 502, is repeated if it may be, and a stream goes on elsewhere. An error before the whole request, such as 413, is used as before.

A server that has taken the whole request into its buffers and ends the answer without reading it cannot be told from a sound one.

--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -18,6 +18,7 @@
 from monsoontack.core.boundedid import bounded_id
 from monsoontack.gateway.deadpeer import DeadPeerDetection
 from monsoontack.gateway.records import Headers
+from monsoontack.gateway.unsent import ends_too_soon
 from monsoontack.inbound.account import MemoryAccount
 from monsoontack.inbound.serverholding import ServerHolding
 
@@ -377,14 +378,14 @@
             self.transport.close()
 
     def eof_received(self) -> bool:
-        """Complete a close-delimited response at a clean end of the connection."""
+        """End a close-delimited response at a clean end of the connection."""
         self.is_reusable = False
-        if (
-            self.exchange is not None
-            and self.exchange.has_head
-            and self.is_close_delimited
-        ):
-            self._complete()
+        exchange = self.exchange
+        if exchange is not None and exchange.has_head and self.is_close_delimited:
+            if ends_too_soon(self.transport, exchange.status):
+                self._fail(FailureKind.CLOSED, "ended before the request was sent")
+            else:
+                self._complete()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
