A status outside 100 to 599 fails the attempt

What callers saw: 504 at their deadline where a server sent the status 000, and 600 or 999 as the server's answer (MIXED).

Cause: statuses below 200 count as interim responses, after which the final one is waited for; those above 599 were not looked at.

Change: such a status is a malformed response, which resets the connection and ends the attempt at once; the call is repeated if it may be.

--- a/monsoontack/gateway/unsent.py
+++ b/monsoontack/core/unsent.py
@@ -11,8 +11,7 @@
 import struct
 import termios
 
-# Statuses from this one on are answers that a server may give without the request.
-FIRST_ERROR_STATUS = 400
+from monsoontack.core.httpstatus import FIRST_ERROR_STATUS
 
 
 def ends_too_soon(transport: asyncio.BaseTransport, status: int) -> bool:
--- a/monsoontack/gateway/outbound.py
+++ b/monsoontack/gateway/outbound.py
@@ -15,10 +15,11 @@
 
 import httptools
 
-from monsoontack.core.boundedid import bounded_id
+from monsoontack.core.httpstatus import is_http_status
+from monsoontack.core.sentids import SentIds
+from monsoontack.core.unsent import ends_too_soon
 from monsoontack.gateway.deadpeer import DeadPeerDetection
 from monsoontack.gateway.records import Headers
-from monsoontack.gateway.unsent import ends_too_soon
 from monsoontack.inbound.account import MemoryAccount
 from monsoontack.inbound.serverholding import ServerHolding
 
@@ -33,12 +34,6 @@
 # the bytes of their bodies. A server repeats a response once or twice.
 MAX_SKIPPED_RESPONSES = 16
 MAX_SKIPPED_BYTES = 262_144
-# Request ids kept per connection. A retry at the same server follows within moments,
-# after few other requests on the connection.
-MAX_RECENT_REQUEST_IDS = 16
-# Ids kept per connection of requests that were answered with an error. A connection
-# with so many is not reused, since it could not recognize a copy of another error.
-MAX_FAILED_REQUEST_IDS = 256
 
 
 class FailureKind(StrEnum):
@@ -175,8 +170,7 @@
         self.framing_bytes = 0
         self.skipped_responses = 0
         self.skipped_bytes = 0
-        self.recent_request_ids: deque[str] = deque(maxlen=MAX_RECENT_REQUEST_IDS)
-        self.failed_request_ids: set[str] = set()
+        self.sent_ids = SentIds()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options that detect dead peers."""
@@ -193,8 +187,7 @@
         self.exchange = exchange
         self.is_head_request = is_head
         self.framing_bytes = self.skipped_responses = self.skipped_bytes = 0
-        if exchange.request_id is not None:
-            self.recent_request_ids.append(bounded_id(exchange.request_id))
+        self.sent_ids.note_sent(exchange.request_id)
         exchange.connection = self
         self.transport.write(data)
         self.holding.note_sent(self.transport, len(data))
@@ -206,10 +199,7 @@
 
     def has_recently_sent(self, request_id: str | None) -> bool:
         """Whether a late response to an earlier send would match this request id."""
-        if request_id is None:
-            return False
-        kept_id = bounded_id(request_id)
-        return kept_id in self.recent_request_ids or kept_id in self.failed_request_ids
+        return request_id is not None and request_id in self.sent_ids
 
     def abort(self) -> None:
         """Reset the connection and fail the active exchange."""
@@ -279,14 +269,9 @@
         self.is_reading_head = False
         self.headers, self.collected_headers = tuple(self.collected_headers), []
         self.framing_bytes = 0
-        size = sum(len(name) + len(value) + 4 for name, value in self.headers)
-        if size > MAX_FRAMING_BYTES:
-            # `_check_bounds` runs after each read, when the counter was reset already,
-            # so it misses a head that arrived in a single read.
-            detail = f"head above {MAX_FRAMING_BYTES} bytes"
-            self._reject(FailureKind.OVERSIZED, detail)
-        exchange = self.exchange
         status = self.parser.get_status_code()
+        self._check_head(status)
+        exchange = self.exchange
         if exchange is None or status < 200:
             self.is_skipping_response = True
             self.skipped_responses += 1
@@ -312,9 +297,7 @@
         exchange.ends_with_connection = self.is_close_delimited
         exchange.has_head = True
         if expected is not None and status >= 400:
-            self.failed_request_ids.add(bounded_id(expected))
-            if len(self.failed_request_ids) >= MAX_FAILED_REQUEST_IDS:
-                self.is_reusable = False
+            self.is_reusable &= self.sent_ids.note_failed(expected)
         if exchange.on_head is not None:
             exchange.on_head(exchange)
         exchange.wake()
@@ -322,6 +305,17 @@
             self.is_reusable = False
             self._complete()
 
+    def _check_head(self, status: int) -> None:
+        """Reset the connection if its server is broken by the head of a response."""
+        size = sum(len(name) + len(value) + 4 for name, value in self.headers)
+        if size > MAX_FRAMING_BYTES:
+            # `_check_bounds` runs after each read, when the counter was reset already,
+            # so it misses a head that arrived in a single read.
+            detail = f"head above {MAX_FRAMING_BYTES} bytes"
+            self._reject(FailureKind.OVERSIZED, detail)
+        elif not is_http_status(status):
+            self._reject(FailureKind.MALFORMED, f"status {status}")
+
     def _set_framing(self, status: int) -> None:
         names = {name for name, _ in self.headers}
         framed = b"content-length" in names or b"transfer-encoding" in names
--- a/monsoontack/gateway/outbound_test.py
+++ b/monsoontack/gateway/outbound_test.py
@@ -6,9 +6,9 @@
 from unittest import mock
 
 from monsoontack.core.boundedid import MAX_ID_CHARACTERS
+from monsoontack.core.sentids import MAX_FAILED
 from monsoontack.core.virtualtime import run_in_virtual_time
 from monsoontack.gateway.outbound import (
-    MAX_FAILED_REQUEST_IDS,
     FailureKind,
     HttpExchange,
     OutboundConnection,
@@ -194,6 +194,18 @@
         _, exchange, _ = run_exchange(*parts, reset=True)
         self.assertEqual(FailureKind.RESET, exchange.failure.kind)
 
+    def test_status_that_does_not_exist_is_a_failure(self):
+        """Guards against a status of a broken server that callers get as its answer, or
+        for which they wait until their deadline."""
+        for status in (b"000", b"001", b"099", b"600", b"999"):
+            with self.subTest(status):
+                answer = (encode_head("r1") + b"ok").replace(b"200", status)
+                connection, exchange, freed = run_exchange(answer)
+                self.assertEqual(FailureKind.MALFORMED, exchange.failure.kind)
+                self.assertFalse(exchange.is_complete)
+                self.assertEqual([], freed)
+                self.assertTrue(connection.transport.aborted)
+
     def test_response_that_ends_in_its_head_is_a_failure(self):
         """Guards against a success with an empty body, made of a head that stops at any
         byte, whatever the framing that it has told by then."""
@@ -383,7 +395,7 @@
 
     def test_connection_with_many_refusals_is_not_reused(self):
         """Guards against a refused request that a connection has forgotten."""
-        connection, found = self.exchange_after_refusal(0, MAX_FAILED_REQUEST_IDS)
+        connection, found = self.exchange_after_refusal(0, MAX_FAILED)
         self.assertIsNone(found)
         self.assertTrue(connection.transport.closed)
 
@@ -435,7 +447,7 @@
             connection.start(HttpExchange(request_id), b"")
             connection.exchange = None
         connection.start(HttpExchange(None), b"")
-        kept = [*connection.recent_request_ids, *connection.failed_request_ids]
+        kept = [*connection.sent_ids.recent, *connection.sent_ids.failed]
         size = sum(len(item or "") for item in kept)
         self.assertLessEqual(size, 16 * MAX_ID_CHARACTERS)
         self.assertTrue(connection.has_recently_sent(sent[-1]))
