Agents take no reset, and no odd status, for the answer of a service

What callers saw: behind an agent, a part of an answer without a length as the whole one (MIXED), after a reset at any time, or after an end of the connection during the upload; and the statuses 000, 099, 600 and 999 as answers.

Cause: aiohttp feeds the end of the data to a body without a length whenever its connection is lost, also by a reset. Statuses were not looked at.

Change: the connections of an agent to its server fail the body unless the connection was closed, and the server had the whole request (core/unsent.py, as in gateways). A status outside 100 to 599 is a lost answer. An error before the whole request is used as it is.

--- a/monsoontack/agent/daemon.py
+++ b/monsoontack/agent/daemon.py
@@ -6,6 +6,7 @@
 import aiohttp
 import structlog
 
+from monsoontack.agent.connector import CheckedConnector
 from monsoontack.agent.core import Agent
 from monsoontack.agent.drain import Phase
 from monsoontack.agent.enginehttp import HttpEngine
@@ -61,7 +62,7 @@
     Each request gets a connection of its own: responses have no request id, so a
     server that writes an earlier one again could not be told from one that answers.
     """
-    connector = aiohttp.TCPConnector(force_close=True)
+    connector = CheckedConnector(force_close=True)
     return aiohttp.ClientSession(connector=connector)
 
 
--- a/monsoontack/agent/servicehttp.py
+++ b/monsoontack/agent/servicehttp.py
@@ -10,6 +10,7 @@
     ResponseObserver,
 )
 from monsoontack.agent.enginehttp import is_refused_connection
+from monsoontack.core.httpstatus import is_http_status
 from monsoontack.core.sendonce import send_once
 
 CONNECT_TIMEOUT_S = 1.0
@@ -64,6 +65,8 @@
                 allow_redirects=False,
                 middlewares=() if call.idempotent else (send_once,),
             ) as response:
+                if not is_http_status(response.status):
+                    return CallOutcome(call.call_id, "unknown", code="answer_lost")
                 self.observer.note_response(response.status, response.headers)
                 return await read_outcome(call, response)
         except aiohttp.ClientConnectorError as error:
