Events that the stand-in server sends before a raw head belong to the stream

Cause, traced: the stream had all its 50 events when its engine paused before the end. The copy's engine had the fault raw_head_in_chunk and sent the events 51 and 52, which do not exist, before the raw head. Their ids go on in the right step, so no gateway can tell them from true ones; the gateway found the raw head and asked the next engine.

Change: the right-looking events of the two faults are those of the stream, if any. What follows them is as wrong as before. The check of the soak stays as it is.

--- a/standins/directengine.py
+++ b/standins/directengine.py
@@ -113,8 +113,12 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-def wrong_events(behavior: str, last: int) -> list[bytes]:
-    """Return the parts of a body that does not go on after event `last`."""
+def wrong_events(behavior: str, last: int, event_count: int) -> list[bytes]:
+    """Return the parts of a body that does not go on after event `last`.
+
+    Events that look right are those of the stream, which has `event_count` of them: no
+    gateway can tell an invented event behind the last one from a true one.
+    """
     match behavior:
         case "comments":
             return [SSE_COMMENT] * 3
@@ -129,7 +133,8 @@
         case "no_ids":
             return [b"data: foreign\n\n"] * 3
         case "raw_head" | "raw_head_in_chunk":
-            return [make_event(last + 1), make_event(last + 2), RAW_ERROR]
+            right = [make_event(n) for n in (last + 1, last + 2) if n <= event_count]
+            return [*right, RAW_ERROR]
     return []
 
 
@@ -421,7 +426,7 @@
         last = int(headers[b"last-event-id"])
         is_other_type = behavior == "other_type"
         content_type = text_type if is_other_type else event_type
-        parts = wrong_events(behavior, last)
+        parts = wrong_events(behavior, last, self._events_of(headers))
         if is_other_type:
             parts = [make_event(last + 1), make_event(last + 2)]
         responder.begin(200, (*response_headers, content_type))
@@ -437,6 +442,12 @@
             return
         responder.finish()
 
+    def _events_of(self, headers: dict) -> int:
+        """Return the number of events of the stream that a request asks for."""
+        if self.uses_stated_length:
+            return int(headers[USAGE_HEADER].split(b",")[1])
+        return self.event_count
+
     async def _stream(
         self, headers: dict, responder: Responder, response_headers
     ) -> None:
@@ -444,9 +455,7 @@
             await self._resume_wrongly(headers, responder, response_headers)
             return
         start = int(headers.get(b"last-event-id", b"0")) + 1
-        event_count = self.event_count
-        if self.uses_stated_length:
-            event_count = int(headers[USAGE_HEADER].split(b",")[1])
+        event_count = self._events_of(headers)
         deadly_part = self._deadly_part(headers)
         if deadly_part is not None:
             now = asyncio.get_running_loop().time()
--- a/standins/directengine_test.py
+++ b/standins/directengine_test.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from standins.directengine import DirectEngine
+from standins.directengine import RAW_ERROR, DirectEngine, make_event, wrong_events
 
 REQUEST = b"GET /look/x HTTP/1.1\r\nHost: x\r\nX-Monsoontack-Request-Id: %s\r\n\r\n"
 SILENT_S = 0.3
@@ -34,5 +34,16 @@
         self.assertEqual(["waiting"], [said[0] for said in self.engine.waits_said])
 
 
+class WrongEventsTest(unittest.TestCase):
+    def test_events_that_look_right_belong_to_the_stream(self):
+        """Guards against a soak that blames a gateway for events that its server has
+        invented behind the last one."""
+        for behavior in ("raw_head", "raw_head_in_chunk"):
+            for last, right in ((40, [41, 42]), (49, [50]), (50, [])):
+                *events, error = wrong_events(behavior, last, 50)
+                self.assertEqual([make_event(number) for number in right], events)
+                self.assertIs(RAW_ERROR, error)
+
+
 if __name__ == "__main__":
     unittest.main()
