--- a/monsoontack/gateway/keptattempt.py
+++ b/monsoontack/gateway/keptattempt.py
@@ -66,7 +66,8 @@
         silent_s = run.now() - run.last_event_at
         if relay.exchange.failure is None and may_pause(silent_s, relay.is_reachable):
             self.is_due = True
-            run.wake_attempt()
+            if run.attempt is not None and run.attempt.relay is not None:
+                run.attempt.relay.exchange.wake()
         else:
             self.reset("time")
 
--- a/monsoontack/gateway/streamerrors.py
+++ b/monsoontack/gateway/streamerrors.py
@@ -1,8 +1,9 @@
-"""Errors that callers get for streams that ended before their first event."""
+"""Ends of streams that fail, and the errors that callers get before the first event."""
 
 from typing import TYPE_CHECKING
 
 from monsoontack.core.errors import RequestError, RunState
+from monsoontack.gateway.errorresponse import error_response
 from monsoontack.gateway.streamattempt import StreamLoss
 
 if TYPE_CHECKING:
@@ -53,3 +54,27 @@
         )
     message = f"the engines of {job.service!r} are full"
     return RequestError(503, "full", message, retry_after_s=FULL_RETRY_AFTER_S)
+
+
+def end_failed(run: "StreamRun", loss: StreamLoss) -> None:
+    """End a stream that cannot be continued."""
+    job, responder = run.job, run.job.responder
+    if responder.head_sent:
+        job.outcome = "stream_cut"
+        responder.abort()
+        return
+    error = run.engine_error
+    if error is not None and error.response_head is not None:
+        job.outcome, job.status = "engine_error", error.response_head.status
+        responder.send(
+            error.response_head.status, error.response_head.forwarded, error.body
+        )
+        return
+    send_error(run, loss_error(run, loss))
+
+
+def send_error(run: "StreamRun", error: RequestError) -> None:
+    """Answer a stream that has not begun with an error."""
+    job = run.job
+    job.outcome, job.status = error.code, error.status
+    job.responder.send(*error_response(error, job.request.request_id))
--- a/monsoontack/gateway/streammove.py
+++ b/monsoontack/gateway/streammove.py
@@ -56,15 +56,15 @@
     backup: Member | None,
     events: int,
     silent_since: float,
-    may_pause: bool = False,
+    is_pause: bool = False,
 ) -> str | None:
     """Return what keeps a stream at its silent engine, None if it may leave.
 
     `backup` is the engine that gets the copy of this attempt, `events` the number of
     events that the attempt has brought. `silent_since` is the event loop's time in
     seconds at which the silence was noticed. Another engine's queue is better only than
-    a silence that has lasted longer than a pause. If the engine `may_pause`, an engine
-    that reads the prompt for some time is no better.
+    a silence that has lasted longer than a pause. If it may be a pause (`is_pause`), an
+    engine that reads the prompt for some time is no better.
     """
     forwarder, job, now = run.forwarder, run.job, run.now()
     if run.has_all_stated():
@@ -96,7 +96,7 @@
     if chosen is None or chosen.traffic_share <= 0 or chosen.key not in better:
         return NO_BETTER_ENGINE
     first_event_s = expected_first_event_s(chosen, job.request.prompt_tokens)
-    return MAY_GO_ON if is_left_too_soon(may_pause, first_event_s) else None
+    return MAY_GO_ON if is_left_too_soon(is_pause, first_event_s) else None
 
 
 def is_overdue(relay: "StreamRelay", now: float) -> bool:
--- a/monsoontack/gateway/streamoutcome.py
+++ b/monsoontack/gateway/streamoutcome.py
@@ -12,6 +12,7 @@
 from monsoontack.generation.failover import EndCause, FailoverInput, NextStep
 from monsoontack.pacing.domainevidence import Trouble
 from monsoontack.pacing.pace import is_in_time
+from monsoontack.routing.placement import unread_tokens
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrelay import StreamRelay
@@ -168,3 +169,34 @@
     predicted_s = relay.run.stream_timeouts.predicted_s(relay.tokens_to_read)
     in_time = is_in_time(now - relay.sent_at, predicted_s)
     relay.run.forwarder.fleet.paces.note_answered(relay.member, in_time, now)
+
+
+def log_wait(relay: "StreamRelay", silence: str, waits_for: str) -> None:
+    """Log that a stream waits for its silent engine, and for what reason."""
+    run = relay.run
+    log.info(
+        "stream waits for its silent engine",
+        request=relay.job.request.request_id,
+        server=relay.member.server.incarnation,
+        silence=silence,
+        waits_for=waits_for,
+        events=run.events,
+        left_s=round(relay.job.left_s(run.now()), 2),
+    )
+
+
+def note_first_event(relay: "StreamRelay", now: float) -> None:
+    """Record the time of an attempt's first event for placement and timeouts."""
+    run, job = relay.run, relay.job
+    if job.first_event_at is None:
+        job.first_event_at = now
+    if relay.record.first_event_at is None:
+        relay.record.first_event_at = now
+    if not relay.resumed:
+        took_s = now - relay.sent_at
+        run.stream_timeouts.note_first_event(relay.tokens_to_read, took_s)
+        tokens = relay.tokens_to_read - relay.tokens_ahead
+        tokens += unread_tokens(relay.tokens_ahead)
+        relay.speeds.note_first_event(relay.member.limit_key, tokens, took_s)
+    run.forwarder.fleet.note_alive(relay.member, now)
+    run.forwarder.admission.wake(job.service)
--- a/monsoontack/gateway/streamrelay.py
+++ b/monsoontack/gateway/streamrelay.py
@@ -24,7 +24,9 @@
 )
 from monsoontack.gateway.streamoutcome import (
     log_going_on,
+    log_wait,
     log_wrong_answer,
+    note_first_event,
     note_paced_answer,
 )
 from monsoontack.generation.continuation import (
@@ -37,7 +39,6 @@
 from monsoontack.generation.streamtimeouts import decaying_maximum
 from monsoontack.inbound.responder import CallerDisconnectedError
 from monsoontack.routing.enginespeeds import StepWindow
-from monsoontack.routing.placement import unread_tokens
 
 if TYPE_CHECKING:
     from monsoontack.gateway.streamrun import StreamRun
@@ -226,14 +227,14 @@
     def _waits_at_silent_engine(self, silence: str) -> bool:
         """Whether the stream stays at its silent engine until the next check."""
         silent_s = self.run.now() - self.run.last_event_at
-        can_return = self.answer.count > 0 and may_pause(silent_s, self.is_reachable)
+        is_pause = self.answer.count > 0 and may_pause(silent_s, self.is_reachable)
         waits_for = why_stay(
             self.run,
             self.member,
             self.backup,
             self.answer.count,
             self.silent_since,
-            can_return,
+            is_pause,
         )
         if waits_for is None:
             return False
@@ -244,15 +245,7 @@
     def note_wait(self, silence: str, waits_for: str) -> None:
         """Note that the stream waits for its silent engine, and for what reason."""
         if waits_for != self.waits_for:
-            log.info(
-                "stream waits for its silent engine",
-                request=self.job.request.request_id,
-                server=self.member.server.incarnation,
-                silence=silence,
-                waits_for=waits_for,
-                events=self.run.events,
-                left_s=round(self.job.left_s(self.run.now()), 2),
-            )
+            log_wait(self, silence, waits_for)
         self.waits_for = waits_for
 
     def _note_going_on(self, now: float) -> None:
@@ -302,7 +295,7 @@
         if is_first:
             note_paced_answer(self, now)
         if run.events == 0 or is_first and run.last_event_at == 0.0:
-            self._record_first_event(now)
+            note_first_event(self, now)
         else:
             gap_s = now - run.last_event_at
             self.job.worst_gap_s = max(self.job.worst_gap_s, gap_s)
@@ -325,20 +318,6 @@
         self.load.note_prompt_read()
         self._cancel_liveness_check()
 
-    def _record_first_event(self, now: float) -> None:
-        if self.job.first_event_at is None:
-            self.job.first_event_at = now
-        if self.record.first_event_at is None:
-            self.record.first_event_at = now
-        if not self.resumed:
-            took_s = now - self.sent_at
-            self.run.stream_timeouts.note_first_event(self.tokens_to_read, took_s)
-            tokens = self.tokens_to_read - self.tokens_ahead
-            tokens += unread_tokens(self.tokens_ahead)
-            self.speeds.note_first_event(self.member.limit_key, tokens, took_s)
-        self.run.forwarder.fleet.note_alive(self.member, now)
-        self.run.forwarder.admission.wake(self.job.service)
-
     async def _detect_silence(self) -> str | None:
         """Return the reason if the engine has been silent for too long, else None."""
         run, now, member = self.run, self.run.now(), self.member
--- a/monsoontack/gateway/streamrun.py
+++ b/monsoontack/gateway/streamrun.py
@@ -7,14 +7,13 @@
 from monsoontack.core.errors import RequestError
 from monsoontack.core.records import BackendServer
 from monsoontack.gateway.askedengines import AskedEngines
-from monsoontack.gateway.errorresponse import error_response
 from monsoontack.gateway.fleet import Member
 from monsoontack.gateway.job import AttemptRecord, Job
 from monsoontack.gateway.keptattempt import KeptAttempt
 from monsoontack.gateway.outbound import ExchangeFailure, HttpExchange
 from monsoontack.gateway.records import Attempt
 from monsoontack.gateway.streamattempt import OpenAttempt, Placement, StreamLoss
-from monsoontack.gateway.streamerrors import loss_error, too_late_error
+from monsoontack.gateway.streamerrors import end_failed, send_error, too_late_error
 from monsoontack.gateway.streamload import AttemptLoad
 from monsoontack.gateway.streammove import (
     MOVE_CHECK_INTERVAL_S,
@@ -118,12 +117,12 @@
             self.forwarder.rollouts.note_request(job.service)
         refusal = too_late_error(self)
         if refusal is not None:
-            self._send_error(refusal)
+            send_error(self, refusal)
             return
         try:
             admitted = await admit_stream(self)
             if isinstance(admitted, RequestError):
-                self._send_error(admitted)
+                send_error(self, admitted)
                 return
             loss = await self._run_attempts(admitted)
         except CallerDisconnectedError:
@@ -138,7 +137,7 @@
             job.outcome, job.status = "streamed", 200
             job.responder.finish()
             return
-        self._end_failed(loss)
+        end_failed(self, loss)
 
     def _is_wanted(self) -> bool:
         is_of_use = self.job.is_wanted() and not self.kept.takes_over
@@ -288,11 +287,6 @@
         """Allow one more attempt, since a pause limits the rate of further ones."""
         self.total_attempts = min(self.total_attempts, MAX_TOTAL_ATTEMPTS - 1)
 
-    def wake_attempt(self) -> None:
-        """Let the relay of the present attempt look at its state."""
-        if self.attempt is not None and self.attempt.relay is not None:
-            self.attempt.relay.exchange.wake()
-
     def is_blocked(self) -> bool:
         """Whether the request has been blocked since it arrived."""
         job = self.job
@@ -386,24 +380,3 @@
         return await self.forwarder.sender.send(
             attempt.member, job.request, request, self._is_wanted
         )
-
-    def _end_failed(self, loss: StreamLoss) -> None:
-        """End a stream that cannot be continued."""
-        job, responder = self.job, self.job.responder
-        if responder.head_sent:
-            job.outcome = "stream_cut"
-            responder.abort()
-            return
-        error = self.engine_error
-        if error is not None and error.response_head is not None:
-            job.outcome, job.status = "engine_error", error.response_head.status
-            responder.send(
-                error.response_head.status, error.response_head.forwarded, error.body
-            )
-            return
-        self._send_error(loss_error(self, loss))
-
-    def _send_error(self, error: RequestError) -> None:
-        job = self.job
-        job.outcome, job.status = error.code, error.status
-        job.responder.send(*error_response(error, job.request.request_id))
--- a/monsoontack/generation/silence.py
+++ b/monsoontack/generation/silence.py
@@ -65,14 +65,15 @@
     return is_reachable and silent_s < SOUND_PAUSE_S
 
 
-def is_left_too_soon(may_pause: bool, first_event_s: float) -> bool:
+def is_left_too_soon(is_pause: bool, first_event_s: float) -> bool:
     """Whether a stream would leave its engine for one that answers too late.
 
-    `first_event_s` is the time in which the next engine should bring its first event.
-    If that is longer than the connection is kept, the next engine would be given up
-    after it has read a part of the prompt in vain.
+    `is_pause` means that the silence may be a pause. `first_event_s` is the time in
+    which the next engine should bring its first event. If that is longer than the
+    connection is kept, the next engine would be given up after it has read a part of
+    the prompt in vain.
     """
-    return may_pause and first_event_s >= KEPT_S
+    return is_pause and first_event_s >= KEPT_S
 
 
 @dataclass(slots=True, repr=False)
