--- a/monsoontack/agent/brokenanswers_test.py
+++ b/monsoontack/agent/brokenanswers_test.py
@@ -1,7 +1,6 @@
 """Answers of a broken server as an agent reads them, over real sockets."""
 
 import asyncio
-import socket
 import unittest
 
 import uvloop
@@ -11,6 +10,7 @@
 from monsoontack.agent.servicehttp import HttpService
 from monsoontack.gateway.earlyanswer_test import (
     PART,
+    early_server,
     end_after_reading_all,
     end_after_reading_some,
     end_by_reset,
@@ -24,36 +24,20 @@
 
 async def call(answer: bytes, end, size: int):
     """Return the outcome of a call that is answered after its first bytes."""
-    loop = asyncio.get_running_loop()
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        listener.setblocking(False)
-
-        async def serve() -> None:
-            sock, _ = await loop.sock_accept(listener)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
-            await loop.sock_recv(sock, 100)
-            await loop.sock_sendall(sock, answer)
-            await asyncio.sleep(0.05)
-            await end(sock)
-
-        serving = asyncio.ensure_future(serve())
-        url = "http://{}:{}".format(*listener.getsockname())
-        async with open_session() as session:
-            request = CallRequest(
-                call_id="c",
-                method="POST",
-                path="/x",
-                headers=(),
-                body=b"x" * size,
-                account="a",
-                timeout_s=5.0,
-                idempotent=False,
-                key="k",
-                fence=1,
-            )
-            outcome = await HttpService(session, url).call(request)
-        await asyncio.gather(serving, return_exceptions=True)
-        return outcome
+    async with early_server(answer, end) as at, open_session() as session:
+        request = CallRequest(
+            call_id="c",
+            method="POST",
+            path="/x",
+            headers=(),
+            body=b"x" * size,
+            account="a",
+            timeout_s=5.0,
+            idempotent=False,
+            key="k",
+            fence=1,
+        )
+        return await HttpService(session, "http://{}:{}".format(*at)).call(request)
 
 
 def outcomes(answer: bytes, end, size: int) -> list[tuple]:
--- a/monsoontack/gateway/earlyanswer_test.py
+++ b/monsoontack/gateway/earlyanswer_test.py
@@ -1,6 +1,7 @@
 """Answers that come while the request is still being written, over real sockets."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import unittest
@@ -11,6 +12,7 @@
 
 HEAD = b"HTTP/1.1 %d OK\r\nx-id: r\r\n\r\n"
 PART = b"part of the body"
+FIRST_READ_BYTES = 100
 SIZES = (900_000, 4_000_000)
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -49,8 +51,12 @@
 ENDS = (end_by_reset, end_by_shutdown, end_after_reading_some)
 
 
-async def answer_early(end, size: int, status: int = 200) -> HttpExchange:
-    """Send a request to a server that answers after its first bytes."""
+@contextlib.asynccontextmanager
+async def early_server(answer: bytes, end):
+    """Yield the address of a server that answers after the first bytes of a request.
+
+    It ends its one connection by `end`.
+    """
     loop = asyncio.get_running_loop()
     with socket.create_server(("127.0.0.1", 0)) as listener:
         listener.setblocking(False)
@@ -58,25 +64,30 @@
         async def serve() -> None:
             sock, _ = await loop.sock_accept(listener)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
-            await loop.sock_recv(sock, 1000)
-            await loop.sock_sendall(sock, HEAD % status + PART)
+            await loop.sock_recv(sock, FIRST_READ_BYTES)
+            await loop.sock_sendall(sock, answer)
             await asyncio.sleep(0.05)
             await end(sock)
 
         serving = asyncio.ensure_future(serve())
+        yield listener.getsockname()
+        await asyncio.gather(serving, return_exceptions=True)
+
+
+async def answer_early(end, size: int, status: int = 200) -> HttpExchange:
+    """Send a request to a server that answers early; return the exchange."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(10.0), early_server(HEAD % status + PART, end) as at:
         _, connection = await loop.create_connection(
-            lambda: OutboundConnection(lambda headers: "r", lambda free: None),
-            *listener.getsockname(),
+            lambda: OutboundConnection(lambda headers: "r", lambda free: None), *at
         )
         exchange = HttpExchange("r")
         connection.start(exchange, b"x" * size)
-        async with asyncio.timeout(10.0):
-            while not exchange.is_finished:
-                await exchange.wait(1.0)
-                exchange.take_body()
-            await asyncio.gather(serving, return_exceptions=True)
-        connection.abort()
-        return exchange
+        while not exchange.is_finished:
+            await exchange.wait(1.0)
+            exchange.take_body()
+    connection.abort()
+    return exchange
 
 
 class EarlyAnswerTest(unittest.TestCase):
@@ -107,7 +118,7 @@
         for size in (2_000, *SIZES):
 
             async def end(sock, size=size):
-                await end_after_reading_all(sock, size - 1000)
+                await end_after_reading_all(sock, size - FIRST_READ_BYTES)
 
             for exchange in self.run_on_both_loops(end, size):
                 self.assertIsNone(exchange.failure)
